wire: let a dropped client close its connection

Cause: the prober held a strong sender, so the writer never saw the channel close. Ruled out: closing in Drop, which cannot reach the spawned task.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -207,11 +207,13 @@
 
 impl Prober {
     fn ping(&self) {
-        let call = self.link.calls.fetch_add(1, Ordering::Relaxed);
-        let _ = self.link.frames.try_send(Frame::Call {
-            call,
-            request: Request::Ping,
-        });
+        let call = self.calls.fetch_add(1, Ordering::Relaxed);
+        if let Some(frames) = self.frames.upgrade() {
+            let _ = frames.try_send(Frame::Call {
+                call,
+                request: Request::Ping,
+            });
+        }
     }
 }
 
