--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -72,6 +72,7 @@
 /// Connection to one address, opened when it is needed and opened again after it was lost.
 pub struct PeerClient {
     address: SocketAddr,
+    connections: AtomicU64,
     link: tokio::sync::Mutex<(Option<Link>, Option<Instant>)>,
     pushes: Option<mpsc::Sender<FollowUpdate>>,
     secret: CellSecret,
@@ -88,6 +89,7 @@
     ) -> Self {
         Self {
             address,
+            connections: AtomicU64::default(),
             link: tokio::sync::Mutex::default(),
             pushes,
             secret,
@@ -100,6 +102,11 @@
         self.address
     }
 
+    /// Number of connections opened so far. A subscription ends with the connection it was made on.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Acquire)
+    }
+
     /// Makes a call and waits for its answer.
     ///
     /// `WireError::had_no_effect` tells whether a failed call may have taken effect.
@@ -145,6 +152,7 @@
         }
         *slot = (None, Some(Instant::now()));
         let link = self.connect().await?;
+        self.connections.fetch_add(1, Ordering::AcqRel);
         slot.0 = Some(link.clone());
         Ok(link)
     }
