--- /dev/null
+++ b/crates/daemon/src/answer.rs
@@ -0,0 +1,156 @@
+//! What a caller gets.
+
+use {
+    crate::worker_adapter::WorkerAnswer,
+    bytes::Bytes,
+    fuchsiatack_ledger::StoredAnswer,
+    fuchsiatack_model::{Outcome, Refusal},
+    fuchsiatack_wire::ForwardedAnswer,
+    smol_str::SmolStr,
+};
+
+/// Longest answer body that the journal keeps, in bytes.
+const MAX_STORED_BYTES: usize = 64 << 10;
+const STATUS_DONE: u16 = 200;
+const STATUS_FAILED: u16 = 502;
+const STATUS_GONE: u16 = 410;
+const STATUS_NOT_RUN: u16 = 503;
+const STATUS_CONFLICT: u16 = 409;
+const STATUS_TOO_MANY: u16 = 429;
+const STATUS_UNKNOWN: u16 = 504;
+
+/// Answer to one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    /// Whole body of the worker's answer; empty if there is none.
+    pub(crate) body: Bytes,
+    /// Content type of the body.
+    pub(crate) content_type: Option<SmolStr>,
+    /// Text that explains an answer without body.
+    pub(crate) message: SmolStr,
+    /// What became of the request.
+    pub(crate) outcome: Outcome,
+    /// Why it was not run.
+    pub(crate) refusal: Option<Refusal>,
+    /// When a retry may succeed, in milliseconds; 0 if it cannot.
+    pub(crate) retry_after_ms: u32,
+    /// HTTP status for the caller.
+    pub(crate) status: u16,
+}
+
+impl Answer {
+    /// Answer for a request whose fate is not known.
+    pub(crate) fn unknown(message: &str) -> Self {
+        Self {
+            body: Bytes::new(),
+            content_type: None,
+            message: message.into(),
+            outcome: Outcome::Unknown,
+            refusal: None,
+            retry_after_ms: 0,
+            status: STATUS_UNKNOWN,
+        }
+    }
+
+    /// Answer for a request that was not run.
+    pub(crate) fn not_run(refusal: Refusal, retry_after_ms: u32) -> Self {
+        let status = match refusal {
+            Refusal::DifferentBody => STATUS_CONFLICT,
+            Refusal::QueueFull => STATUS_TOO_MANY,
+            _ => STATUS_NOT_RUN,
+        };
+        Self {
+            message: refusal.to_string().into(),
+            outcome: Outcome::NotRun,
+            refusal: Some(refusal),
+            retry_after_ms,
+            status,
+            ..Self::unknown("")
+        }
+    }
+
+    /// Returns whether the worker's answer is relayed rather than a message of the daemon.
+    pub(crate) fn is_relayed(&self) -> bool {
+        matches!(self.outcome, Outcome::Done | Outcome::Failed) && self.status != STATUS_GONE
+    }
+
+    /// Form that the journal keeps.
+    pub(crate) fn to_stored(&self, unix_ms: u64) -> StoredAnswer {
+        let truncated = self.body.len() > MAX_STORED_BYTES;
+        StoredAnswer {
+            body: match truncated {
+                true => Vec::new(),
+                false => self.body.to_vec(),
+            },
+            content_type: self.content_type.clone(),
+            outcome: self.outcome,
+            status: self.status,
+            truncated,
+            unix_ms,
+        }
+    }
+}
+
+impl From<WorkerAnswer> for Answer {
+    fn from(answer: WorkerAnswer) -> Self {
+        let (outcome, status) = match answer.status {
+            200..=299 => (Outcome::Done, STATUS_DONE),
+            _ => (Outcome::Failed, STATUS_FAILED),
+        };
+        Self {
+            body: answer.body,
+            content_type: answer.content_type,
+            outcome,
+            status,
+            ..Self::unknown("")
+        }
+    }
+}
+
+impl From<StoredAnswer> for Answer {
+    fn from(stored: StoredAnswer) -> Self {
+        let (message, status) = match (stored.truncated, stored.outcome) {
+            (true, _) => (
+                "the request has ended, but its answer is no longer kept",
+                STATUS_GONE,
+            ),
+            (false, Outcome::Unknown) => ("the answer of the request was lost", STATUS_UNKNOWN),
+            (false, _) => ("", stored.status),
+        };
+        Self {
+            body: stored.body.into(),
+            content_type: stored.content_type,
+            outcome: stored.outcome,
+            status,
+            ..Self::unknown(message)
+        }
+    }
+}
+
+impl From<ForwardedAnswer> for Answer {
+    fn from(answer: ForwardedAnswer) -> Self {
+        match (answer.outcome, answer.refusal) {
+            (Outcome::NotRun, refusal) => Self::not_run(refusal.unwrap_or(Refusal::WorkerRefused), 0),
+            (Outcome::Unknown, _) => Self::unknown("the peer that ran the request lost its answer"),
+            (outcome, _) => Self {
+                body: answer.body.into(),
+                content_type: answer.content_type,
+                outcome,
+                status: answer.status,
+                ..Self::unknown("")
+            },
+        }
+    }
+}
+
+impl From<Answer> for ForwardedAnswer {
+    fn from(answer: Answer) -> Self {
+        Self {
+            body: answer.body.to_vec(),
+            content_type: answer.content_type,
+            outcome: answer.outcome,
+            refusal: answer.refusal,
+            status: answer.status,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller_api.rs
@@ -0,0 +1,347 @@
+//! HTTP interface of callers and workers.
+
+use {
+    crate::{
+        answer::Answer,
+        engine_handle::RequestBody,
+        engine_message::EngineMessage,
+        http_error::HttpError,
+        http_server::{applied, read_body, render_answer, render_error, render_json, set_header, set_index},
+        job::JobClass,
+        journal::{Journal, JournalRequest},
+        operator_api::{operation_id, render_written},
+        request_head::{REQUEST_HEADER, RequestHead, bearer, missing_key, wrong_key},
+        shared::Shared,
+    },
+    fuchsiatack_ledger::{Command, JournalKey, Query, QueryReply, RecordAction, RecordWrite},
+    fuchsiatack_model::{
+        AnnounceReply, LogIndex, QueueName, Refusal, TaskClass, TeamName, WorkName, WorkStatus,
+        WorkerAnnouncement,
+    },
+    fuchsiatack_records::{Access, Kind, QueueSpec, Record, Schema, Spec},
+    opentelemetry::trace::SpanKind,
+    salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::StatusCode},
+    serde_json::{Value, json},
+    smol_str::{SmolStr, format_smolstr},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Time between announcements of a worker while its owner has at most `WORKERS_PER_INTERVAL`.
+const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
+const WORKERS_PER_INTERVAL: u64 = 64;
+/// Longest wait for the store in a call of a worker or about queued work.
+pub(crate) const STORE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Calls of the caller address.
+#[derive(Clone, Copy)]
+enum Call {
+    Announce,
+    CancelWork,
+    ReadWork,
+    Run,
+    SubmitWork,
+}
+
+struct CallerApi {
+    call: Call,
+    shared: Arc<Shared>,
+}
+
+/// Routes of the caller address.
+pub(crate) fn router(shared: &Arc<Shared>) -> Router {
+    let api = |call| CallerApi {
+        call,
+        shared: shared.clone(),
+    };
+    Router::with_path("v1")
+        .push(Router::with_path("queues/{queue}/requests").post(api(Call::Run)))
+        .push(Router::with_path("workers/announce").post(api(Call::Announce)))
+        .push(
+            Router::with_path("work").post(api(Call::SubmitWork)).push(
+                Router::with_path("{name}")
+                    .get(api(Call::ReadWork))
+                    .delete(api(Call::CancelWork)),
+            ),
+        )
+}
+
+#[salvo::async_trait]
+impl Handler for CallerApi {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let _open = self.shared.open.enter();
+        let handled = match self.call {
+            Call::Announce => self.announce(request, response).await,
+            Call::CancelWork => self.cancel_work(request, response).await,
+            Call::ReadWork => self.read_work(request, response).await,
+            Call::Run => self.run(request, response).await,
+            Call::SubmitWork => self.submit_work(request, response).await,
+        };
+        if let Err(error) = handled {
+            render_error(response, &error);
+        }
+        if !response.headers().contains_key(crate::http_server::INDEX_HEADER) {
+            set_index(response, applied(&self.shared));
+        }
+    }
+}
+
+impl CallerApi {
+    async fn run(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
+        let head = RequestHead::parse(request.headers())?;
+        set_header(response, REQUEST_HEADER, head.request.as_str());
+        let deadline = head.deadline.map(|left| Instant::now() + left);
+        let key = bearer(request.headers())?.map(SmolStr::new);
+        let queue = QueueName::new(request.param::<String>("queue").unwrap_or_default());
+        self.check_open()?;
+        self.admit(&queue, key.as_deref())?;
+        let body = read_body(request, self.shared.settings.callers.max_body_bytes).await?;
+        // The body may have taken long, and the key may have been withdrawn meanwhile.
+        self.check_open()?;
+        let (team, spec) = self.admit(&queue, key.as_deref())?;
+        let hop = self
+            .shared
+            .traces
+            .hop("receive", SpanKind::Server, head.trace_parent.as_ref());
+        let class = JobClass {
+            class: TaskClass {
+                demand: spec.demand,
+                idempotent: head.idempotent,
+                policy: spec.policy,
+            },
+            deadline,
+            may_forward: true,
+            queue: Some((queue.clone(), spec.max_waiting)),
+            session: None,
+            team,
+        };
+        let body = RequestBody {
+            body,
+            content_type: head.content_type,
+            request: head.request,
+            trace_parent: hop.trace_parent(),
+        };
+        let answer = self.run_admitted(&queue, class, body).await;
+        drop(hop);
+        render_answer(response, answer);
+        Ok(())
+    }
+
+    async fn run_admitted(&self, queue: &QueueName, class: JobClass, body: RequestBody) -> Answer {
+        if class.class.idempotent {
+            return self.shared.engine.run(class, body).await;
+        }
+        let request = JournalRequest {
+            body_hash: hash_of(queue, &body),
+            key: JournalKey {
+                request: body.request.clone(),
+                team: class.team.clone(),
+            },
+            body,
+            class,
+        };
+        Journal::run(&self.shared, request).await
+    }
+
+    /// Refuses new requests while the daemon stops or its lease is lost.
+    fn check_open(&self) -> Result<(), HttpError> {
+        match () {
+            () if self.shared.stopping.is_refusing() => Err(Refusal::Stopping.into()),
+            () if !self.shared.session.is_valid() => Err(Refusal::LeaseLapsed.into()),
+            () => Ok(()),
+        }
+    }
+
+    /// Team that a request counts for, and the queue it goes through.
+    fn admit(&self, queue: &QueueName, key: Option<&str>) -> Result<(TeamName, QueueSpec), HttpError> {
+        let directory = self.shared.session.directory();
+        let record = directory.record(Kind::Queue, queue.as_str());
+        let Some(Spec::Queue(spec)) = record.map(|record| &record.spec) else {
+            let message = format!("there is no queue named {queue}");
+            return Err(HttpError::not_found("unknown-queue", message));
+        };
+        let team = match (key, spec.access, &spec.team) {
+            (None, Access::Open, Some(team)) => team.clone(),
+            (None, ..) => return Err(missing_key()),
+            (Some(key), ..) => directory.team_of_key(key).ok_or_else(wrong_key)?.clone(),
+        };
+        Ok((team, spec.clone()))
+    }
+
+    /// Team of the key that came with a call about queued work.
+    fn team(&self, request: &Request) -> Result<TeamName, HttpError> {
+        self.check_open()?;
+        let key = bearer(request.headers())?.ok_or_else(missing_key)?;
+        let directory = self.shared.session.directory();
+        directory.team_of_key(key).cloned().ok_or_else(wrong_key)
+    }
+
+    async fn announce(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
+        let body = read_body(request, self.shared.settings.callers.max_body_bytes).await?;
+        let announcement: WorkerAnnouncement = serde_json::from_slice(&body)
+            .map_err(|error| HttpError::bad_request("bad-announcement", error.to_string()))?;
+        check_announcement(&announcement)?;
+        if announcement.leaving {
+            let worker = announcement.name.clone();
+            self.shared.engine.send(EngineMessage::Leaving(worker));
+        }
+        let is_known = self
+            .shared
+            .session
+            .directory()
+            .worker(&announcement.name)
+            .is_some_and(|entry| entry.announcement == announcement);
+        if !is_known {
+            self.register(announcement.clone()).await?;
+        }
+        let reply = self.announce_reply(&announcement);
+        let body = serde_json::to_value(&reply).unwrap_or_default();
+        render_json(response, StatusCode::OK, &body);
+        Ok(())
+    }
+
+    async fn register(&self, announcement: WorkerAnnouncement) -> Result<(), HttpError> {
+        let command = Command::RegisterWorker(announcement);
+        let proposed = self
+            .shared
+            .session
+            .cell()
+            .propose(command, true, STORE_LIMIT)
+            .await;
+        let committed = proposed.map_err(|error| HttpError::unavailable(&error))?;
+        self.shared.session.wait_for(committed.index, STORE_LIMIT).await;
+        Ok(())
+    }
+
+    fn announce_reply(&self, announcement: &WorkerAnnouncement) -> AnnounceReply {
+        let directory = self.shared.session.directory();
+        let owner = directory
+            .worker(&announcement.name)
+            .and_then(|entry| entry.owner)
+            .filter(|owner| directory.daemons().contains_key(owner));
+        let owned = directory
+            .workers()
+            .filter(|entry| owner.is_some() && entry.owner == owner)
+            .count() as u64;
+        AnnounceReply {
+            interval_ms: ANNOUNCE_INTERVAL_MS * owned.max(WORKERS_PER_INTERVAL) / WORKERS_PER_INTERVAL,
+            owner: owner
+                .and_then(|owner| directory.daemons().get(&owner))
+                .map(|info| format_smolstr!("{}", info.caller_address)),
+        }
+    }
+
+    async fn submit_work(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
+        let team = self.team(request)?;
+        let operation = operation_id(request.headers())?;
+        let body = read_body(request, self.shared.settings.callers.max_body_bytes).await?;
+        let value: Value = serde_json::from_slice(&body)
+            .map_err(|error| HttpError::bad_request("bad-json", error.to_string()))?;
+        let record = Record::from_json(&value)
+            .map_err(|error| HttpError::bad_request("bad-record", error.to_string()))?;
+        match &record.spec {
+            Spec::Work(work) if work.team == team => {}
+            Spec::Work(_) => {
+                let message = format!("the key is of team {team}, but the work names another team");
+                return Err(HttpError::new(StatusCode::FORBIDDEN, "wrong-team", message));
+            }
+            _ => {
+                let message = "only records of kind work are submitted here";
+                return Err(HttpError::bad_request("wrong-kind", message));
+            }
+        }
+        let write = RecordWrite {
+            action: RecordAction::Put(Box::new(record)),
+            author: format_smolstr!("team {team}"),
+            operation,
+        };
+        render_written(&self.shared, write, response).await
+    }
+
+    async fn read_work(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
+        let team = self.team(request)?;
+        let (index, record, status) = self.find_work(request, &team).await?;
+        set_index(response, index);
+        let body = json!({
+            "record": record.to_json(Schema::V2),
+            "status": serde_json::to_value(&status).unwrap_or_default(),
+        });
+        render_json(response, StatusCode::OK, &body);
+        Ok(())
+    }
+
+    async fn cancel_work(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
+        let team = self.team(request)?;
+        let operation = operation_id(request.headers())?;
+        let (_, record, _) = self.find_work(request, &team).await?;
+        let write = RecordWrite {
+            action: RecordAction::Delete {
+                kind: Kind::Work,
+                name: record.name.clone(),
+                version: record.version,
+            },
+            author: format_smolstr!("team {team}"),
+            operation,
+        };
+        render_written(&self.shared, write, response).await
+    }
+
+    /// Reads a work. One of another team does not exist for the caller.
+    async fn find_work(
+        &self,
+        request: &Request,
+        team: &TeamName,
+    ) -> Result<(LogIndex, Record, WorkStatus), HttpError> {
+        let name = WorkName::new(request.param::<String>("name").unwrap_or_default());
+        let query = Query::Work(name.clone());
+        let queried = self
+            .shared
+            .session
+            .cell()
+            .query(query, STORE_LIMIT)
+            .await
+            .map_err(|error| HttpError::unavailable(&error))?;
+        match queried.reply {
+            QueryReply::Work(Some(found)) if matches!(&found.0.spec, Spec::Work(work) if work.team == *team) => {
+                Ok((queried.index, found.0, found.1))
+            }
+            _ => {
+                let message = format!("there is no work named {name}");
+                Err(HttpError::not_found("unknown-work", message))
+            }
+        }
+    }
+}
+
+/// Hash that tells whether a resend is of the same request.
+fn hash_of(queue: &QueueName, body: &RequestBody) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(queue.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(&body.body);
+    let mut prefix = [0; size_of::<u64>()];
+    prefix.copy_from_slice(&hasher.finalize().as_bytes()[..size_of::<u64>()]);
+    u64::from_be_bytes(prefix)
+}
+
+fn check_announcement(announcement: &WorkerAnnouncement) -> Result<(), HttpError> {
+    if announcement.name.as_str().is_empty() {
+        return Err(HttpError::bad_request(
+            "bad-announcement",
+            "the worker needs a name",
+        ));
+    }
+    match announcement.address.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => {
+            let message = format!("{} is not an IP address and port", announcement.address);
+            Err(HttpError::bad_request("bad-announcement", message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,241 @@
+//! A whole daemon: its start, its run and its planned stop.
+
+use {
+    crate::{
+        DaemonError, Settings, caller_api,
+        engine::Engine,
+        engine_handle::EngineHandle,
+        engine_message::EngineMessage,
+        hints::{self, LoadCell},
+        http_adapter::HttpAdapter,
+        http_server::{HttpServer, bind},
+        journal::Journal,
+        metrics::Metrics,
+        operator_api,
+        peer_handler::PeerHandler,
+        peers::Peers,
+        shared::{Open, Shared, Stopping},
+        store_role::StoreRole,
+        traces::Traces,
+    },
+    fuchsiatack_ledger::DaemonInfo,
+    fuchsiatack_model::{DaemonName, DataCenter},
+    fuchsiatack_session::{CellClient, CellClientSettings, Session, SessionEvent, SessionSettings},
+    fuchsiatack_wire::{CellSecret, HintSocket, PeerClientSettings, PeerServer, ServerCounters},
+    std::{
+        net::SocketAddr,
+        path::Path,
+        sync::{Arc, OnceLock, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::{JoinHandle, JoinSet},
+        time::sleep,
+    },
+};
+
+/// Longest wait for the end of the session in a planned stop. After it the session expires.
+const END_LIMIT: Duration = Duration::from_secs(3);
+/// Longest wait for the release of all workers in a planned stop.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(10);
+/// Period in which a planned stop looks for open requests.
+const OPEN_POLL_PERIOD: Duration = Duration::from_millis(20);
+/// Most connections of operators.
+const OPERATOR_CONNECTIONS: usize = 256;
+/// Longest wait until answers are sent and connections are closed.
+const SERVER_STOP_LIMIT: Duration = Duration::from_secs(2);
+/// Period in which counters of the peer port are read.
+const COUNTER_PERIOD: Duration = Duration::from_secs(1);
+
+/// A running daemon.
+pub struct Daemon {
+    background: JoinSet<()>,
+    callers: HttpServer,
+    operators: HttpServer,
+    peer_server: JoinHandle<()>,
+    shared: Arc<Shared>,
+}
+
+/// What is bound before the parts start.
+struct Bound {
+    callers: tokio::net::TcpListener,
+    hints: HintSocket,
+    operators: tokio::net::TcpListener,
+    peers: PeerServer,
+}
+
+impl Daemon {
+    /// Starts all parts. The settings must have been checked.
+    pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
+        let secret = CellSecret::new(&read_secret(&settings.cell_secret_file)?);
+        let operator_key = blake3::hash(read_secret(&settings.operator_key_file)?.as_bytes());
+        let bound = Bound::new(&settings, &secret).await?;
+        let daemon = bound.daemon_info(&settings)?;
+        spdlog::info!("daemon starts", kv: {
+            name = settings.name.as_str(),
+            callers = daemon.caller_address.to_string(),
+            operators = bound.operators.local_addr().map(|address| address.to_string()).unwrap_or_default(),
+            peers = daemon.peer_address.to_string(),
+        });
+        let store = StoreRole::start(&settings, secret.clone()).await?;
+        let slot: Arc<OnceLock<Arc<Shared>>> = Arc::default();
+        let counters = bound.peers.counters();
+        let handler = Arc::new(PeerHandler::new(store.clone(), slot.clone()));
+        let peer_server = tokio::spawn(bound.peers.serve(handler));
+        let (session, events) = start_session(&settings, daemon.clone(), secret.clone());
+        let (engine, messages) = EngineHandle::new();
+        let shared = Arc::new(Shared {
+            adapter: Arc::new(HttpAdapter::new()?),
+            daemon,
+            engine,
+            journal: Journal::default(),
+            metrics: Metrics::new(),
+            open: Open::default(),
+            operator_key: *operator_key.as_bytes(),
+            peers: Peers::new(secret),
+            session,
+            stopping: Stopping::default(),
+            store,
+            traces: Traces::new(&settings.traces, &settings.name)?,
+            settings,
+        });
+        let _ = slot.set(shared.clone());
+        let callers = HttpServer::start(
+            bound.callers,
+            shared.settings.callers.max_connections,
+            caller_api::router(&shared),
+        )?;
+        let operators = HttpServer::start(
+            bound.operators,
+            OPERATOR_CONNECTIONS,
+            operator_api::router(&shared),
+        )?;
+        Ok(Self {
+            background: start_background(&shared, messages, events, bound.hints, counters),
+            callers,
+            operators,
+            peer_server,
+            shared,
+        })
+    }
+
+    /// Stops as planned: readiness false, new requests refused, workers handed over, open requests
+    /// finished, session ended, store stopped.
+    pub async fn stop(mut self) {
+        spdlog::info!("planned stop begins");
+        let shared = self.shared.clone();
+        shared.stopping.set_not_ready();
+        sleep(Duration::from_millis(shared.settings.stop.grace_ms)).await;
+        shared.stopping.set_refusing();
+        hand_over(&shared).await;
+        while shared.open.count() > 0 {
+            sleep(OPEN_POLL_PERIOD).await;
+        }
+        if let Err(error) = shared.session.end(END_LIMIT).await {
+            spdlog::warn!("cannot end the session; it will expire", kv: { error = error.to_string() });
+        }
+        self.background.shutdown().await;
+        tokio::join!(
+            self.callers.stop(SERVER_STOP_LIMIT),
+            self.operators.stop(SERVER_STOP_LIMIT)
+        );
+        shared.store.clone().stop().await;
+        self.peer_server.abort();
+        shared.traces.shut_down();
+        spdlog::info!("planned stop is complete");
+        spdlog::default_logger().flush();
+    }
+}
+
+impl Bound {
+    async fn new(settings: &Settings, secret: &CellSecret) -> Result<Self, DaemonError> {
+        let peers = PeerServer::bind(address(settings.peers.address), secret.clone()).await?;
+        let hints = HintSocket::bind(peers.local_address()?, secret).await?;
+        Ok(Self {
+            callers: bind(address(settings.callers.address)).await?,
+            hints,
+            operators: bind(address(settings.operators.address)).await?,
+            peers,
+        })
+    }
+
+    fn daemon_info(&self, settings: &Settings) -> Result<DaemonInfo, DaemonError> {
+        let caller_address = self.callers.local_addr().map_err(|error| DaemonError::Bind {
+            address: "callers".into(),
+            message: error.to_string(),
+        })?;
+        Ok(DaemonInfo {
+            caller_address,
+            data_center: DataCenter::new(&settings.data_center),
+            name: DaemonName::new(&settings.name),
+            peer_address: self.peers.local_address()?,
+            weight: settings.weight,
+        })
+    }
+}
+
+/// Address of checked settings; the check refuses a missing one.
+fn address(address: Option<SocketAddr>) -> SocketAddr {
+    address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn read_secret(file: &Path) -> Result<String, DaemonError> {
+    Settings::read_secret(file)
+        .map_err(|error| DaemonError::Settings(crate::SettingsError::unreadable(file, &error)))
+}
+
+fn start_session(
+    settings: &Settings,
+    daemon: DaemonInfo,
+    secret: CellSecret,
+) -> (Session, mpsc::Receiver<SessionEvent>) {
+    let cell = CellClient::new(CellClientSettings {
+        members: settings
+            .store
+            .members
+            .iter()
+            .map(|member| member.address)
+            .collect(),
+        peer: PeerClientSettings::default(),
+        secret,
+    });
+    let session = SessionSettings {
+        lease: Duration::from_millis(settings.leases.session_ms),
+        renewal: Duration::from_millis(settings.leases.session_renewal_ms),
+        ..SessionSettings::new(daemon)
+    };
+    Session::start(session, cell)
+}
+
+fn start_background(
+    shared: &Arc<Shared>,
+    messages: mpsc::UnboundedReceiver<EngineMessage>,
+    events: mpsc::Receiver<SessionEvent>,
+    socket: HintSocket,
+    counters: Arc<ServerCounters>,
+) -> JoinSet<()> {
+    let mut background = JoinSet::new();
+    let load = LoadCell::default();
+    background.spawn(Engine::new(shared.clone(), load.clone()).run(messages, events));
+    let of_hints = shared.clone();
+    background.spawn(async move { hints::run(&of_hints, &socket, &load).await });
+    let of_counters = shared.clone();
+    background.spawn(async move {
+        loop {
+            sleep(COUNTER_PERIOD).await;
+            let dropped = counters.dropped_connections.swap(0, Ordering::Relaxed);
+            of_counters.metrics.connections_dropped.inc_by(dropped);
+        }
+    });
+    background
+}
+
+/// Waits until all workers are released.
+async fn hand_over(shared: &Shared) {
+    let (reply, released) = oneshot::channel();
+    shared.engine.send(EngineMessage::HandOver(reply));
+    if tokio::time::timeout(HAND_OVER_LIMIT, released).await.is_err() {
+        spdlog::warn!("the workers could not be released in time; the session's end frees them");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/engine_work.rs
@@ -0,0 +1,171 @@
+//! The engine's side of queued works.
+
+use {
+    crate::{
+        answer::Answer,
+        engine::{Engine, LEASE_RETRY_MS},
+        engine_message::EngineMessage,
+        job::{Job, JobClass, NewJobs, ReplyTo},
+    },
+    fuchsiatack_kernel::Event,
+    fuchsiatack_ledger::Command,
+    fuchsiatack_model::{
+        Outcome, Policy, Refusal, RequestId, TaskClass, TaskId, TaskOutcome, WorkName, WorkSpec, WorkTask,
+        WorkerName,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Longest wait for one attempt to commit the end of a task.
+const PROPOSE_LIMIT: Duration = Duration::from_secs(2);
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Pause before a service task starts again, so that one that ends at once does not spin.
+const SERVICE_RESTART_DELAY: Duration = Duration::from_secs(1);
+
+impl Engine {
+    pub(crate) fn on_tasks_assigned(&mut self, spec: WorkSpec, tasks: Vec<u32>, work: WorkName) {
+        let spec = Arc::new(spec);
+        let fresh = self.book.assign(&spec, &work, tasks);
+        match spec.policy {
+            // All tasks of a gang start at once.
+            Policy::Gang if !fresh.is_empty() => self.submit_work(&spec, fresh),
+            _ => fresh
+                .into_iter()
+                .for_each(|task| self.submit_work(&spec, vec![task])),
+        }
+    }
+
+    fn submit_work(&mut self, spec: &Arc<WorkSpec>, tasks: Vec<WorkTask>) {
+        let new = self.work_jobs(spec, tasks);
+        self.shared.engine.send(EngineMessage::Submit(Box::new(new)));
+    }
+
+    fn work_jobs(&mut self, spec: &Arc<WorkSpec>, tasks: Vec<WorkTask>) -> NewJobs {
+        let class = JobClass {
+            class: TaskClass {
+                demand: spec.demand,
+                idempotent: spec.idempotent,
+                policy: spec.policy,
+            },
+            deadline: None,
+            may_forward: false,
+            queue: None,
+            session: self.session,
+            team: spec.team.clone(),
+        };
+        let jobs = tasks
+            .into_iter()
+            .map(|task| {
+                let ticket = self.shared.engine.ticket();
+                self.book.submitted(task.clone(), spec.clone(), ticket);
+                Job {
+                    body: spec.body.as_bytes().to_vec().into(),
+                    content_type: None,
+                    request: RequestId::new(format!("{}/{}", task.work, task.number)),
+                    reply: ReplyTo::Work(task),
+                    ticket,
+                    trace_parent: None,
+                }
+            })
+            .collect();
+        NewJobs { class, jobs }
+    }
+
+    pub(crate) fn on_work_cancelled(&mut self, work: &WorkName) {
+        for ticket in self.book.tickets(work) {
+            self.shared.engine.send(EngineMessage::Cancel(ticket));
+        }
+        for (task, worker) in self.book.adopted(work) {
+            self.stop_on_worker(task, &worker);
+        }
+    }
+
+    /// Commits the end of a task, or starts a service task again.
+    pub(crate) fn on_work_ended(&mut self, task: WorkTask, answer: &Answer) {
+        let (Some(spec), Some(session)) = (self.book.spec(&task), self.session) else {
+            return;
+        };
+        let outcome = match (answer.outcome, answer.refusal) {
+            (Outcome::Done | Outcome::Failed, _) if spec.policy == Policy::Service => {
+                return self.restart_service(spec, task);
+            }
+            (Outcome::Done, _) => TaskOutcome::Done,
+            (Outcome::Failed, _) => TaskOutcome::Failed,
+            (Outcome::NotRun, Some(Refusal::Cancelled)) => TaskOutcome::Cancelled,
+            (Outcome::NotRun, _) => {
+                let command = Command::ReturnTasks {
+                    session,
+                    tasks: vec![task.number],
+                    work: task.work.clone(),
+                };
+                return self.commit_end(task, command);
+            }
+            (Outcome::Unknown, _) => TaskOutcome::Unknown,
+        };
+        let command = Command::FinishTask {
+            outcome,
+            session,
+            task: task.clone(),
+        };
+        self.commit_end(task, command);
+    }
+
+    fn restart_service(&mut self, spec: Arc<WorkSpec>, task: WorkTask) {
+        let new = self.work_jobs(&spec, vec![task]);
+        let engine = self.shared.engine.clone();
+        tokio::spawn(async move {
+            sleep(SERVICE_RESTART_DELAY).await;
+            engine.send(EngineMessage::Submit(Box::new(new)));
+        });
+    }
+
+    /// Proposes the end of a task until it is applied or the session has ended.
+    fn commit_end(&mut self, task: WorkTask, command: Command) {
+        let Some(session) = self.session else {
+            return;
+        };
+        self.book.ending(&task);
+        let shared = self.shared.clone();
+        let open = shared.open.enter();
+        tokio::spawn(async move {
+            let _open = open;
+            while shared.session.id() == Some(session) {
+                match shared
+                    .session
+                    .cell()
+                    .propose(command.clone(), true, PROPOSE_LIMIT)
+                    .await
+                {
+                    Ok(committed) => {
+                        let index = committed.index;
+                        return shared.engine.send(EngineMessage::WorkSettled { index, task });
+                    }
+                    Err(_) => sleep(RETRY_DELAY).await,
+                }
+            }
+        });
+    }
+
+    /// Goes on with adopted tasks that a worker no longer runs: idempotent ones run again, the
+    /// outcome of others is not known.
+    pub(crate) fn end_adopted(&mut self, worker: &WorkerName, running: &[TaskId]) {
+        for end in self.book.end_adopted(worker, running) {
+            match end.spec.idempotent {
+                true => self.submit_work(&end.spec, vec![end.task]),
+                false => self.on_work_ended(end.task, &Answer::unknown("a former owner ran the task")),
+            }
+        }
+    }
+
+    /// Gives waiting tasks back as part of a planned stop.
+    pub(crate) fn return_waiting_work(&mut self) {
+        let waiting = self
+            .entries
+            .tasks_where(|entry| entry.is_waiting() && matches!(entry.job.reply, ReplyTo::Work(_)));
+        for task in waiting {
+            self.feed(Event::Cancel { task });
+            self.finish(task, Answer::not_run(Refusal::Stopping, LEASE_RETRY_MS));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entries.rs
@@ -0,0 +1,107 @@
+//! All jobs that the engine holds.
+
+use {
+    crate::{
+        entry::{Entry, EntryState},
+        job::Ticket,
+    },
+    fuchsiatack_model::{QueueName, TaskId, TeamName, WorkerName},
+    std::collections::HashMap,
+};
+
+/// Jobs by task, with counts of those that wait.
+#[derive(Default)]
+pub(crate) struct Entries {
+    by_task: HashMap<TaskId, Entry>,
+    queued: HashMap<(QueueName, TeamName), u32>,
+    tasks: HashMap<Ticket, TaskId>,
+    waiting: usize,
+}
+
+impl Entries {
+    pub(crate) fn get(&self, task: TaskId) -> Option<&Entry> {
+        self.by_task.get(&task)
+    }
+
+    pub(crate) fn get_mut(&mut self, task: TaskId) -> Option<&mut Entry> {
+        self.by_task.get_mut(&task)
+    }
+
+    /// Task that a job runs as at present.
+    pub(crate) fn task_of(&self, ticket: Ticket) -> Option<TaskId> {
+        self.tasks.get(&ticket).copied()
+    }
+
+    /// Number of waiting jobs.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Number of requests of a team that came through a queue and wait.
+    pub(crate) fn queued(&self, queue: &QueueName, team: &TeamName) -> u32 {
+        let key = (queue.clone(), team.clone());
+        self.queued.get(&key).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn insert(&mut self, task: TaskId, entry: Entry) {
+        self.tasks.insert(entry.job.ticket, task);
+        self.count(&entry, true);
+        self.by_task.insert(task, entry);
+    }
+
+    pub(crate) fn remove(&mut self, task: TaskId) -> Option<Entry> {
+        let entry = self.by_task.remove(&task)?;
+        self.tasks.remove(&entry.job.ticket);
+        self.count(&entry, false);
+        Some(entry)
+    }
+
+    /// Changes the state of a job.
+    pub(crate) fn set_state(&mut self, task: TaskId, state: EntryState) {
+        if let Some(mut entry) = self.by_task.remove(&task) {
+            self.count(&entry, false);
+            entry.state = state;
+            self.count(&entry, true);
+            self.by_task.insert(task, entry);
+        }
+    }
+
+    /// Tasks for which `wanted` holds, in the order in which they were created.
+    pub(crate) fn tasks_where(&self, wanted: impl Fn(&Entry) -> bool) -> Vec<TaskId> {
+        let mut tasks: Vec<_> = self
+            .by_task
+            .iter()
+            .filter(|(_, entry)| wanted(entry))
+            .map(|(task, _)| *task)
+            .collect();
+        tasks.sort_unstable();
+        tasks
+    }
+
+    /// Tasks that run, or may run, on a worker.
+    pub(crate) fn on_worker(&self, worker: &WorkerName) -> Vec<TaskId> {
+        self.tasks_where(|entry| entry.is_on(worker))
+    }
+
+    fn count(&mut self, entry: &Entry, add: bool) {
+        if !entry.is_waiting() {
+            return;
+        }
+        self.waiting = match add {
+            true => self.waiting + 1,
+            false => self.waiting - 1,
+        };
+        let Some((queue, _)) = &entry.class.queue else {
+            return;
+        };
+        let key = (queue.clone(), entry.class.team.clone());
+        let queued = self.queued.entry(key.clone()).or_default();
+        *queued = match add {
+            true => *queued + 1,
+            false => *queued - 1,
+        };
+        if *queued == 0 {
+            self.queued.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http_adapter.rs
@@ -0,0 +1,157 @@
+//! Workers that speak HTTP/1.1, as section 7 of the design says.
+
+use {
+    crate::{
+        DaemonError,
+        worker_adapter::{RunCall, RunEnd, WorkerAdapter, WorkerAnswer, WorkerError},
+    },
+    async_trait::async_trait,
+    fuchsiatack_model::{Epoch, EpochRequest, LeaseRequest, TaskCommand, TaskId, WorkerReport},
+    reqwest::{Client, RequestBuilder, Response, StatusCode, header, redirect::Policy},
+    serde::Serialize,
+    smol_str::SmolStr,
+    std::time::Duration,
+};
+
+/// Longest wait for an answer other than a task's, so that a silent worker is noticed.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Header with the resources of a task, as JSON.
+const DEMAND_HEADER: &str = "fuchsiatack-demand";
+/// Header with the ownership epoch.
+const EPOCH_HEADER: &str = "fuchsiatack-epoch";
+/// Header with the team that a task counts for.
+const TEAM_HEADER: &str = "fuchsiatack-team";
+/// Header with the W3C trace context.
+const TRACE_HEADER: &str = "traceparent";
+/// Header with the task of a queued work, as JSON.
+const WORK_HEADER: &str = "fuchsiatack-work";
+
+/// Client of HTTP workers with pooled connections.
+pub(crate) struct HttpAdapter {
+    client: Client,
+}
+
+impl HttpAdapter {
+    pub(crate) fn new() -> Result<Self, DaemonError> {
+        let client = Client::builder()
+            .connect_timeout(CONNECT_LIMIT)
+            .no_proxy()
+            // A redirect would run the task on another worker, which holds no slot for it.
+            .redirect(Policy::none())
+            .tcp_nodelay(true)
+            .build()
+            .map_err(|error| DaemonError::HttpClient(error.to_string()))?;
+        Ok(Self { client })
+    }
+
+    async fn report(
+        &self,
+        address: &str,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<WorkerReport, WorkerError> {
+        let request = self
+            .client
+            .post(format!("http://{address}/v1/{path}"))
+            .timeout(CALL_LIMIT)
+            .json(body);
+        let response = checked(request).await?;
+        response.json().await.map_err(|_| WorkerError::Lost)
+    }
+
+    fn run_request(&self, address: &str, call: RunCall) -> RequestBuilder {
+        let mut request = self
+            .client
+            .post(format!("http://{address}/v1/tasks/{}/run", call.task))
+            .header(EPOCH_HEADER, call.epoch.0)
+            .header(TEAM_HEADER, call.team.as_str())
+            .header(DEMAND_HEADER, json(&call.demand))
+            .body(call.body);
+        if let Some(content_type) = call.content_type {
+            request = request.header(header::CONTENT_TYPE, content_type.as_str());
+        }
+        if let Some(trace_parent) = call.trace_parent {
+            request = request.header(TRACE_HEADER, trace_parent.as_str());
+        }
+        match call.work {
+            Some(work) => request.header(WORK_HEADER, json(&work)),
+            None => request,
+        }
+    }
+}
+
+#[async_trait]
+impl WorkerAdapter for HttpAdapter {
+    async fn present_epoch(
+        &self,
+        address: &str,
+        request: &EpochRequest,
+    ) -> Result<WorkerReport, WorkerError> {
+        self.report(address, "epoch", request).await
+    }
+
+    async fn renew(&self, address: &str, request: &LeaseRequest) -> Result<WorkerReport, WorkerError> {
+        self.report(address, "lease", request).await
+    }
+
+    async fn run(&self, address: &str, call: RunCall) -> RunEnd {
+        let response = match self.run_request(address, call).send().await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() || error.is_builder() => return RunEnd::Refused,
+            Err(_) => return RunEnd::Lost,
+        };
+        match response.status() {
+            StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS => RunEnd::Refused,
+            _ => answer_of(response).await,
+        }
+    }
+
+    async fn command(
+        &self,
+        address: &str,
+        epoch: Epoch,
+        task: TaskId,
+        command: TaskCommand,
+    ) -> Result<(), WorkerError> {
+        let path = command.as_str();
+        let request = self
+            .client
+            .post(format!("http://{address}/v1/tasks/{task}/{path}"))
+            .timeout(CALL_LIMIT)
+            .header(EPOCH_HEADER, epoch.0);
+        checked(request).await.map(drop)
+    }
+}
+
+fn json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+async fn checked(request: RequestBuilder) -> Result<Response, WorkerError> {
+    match request.send().await {
+        Ok(response) if response.status().is_success() => Ok(response),
+        Ok(response) if response.status() == StatusCode::CONFLICT => Err(WorkerError::Conflict),
+        Ok(_) => Err(WorkerError::Lost),
+        Err(error) if error.is_connect() => Err(WorkerError::NotSent),
+        Err(_) => Err(WorkerError::Lost),
+    }
+}
+
+async fn answer_of(response: Response) -> RunEnd {
+    let status = response.status().as_u16();
+    let content_type = response
+        .headers()
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .map(SmolStr::new);
+    match response.bytes().await {
+        Ok(body) => RunEnd::Answered(WorkerAnswer {
+            body,
+            content_type,
+            status,
+        }),
+        Err(_) => RunEnd::Lost,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http_server.rs
@@ -0,0 +1,187 @@
+//! Parts that both HTTP servers share.
+
+use {
+    crate::{
+        DaemonError,
+        answer::Answer,
+        http_error::{HttpError, reason_of},
+        shared::Shared,
+    },
+    bytes::Bytes,
+    fuchsiatack_model::{LogIndex, Outcome},
+    salvo::{
+        Request, Response, Router, Server, Service,
+        conn::tcp::TcpAcceptor,
+        http::{HeaderValue, ParseError, StatusCode, header},
+        server::ServerHandle,
+    },
+    serde_json::{Value, json},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpListener, task::JoinHandle},
+};
+
+pub(crate) const INDEX_HEADER: &str = "fuchsiatack-index";
+pub(crate) const OUTCOME_HEADER: &str = "fuchsiatack-outcome";
+const JSON: &str = "application/json";
+const MILLIS_PER_SECOND: u32 = 1_000;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+/// Longest request head in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Longest pause between two parts of a request body.
+const BODY_PAUSE_LIMIT: Duration = Duration::from_secs(30);
+
+/// A running HTTP server.
+pub(crate) struct HttpServer {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Starts to serve on a bound listener.
+    pub(crate) fn start(
+        listener: TcpListener,
+        max_connections: usize,
+        router: Router,
+    ) -> Result<Self, DaemonError> {
+        let acceptor = TcpAcceptor::try_from(listener).map_err(|error| DaemonError::Bind {
+            address: "the HTTP listener".into(),
+            message: error.to_string(),
+        })?;
+        let fuse = salvo::fuse::FuseConfig::default().with_request_body_timeout(BODY_PAUSE_LIMIT);
+        let mut server = Server::new(acceptor)
+            .max_connections(max_connections)
+            .fuse_config(fuse);
+        server
+            .http1_mut()
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(MAX_HEAD_BYTES);
+        let handle = server.handle();
+        let service = Service::new(router).catcher(salvo::catcher::Catcher::default().hoop(NotFound));
+        let task = tokio::spawn(async move {
+            let _ = server.try_serve(service).await;
+        });
+        Ok(Self { handle, task })
+    }
+
+    /// Stops to accept, and closes connections once their answers are sent, at the latest after `limit`.
+    pub(crate) async fn stop(self, limit: Duration) {
+        self.handle.stop_graceful(limit);
+        let _ = self.task.await;
+    }
+}
+
+/// Answers paths and methods that do not exist, as JSON.
+struct NotFound;
+
+#[salvo::async_trait]
+impl salvo::Handler for NotFound {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut salvo::Depot,
+        response: &mut Response,
+        flow: &mut salvo::FlowCtrl,
+    ) {
+        let status = response.status_code.unwrap_or(StatusCode::NOT_FOUND);
+        let (reason, message) = match status {
+            StatusCode::METHOD_NOT_ALLOWED => ("wrong-method", "is not a method of this path"),
+            StatusCode::NOT_FOUND => ("unknown-path", "does not exist here"),
+            _ => ("http-error", "cannot be answered"),
+        };
+        let message = format!("{} {} {message}", request.method(), request.uri().path());
+        render_error(response, &HttpError::new(status, reason, message));
+        flow.skip_rest();
+    }
+}
+
+/// Binds a listener.
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| DaemonError::Bind {
+            address: address.to_string(),
+            message: error.to_string(),
+        })
+}
+
+/// Reads the whole body. Nothing is run if it is too long or incomplete.
+pub(crate) async fn read_body(request: &mut Request, max_bytes: usize) -> Result<Bytes, HttpError> {
+    match request.payload_with_max_size(max_bytes).await {
+        Ok(body) => Ok(body.clone()),
+        Err(ParseError::PayloadTooLarge) => Err(HttpError::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body-too-long",
+            format!("the body is longer than {max_bytes} bytes"),
+        )),
+        Err(error) => Err(HttpError::bad_request(
+            "truncated-body",
+            format!("the body ended early or is malformed: {error}"),
+        )),
+    }
+}
+
+/// Sets the log index that the response reflects.
+pub(crate) fn set_index(response: &mut Response, index: LogIndex) {
+    set_header(response, INDEX_HEADER, &index.0.to_string());
+}
+
+/// Index up to which the daemon's directory is applied.
+pub(crate) fn applied(shared: &Shared) -> LogIndex {
+    shared.session.directory().applied()
+}
+
+pub(crate) fn set_header(response: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+/// Writes a JSON body.
+pub(crate) fn render_json(response: &mut Response, status: StatusCode, body: &Value) {
+    set_header(response, header::CONTENT_TYPE.as_str(), JSON);
+    response.status_code(status);
+    response.body(body.to_string());
+}
+
+/// Writes an error of the daemon.
+pub(crate) fn render_error(response: &mut Response, error: &HttpError) {
+    set_header(response, OUTCOME_HEADER, Outcome::NotRun.as_str());
+    set_retry(response, error.retry_after_ms);
+    let body = json!({
+        "outcome": Outcome::NotRun.as_str(),
+        "reason": error.reason,
+        "message": error.message,
+    });
+    render_json(response, error.status, &body);
+}
+
+/// Writes the answer to a request: the worker's, byte for byte, or the daemon's explanation.
+pub(crate) fn render_answer(response: &mut Response, answer: Answer) {
+    set_header(response, OUTCOME_HEADER, answer.outcome.as_str());
+    set_retry(response, answer.retry_after_ms);
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if !answer.is_relayed() {
+        let reason = answer
+            .refusal
+            .map_or_else(|| answer.outcome.as_str().into(), reason_of);
+        let body = json!({
+            "outcome": answer.outcome.as_str(),
+            "reason": reason,
+            "message": answer.message,
+        });
+        return render_json(response, status, &body);
+    }
+    if let Some(content_type) = &answer.content_type {
+        set_header(response, header::CONTENT_TYPE.as_str(), content_type);
+    }
+    response.status_code(status);
+    response.body(answer.body);
+}
+
+fn set_retry(response: &mut Response, retry_after_ms: u32) {
+    if retry_after_ms > 0 {
+        let seconds = retry_after_ms.div_ceil(MILLIS_PER_SECOND);
+        set_header(response, header::RETRY_AFTER.as_str(), &seconds.to_string());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/journal.rs
@@ -0,0 +1,313 @@
+//! Non-idempotent requests: each runs at most once in the cell.
+
+use {
+    crate::{answer::Answer, engine_handle::RequestBody, job::JobClass, shared::Shared},
+    fuchsiatack_ledger::{Command, JournalEntry, JournalKey, LedgerError, Query, QueryReply, Reply},
+    fuchsiatack_model::{Outcome, Refusal, SessionId},
+    fuchsiatack_session::SessionError,
+    opentelemetry::trace::SpanKind,
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
+};
+
+/// Longest wait for the commit of a start.
+const START_LIMIT: Duration = Duration::from_secs(5);
+/// Longest wait for one attempt to store the end of a request.
+const SETTLE_LIMIT: Duration = Duration::from_secs(2);
+/// Pause between attempts to store the end, and between reads while another daemon runs a request.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// When a request that could not be journalled may be sent again, in milliseconds.
+const RETRY_AFTER_MS: u32 = 1_000;
+
+/// A request to run at most once.
+pub(crate) struct JournalRequest {
+    pub(crate) body: RequestBody,
+    pub(crate) body_hash: u64,
+    pub(crate) class: JobClass,
+    pub(crate) key: JournalKey,
+}
+
+struct InFlight {
+    answer: watch::Receiver<Option<Answer>>,
+    body_hash: u64,
+}
+
+/// Requests of the journal that this daemon is running.
+#[derive(Default)]
+pub(crate) struct Journal {
+    in_flight: Mutex<HashMap<JournalKey, InFlight>>,
+    last_unix_ms: Mutex<u64>,
+}
+
+impl Journal {
+    /// Runs a request, or waits for the one that runs under the same identifier.
+    ///
+    /// The run goes on when the future is dropped, so that a resend finds its answer.
+    pub(crate) async fn run(shared: &Arc<Shared>, request: JournalRequest) -> Answer {
+        let Some(mut answer) = shared.journal.join(shared, request) else {
+            return Answer::not_run(Refusal::DifferentBody, 0);
+        };
+        let answered = answer.wait_for(Option::is_some).await;
+        answered
+            .ok()
+            .and_then(|answer| answer.clone())
+            .unwrap_or_else(|| Answer::unknown("the daemon lost the request"))
+    }
+
+    /// Starts the request unless it is in flight here. Returns `None` if its body differs.
+    fn join(&self, shared: &Arc<Shared>, request: JournalRequest) -> Option<watch::Receiver<Option<Answer>>> {
+        let mut in_flight = self.in_flight();
+        match in_flight.get(&request.key) {
+            Some(known) if known.body_hash == request.body_hash => return Some(known.answer.clone()),
+            Some(_) => return None,
+            None => {}
+        }
+        let (sender, receiver) = watch::channel(None);
+        let entry = InFlight {
+            answer: receiver.clone(),
+            body_hash: request.body_hash,
+        };
+        in_flight.insert(request.key.clone(), entry);
+        tokio::spawn(run_first(shared.clone(), request, sender));
+        Some(receiver)
+    }
+
+    fn in_flight(&self) -> MutexGuard<'_, HashMap<JournalKey, InFlight>> {
+        self.in_flight.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Present time. It never repeats, since a session recognises its own start by it.
+    fn unique_unix_ms(&self) -> u64 {
+        let mut last = self.last_unix_ms.lock().unwrap_or_else(PoisonError::into_inner);
+        *last = unix_ms().max(*last + 1);
+        *last
+    }
+}
+
+/// Removes a request from those in flight when its run ends, by a panic as well.
+struct ForgetOnDrop<'a> {
+    journal: &'a Journal,
+    key: JournalKey,
+}
+
+impl Drop for ForgetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.journal.in_flight().remove(&self.key);
+    }
+}
+
+async fn run_first(shared: Arc<Shared>, request: JournalRequest, answer: watch::Sender<Option<Answer>>) {
+    let _open = shared.open.enter();
+    let forget = ForgetOnDrop {
+        journal: &shared.journal,
+        key: request.key.clone(),
+    };
+    let key = request.key.clone();
+    let (result, started) = start_and_run(&shared, request).await;
+    let settlement = result.clone();
+    answer.send_replace(Some(result));
+    if let Some(session) = started {
+        settle(&shared, &key, session, &settlement).await;
+    }
+    drop(forget);
+}
+
+/// What the journal says to a start.
+enum Started {
+    Known(JournalEntry),
+    Refused(Answer),
+    Own(SessionId),
+}
+
+/// Returns the answer, and the session if this run's end has to be stored.
+async fn start_and_run(shared: &Shared, request: JournalRequest) -> (Answer, Option<SessionId>) {
+    loop {
+        let hop = shared
+            .traces
+            .hop("journal", SpanKind::Client, request.body.trace_parent.as_ref());
+        let started = start(shared, &request).await;
+        drop(hop);
+        match started {
+            Started::Own(session) => {
+                let class = JobClass {
+                    session: Some(session),
+                    ..request.class
+                };
+                return (shared.engine.run(class, request.body).await, Some(session));
+            }
+            Started::Refused(answer) => return (answer, None),
+            Started::Known(entry) => match follow(shared, &request, entry).await {
+                Some(answer) => return (answer, None),
+                None => continue,
+            },
+        }
+    }
+}
+
+async fn start(shared: &Shared, request: &JournalRequest) -> Started {
+    let Some(session) = shared.session.id() else {
+        return Started::Refused(Answer::not_run(Refusal::LeaseLapsed, RETRY_AFTER_MS));
+    };
+    let own_ms = shared.journal.unique_unix_ms();
+    let command = Command::JournalStart {
+        body_hash: request.body_hash,
+        key: request.key.clone(),
+        session,
+        unix_ms: own_ms,
+    };
+    let limit = request.class.deadline.map_or(START_LIMIT, |deadline| {
+        deadline
+            .saturating_duration_since(Instant::now())
+            .min(START_LIMIT)
+    });
+    match shared.session.cell().propose(command, true, limit).await {
+        Ok(committed) => match committed.reply {
+            Reply::JournalStarted => Started::Own(session),
+            // A resend of this start after a lost answer finds the entry of the first.
+            Reply::JournalKnown(entry) if is_own(&entry, session, own_ms) => Started::Own(session),
+            Reply::JournalKnown(entry) => Started::Known(*entry),
+            Reply::Refused(LedgerError::JournalFull { .. }) => Started::Refused(journal_full()),
+            _ => Started::Refused(Answer::not_run(Refusal::LeaseLapsed, RETRY_AFTER_MS)),
+        },
+        Err(error) => {
+            if !error.had_no_effect() {
+                abandon(shared, request.key.clone(), session);
+            }
+            Started::Refused(Answer::not_run(Refusal::LeaseLapsed, RETRY_AFTER_MS))
+        }
+    }
+}
+
+fn is_own(entry: &JournalEntry, session: SessionId, own_ms: u64) -> bool {
+    matches!(entry, JournalEntry::Started { session: of, unix_ms, .. } if *of == session && *unix_ms == own_ms)
+}
+
+fn journal_full() -> Answer {
+    Answer {
+        message: "the journal of the team is full; its oldest entries are removed 24 h after their end"
+            .into(),
+        ..Answer::not_run(Refusal::QueueFull, RETRY_AFTER_MS)
+    }
+}
+
+/// Withdraws a start whose answer was lost and that was not run.
+fn abandon(shared: &Shared, key: JournalKey, session: SessionId) {
+    let cell = shared.session.clone();
+    let open = shared.open.enter();
+    tokio::spawn(async move {
+        let _open = open;
+        while cell.id() == Some(session) {
+            let command = Command::JournalAbort {
+                key: key.clone(),
+                session,
+            };
+            match cell.cell().propose(command, true, SETTLE_LIMIT).await {
+                Ok(_) | Err(SessionError::Failed(_)) => return,
+                Err(_) => sleep(POLL_PERIOD).await,
+            }
+        }
+    });
+}
+
+/// Waits for the end of a request that another start runs. Returns `None` if it was withdrawn.
+async fn follow(shared: &Shared, request: &JournalRequest, mut entry: JournalEntry) -> Option<Answer> {
+    loop {
+        let (body_hash, session) = match &entry {
+            JournalEntry::Finished { body_hash, .. } => (*body_hash, None),
+            JournalEntry::Started {
+                body_hash, session, ..
+            } => (*body_hash, Some(*session)),
+        };
+        if body_hash != request.body_hash {
+            return Some(Answer::not_run(Refusal::DifferentBody, 0));
+        }
+        match (entry, session) {
+            (JournalEntry::Finished { answer, .. }, _) => return Some(answer.into()),
+            (_, Some(session)) if has_ended(shared, session) => {
+                return finished_or_unknown(shared, request).await;
+            }
+            _ => {}
+        }
+        let overdue = request
+            .class
+            .deadline
+            .is_some_and(|deadline| deadline <= Instant::now());
+        if overdue {
+            return Some(Answer::unknown("the request still runs under this identifier"));
+        }
+        sleep(POLL_PERIOD).await;
+        entry = read(shared, request).await?;
+    }
+}
+
+/// Reads the entry again after its session ended, since the end may have been stored just before.
+async fn finished_or_unknown(shared: &Shared, request: &JournalRequest) -> Option<Answer> {
+    match read(shared, request).await? {
+        JournalEntry::Finished { answer, .. } => Some(answer.into()),
+        JournalEntry::Started { .. } => Some(Answer::unknown(
+            "the daemon that ran the request ended before it stored the answer; the request is not run again",
+        )),
+    }
+}
+
+/// Reads the entry of a request. A store that cannot be reached is asked again.
+async fn read(shared: &Shared, request: &JournalRequest) -> Option<JournalEntry> {
+    loop {
+        let query = Query::Journal(request.key.clone());
+        match shared.session.cell().query(query, SETTLE_LIMIT).await {
+            Ok(queried) => match queried.reply {
+                QueryReply::Journal(entry) => return entry,
+                _ => return None,
+            },
+            Err(_) => sleep(POLL_PERIOD).await,
+        }
+    }
+}
+
+/// Returns whether a session has certainly ended: one that the directory does not know yet has not.
+fn has_ended(shared: &Shared, session: SessionId) -> bool {
+    let directory = shared.session.directory();
+    session.0 <= directory.applied().0 && !directory.daemons().contains_key(&session)
+}
+
+/// Stores the end of a request, until that is applied or the session has ended.
+async fn settle(shared: &Shared, key: &JournalKey, session: SessionId, answer: &Answer) {
+    let command = match answer.outcome {
+        Outcome::NotRun => Command::JournalAbort {
+            key: key.clone(),
+            session,
+        },
+        _ => Command::JournalFinish {
+            answer: answer.to_stored(unix_ms()),
+            key: key.clone(),
+            session,
+        },
+    };
+    while shared.session.id() == Some(session) {
+        let proposed = shared
+            .session
+            .cell()
+            .propose(command.clone(), true, SETTLE_LIMIT)
+            .await;
+        match proposed {
+            Ok(_) => return,
+            Err(error) => {
+                spdlog::warn!("cannot store the end of a request; retrying", kv: { error = error.to_string() });
+                sleep(POLL_PERIOD).await;
+            }
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/locate.rs
@@ -0,0 +1,104 @@
+//! Finds the line of a key in a settings file.
+
+use {
+    serde::de::{DeserializeSeed, Deserializer, Error, IgnoredAny, MapAccess, SeqAccess, Visitor},
+    std::fmt::{Formatter, Result as FormatResult},
+};
+
+const FOUND: &str = "found";
+
+/// Line of the key at `path`, or of the closest key above it that is present.
+///
+/// The walk ends with an error at the key, since the YAML library reports positions in errors.
+pub(crate) fn line_of(text: &str, path: &[&str]) -> u64 {
+    (1..=path.len())
+        .rev()
+        .find_map(|length| line_of_exact(text, &path[..length]))
+        .unwrap_or(1)
+}
+
+fn line_of_exact(text: &str, path: &[&str]) -> Option<u64> {
+    let walked = serde_saphyr::with_deserializer_from_str(text, |yaml| Walk { path }.deserialize(yaml));
+    walked
+        .err()?
+        .location()
+        .map(|location| location.line())
+        .filter(|line| *line > 0)
+}
+
+struct Walk<'a> {
+    path: &'a [&'a str],
+}
+
+impl Walk<'_> {
+    fn below(&self) -> Self {
+        Self {
+            path: &self.path[1..],
+        }
+    }
+}
+
+impl<'de> DeserializeSeed<'de> for Walk<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        match self.path.is_empty() {
+            true => Err(Error::custom(FOUND)),
+            false => deserializer.deserialize_any(self),
+        }
+    }
+}
+
+impl<'de> Visitor<'de> for Walk<'_> {
+    type Value = ();
+
+    fn expecting(&self, formatter: &mut Formatter<'_>) -> FormatResult {
+        formatter.write_str("settings")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        while let Some(key) = map.next_key::<String>()? {
+            match key == self.path[0] {
+                true => map.next_value_seed(self.below())?,
+                false => drop(map.next_value::<IgnoredAny>()?),
+            }
+        }
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<(), A::Error> {
+        let wanted = self.path[0].parse().unwrap_or(usize::MAX);
+        for _ in 0..wanted {
+            if items.next_element::<IgnoredAny>()?.is_none() {
+                return Ok(());
+            }
+        }
+        items.next_element_seed(self.below())?;
+        while items.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(())
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_i64<E>(self, _: i64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_u64<E>(self, _: u64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_str<E>(self, _: &str) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_unit<E>(self) -> Result<(), E> {
+        Ok(())
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,58 @@
-//! Placeholder.
-fn main() {}
+//! `fuchsiatackd`, the daemon of a Fuchsiatack cell.
+
+use {
+    fuchsiatack_daemon::{Arguments, Daemon, DaemonError, Settings, set_up_logs},
+    gumdrop::Options,
+    std::process::ExitCode,
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+const INTERNAL_ERROR: u8 = 1;
+const USAGE_ERROR: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let Some(file) = &arguments.settings else {
+        eprintln!(
+            "fuchsiatackd: --settings FILE is missing\n\n{}",
+            Arguments::usage()
+        );
+        return ExitCode::from(USAGE_ERROR);
+    };
+    let settings = match Settings::read(file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("fuchsiatackd: {error}");
+            return ExitCode::from(USAGE_ERROR);
+        }
+    };
+    if arguments.check {
+        println!("{}: the settings are correct", file.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fuchsiatackd: {error}");
+            ExitCode::from(INTERNAL_ERROR)
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(settings: Settings) -> Result<(), DaemonError> {
+    set_up_logs(&settings.log)?;
+    // Both are caught before the start, so that an early signal ends in a planned stop as well.
+    // They stay caught to the end, so that a second signal changes nothing.
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        return Err(DaemonError::Log("cannot catch SIGTERM and SIGINT".into()));
+    };
+    let daemon = Daemon::start(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    daemon.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/peer_handler.rs
@@ -0,0 +1,79 @@
+//! Answers to calls of other daemons.
+
+use {
+    crate::{
+        answer::Answer, engine_handle::RequestBody, job::JobClass, shared::Shared, store_role::StoreRole,
+    },
+    fuchsiatack_consensus::Envelope,
+    fuchsiatack_model::Refusal,
+    fuchsiatack_wire::{Caller, ForwardedRequest, Handler, Request, Response},
+    opentelemetry::trace::SpanKind,
+    std::{
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// When a request that was refused because this daemon stops may be sent to another, in milliseconds.
+const STOPPING_RETRY_MS: u32 = 100;
+
+/// Handler of the peer port. Forwarded requests are refused until the engine is set.
+pub(crate) struct PeerHandler {
+    shared: Arc<OnceLock<Arc<Shared>>>,
+    store: StoreRole,
+}
+
+impl PeerHandler {
+    pub(crate) fn new(store: StoreRole, shared: Arc<OnceLock<Arc<Shared>>>) -> Self {
+        Self { shared, store }
+    }
+}
+
+impl Handler for PeerHandler {
+    async fn call(&self, caller: Caller, request: Request) -> Response {
+        match request {
+            Request::Forward(request) => {
+                let answer = match self.shared.get() {
+                    Some(shared) => run(shared, *request).await,
+                    None => Answer::not_run(Refusal::LeaseLapsed, STOPPING_RETRY_MS),
+                };
+                Response::Forwarded(Box::new(answer.into()))
+            }
+            request => self.store.call(caller, request).await,
+        }
+    }
+
+    fn consensus(&self, envelope: Envelope) {
+        self.store.consensus(envelope);
+    }
+}
+
+async fn run(shared: &Shared, request: ForwardedRequest) -> Answer {
+    if shared.stopping.is_refusing() {
+        return Answer::not_run(Refusal::Stopping, STOPPING_RETRY_MS);
+    }
+    let _open = shared.open.enter();
+    let hop = shared.traces.hop(
+        "receive forwarded",
+        SpanKind::Server,
+        request.trace_parent.as_ref(),
+    );
+    let class = JobClass {
+        class: request.class,
+        deadline: request
+            .deadline_ms
+            .map(|left_ms| Instant::now() + Duration::from_millis(left_ms)),
+        may_forward: false,
+        queue: None,
+        session: None,
+        team: request.team,
+    };
+    let body = RequestBody {
+        body: request.body.into(),
+        content_type: request.content_type,
+        request: request.request,
+        trace_parent: hop.trace_parent(),
+    };
+    shared.engine.run(class, body).await
+}
--- /dev/null
+++ b/crates/daemon/src/settings_check.rs
@@ -0,0 +1,254 @@
+//! Checks of the settings beyond their syntax.
+
+use {
+    crate::{Role, Settings, SettingsError, locate::line_of},
+    std::{collections::HashSet, net::SocketAddr, path::Path},
+};
+
+/// Shortest accepted secret in characters.
+const MIN_SECRET_CHARACTERS: usize = 16;
+/// A renewal must happen at least this often in a lease, so that one lost message costs no lease.
+const MIN_RENEWALS_PER_LEASE: u64 = 3;
+
+struct Fault {
+    key: String,
+    message: String,
+}
+
+type Checked = Result<(), Fault>;
+
+fn fault(key: &str, message: impl Into<String>) -> Fault {
+    Fault {
+        key: key.into(),
+        message: message.into(),
+    }
+}
+
+/// Checks the settings whole and reports the first fault with its line.
+pub(crate) fn check(settings: &Settings, file: &Path, text: &str) -> Result<(), SettingsError> {
+    let checks = [
+        check_identity,
+        check_addresses,
+        check_sizes,
+        check_store,
+        check_leases,
+        check_election,
+        check_log,
+        check_secrets,
+    ];
+    checks
+        .iter()
+        .try_for_each(|check| check(settings))
+        .map_err(|fault| {
+            let path: Vec<_> = fault.key.split('.').collect();
+            SettingsError::Invalid {
+                file: file.display().to_string(),
+                line: line_of(text, &path),
+                key: fault.key,
+                message: fault.message,
+            }
+        })
+}
+
+fn require(holds: bool, key: &str, message: impl Into<String>) -> Checked {
+    match holds {
+        true => Ok(()),
+        false => Err(fault(key, message)),
+    }
+}
+
+fn check_identity(settings: &Settings) -> Checked {
+    require(!settings.name.is_empty(), "name", "the daemon needs a name")?;
+    require(
+        !settings.data_center.is_empty(),
+        "data_center",
+        "the daemon needs a data centre",
+    )?;
+    require(
+        !settings.roles.is_empty(),
+        "roles",
+        "at least one of `entry` and `store` is needed",
+    )?;
+    require(settings.weight > 0, "weight", "the weight must be at least 1")
+}
+
+fn check_addresses(settings: &Settings) -> Checked {
+    let addresses = [
+        ("callers.address", settings.callers.address),
+        ("operators.address", settings.operators.address),
+        ("peers.address", settings.peers.address),
+    ];
+    let mut taken: Vec<(&str, SocketAddr)> = Vec::new();
+    for (key, address) in addresses {
+        let address = address.ok_or_else(|| fault(key, "an address such as 127.0.0.1:8080 is missing"))?;
+        let clash = taken.iter().find(|(_, other)| clashes(*other, address));
+        if let Some((other, _)) = clash {
+            return Err(fault(key, format!("{address} is also used by {other}")));
+        }
+        taken.push((key, address));
+    }
+    Ok(())
+}
+
+fn clashes(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_ip = one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() != 0 && one.port() == other.port() && same_ip
+}
+
+fn check_sizes(settings: &Settings) -> Checked {
+    require(
+        settings.callers.max_body_bytes > 0,
+        "callers.max_body_bytes",
+        "must be at least 1",
+    )?;
+    require(
+        settings.callers.max_connections > 0,
+        "callers.max_connections",
+        "must be at least 1",
+    )?;
+    require(
+        settings.traces.sample_millis <= 1_000,
+        "traces.sample_millis",
+        "must be at most 1000 thousandths",
+    )
+}
+
+fn check_store(settings: &Settings) -> Checked {
+    let members = &settings.store.members;
+    require(
+        !members.is_empty(),
+        "store.members",
+        "the store members are missing",
+    )?;
+    let mut names = HashSet::new();
+    let mut addresses = HashSet::new();
+    for (number, member) in members.iter().enumerate() {
+        let key = format!("store.members.{number}");
+        require(
+            names.insert(&member.name),
+            &format!("{key}.name"),
+            format!("member {} is listed twice", member.name),
+        )?;
+        require(
+            addresses.insert(member.address),
+            &format!("{key}.address"),
+            format!("{} is listed twice", member.address),
+        )?;
+        require(
+            member.address.port() != 0,
+            &format!("{key}.address"),
+            "the port must not be 0",
+        )?;
+    }
+    match settings.has_role(Role::Store) {
+        true => check_own_member(settings),
+        false => Ok(()),
+    }
+}
+
+fn check_own_member(settings: &Settings) -> Checked {
+    require(
+        settings.store.data_folder.is_some(),
+        "store.data_folder",
+        "the store role needs a data folder",
+    )?;
+    let own = settings
+        .store
+        .members
+        .iter()
+        .position(|member| member.name == settings.name);
+    let Some(number) = own else {
+        let message = format!("the store role needs {} itself in the member list", settings.name);
+        return Err(fault("store.members", message));
+    };
+    require(
+        Some(settings.store.members[number].address) == settings.peers.address,
+        &format!("store.members.{number}.address"),
+        "differs from peers.address of this daemon",
+    )
+}
+
+fn check_leases(settings: &Settings) -> Checked {
+    let leases = &settings.leases;
+    for (key, time_ms) in [
+        ("leases.margin_ms", leases.margin_ms),
+        ("leases.session_renewal_ms", leases.session_renewal_ms),
+        ("leases.task_renewal_ms", leases.task_renewal_ms),
+    ] {
+        require(time_ms > 0, key, "must be at least 1")?;
+    }
+    check_renewal(
+        "leases.session_renewal_ms",
+        leases.session_renewal_ms,
+        leases.session_ms,
+    )?;
+    check_renewal("leases.task_renewal_ms", leases.task_renewal_ms, leases.task_ms)
+}
+
+fn check_renewal(key: &str, renewal_ms: u64, lease_ms: u64) -> Checked {
+    let longest_ms = lease_ms / MIN_RENEWALS_PER_LEASE;
+    let message =
+        format!("{renewal_ms} ms is too long for a lease of {lease_ms} ms; use at most {longest_ms} ms");
+    require(renewal_ms <= longest_ms, key, message)
+}
+
+fn check_election(settings: &Settings) -> Checked {
+    let election = &settings.election;
+    require(
+        election.heartbeat_ms > 0,
+        "election.heartbeat_ms",
+        "must be at least 1",
+    )?;
+    require(
+        election.heartbeat_ms <= election.minimum_ms / 2,
+        "election.heartbeat_ms",
+        format!(
+            "must be at most half of minimum_ms, which is {} ms",
+            election.minimum_ms
+        ),
+    )?;
+    require(
+        election.minimum_ms < election.maximum_ms,
+        "election.maximum_ms",
+        format!(
+            "must be more than minimum_ms, which is {} ms",
+            election.minimum_ms
+        ),
+    )?;
+    require(
+        election.maximum_ms < settings.leases.session_ms,
+        "election.maximum_ms",
+        format!(
+            "must be less than leases.session_ms, which is {} ms",
+            settings.leases.session_ms
+        ),
+    )
+}
+
+fn check_log(settings: &Settings) -> Checked {
+    let level = &settings.log.level;
+    require(
+        crate::logs::level_of(level).is_some(),
+        "log.level",
+        format!("level {level} is unknown; use critical, error, warn, info, debug, trace or off"),
+    )
+}
+
+fn check_secrets(settings: &Settings) -> Checked {
+    check_secret("cell_secret_file", &settings.cell_secret_file)?;
+    check_secret("operator_key_file", &settings.operator_key_file)
+}
+
+fn check_secret(key: &str, file: &Path) -> Checked {
+    require(!file.as_os_str().is_empty(), key, "the file is missing")?;
+    let secret = Settings::read_secret(file)
+        .map_err(|error| fault(key, format!("cannot read {}: {error}", file.display())))?;
+    require(
+        secret.chars().count() >= MIN_SECRET_CHARACTERS,
+        key,
+        format!(
+            "the secret in {} is shorter than {MIN_SECRET_CHARACTERS} characters",
+            file.display()
+        ),
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/work_book.rs
@@ -0,0 +1,152 @@
+//! Tasks of queued works that this session holds.
+
+use {
+    fuchsiatack_model::{LogIndex, TaskId, WorkName, WorkSpec, WorkTask, WorkerName},
+    std::{collections::HashMap, sync::Arc},
+};
+
+use crate::job::Ticket;
+
+/// State of one task.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum WorkState {
+    /// A worker ran it for a former owner when this session fenced the worker.
+    Adopted { task: TaskId, worker: WorkerName },
+    /// Its end is being committed.
+    Ending,
+    /// Its end was applied at this index. Older directories may still list it.
+    Settled(LogIndex),
+    /// It waits or runs here.
+    Submitted(Ticket),
+}
+
+struct Entry {
+    spec: Option<Arc<WorkSpec>>,
+    state: WorkState,
+}
+
+/// An adopted task that is over.
+pub(crate) struct AdoptedEnd {
+    pub(crate) spec: Arc<WorkSpec>,
+    pub(crate) task: WorkTask,
+}
+
+/// Tasks by name. Assignments may arrive again, with a new directory; known ones are not submitted
+/// again.
+#[derive(Default)]
+pub(crate) struct WorkBook {
+    entries: HashMap<WorkTask, Entry>,
+}
+
+impl WorkBook {
+    /// Forgets all tasks, since the session that held them ended.
+    pub(crate) fn clear(&mut self) {
+        self.entries.clear();
+    }
+
+    /// Notes a task that a fenced worker runs. One that this session holds already stays as it is.
+    pub(crate) fn adopt(&mut self, work: WorkTask, task: TaskId, worker: WorkerName) {
+        self.entries.entry(work).or_insert(Entry {
+            spec: None,
+            state: WorkState::Adopted { task, worker },
+        });
+    }
+
+    /// Returns which of the assigned tasks are new and must be submitted.
+    pub(crate) fn assign(&mut self, spec: &Arc<WorkSpec>, work: &WorkName, tasks: Vec<u32>) -> Vec<WorkTask> {
+        let mut fresh = Vec::new();
+        for number in tasks {
+            let task = WorkTask {
+                number,
+                work: work.clone(),
+            };
+            match self.entries.get_mut(&task) {
+                Some(entry) => entry.spec = Some(spec.clone()),
+                None => fresh.push(task),
+            }
+        }
+        fresh
+    }
+
+    /// Notes that a task was submitted.
+    pub(crate) fn submitted(&mut self, task: WorkTask, spec: Arc<WorkSpec>, ticket: Ticket) {
+        let entry = Entry {
+            spec: Some(spec),
+            state: WorkState::Submitted(ticket),
+        };
+        self.entries.insert(task, entry);
+    }
+
+    /// What a task's work asks for.
+    pub(crate) fn spec(&self, task: &WorkTask) -> Option<Arc<WorkSpec>> {
+        self.entries.get(task).and_then(|entry| entry.spec.clone())
+    }
+
+    /// Notes that the end of a task is being committed.
+    pub(crate) fn ending(&mut self, task: &WorkTask) {
+        if let Some(entry) = self.entries.get_mut(task) {
+            entry.state = WorkState::Ending;
+        }
+    }
+
+    /// Notes that the end of a task was applied.
+    pub(crate) fn settled(&mut self, task: &WorkTask, index: LogIndex) {
+        if let Some(entry) = self.entries.get_mut(task) {
+            entry.state = WorkState::Settled(index);
+        }
+    }
+
+    /// Removes settled tasks that a directory as new as `index` no longer lists.
+    pub(crate) fn followed(&mut self, index: LogIndex) {
+        self.entries
+            .retain(|_, entry| !matches!(entry.state, WorkState::Settled(at) if at <= index));
+    }
+
+    /// Tickets of a work's tasks that wait or run here.
+    pub(crate) fn tickets(&self, work: &WorkName) -> Vec<Ticket> {
+        self.entries
+            .iter()
+            .filter(|(task, _)| task.work == *work)
+            .filter_map(|(_, entry)| match entry.state {
+                WorkState::Submitted(ticket) => Some(ticket),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Adopted tasks of a work: task and worker.
+    pub(crate) fn adopted(&self, work: &WorkName) -> Vec<(TaskId, WorkerName)> {
+        self.entries
+            .iter()
+            .filter(|(task, _)| task.work == *work)
+            .filter_map(|(_, entry)| match &entry.state {
+                WorkState::Adopted { task, worker } => Some((*task, worker.clone())),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Takes out the adopted tasks of a worker that do not run any more. One whose assignment has
+    /// not arrived yet stays until it has.
+    pub(crate) fn end_adopted(&mut self, worker: &WorkerName, running: &[TaskId]) -> Vec<AdoptedEnd> {
+        let over: Vec<_> = self
+            .entries
+            .iter()
+            .filter_map(|(work, entry)| match (&entry.state, &entry.spec) {
+                (WorkState::Adopted { task, worker: on }, Some(spec))
+                    if on == worker && !running.contains(task) =>
+                {
+                    Some(AdoptedEnd {
+                        spec: spec.clone(),
+                        task: work.clone(),
+                    })
+                }
+                _ => None,
+            })
+            .collect();
+        for end in &over {
+            self.ending(&end.task);
+        }
+        over
+    }
+}
