--- a/crates/wire/src/hints.rs
+++ b/crates/wire/src/hints.rs
@@ -34,6 +34,11 @@
         })
     }
 
+    /// Address that is bound, with the port that the system chose if the setting was 0.
+    pub fn local_address(&self) -> Result<SocketAddr, WireError> {
+        Ok(self.socket.local_addr()?)
+    }
+
     /// Receives the next hint with a valid tag. Others are dropped and counted.
     ///
     /// A replayed hint passes here; receivers drop it by its session and sequence.
--- /dev/null
+++ b/crates/wire/tests/peer.rs
@@ -0,0 +1,259 @@
+//! Peer connections and datagrams over loopback.
+
+use {
+    fuchsiatack_consensus::Envelope,
+    fuchsiatack_ledger::{Query, Renewal},
+    fuchsiatack_model::{DaemonName, LogIndex, Resources, SessionId},
+    fuchsiatack_wire::{
+        Caller, CellSecret, FollowUpdate, Frame, Handler, HintSocket, LoadHint, PeerClient,
+        PeerClientSettings, PeerServer, Request, Response, ServerCounters, WireError,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{io::AsyncWriteExt, net::TcpStream, sync::mpsc, task::JoinHandle},
+};
+
+const GENEROUS: Duration = Duration::from_secs(10);
+
+/// Answers `Follow` with two pushes, `Renew` with its session, and `Query` never.
+struct FakeStore;
+
+impl Handler for FakeStore {
+    async fn call(&self, caller: Caller, request: Request) -> Response {
+        match request {
+            Request::Follow { .. } => {
+                for index in [1, 2] {
+                    let push = Frame::Push {
+                        changes: Vec::new(),
+                        index: LogIndex(index),
+                        reset: index == 1,
+                    };
+                    caller.pushes.send(push).await.expect("connection is open");
+                }
+                Response::Following
+            }
+            Request::Query(_) => std::future::pending().await,
+            Request::Renew(renewal) => {
+                // Later sessions answer earlier, so that answers come out of order.
+                tokio::time::sleep(Duration::from_millis(64 - renewal.session.0)).await;
+                Response::Failed {
+                    message: renewal.session.0.to_string().into(),
+                }
+            }
+            _ => Response::Failed {
+                message: "unexpected".into(),
+            },
+        }
+    }
+
+    fn consensus(&self, _envelope: Envelope) {}
+}
+
+struct Server {
+    address: SocketAddr,
+    counters: Arc<ServerCounters>,
+    task: JoinHandle<()>,
+}
+
+async fn server(secret: &str) -> Server {
+    let server = PeerServer::bind(loopback(), CellSecret::new(secret))
+        .await
+        .expect("loopback binds");
+    let address = server.local_address().expect("socket is bound");
+    let counters = server.counters();
+    let task = tokio::spawn(server.serve(Arc::new(FakeStore)));
+    Server {
+        address,
+        counters,
+        task,
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn client(address: SocketAddr, secret: &str, pushes: Option<mpsc::Sender<FollowUpdate>>) -> PeerClient {
+    let settings = PeerClientSettings {
+        probe_after: Duration::from_millis(200),
+        ..Default::default()
+    };
+    PeerClient::new(address, CellSecret::new(secret), settings, pushes)
+}
+
+fn hint(sequence: u64) -> LoadHint {
+    LoadHint {
+        daemon: DaemonName::new("entry-1"),
+        free_slots: 3,
+        sequence,
+        session: SessionId(7),
+        token_teams: Vec::new(),
+        waiting: 0,
+    }
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    let reached = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(GENEROUS, reached)
+        .await
+        .expect("condition is reached in time");
+}
+
+/// Guards against answers that reach the wrong call.
+#[tokio::test]
+async fn concurrent_calls_get_their_own_answers() {
+    let server = server("a shared secret").await;
+    let client = Arc::new(client(server.address, "a shared secret", None));
+
+    let calls: Vec<_> = (0..64_u64)
+        .map(|number| {
+            let client = client.clone();
+            let renewal = Renewal {
+                applied: LogIndex(0),
+                free: Resources::NONE,
+                session: SessionId(number),
+                usage: Vec::new(),
+            };
+            tokio::spawn(async move { (number, client.call(Request::Renew(renewal), GENEROUS).await) })
+        })
+        .collect();
+
+    for call in calls {
+        let (number, response) = call.await.expect("call does not panic");
+        let expected = Response::Failed {
+            message: number.to_string().into(),
+        };
+        assert_eq!(response.expect("answered"), expected);
+    }
+}
+
+/// Guards against a follower that loses or reorders updates.
+#[tokio::test]
+async fn pushes_arrive_in_order() {
+    let server = server("a shared secret").await;
+    let (sender, mut updates) = mpsc::channel(4);
+    let client = client(server.address, "a shared secret", Some(sender));
+
+    client
+        .call(
+            Request::Follow {
+                from: LogIndex(0),
+                session: SessionId(1),
+            },
+            GENEROUS,
+        )
+        .await
+        .expect("answered");
+
+    let first = updates.recv().await.expect("first update");
+    let second = updates.recv().await.expect("second update");
+    assert_eq!((first.index, first.reset), (LogIndex(1), true));
+    assert_eq!((second.index, second.reset), (LogIndex(2), false));
+}
+
+/// Guards against listening to a process that does not hold the cell's secret.
+#[tokio::test]
+async fn wrong_secret_is_refused() {
+    let server = server("a shared secret").await;
+    let client = client(server.address, "another secret", None);
+
+    let answer = client.call(Request::Ping, GENEROUS).await;
+
+    let error = answer.expect_err("call is refused");
+    assert!(matches!(error, WireError::Authentication), "{error:?}");
+    assert!(error.had_no_effect());
+}
+
+/// Guards against a stray stream that is neither dropped nor counted.
+#[tokio::test]
+async fn stray_streams_are_dropped_and_counted() {
+    let server = server("a shared secret").await;
+    let mut stream = TcpStream::connect(server.address).await.expect("server listens");
+
+    stream.write_all(&[7; 4_096]).await.expect("bytes are sent");
+
+    until(|| server.counters.dropped_connections.load(Ordering::Relaxed) == 1).await;
+}
+
+/// Guards against reporting a call as without effect when the receiver may have carried it out.
+#[tokio::test]
+async fn lost_answer_is_in_doubt() {
+    let server = server("a shared secret").await;
+    let client = Arc::new(client(server.address, "a shared secret", None));
+    let calling = client.clone();
+    let query = Request::Query(Query::Status);
+    let call = tokio::spawn(async move { calling.call(query, GENEROUS).await });
+    until(|| client.connections() == 1).await;
+    client
+        .call(Request::Ping, GENEROUS)
+        .await
+        .expect("connection works");
+
+    server.task.abort();
+
+    let error = call
+        .await
+        .expect("call does not panic")
+        .expect_err("no answer comes");
+    assert!(matches!(error, WireError::Lost), "{error:?}");
+    assert!(!error.had_no_effect());
+}
+
+/// Guards against a call that waits for ever, and against reporting a timeout as without effect.
+#[tokio::test]
+async fn silent_receiver_times_out_in_doubt() {
+    let server = server("a shared secret").await;
+    let client = client(server.address, "a shared secret", None);
+
+    let query = Request::Query(Query::Status);
+    let error = client
+        .call(query, Duration::from_millis(300))
+        .await
+        .expect_err("no answer comes");
+
+    assert!(!error.had_no_effect(), "{error:?}");
+}
+
+/// Guards against a call that is reported in doubt although nothing listened.
+#[tokio::test]
+async fn closed_port_has_no_effect() {
+    let unused = std::net::TcpListener::bind(loopback()).expect("loopback binds");
+    let address = unused.local_addr().expect("socket is bound");
+    drop(unused);
+
+    let error = client(address, "a shared secret", None)
+        .call(Request::Ping, GENEROUS)
+        .await
+        .expect_err("refused");
+
+    assert!(error.had_no_effect(), "{error:?}");
+}
+
+/// Guards against forged load hints that attract requests.
+#[tokio::test]
+async fn forged_datagrams_are_dropped_and_counted() {
+    let secret = CellSecret::new("a shared secret");
+    let receiver = HintSocket::bind(loopback(), &secret).await.expect("binds");
+    let address = receiver.local_address().expect("socket is bound");
+    let forger = HintSocket::bind(loopback(), &CellSecret::new("another secret"))
+        .await
+        .expect("binds");
+    let sender = HintSocket::bind(loopback(), &secret).await.expect("binds");
+
+    forger.send(address, &hint(1)).await.expect("sent");
+    sender.send(address, &hint(2)).await.expect("sent");
+
+    let received = tokio::time::timeout(GENEROUS, receiver.receive())
+        .await
+        .expect("in time")
+        .expect("received");
+    assert_eq!(received.sequence, 2);
+    assert_eq!(receiver.dropped_datagrams.load(Ordering::Relaxed), 1);
+}
