records, ledger: implement parsing, the replicated state and the allocator

Cause: both packages were signatures only, and the daemon, the kernel driver and the command line program against them.

Ruled out: charging the owner of a worker for its running tasks. An owner that has not fenced the worker started nothing there, so the ledger keeps the last session that fenced it. Assigning a lost worker again on a timer was ruled out too, since every dead worker would cost log entries for ever.

Changes to shared types: `WorkerEntry::lost`, `Change::TasksAssigned::running`, `Renewal::stopping`, `LedgerError::{WorkBusy, WorkQueueFull}`.

The allocator, the queued work and the records have no tests yet.

--- a/crates/ledger/src/change.rs
+++ b/crates/ledger/src/change.rs
@@ -36,6 +36,9 @@
     pub epoch: Epoch,
     /// Whether the present owner has fenced it.
     pub fenced: bool,
+    /// Whether it was reported lost and has not announced itself since. It gets no owner
+    /// until `RegisterWorker` is applied again, with an unchanged announcement too.
+    pub lost: bool,
     /// Present owner.
     pub owner: Option<SessionId>,
 }
@@ -66,6 +69,9 @@
     RecordWritten(Box<Record>),
     /// Tasks of a work were given to this session.
     TasksAssigned {
+        /// Whether a fenced worker of this session already runs the tasks. The session must
+        /// not start them, waits for their end and reports it.
+        running: bool,
         /// What the work asks for.
         spec: Box<WorkSpec>,
         /// Task numbers.
--- /dev/null
+++ b/crates/ledger/src/changes.rs
@@ -0,0 +1,31 @@
+//! Changes collected while a command is applied.
+
+use {
+    crate::{Addressed, Audience, Change},
+    fuchsiatack_model::SessionId,
+};
+
+/// Changes of one command, in the order in which followers receive them.
+#[derive(Default)]
+pub(crate) struct Changes(Vec<Addressed>);
+
+impl Changes {
+    /// Adds a change for every follower.
+    pub(crate) fn all(&mut self, change: Change) {
+        self.push(Audience::All, change);
+    }
+
+    /// Adds a change for the follower of one session.
+    pub(crate) fn session(&mut self, session: SessionId, change: Change) {
+        self.push(Audience::Session(session), change);
+    }
+
+    /// Returns the changes.
+    pub(crate) fn into_vec(self) -> Vec<Addressed> {
+        self.0
+    }
+
+    fn push(&mut self, audience: Audience, change: Change) {
+        self.0.push(Addressed { audience, change });
+    }
+}
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -25,6 +25,16 @@
         /// The worker.
         worker: SmolStr,
     },
+    /// work {work} was created before and still has tasks that have not ended
+    WorkBusy {
+        /// The work.
+        work: SmolStr,
+    },
+    /// team {team} has too many works that have not ended
+    WorkQueueFull {
+        /// The team.
+        team: SmolStr,
+    },
 }
 
 impl std::error::Error for LedgerError {}
--- /dev/null
+++ b/crates/ledger/src/journal_store.rs
@@ -0,0 +1,194 @@
+//! Journal entries with their limits.
+
+use {
+    crate::{JournalEntry, JournalKey, LedgerError, Reply, StoredAnswer},
+    fuchsiatack_derives::message,
+    fuchsiatack_model::{SessionId, TeamName},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Size of one answer body that is kept.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Size of all answer bodies that are kept.
+const MAX_ANSWERS_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Journal entries of one team.
+const MAX_TEAM_ENTRIES: u32 = 10_000;
+
+/// Time for which an entry is kept after its end.
+const RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Journal of all teams.
+#[derive(Default)]
+#[message]
+pub(crate) struct JournalStore {
+    /// Unfinished entries whose session ended since the last expiry.
+    abandoned: BTreeSet<JournalKey>,
+    /// Size of the kept bodies.
+    body_bytes: u64,
+    /// Entries with a kept body, by the order in which they finished.
+    bodies: BTreeMap<u64, JournalKey>,
+    /// Position of each entry in `bodies`.
+    body_numbers: BTreeMap<JournalKey, u64>,
+    /// Ended entries by their time in milliseconds since the Unix epoch.
+    ended: BTreeSet<(u64, JournalKey)>,
+    entries: BTreeMap<JournalKey, JournalEntry>,
+    next_body: u64,
+    /// Unfinished entries of sessions that have not ended.
+    started: BTreeMap<SessionId, BTreeSet<JournalKey>>,
+    team_entries: BTreeMap<TeamName, u32>,
+}
+
+impl JournalStore {
+    /// Withdraws a start of the session.
+    pub(crate) fn abort(&mut self, key: &JournalKey, session: SessionId) -> Reply {
+        if !self.is_started_by(key, session) {
+            return not_found(key);
+        }
+        self.forget_start(key, session);
+        self.remove(key);
+        Reply::Applied
+    }
+
+    /// Notes that a session ended. Its unfinished entries stay `Started`.
+    pub(crate) fn end_session(&mut self, session: SessionId) {
+        let keys = self.started.remove(&session).unwrap_or_default();
+        self.abandoned.extend(keys);
+    }
+
+    /// Removes entries that ended before a time.
+    ///
+    /// The ledger has no clock, so the end of an abandoned entry is taken from the first
+    /// expiry after it: that is a retention later than `before_unix_ms`.
+    pub(crate) fn expire(&mut self, before_unix_ms: u64) {
+        let now_unix_ms = before_unix_ms.saturating_add(RETENTION_MS);
+        let abandoned = std::mem::take(&mut self.abandoned);
+        self.ended
+            .extend(abandoned.into_iter().map(|key| (now_unix_ms, key)));
+        while let Some((unix_ms, key)) = self.ended.pop_first() {
+            if unix_ms >= before_unix_ms {
+                self.ended.insert((unix_ms, key));
+                break;
+            }
+            self.remove(&key);
+        }
+    }
+
+    /// Stores the answer of a start of the session.
+    pub(crate) fn finish(&mut self, key: JournalKey, session: SessionId, mut answer: StoredAnswer) -> Reply {
+        let body_hash = match self.entries.get(&key) {
+            Some(JournalEntry::Started {
+                body_hash,
+                session: holder,
+                ..
+            }) if *holder == session => *body_hash,
+            _ => return not_found(&key),
+        };
+        if answer.body.len() > MAX_ANSWER_BYTES {
+            answer.body = Vec::new();
+            answer.truncated = true;
+        }
+        self.forget_start(&key, session);
+        self.keep_body(&key, answer.body.len() as u64);
+        self.ended.insert((answer.unix_ms, key.clone()));
+        self.entries
+            .insert(key, JournalEntry::Finished { answer, body_hash });
+        self.drop_oldest_bodies();
+        Reply::Applied
+    }
+
+    /// Returns an entry.
+    pub(crate) fn get(&self, key: &JournalKey) -> Option<&JournalEntry> {
+        self.entries.get(key)
+    }
+
+    /// Returns the number of entries.
+    pub(crate) fn len(&self) -> u64 {
+        self.entries.len() as u64
+    }
+
+    /// Starts a request unless it is known.
+    pub(crate) fn start(
+        &mut self,
+        key: JournalKey,
+        session: SessionId,
+        body_hash: u64,
+        unix_ms: u64,
+    ) -> Reply {
+        if let Some(entry) = self.entries.get(&key) {
+            return Reply::JournalKnown(Box::new(entry.clone()));
+        }
+        let entries = self.team_entries.get(&key.team).copied().unwrap_or(0);
+        if entries >= MAX_TEAM_ENTRIES {
+            return Reply::Refused(LedgerError::JournalFull { team: key.team.0 });
+        }
+        self.team_entries.insert(key.team.clone(), entries + 1);
+        self.started.entry(session).or_default().insert(key.clone());
+        let entry = JournalEntry::Started {
+            body_hash,
+            session,
+            unix_ms,
+        };
+        self.entries.insert(key, entry);
+        Reply::JournalStarted
+    }
+
+    fn drop_oldest_bodies(&mut self) {
+        while self.body_bytes > MAX_ANSWERS_BYTES
+            && let Some((_, key)) = self.bodies.pop_first()
+        {
+            self.body_numbers.remove(&key);
+            if let Some(JournalEntry::Finished { answer, .. }) = self.entries.get_mut(&key) {
+                self.body_bytes -= answer.body.len() as u64;
+                answer.body = Vec::new();
+                answer.truncated = true;
+            }
+        }
+    }
+
+    fn forget_start(&mut self, key: &JournalKey, session: SessionId) {
+        if let Some(keys) = self.started.get_mut(&session) {
+            keys.remove(key);
+            if keys.is_empty() {
+                self.started.remove(&session);
+            }
+        }
+    }
+
+    fn is_started_by(&self, key: &JournalKey, session: SessionId) -> bool {
+        self.started.get(&session).is_some_and(|keys| keys.contains(key))
+    }
+
+    fn keep_body(&mut self, key: &JournalKey, bytes: u64) {
+        if bytes > 0 {
+            self.bodies.insert(self.next_body, key.clone());
+            self.body_numbers.insert(key.clone(), self.next_body);
+            self.next_body += 1;
+            self.body_bytes += bytes;
+        }
+    }
+
+    fn remove(&mut self, key: &JournalKey) {
+        let removed = self.entries.remove(key);
+        if let Some(JournalEntry::Finished { answer, .. }) = removed
+            && let Some(number) = self.body_numbers.remove(key)
+        {
+            self.body_bytes -= answer.body.len() as u64;
+            self.bodies.remove(&number);
+        }
+        if let Some(entries) = self.team_entries.get_mut(&key.team) {
+            *entries -= 1;
+            if *entries == 0 {
+                self.team_entries.remove(&key.team);
+            }
+        }
+    }
+}
+
+fn not_found(key: &JournalKey) -> Reply {
+    Reply::Refused(LedgerError::NotFound {
+        what: "started request".into(),
+        name: key.request.0.clone(),
+    })
+}
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,9 +1,15 @@
 //! The replicated state.
 
 use {
-    crate::{Addressed, Change, Command, Query, QueryReply, Reply},
+    crate::{
+        Addressed, Change, Command, LedgerError, LedgerStatus, Query, QueryReply, Reply, SessionStatus,
+        TokenStatus, changes::Changes, journal_store::JournalStore, record_store::RecordStore,
+        session::Session, token_pools::TokenPools, work_store::WorkStore, worker::Worker,
+    },
     fuchsiatack_derives::{message, value},
-    fuchsiatack_model::{LogIndex, SessionId},
+    fuchsiatack_model::{LogIndex, Resources, SessionId, WorkerName},
+    fuchsiatack_records::Kind,
+    std::collections::BTreeMap,
 };
 
 /// Result of applying one command.
@@ -15,24 +21,203 @@
     pub reply: Reply,
 }
 
+/// Counters that tell the allocator which part of the state changed.
+#[derive(Default)]
+#[message]
+pub(crate) struct Revisions {
+    /// Sessions, workers and their owners.
+    pub(crate) fleet: u64,
+    /// Limits, shares and token pools.
+    pub(crate) tokens: u64,
+    /// Waiting tasks.
+    pub(crate) work: u64,
+}
+
 /// The state that all store members agree on. Serialised with postcard as the snapshot.
 #[derive(Default)]
 #[message]
-pub struct Ledger {}
+pub struct Ledger {
+    pub(crate) journal: JournalStore,
+    pub(crate) records: RecordStore,
+    pub(crate) revisions: Revisions,
+    pub(crate) sessions: BTreeMap<SessionId, Session>,
+    pub(crate) tokens: TokenPools,
+    pub(crate) workers: BTreeMap<WorkerName, Worker>,
+    pub(crate) works: WorkStore,
+}
 
 impl Ledger {
     /// Applies the command at `index`.
-    pub fn apply(&mut self, _index: LogIndex, _command: Command) -> Applied {
-        todo!()
+    pub fn apply(&mut self, index: LogIndex, command: Command) -> Applied {
+        let mut changes = Changes::default();
+        let result = self.dispatch(index, command, &mut changes);
+        Applied {
+            changes: changes.into_vec(),
+            reply: result.unwrap_or_else(Reply::Refused),
+        }
     }
 
     /// Returns the directory that a new follower of `session` starts from.
-    pub fn directory(&self, _session: SessionId) -> Vec<Change> {
-        todo!()
+    ///
+    /// It names every live session, so a journalled start of a session that is not in it
+    /// belongs to a session that has ended.
+    pub fn directory(&self, session: SessionId) -> Vec<Change> {
+        let daemons = self.live_sessions().map(|(session, state)| Change::DaemonJoined {
+            daemon: state.daemon.clone(),
+            session,
+        });
+        let records = self
+            .records
+            .all()
+            .filter(|record| record.kind() != Kind::Work)
+            .map(|record| Change::RecordWritten(Box::new(record.clone())));
+        let workers = self
+            .workers
+            .values()
+            .map(|worker| Change::WorkerChanged(Box::new(worker.entry.clone())));
+        daemons
+            .chain(records)
+            .chain(workers)
+            .chain(self.session_tokens(session))
+            .chain(self.works.session_changes(session))
+            .collect()
     }
 
     /// Answers a read.
-    pub fn query(&self, _query: &Query) -> QueryReply {
-        todo!()
+    pub fn query(&self, query: &Query) -> QueryReply {
+        match query {
+            Query::Journal(key) => QueryReply::Journal(self.journal.get(key).cloned()),
+            Query::Record { kind, name } => {
+                QueryReply::Record(self.records.get(*kind, name).cloned().map(Box::new))
+            }
+            Query::Records(kind) => QueryReply::Records(self.records.of_kind(*kind).cloned().collect()),
+            Query::Status => QueryReply::Status(Box::new(self.status())),
+            Query::Work(work) => QueryReply::Work(self.work_status(work).map(Box::new)),
+        }
+    }
+
+    /// Returns the sessions that have not ended, by id.
+    pub(crate) fn live_sessions(&self) -> impl Iterator<Item = (SessionId, &Session)> {
+        self.sessions
+            .iter()
+            .filter(|(_, session)| !session.ended)
+            .map(|(id, session)| (*id, session))
+    }
+
+    /// Returns a session that has not ended.
+    pub(crate) fn live(&mut self, session: SessionId) -> Result<&mut Session, LedgerError> {
+        match self.sessions.get_mut(&session) {
+            Some(state) if !state.ended => Ok(state),
+            _ => Err(LedgerError::SessionEnded(session)),
+        }
+    }
+
+    /// Returns whether a session has not ended.
+    pub(crate) fn is_live(&self, session: SessionId) -> bool {
+        self.sessions.get(&session).is_some_and(|state| !state.ended)
+    }
+
+    /// Returns the capacities of workers that may run new tasks.
+    pub(crate) fn usable_capacities(&self) -> impl Iterator<Item = &Resources> {
+        self.workers
+            .values()
+            .map(|worker| &worker.entry)
+            .filter(|entry| !entry.lost && !entry.announcement.leaving)
+            .map(|entry| &entry.announcement.capacity)
+    }
+
+    fn dispatch(
+        &mut self,
+        index: LogIndex,
+        command: Command,
+        changes: &mut Changes,
+    ) -> Result<Reply, LedgerError> {
+        match command {
+            Command::AssignTasks { session, tasks, work } => {
+                self.assign_tasks(session, &work, &tasks, changes)
+            }
+            Command::AssignWorker { session, worker } => self.assign_worker(index, session, worker, changes),
+            Command::EndSession { session, .. } => self.end_session(session, changes),
+            Command::ExpireJournal { before_unix_ms } => {
+                self.journal.expire(before_unix_ms);
+                Ok(Reply::Applied)
+            }
+            Command::FinishTask {
+                outcome,
+                session,
+                task,
+            } => self.finish_task(outcome, session, &task),
+            Command::GrantTokens {
+                session,
+                team,
+                tokens,
+            } => self.grant_tokens(session, team, tokens, changes),
+            Command::JournalAbort { key, session } => {
+                self.live(session)?;
+                Ok(self.journal.abort(&key, session))
+            }
+            Command::JournalFinish { answer, key, session } => {
+                self.live(session)?;
+                Ok(self.journal.finish(key, session, answer))
+            }
+            Command::JournalStart {
+                body_hash,
+                key,
+                session,
+                unix_ms,
+            } => {
+                self.live(session)?;
+                Ok(self.journal.start(key, session, body_hash, unix_ms))
+            }
+            Command::Noop => Ok(Reply::Applied),
+            Command::OpenSession(daemon) => Ok(self.open_session(index, daemon, changes)),
+            Command::RegisterWorker(announcement) => Ok(self.register_worker(announcement, changes)),
+            Command::ReleaseWorker { session, worker } => self.release_worker(session, &worker, changes),
+            Command::ReturnTasks { session, tasks, work } => self.return_tasks(session, &work, &tasks),
+            Command::ReturnTokens {
+                session,
+                team,
+                tokens,
+            } => self.return_tokens(session, team, tokens, changes),
+            Command::WorkerFenced {
+                epoch,
+                running,
+                worker,
+                work_tasks,
+            } => self.worker_fenced(epoch, &worker, &running, &work_tasks, changes),
+            Command::WorkerLost { epoch, worker } => self.worker_lost(epoch, &worker, changes),
+            Command::WriteRecord(write) => Ok(self.write_record(index, write, changes)),
+        }
+    }
+
+    fn session_tokens(&self, session: SessionId) -> impl Iterator<Item = Change> {
+        self.tokens.teams().filter_map(move |(team, pool)| {
+            let tokens = pool.held(session);
+            (tokens > 0).then(|| Change::TokensSet {
+                team: team.clone(),
+                tokens,
+            })
+        })
+    }
+
+    fn status(&self) -> LedgerStatus {
+        let sessions = self.sessions.iter().map(|(session, state)| SessionStatus {
+            daemon: state.daemon.clone(),
+            ended: state.ended,
+            session: *session,
+        });
+        let tokens = self.tokens.teams().flat_map(|(team, pool)| {
+            pool.sessions().map(|(session, tokens)| TokenStatus {
+                session,
+                team: team.clone(),
+                tokens,
+            })
+        });
+        LedgerStatus {
+            journal_entries: self.journal.len(),
+            sessions: sessions.collect(),
+            tokens: tokens.collect(),
+            workers: self.workers.values().map(|worker| worker.entry.clone()).collect(),
+        }
     }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -4,16 +4,32 @@
 
 mod advice;
 mod allocator;
+mod apply_fence;
+mod apply_sessions;
+mod apply_tokens;
+mod apply_work;
 mod change;
+mod changes;
 mod command;
 mod daemon_info;
+mod demand;
 mod error;
+mod fleet_planner;
+mod fleet_view;
 mod journal;
+mod journal_store;
 mod ledger;
 mod query;
+mod record_store;
 mod renewal;
 mod reply;
+mod session;
 mod status;
+mod token_planner;
+mod token_pools;
+mod work_planner;
+mod work_store;
+mod worker;
 
 pub use self::{
     advice::{Advice, TokenTarget},
--- a/crates/ledger/src/renewal.rs
+++ b/crates/ledger/src/renewal.rs
@@ -25,6 +25,8 @@
     pub free: Resources,
     /// The session.
     pub session: SessionId,
+    /// Whether the daemon is in a planned stop. It gets no more workers, tokens or tasks.
+    pub stopping: bool,
     /// Use by team.
     pub usage: Vec<TeamUsage>,
 }
--- /dev/null
+++ b/crates/ledger/tests/ownership.rs
@@ -0,0 +1,180 @@
+//! Sessions, ownership, fencing and tokens.
+
+mod support;
+
+use {
+    fuchsiatack_ledger::{Change, Command, EndReason, LedgerError, Reply},
+    fuchsiatack_model::{SessionId, WorkerName},
+    support::Cell,
+};
+
+fn end(session: SessionId) -> Command {
+    let reason = EndReason::Expired;
+    Command::EndSession { reason, session }
+}
+
+fn release(worker: &str, session: SessionId) -> Command {
+    let worker = WorkerName::new(worker);
+    Command::ReleaseWorker { session, worker }
+}
+
+/// Guards against a former owner that keeps using tokens which its tasks took along.
+#[test]
+fn fence_moves_tokens_of_running_tasks_to_the_new_owner() {
+    let mut cell = Cell::default();
+    cell.limit("red", 0, 10);
+    let (old, new) = (cell.open("a"), cell.open("b"));
+    cell.own("w", old);
+    cell.grant(old, "red", 8);
+    cell.apply(release("w", old));
+    let epoch = cell.assign("w", new);
+
+    cell.fence("w", epoch, &[("red", 3)]);
+
+    assert_eq!((cell.tokens(old, "red"), cell.tokens(new, "red")), (5, 3));
+    assert!(matches!(cell.sent_to(old)[..], [
+            Change::WorkerDetached { moved, .. },
+            Change::TokensSet { tokens: 5, .. }
+        ] if moved[0].count == 3));
+    assert!(matches!(
+        cell.sent_to(new)[..],
+        [Change::TokensSet { tokens: 3, .. }]
+    ));
+}
+
+/// Guards against tokens of a crashed daemon being granted while its tasks may run.
+#[test]
+fn tokens_of_an_ended_session_stay_counted_until_its_workers_are_fenced_or_lost() {
+    let mut cell = Cell::default();
+    cell.limit("red", 0, 10);
+    let (old, new) = (cell.open("a"), cell.open("b"));
+    cell.own("w1", old);
+    cell.own("w2", old);
+    cell.grant(old, "red", 10);
+    cell.apply(end(old));
+
+    assert_eq!(cell.grant(new, "red", 10), Reply::Counted(0));
+    let epoch = cell.assign("w1", new);
+    cell.fence("w1", epoch, &[("red", 2)]);
+    assert_eq!(cell.grant(new, "red", 10), Reply::Counted(0));
+    let epoch = cell.assign("w2", new);
+    let worker = WorkerName::new("w2");
+    cell.apply(Command::WorkerLost { epoch, worker });
+
+    assert_eq!(cell.grant(new, "red", 10), Reply::Counted(8));
+    assert_eq!(cell.status().sessions.len(), 1);
+}
+
+/// Guards against an owner that never fenced a worker being taken for the one whose tasks run.
+#[test]
+fn an_owner_that_did_not_fence_is_not_charged_for_running_tasks() {
+    let mut cell = Cell::default();
+    cell.limit("red", 0, 10);
+    let (first, second, third) = (cell.open("a"), cell.open("b"), cell.open("c"));
+    cell.own("w", first);
+    cell.grant(first, "red", 4);
+    cell.grant(second, "red", 4);
+    cell.apply(end(first));
+    cell.assign("w", second);
+    cell.apply(end(second));
+    let epoch = cell.assign("w", third);
+
+    cell.fence("w", epoch, &[("red", 4)]);
+
+    assert_eq!(cell.tokens(third, "red"), 4);
+    assert_eq!(cell.grant(third, "red", 10), Reply::Counted(6));
+}
+
+/// Guards against a paused daemon acting under an ownership or session that is over.
+#[test]
+fn stale_epochs_and_ended_sessions_are_refused() {
+    let mut cell = Cell::default();
+    let (old, new) = (cell.open("a"), cell.open("b"));
+    let first = cell.own("w", old);
+    cell.apply(release("w", old));
+    let second = cell.assign("w", new);
+    let is_stale = |reply| matches!(reply, Reply::Refused(LedgerError::StaleEpoch { .. }));
+
+    assert!(second > first);
+    assert!(is_stale(cell.fence("w", first, &[])));
+    assert!(is_stale(cell.apply(release("w", old))));
+    cell.apply(end(old));
+    assert_eq!(
+        cell.grant(old, "red", 1),
+        Reply::Refused(LedgerError::SessionEnded(old))
+    );
+    assert_eq!(
+        cell.start("r", old),
+        Reply::Refused(LedgerError::SessionEnded(old))
+    );
+}
+
+/// Guards against two live sessions of one daemon after a restart.
+#[test]
+fn a_new_session_ends_the_older_one_of_the_same_daemon() {
+    let mut cell = Cell::default();
+    let old = cell.open("a");
+    cell.own("w", old);
+
+    let new = cell.open("a");
+
+    assert!(
+        cell.changes
+            .iter()
+            .any(|sent| sent.change == Change::DaemonLeft { session: old })
+    );
+    assert_eq!(cell.status().workers[0].owner, None);
+    let directory = cell.ledger.directory(new);
+    let joined = directory
+        .iter()
+        .filter(|change| matches!(change, Change::DaemonJoined { .. }));
+    assert_eq!(joined.count(), 1);
+}
+
+/// Guards against followers being sent a change for every announcement of every worker.
+#[test]
+fn an_announcement_that_changes_nothing_yields_no_change() {
+    let mut cell = Cell::default();
+    cell.register("w");
+    assert_eq!(cell.changes.len(), 1);
+
+    cell.register("w");
+
+    assert!(cell.changes.is_empty());
+}
+
+/// Guards against a lost worker being assigned over and over while it is away, or never again.
+#[test]
+fn a_lost_worker_is_known_again_by_its_announcement() {
+    let mut cell = Cell::default();
+    let session = cell.open("a");
+    let epoch = cell.own("w", session);
+    let worker = WorkerName::new("w");
+    cell.apply(Command::WorkerLost { epoch, worker });
+    assert!(cell.status().workers[0].lost);
+
+    cell.register("w");
+
+    assert!(!cell.status().workers[0].lost);
+    assert_eq!(cell.changes.len(), 1);
+}
+
+/// Guards against a lowered limit that takes tokens of running tasks, or that still grants.
+#[test]
+fn a_lowered_limit_stops_grants_until_enough_tokens_return() {
+    let mut cell = Cell::default();
+    cell.limit("red", 0, 10);
+    let session = cell.open("a");
+    cell.grant(session, "red", 10);
+    cell.limit("red", 1, 4);
+
+    assert_eq!(cell.tokens(session, "red"), 10);
+    assert_eq!(cell.grant(session, "red", 1), Reply::Counted(0));
+    let (team, tokens) = ("red".into(), 8);
+    cell.apply(Command::ReturnTokens {
+        session,
+        team,
+        tokens,
+    });
+    assert_eq!(cell.grant(session, "red", 9), Reply::Counted(2));
+}
--- a/crates/records/src/digest.rs
+++ b/crates/records/src/digest.rs
@@ -13,6 +13,17 @@
         Self(*blake3::hash(secret.as_bytes()).as_bytes())
     }
 
+    /// Parses 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let hash = blake3::Hash::from_hex(text).ok()?;
+        Some(Self(*hash.as_bytes()))
+    }
+
+    /// Returns the digest as 64 hexadecimal digits.
+    pub fn to_hex(&self) -> String {
+        blake3::Hash::from_bytes(self.0).to_hex().to_string()
+    }
+
     /// Compares in constant time.
     pub fn matches(&self, other: &Self) -> bool {
         bool::from(subtle::ConstantTimeEq::ct_eq(&self.0[..], &other.0[..]))
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -1,11 +1,17 @@
 //! Records that operators write: kinds, schema versions, validation.
 
+mod bounds;
 mod digest;
 mod error;
+mod fields;
+mod form;
 mod kind;
 mod record;
 mod schema;
 mod spec;
+mod version_1;
+mod version_2;
+mod yaml;
 
 pub use self::{
     digest::KeyDigest,
