--- /dev/null
+++ b/crates/ledger/tests/records.rs
@@ -0,0 +1,122 @@
+//! Record writes: versions, conflicts, resends.
+
+mod support;
+
+use {
+    fuchsiatack_ledger::{
+        Change, Command, OperationId, Query, QueryReply, RecordAction, RecordWrite, Reply, WriteConflict,
+    },
+    fuchsiatack_records::Kind,
+    support::{Cell, put, team},
+};
+
+fn write(operation: u128, action: RecordAction) -> Command {
+    Command::WriteRecord(RecordWrite {
+        action,
+        author: "cyn".into(),
+        operation: OperationId(operation),
+    })
+}
+
+/// Guards against a lost update when two operators replace the same version.
+#[test]
+fn one_of_two_equal_writes_wins_and_the_other_learns_of_whom() {
+    let mut cell = Cell::default();
+    cell.put("red", 0, team("first"));
+
+    assert_eq!(
+        cell.write("ben", put("red", 1, team("ben's"))),
+        Reply::Written { version: 2 }
+    );
+    let conflict = cell.write("cyn", put("red", 1, team("cyn's")));
+
+    let author = "ben".into();
+    assert_eq!(conflict, Reply::Conflict(WriteConflict { author, version: 2 }));
+    assert!(cell.changes.is_empty());
+}
+
+/// Guards against a writer that takes a re-created record for the one it read.
+#[test]
+fn versions_go_on_after_a_delete() {
+    let mut cell = Cell::default();
+    cell.put("red", 0, team("first"));
+    cell.put("red", 1, team("second"));
+    assert_eq!(cell.delete(Kind::Team, "red", 2), Reply::Written { version: 2 });
+
+    let author = "ben".into();
+    let conflict = cell.put("red", 2, team("late"));
+    assert_eq!(conflict, Reply::Conflict(WriteConflict { author, version: 0 }));
+    assert_eq!(cell.put("red", 0, team("again")), Reply::Written { version: 3 });
+}
+
+/// Guards against versions that repeat once the deleted name is no longer remembered.
+#[test]
+fn versions_do_not_repeat_after_many_deletes() {
+    let mut cell = Cell::default();
+    cell.put("red", 0, team("first"));
+    cell.put("red", 1, team("second"));
+    cell.delete(Kind::Team, "red", 2);
+    for number in 0..20_001 {
+        let name = format!("other-{number}");
+        let Reply::Written { version } = cell.put(&name, 0, team("")) else {
+            panic!()
+        };
+        cell.delete(Kind::Team, &name, version);
+    }
+
+    assert_eq!(cell.put("red", 0, team("again")), Reply::Written { version: 3 });
+}
+
+/// Guards against a write that is applied twice after a lost response.
+#[test]
+fn a_resend_gets_the_first_result_and_changes_nothing() {
+    let mut cell = Cell::default();
+    let first = cell.apply(write(900, put("red", 0, team("first"))));
+    let refused = cell.apply(write(901, put("red", 7, team("lost"))));
+    cell.put("red", 1, team("second"));
+
+    assert_eq!(cell.apply(write(900, put("red", 0, team("first")))), first);
+    assert!(cell.changes.is_empty());
+    assert_eq!(cell.apply(write(901, put("red", 7, team("lost")))), refused);
+}
+
+/// Guards against operation identifiers that are kept for ever.
+#[test]
+fn the_oldest_operation_is_forgotten_beyond_twenty_thousand() {
+    let mut cell = Cell::default();
+    for operation in 0..=20_000 {
+        cell.apply(write(operation, put("red", 0, team(""))));
+    }
+
+    assert!(matches!(
+        cell.apply(write(1, put("red", 0, team("")))),
+        Reply::Conflict(_)
+    ));
+    assert!(matches!(
+        cell.apply(write(0, put("blue", 0, team("")))),
+        Reply::Written { .. }
+    ));
+}
+
+/// Guards against reads and followers that miss a record.
+#[test]
+fn followers_and_queries_see_the_same_records() {
+    let mut cell = Cell::default();
+    cell.limit("red", 0, 3);
+    cell.put("blue", 0, team("b"));
+    cell.put("red", 0, team("r"));
+    let session = cell.open("a");
+
+    let QueryReply::Records(teams) = cell.ledger.query(&Query::Records(Kind::Team)) else {
+        panic!()
+    };
+    assert_eq!(
+        teams.iter().map(|team| team.name.as_str()).collect::<Vec<_>>(),
+        ["blue", "red"]
+    );
+    let directory = cell.ledger.directory(session);
+    let written = directory
+        .iter()
+        .filter(|change| matches!(change, Change::RecordWritten(_)));
+    assert_eq!(written.count(), 3);
+}
--- /dev/null
+++ b/crates/records/tests/forms.rs
@@ -0,0 +1,298 @@
+//! Both schema versions: parsing, refusals and conversion.
+
+use {
+    fuchsiatack_model::{Policy, Resources, WorkSpec},
+    fuchsiatack_records::{
+        Access, DrainSpec, KeyDigest, KeySpec, Kind, LimitSpec, QueueSpec, Record, RecordError, Schema,
+        ShareSpec, Spec, StoreMemberSpec, TeamSpec, WorkerClassSpec,
+    },
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+    serde_json::{Value, json},
+    std::collections::BTreeSet,
+};
+
+const DOCUMENTATION: &str = include_str!("../../../docs/records.md");
+
+const SECRET: &str = "correct-horse";
+
+#[derive(Clone, Debug)]
+struct AnyRecord(Record);
+
+impl Arbitrary for AnyRecord {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        let number = |gen_: &mut Gen, end: u32| u32::arbitrary(gen_) % end + 1;
+        let demand = Resources {
+            accelerators: number(gen_, 4) - 1,
+            connections: number(gen_, 3) - 1,
+            memory_bytes: u64::from(number(gen_, 50)) * 500_000,
+            processors_millis: number(gen_, 64_000),
+            slots: number(gen_, 3) - 1,
+        };
+        let team = || "red".into();
+        let specs = [
+            Spec::Drain(DrainSpec { reason: "".into() }),
+            Spec::Key(KeySpec {
+                digest: KeyDigest::of(&String::arbitrary(gen_)),
+                team: team(),
+            }),
+            Spec::Limit(LimitSpec {
+                max_running: number(gen_, 10_000_000),
+                team: team(),
+            }),
+            Spec::Queue(QueueSpec {
+                access: *gen_.choose(&[Access::Keyed, Access::Open]).unwrap(),
+                demand,
+                max_waiting: number(gen_, 1_000),
+                policy: *gen_.choose(&[Policy::Interactive, Policy::Service]).unwrap(),
+                team: Some(team()),
+            }),
+            Spec::Share(ShareSpec {
+                team: team(),
+                weight_millis: number(gen_, 10_000),
+            }),
+            Spec::StoreMember(StoreMemberSpec {
+                address: "[::1]:9".parse().unwrap(),
+                identity: u64::arbitrary(gen_),
+            }),
+            Spec::Team(TeamSpec {
+                title: "Größe: 1 — {x}".into(),
+            }),
+            Spec::Work(WorkSpec {
+                body: String::arbitrary(gen_).into(),
+                demand,
+                idempotent: bool::arbitrary(gen_),
+                policy: *gen_
+                    .choose(&[Policy::Batch, Policy::Gang, Policy::Service])
+                    .unwrap(),
+                tasks: number(gen_, 10_000),
+                team: team(),
+            }),
+            Spec::WorkerClass(WorkerClassSpec {
+                speed_millis: number(gen_, 1_000_000),
+            }),
+        ];
+        Self(Record {
+            name: "name".into(),
+            spec: gen_.choose(&specs).unwrap().clone(),
+            version: u64::arbitrary(gen_),
+        })
+    }
+}
+
+fn check<A: quickcheck::Testable>(property: A) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 7))
+        .tests(500)
+        .quickcheck(property);
+}
+
+fn limit() -> Value {
+    json!({"schema": 2, "kind": "limit", "name": "red", "spec": {"max_running": 4, "team": "red"}})
+}
+
+fn with(mut value: Value, pointer: &str, field: &str, new: Value) -> Value {
+    value.pointer_mut(pointer).unwrap()[field] = new;
+    value
+}
+
+fn error_of(value: &Value) -> String {
+    Record::from_json(value).unwrap_err().to_string()
+}
+
+/// Guards against examples in the documentation that are refused, and kinds without both forms.
+#[test]
+fn documented_examples_of_both_versions_are_accepted_and_equal() {
+    let blocks = DOCUMENTATION.split("```yaml\n").skip(1);
+    let examples: Vec<&str> = blocks.map(|block| block.split("```").next().unwrap()).collect();
+    let records = Record::from_yaml(&examples.join("---\n")).unwrap();
+
+    let kinds: BTreeSet<Kind> = records.iter().map(Record::kind).collect();
+    assert_eq!((records.len(), kinds.len()), (18, 9));
+    for pair in records.chunks(2) {
+        assert_eq!(pair[0], pair[1]);
+    }
+}
+
+/// Guards against a record that changes when it is read and written back.
+#[test]
+fn records_survive_version_2_and_the_complete_ones_version_1() {
+    fn property(AnyRecord(record): AnyRecord) -> bool {
+        let new = record.to_json(Schema::V2);
+        let old = record.to_json(Schema::V1);
+        let is_complete = old.get("omitted").is_none();
+        Record::from_json(&new).as_ref() == Ok(&record)
+            && match Record::from_json(&old) {
+                Ok(read) => is_complete && read == record,
+                Err(_) => !is_complete,
+            }
+    }
+    check(property as fn(AnyRecord) -> bool);
+}
+
+/// Guards against a secret that reaches an answer, an error or a log line.
+#[test]
+fn secrets_are_digested_and_never_shown() {
+    let value = json!({"schema": 1, "kind": "key", "name": "k", "spec": {"secret": SECRET, "team": "red"}});
+    let record = Record::from_json(&value).unwrap();
+    let invalid = with(value, "/spec", "team", json!(7));
+    let broken = format!("schema: 1\nkind: key\nname: k\nspec: {{secret: {SECRET}, team: ]}}\n");
+
+    let shown = [
+        record.to_json(Schema::V1).to_string(),
+        record.to_json(Schema::V2).to_string(),
+        format!("{record:?}"),
+        error_of(&invalid),
+        Record::from_yaml(&broken).unwrap_err().to_string(),
+    ];
+    assert!(shown.iter().all(|text| !text.contains(SECRET)), "{shown:?}");
+    assert_eq!(
+        record.to_json(Schema::V1)["omitted"],
+        json!(["spec.secret_blake3"])
+    );
+    let hex = KeyDigest::of(SECRET).to_hex();
+    assert_eq!(record.to_json(Schema::V2)["spec"]["secret_blake3"], json!(hex));
+}
+
+/// Guards against mistakes that are ignored, and errors that do not say where they are.
+#[test]
+fn mistakes_are_refused_with_field_and_expectation() {
+    let long = "n".repeat(129);
+    let cases = [
+        (
+            with(limit(), "", "schema", json!(3)),
+            "schema: version 3 is unknown",
+        ),
+        (
+            with(limit(), "", "kind", json!("limits")),
+            "kind: limits is unknown",
+        ),
+        (
+            with(limit(), "", "name", json!("")),
+            "name: expected a name of 1 to 128",
+        ),
+        (
+            with(limit(), "", "name", json!(long)),
+            "name: expected a name of 1 to 128",
+        ),
+        (with(limit(), "", "name", json!("a/b")), "name: expected"),
+        (with(limit(), "", "name", json!("a\nb")), "name: expected"),
+        (
+            with(limit(), "", "version", json!(-1)),
+            "version: expected a whole number",
+        ),
+        (
+            with(limit(), "", "extra", json!(1)),
+            "extra: unknown field; expected one of schema",
+        ),
+        (with(limit(), "", "spec", json!([])), "spec: expected an object"),
+        (
+            with(limit(), "/spec", "team", json!(null)),
+            "spec.team: expected a name",
+        ),
+        (with(limit(), "/spec", "max", json!(1)), "spec.max: unknown field"),
+        (
+            with(limit(), "/spec", "max_running", json!("4 tasks")),
+            "spec.max_running: expected a whole number of tasks",
+        ),
+        (
+            with(limit(), "/spec", "max_running", json!(1.5)),
+            "spec.max_running: expected",
+        ),
+        (
+            with(limit(), "/spec", "max_running", json!(u64::MAX)),
+            "spec.max_running: expected",
+        ),
+        (json!(7), "record: expected an object"),
+        (json!({}), "schema: required field is missing"),
+    ];
+    for (value, expected) in &cases {
+        let error = error_of(value);
+        assert!(
+            error.starts_with(expected),
+            "{error} does not start with {expected}"
+        );
+    }
+}
+
+/// Guards against a wrong unit that is read as another amount.
+#[test]
+fn wrong_units_are_refused() {
+    let queue = json!({"schema": 2, "kind": "queue", "name": "q", "spec": {
+        "access": "open", "demand": {"memory_bytes": "2GB"}, "max_waiting": 1, "policy": "batch", "team": "red"
+    }});
+    assert!(error_of(&queue).starts_with("spec.demand.memory_bytes: expected a whole number of bytes"));
+
+    let demand = json!({"memory_mb": 2});
+    let queue = with(queue, "/spec", "demand", demand);
+    assert!(
+        error_of(&queue).starts_with("spec.demand.memory_mb: unknown field; expected one of accelerators")
+    );
+}
+
+/// Guards against an operator searching a long file for the mistake.
+#[test]
+fn yaml_errors_name_document_line_and_field() {
+    let text =
+        "schema: 2\nkind: team\nname: a\nspec: {title: A}\n---\nschema: 2\nkind: team\nname: b\nspec: {}\n";
+    match Record::from_yaml(text).unwrap_err() {
+        RecordError::DocumentLine {
+            document,
+            error,
+            line,
+        } => {
+            assert_eq!((document, line), (2, 6));
+            assert!(matches!(*error, RecordError::Missing { field, .. } if field == "spec.title"));
+        }
+        error => panic!("{error:?}"),
+    }
+    let error = Record::from_yaml("schema: [\n").unwrap_err();
+    assert!(
+        matches!(error, RecordError::DocumentLine { document: 1, .. }),
+        "{error}"
+    );
+    assert_eq!(Record::from_yaml("").unwrap(), []);
+}
+
+/// Guards against input that stops the daemon.
+#[test]
+fn arbitrary_input_never_panics_the_parsers() {
+    fn yaml(pieces: Vec<u8>) -> bool {
+        const PIECES: [&str; 16] = [
+            "schema: 2\n",
+            "kind: work\n",
+            "name: x\n",
+            "spec:\n",
+            "  team: red\n",
+            "---\n",
+            "[",
+            "{",
+            "}",
+            ": ",
+            "- ",
+            "&a ",
+            "*a\n",
+            "\"",
+            "!!int 7\n",
+            "  tasks: 99999999999999999999\n",
+        ];
+        let text: String = pieces
+            .iter()
+            .map(|piece| PIECES[usize::from(piece % 16)])
+            .collect();
+        let _ = Record::from_yaml(&text);
+        let _ = Record::from_yaml(&String::from_utf8_lossy(&pieces));
+        true
+    }
+    fn json(record: AnyRecord, field: String, number: i64, schema: bool) -> bool {
+        let schema = if schema { Schema::V1 } else { Schema::V2 };
+        let mut value = record.0.to_json(schema);
+        let spec = value["spec"].as_object_mut().unwrap();
+        if let Some(first) = spec.values_mut().next() {
+            *first = json!(number);
+        }
+        spec.insert(field, json!({"a": [number]}));
+        Record::from_json(&value).is_err()
+    }
+    check(yaml as fn(Vec<u8>) -> bool);
+    check(json as fn(AnyRecord, String, i64, bool) -> bool);
+}
