kernel: place work by team share, tokens and lease

Cause: the daemon needs a kernel behind the fixed events and decisions. Ruled out: one queue for each team, which has to be walked whenever its first task does not fit; tasks of equal policy and demand now form a group that rests until a worker offers enough. A change that the types need: Decision::Abandon, since Refuse is only true for tasks that never started and a lost task may not be started again.

--- /dev/null
+++ b/crates/kernel/src/attachment.rs
@@ -0,0 +1,232 @@
+//! Events about workers.
+
+use {
+    crate::{
+        Decision, Kernel,
+        task::{Stage, Task, TaskKey},
+        team::TeamKey,
+        worker::{Worker, WorkerKey, speed_class},
+    },
+    fuchsiatack_model::{
+        DataCenter, Epoch, Policy, RackName, Resources, RunningTask, TaskId, TeamName, WorkerName,
+    },
+};
+
+/// Contents of `Event::WorkerAttached`.
+pub(crate) struct Attachment {
+    pub(crate) capacity: Resources,
+    pub(crate) epoch: Epoch,
+    pub(crate) place: (DataCenter, RackName),
+    pub(crate) running: Vec<RunningTask>,
+    pub(crate) speed_millis: u32,
+    pub(crate) worker: WorkerName,
+}
+
+impl Kernel {
+    /// Takes a fenced worker into use. If it is known, its list of running tasks replaces
+    /// what was believed to run there.
+    pub(crate) fn worker_attached(&mut self, attachment: Attachment, decisions: &mut Vec<Decision>) {
+        let known = self.workers.key(&attachment.worker);
+        if known.is_some_and(|key| self.workers[key].epoch > attachment.epoch) {
+            return;
+        }
+        let mut kept = Vec::new();
+        if let Some(old) = known {
+            let listed = sorted(attachment.running.iter().map(|task| task.task));
+            self.end_unlisted(old, &listed, decisions);
+            kept = self.workers[old].tasks.clone();
+            self.thaw(old, decisions);
+            self.workers.remove(old);
+        }
+        let running = attachment.running.clone();
+        let key = self.insert_worker(attachment);
+        let kept_ids = sorted(kept.iter().map(|task| self.tasks[*task].id));
+        for task in kept {
+            self.keep_running(task, key);
+        }
+        for task in running {
+            if kept_ids.binary_search(&task.task).is_err() {
+                self.inherit(task, key);
+            }
+        }
+        self.offer_changed(key);
+    }
+
+    /// Accounts for a released worker that its new owner has counted.
+    pub(crate) fn worker_detached(
+        &mut self,
+        name: &WorkerName,
+        moved: Vec<(TeamName, u32)>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        for (team, tokens) in moved {
+            if let Some(team) = self.teams.key(&team) {
+                self.teams[team].tokens.moved(tokens);
+            }
+        }
+        let Some(key) = self.workers.key(name) else { return };
+        for task in self.workers[key].tasks.clone() {
+            let stage = self.tasks[task].stage;
+            self.release(task, decisions);
+            match stage {
+                _ if self.tasks[task].inherited => self.forget(task),
+                Stage::Running(_) => self.tasks[task].stage = Stage::Detached { over: false },
+                _ => self.abandon(task, decisions),
+            }
+        }
+        self.thaw(key, decisions);
+        self.workers.remove(key);
+    }
+
+    /// Accounts for a worker whose tasks are certainly over.
+    pub(crate) fn worker_removed(&mut self, name: &WorkerName, decisions: &mut Vec<Decision>) {
+        let Some(key) = self.workers.key(name) else { return };
+        self.workers[key].unreachable = true;
+        self.workers.refresh(key);
+        self.end_unlisted(key, &[], decisions);
+        self.thaw(key, decisions);
+        self.workers.remove(key);
+    }
+
+    pub(crate) fn worker_held(&mut self, name: WorkerName, held: bool) {
+        if let Some(key) = self.workers.key(&name) {
+            self.workers[key].held = held;
+            self.offer_changed(key);
+        }
+        match held {
+            true => self.held.insert(name),
+            false => self.held.remove(&name),
+        };
+    }
+
+    pub(crate) fn worker_releasing(&mut self, name: &WorkerName) {
+        if let Some(key) = self.workers.key(name) {
+            self.workers[key].releasing = true;
+            self.workers.refresh(key);
+        }
+    }
+
+    pub(crate) fn worker_unreachable(&mut self, name: &WorkerName) {
+        if let Some(key) = self.workers.key(name) {
+            self.workers[key].unreachable = true;
+            self.workers.refresh(key);
+        }
+    }
+
+    /// Ends lost and inherited tasks that a report omits, and uses the worker again if it
+    /// was unreachable. Other tasks end with their calls.
+    pub(crate) fn worker_reported(
+        &mut self,
+        name: &WorkerName,
+        running: Vec<TaskId>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let Some(key) = self.workers.key(name) else { return };
+        let listed = sorted(running.into_iter());
+        for task in self.workers[key].tasks.clone() {
+            let entry = &self.tasks[task];
+            let omitted = listed.binary_search(&entry.id).is_err();
+            match entry.stage {
+                Stage::Running(_) if !entry.inherited => {}
+                _ if omitted => self.end_attempt(task, decisions),
+                _ => {}
+            }
+        }
+        if self.workers[key].unreachable {
+            self.workers[key].unreachable = false;
+            self.offer_changed(key);
+        }
+    }
+
+    /// Ends the tasks of a worker that are not in a complete list of what runs there.
+    fn end_unlisted(&mut self, key: WorkerKey, listed: &[TaskId], decisions: &mut Vec<Decision>) {
+        for task in self.workers[key].tasks.clone() {
+            if listed.binary_search(&self.tasks[task].id).is_err() {
+                self.end_attempt(task, decisions);
+            }
+        }
+    }
+
+    /// Ends an attempt that certainly no longer runs. A task whose call has not ended yet
+    /// stays known until then.
+    fn end_attempt(&mut self, key: TaskKey, decisions: &mut Vec<Decision>) {
+        let stage = self.tasks[key].stage;
+        self.release(key, decisions);
+        match stage {
+            _ if self.tasks[key].inherited => self.forget(key),
+            Stage::Lost(_) => self.lost_attempt_over(key, decisions),
+            _ => {}
+        }
+    }
+
+    /// Frees the tokens that were frozen with a worker.
+    fn thaw(&mut self, key: WorkerKey, decisions: &mut Vec<Decision>) {
+        for (team, tokens) in std::mem::take(&mut self.workers[key].frozen) {
+            self.teams[team].frozen -= tokens;
+            self.tokens_changed(team, decisions);
+            self.teams.remove_unused(team);
+        }
+    }
+
+    fn insert_worker(&mut self, attachment: Attachment) -> WorkerKey {
+        let (data_center, rack) = attachment.place;
+        let slowdown = 1_000.0 / attachment.speed_millis.max(1) as f32;
+        self.workers.insert(Worker {
+            capacity: attachment.capacity,
+            class: speed_class(slowdown),
+            data_center: self.spread.place(&data_center, &RackName::default()),
+            epoch: attachment.epoch,
+            frozen: Vec::new(),
+            held: self.held.contains(&attachment.worker),
+            name: attachment.worker,
+            position: 0,
+            rack: self.spread.place(&data_center, &rack),
+            releasing: false,
+            slowdown,
+            tasks: Vec::new(),
+            unreachable: false,
+            used: Resources::NONE,
+        })
+    }
+
+    /// Moves the count of a task to the new entry of its worker.
+    fn keep_running(&mut self, key: TaskKey, worker_key: WorkerKey) {
+        let task = &mut self.tasks[key];
+        task.stage = match task.stage {
+            Stage::Lost(_) => Stage::Lost(worker_key),
+            _ => Stage::Running(worker_key),
+        };
+        let worker = &mut self.workers[worker_key];
+        worker.used = worker.used.plus(&task.demand);
+        worker.tasks.push(key);
+    }
+
+    /// Counts a task that a former owner started.
+    fn inherit(&mut self, running: RunningTask, worker: WorkerKey) {
+        let team: TeamKey = self.teams.key_or_insert(&running.team);
+        self.next_sequence += 1;
+        let key = self.tasks.insert(Task {
+            cancelled: false,
+            deadline_us: None,
+            demand: running.demand,
+            gang: None,
+            id: running.task,
+            idempotent: false,
+            inherited: true,
+            policy: Policy::Batch,
+            preempted: false,
+            sequence: self.next_sequence,
+            stage: Stage::Running(worker),
+            started: true,
+            team,
+        });
+        self.by_id.entry(running.task).or_insert(key);
+        self.occupy(key, worker);
+    }
+}
+
+fn sorted(tasks: impl Iterator<Item = TaskId>) -> Vec<TaskId> {
+    let mut tasks: Vec<TaskId> = tasks.collect();
+    tasks.sort_unstable();
+    tasks
+}
--- a/crates/kernel/src/decision.rs
+++ b/crates/kernel/src/decision.rs
@@ -8,6 +8,12 @@
 /// Output of the kernel. Variants are sorted by name.
 #[value]
 pub enum Decision {
+    /// Give up a task that was started before and will not be started again. The kernel
+    /// forgets it; its outcome is `unknown`.
+    Abandon {
+        /// The task.
+        task: TaskId,
+    },
     /// The task cannot run on any present worker; it stays waiting until that changes.
     Blocked {
         /// What the largest worker lacks.
@@ -47,7 +53,8 @@
         /// The worker.
         worker: WorkerName,
     },
-    /// Cancel a running task on its worker. `Ended` follows when it is over.
+    /// Cancel a running task on its worker. `Ended` follows when it is over. A task that is
+    /// stopped to make room waits again after `Ended { Failed }` if it is idempotent.
     Stop {
         /// The task.
         task: TaskId,
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -57,7 +57,8 @@
         /// The task.
         task: TaskId,
     },
-    /// A running task ended.
+    /// A running task ended. Exactly one follows each `Start`, also if the worker was
+    /// removed or detached in between.
     Ended {
         /// How.
         end: TaskEnd,
@@ -136,7 +137,8 @@
         /// The worker.
         worker: WorkerName,
     },
-    /// The new owner has counted the tasks of a released worker.
+    /// The new owner has counted the tasks of a released worker. The kernel takes the moved
+    /// tokens off its pools; a `TokensSet` with the lower number follows.
     WorkerDetached {
         /// Number of tasks of each team whose tokens moved with the worker.
         moved: Vec<(TeamName, u32)>,
@@ -161,7 +163,8 @@
         /// The worker.
         worker: WorkerName,
     },
-    /// The worker reported what it runs.
+    /// The worker reported what it runs. A report asked for before a task's connection was
+    /// lost is not passed on after the loss, since it may predate the task's arrival.
     WorkerReported {
         /// Tasks that run.
         running: Vec<TaskId>,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,10 +2,30 @@
 //!
 //! The kernel owns no clock, does no I/O and uses no randomness but a seed in its settings.
 
+mod attachment;
+mod capacity_tree;
 mod decision;
+mod ending;
 mod event;
+mod forwarding;
 mod kernel;
+mod peers;
+mod placement;
+mod policy;
+mod policy_batch;
+mod policy_gang;
+mod policy_interactive;
+mod policy_service;
 mod settings;
+mod spread;
+mod submission;
+mod task;
+mod team;
+mod teams;
+mod tokens;
+mod waiting;
+mod worker;
+mod workers;
 
 pub use self::{
     decision::Decision,
--- /dev/null
+++ b/crates/kernel/src/peers.rs
@@ -0,0 +1,81 @@
+//! Peers that requests can be forwarded to.
+
+use {
+    crate::PeerLoad,
+    fuchsiatack_model::{DaemonName, TeamName},
+    rand::{RngExt, rngs::StdRng},
+};
+
+struct Peer {
+    load: PeerLoad,
+    seen_us: u64,
+}
+
+/// Last load hints, sorted by daemon.
+#[derive(Default)]
+pub(crate) struct Peers {
+    peers: Vec<Peer>,
+}
+
+impl Peers {
+    pub(crate) fn seen(&mut self, now_us: u64, load: PeerLoad) {
+        let peer = Peer {
+            load,
+            seen_us: now_us,
+        };
+        match self.position(&peer.load.daemon) {
+            Ok(position) => self.peers[position] = peer,
+            Err(position) => self.peers.insert(position, peer),
+        }
+    }
+
+    pub(crate) fn left(&mut self, daemon: &DaemonName) {
+        if let Ok(position) = self.position(daemon) {
+            self.peers.remove(position);
+        }
+    }
+
+    /// Chooses a peer with free slots, and with tokens if the team is limited. The choice
+    /// is random by free slots, and lowers the remembered hint, so that daemons with equal
+    /// hints do not all send to the same peer.
+    pub(crate) fn choose(
+        &mut self,
+        oldest_us: u64,
+        limited: Option<&TeamName>,
+        random: &mut StdRng,
+    ) -> Option<DaemonName> {
+        let weight = |peer: &Peer| match limited {
+            _ if peer.seen_us < oldest_us => 0,
+            Some(team) if !peer.load.token_teams.contains(team) => 0,
+            _ => peer.load.free_slots,
+        };
+        let total: u64 = self.peers.iter().map(|peer| u64::from(weight(peer))).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut point = random.random_range(0..total);
+        for peer in &mut self.peers {
+            let slots = u64::from(weight(peer));
+            if point < slots {
+                peer.load.free_slots -= 1;
+                return Some(peer.load.daemon.clone());
+            }
+            point -= slots;
+        }
+        None
+    }
+
+    /// Returns a fresh peer with tokens of the team, even if it has no free slot.
+    pub(crate) fn with_tokens(&self, oldest_us: u64, team: &TeamName) -> Option<DaemonName> {
+        self.peers
+            .iter()
+            .filter(|peer| peer.seen_us >= oldest_us)
+            .filter(|peer| peer.load.token_teams.contains(team))
+            .min_by_key(|peer| peer.load.waiting)
+            .map(|peer| peer.load.daemon.clone())
+    }
+
+    fn position(&self, daemon: &DaemonName) -> Result<usize, usize> {
+        self.peers.binary_search_by(|peer| peer.load.daemon.cmp(daemon))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/placement.rs
@@ -0,0 +1,121 @@
+//! Start of waiting tasks.
+
+use {
+    crate::{
+        Decision, Kernel,
+        policy::PlacementView,
+        task::{Stage, TaskKey},
+        waiting::LaneKey,
+        worker::WorkerKey,
+    },
+    fuchsiatack_model::Policy,
+    rand::RngExt,
+};
+
+impl Kernel {
+    /// Starts what can start, in order of precedence and share.
+    pub(crate) fn place_waiting(&mut self, decisions: &mut Vec<Decision>) {
+        if !self.lease_valid {
+            return;
+        }
+        while let Some(lane) = self.waiting.next() {
+            self.serve(lane, decisions);
+        }
+    }
+
+    /// Starts the first request of a lane, or stops looking at what it lacks.
+    fn serve(&mut self, lane: LaneKey, decisions: &mut Vec<Decision>) {
+        let entry = &self.waiting.lanes[lane];
+        let Some(key) = entry.tasks.values().next().copied() else {
+            return;
+        };
+        let (group, team) = (entry.group, entry.team);
+        let gang = self.tasks[key].gang;
+        let size = gang.map_or(1, |gang| self.gangs[gang].len());
+        if (self.teams[team].startable() as usize) < size {
+            self.waiting.park(lane);
+            return;
+        }
+        match gang {
+            Some(_) => match self.plan_gang(key, size) {
+                Some(workers) => self.start_gang(key, &workers, decisions),
+                None => self.waiting.rest(group),
+            },
+            None => match self.choose_worker(key) {
+                Some(worker) => {
+                    self.leave_lane(key);
+                    self.start(key, worker, decisions);
+                }
+                None => self.waiting.rest(group),
+            },
+        }
+    }
+
+    fn choose_worker(&mut self, key: TaskKey) -> Option<WorkerKey> {
+        let salt = self.random.random();
+        let task = &self.tasks[key];
+        let view = PlacementView {
+            accept: &|_| true,
+            demand: &task.demand,
+            salt,
+            spread: &self.spread,
+            team: task.team,
+            workers: &self.workers,
+        };
+        self.policies[task.policy as usize].choose(&view)
+    }
+
+    /// Finds a worker for each member of a gang, or for none.
+    fn plan_gang(&mut self, key: TaskKey, size: usize) -> Option<Vec<WorkerKey>> {
+        let demand = self.tasks[key].demand;
+        let mut workers = Vec::with_capacity(size);
+        while workers.len() < size {
+            let Some(worker) = self.choose_worker(key) else {
+                break;
+            };
+            self.workers[worker].used = self.workers[worker].used.plus(&demand);
+            self.workers.refresh(worker);
+            workers.push(worker);
+        }
+        for worker in &workers {
+            self.workers[*worker].used = self.workers[*worker].used.minus(&demand);
+            self.workers.refresh(*worker);
+        }
+        (workers.len() == size).then_some(workers)
+    }
+
+    fn start_gang(&mut self, key: TaskKey, workers: &[WorkerKey], decisions: &mut Vec<Decision>) {
+        let members = self.leave_lane(key);
+        for (member, worker) in members.into_iter().zip(workers) {
+            self.start(member, *worker, decisions);
+        }
+    }
+
+    /// Starts a task that has left its lane.
+    fn start(&mut self, key: TaskKey, worker_key: WorkerKey, decisions: &mut Vec<Decision>) {
+        self.occupy(key, worker_key);
+        let worker = &self.workers[worker_key];
+        decisions.push(Decision::Start {
+            epoch: worker.epoch,
+            task: self.tasks[key].id,
+            worker: worker.name.clone(),
+        });
+    }
+
+    /// Counts a task as running on a worker.
+    pub(crate) fn occupy(&mut self, key: TaskKey, worker_key: WorkerKey) {
+        let task = &mut self.tasks[key];
+        task.stage = Stage::Running(worker_key);
+        task.preempted = false;
+        let worker = &mut self.workers[worker_key];
+        worker.used = worker.used.plus(&task.demand);
+        worker.tasks.push(key);
+        if task.policy == Policy::Service {
+            self.spread.add(task.team, worker.data_center, worker.rack);
+        }
+        let team = task.team;
+        self.teams[team].running += 1;
+        self.workers.refresh(worker_key);
+        self.team_changed(team);
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/submission.rs
@@ -0,0 +1,274 @@
+//! Arrival, refusal and cancellation of work.
+
+use {
+    crate::{
+        Decision, Kernel, Submission,
+        task::{Stage, Task, TaskKey},
+        team::TeamKey,
+    },
+    fuchsiatack_model::{Policy, Refusal, TaskId},
+};
+
+/// Hint for a retry when nothing better is known, in milliseconds.
+const RETRY_AFTER_MS: u32 = 1_000;
+
+impl Kernel {
+    /// Takes in a request or gang: starts it, forwards it, lets it wait or refuses it.
+    pub(crate) fn submit(&mut self, submission: Submission, decisions: &mut Vec<Decision>) {
+        if submission.tasks.is_empty() {
+            return;
+        }
+        if let Some(reason) = self.refusal_at_arrival(&submission) {
+            let elsewhere = self.forward_target(&submission);
+            match elsewhere.filter(|_| reason == Refusal::QueueFull) {
+                Some(daemon) => decisions.push(Decision::Forward {
+                    daemon,
+                    task: submission.tasks[0],
+                }),
+                None => refuse_all(&submission.tasks, reason, decisions),
+            }
+            return;
+        }
+        let leader = self.admit(&submission);
+        self.place_waiting(decisions);
+        if self.is_waiting(leader) {
+            self.settle_waiting(leader, &submission, decisions);
+        }
+    }
+
+    /// Cancels a waiting task or stops a running one. A waiting gang is cancelled whole.
+    pub(crate) fn cancel(&mut self, id: TaskId, decisions: &mut Vec<Decision>) {
+        let Some(key) = self.by_id.get(&id).copied() else {
+            return;
+        };
+        let task = &mut self.tasks[key];
+        match task.stage {
+            Stage::Waiting(_) => self.drop_waiting(key, Refusal::Cancelled, decisions),
+            Stage::Running(worker) if !task.cancelled => {
+                task.cancelled = true;
+                decisions.push(Decision::Stop {
+                    task: id,
+                    worker: self.workers[worker].name.clone(),
+                });
+            }
+            _ => task.cancelled = true,
+        }
+    }
+
+    /// Ends the wait of a request, or of a whole gang, without starting it.
+    pub(crate) fn drop_waiting(&mut self, key: TaskKey, reason: Refusal, decisions: &mut Vec<Decision>) {
+        let members = self.leave_lane(key);
+        for member in members {
+            let task = &self.tasks[member];
+            decisions.push(match task.started {
+                true => Decision::Abandon { task: task.id },
+                false => refusal(task.id, reason),
+            });
+            self.forget(member);
+        }
+    }
+
+    /// Refuses waiting tasks whose deadline has passed.
+    pub(crate) fn refuse_overdue(&mut self, decisions: &mut Vec<Decision>) {
+        while let Some((deadline_us, task)) = self.deadlines.first().copied() {
+            if deadline_us > self.now_us {
+                return;
+            }
+            self.drop_waiting(task, Refusal::DeadlineTooShort, decisions);
+        }
+    }
+
+    /// Reacts to the daemon's lease. Without it callers are sent away at once; queued work
+    /// waits, since its assignment is the ledger's.
+    pub(crate) fn lease_changed(&mut self, valid: bool, decisions: &mut Vec<Decision>) {
+        self.lease_valid = valid;
+        if valid {
+            return;
+        }
+        for task in self.waiting_interactive() {
+            self.drop_waiting(task, Refusal::LeaseLapsed, decisions);
+        }
+    }
+
+    /// Has a task wait, in the order of its first arrival.
+    pub(crate) fn enter_lane(&mut self, key: TaskKey) {
+        let task = &self.tasks[key];
+        let (sequence, policy, demand, deadline_us) =
+            (task.sequence, task.policy, task.demand, task.deadline_us);
+        let team_key = task.team;
+        let members = self.members(key);
+        let team = &mut self.teams[team_key];
+        let lane = self.waiting.lane(team_key, &mut team.lanes, policy, demand);
+        team.waiting[policy as usize] += members.len() as u32;
+        let share = team.share();
+        self.waiting.push(lane, sequence, key, share);
+        for member in members {
+            self.tasks[member].stage = Stage::Waiting(lane);
+        }
+        if let Some(deadline_us) = deadline_us {
+            self.deadlines.insert((deadline_us, key));
+        }
+    }
+
+    /// Takes a request or gang out of its lane and returns its tasks.
+    pub(crate) fn leave_lane(&mut self, key: TaskKey) -> Vec<TaskKey> {
+        let members = self.members(key);
+        let leader = members[0];
+        let task = &self.tasks[leader];
+        let Stage::Waiting(lane) = task.stage else {
+            return Vec::new();
+        };
+        if let Some(deadline_us) = task.deadline_us {
+            self.deadlines.remove(&(deadline_us, leader));
+        }
+        let team = &mut self.teams[task.team];
+        team.waiting[task.policy as usize] -= members.len() as u32;
+        let share = team.share();
+        if self.waiting.take(lane, task.sequence, share) {
+            team.lanes.retain(|(_, other)| *other != lane);
+        }
+        if let Some(gang) = task.gang {
+            self.gangs.remove(gang);
+        }
+        for member in &members {
+            self.tasks[*member].gang = None;
+        }
+        members
+    }
+
+    /// Forgets a task that neither waits nor runs.
+    pub(crate) fn forget(&mut self, key: TaskKey) {
+        let Some(task) = self.tasks.remove(key) else {
+            return;
+        };
+        if self.by_id.get(&task.id) == Some(&key) {
+            self.by_id.remove(&task.id);
+        }
+        self.teams.remove_unused(task.team);
+    }
+
+    /// Returns the tasks that start together with a task, itself included.
+    pub(crate) fn members(&self, key: TaskKey) -> Vec<TaskKey> {
+        match self.tasks[key].gang {
+            Some(gang) => self.gangs[gang].clone(),
+            None => vec![key],
+        }
+    }
+
+    fn refusal_at_arrival(&self, submission: &Submission) -> Option<Refusal> {
+        let interactive = submission.class.policy == Policy::Interactive;
+        let team = self.teams.key(&submission.team).map(|key| &self.teams[key]);
+        let waiting = submission.class.policy as usize;
+        match team.filter(|team| team.present) {
+            _ if interactive && !self.lease_valid => Some(Refusal::LeaseLapsed),
+            _ if submission.tasks.iter().any(|task| self.by_id.contains_key(task)) => {
+                Some(Refusal::Cancelled)
+            }
+            None => Some(Refusal::Cancelled),
+            Some(_)
+                if submission
+                    .deadline_us
+                    .is_some_and(|deadline| deadline <= self.now_us) =>
+            {
+                Some(Refusal::DeadlineTooShort)
+            }
+            Some(team)
+                if team.waiting[waiting] >= self.settings.max_waiting_per_team.min(team.max_waiting) =>
+            {
+                Some(Refusal::QueueFull)
+            }
+            Some(_) => None,
+        }
+    }
+
+    fn admit(&mut self, submission: &Submission) -> TaskKey {
+        let team = self.teams.key_or_insert(&submission.team);
+        let keys: Vec<TaskKey> = submission
+            .tasks
+            .iter()
+            .map(|id| self.insert_task(*id, submission, team))
+            .collect();
+        let leader = keys[0];
+        if keys.len() > 1 {
+            let gang = self.gangs.insert(keys.clone());
+            for key in keys {
+                self.tasks[key].gang = Some(gang);
+            }
+        }
+        self.enter_lane(leader);
+        leader
+    }
+
+    fn insert_task(&mut self, id: TaskId, submission: &Submission, team: TeamKey) -> TaskKey {
+        self.next_sequence += 1;
+        let key = self.tasks.insert(Task {
+            cancelled: false,
+            deadline_us: submission.deadline_us,
+            demand: submission.class.demand,
+            gang: None,
+            id,
+            idempotent: submission.class.idempotent,
+            inherited: false,
+            policy: submission.class.policy,
+            preempted: false,
+            sequence: self.next_sequence,
+            stage: Stage::Detached { over: true },
+            started: false,
+            team,
+        });
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// Decides about work that found no place at once.
+    fn settle_waiting(&mut self, key: TaskKey, submission: &Submission, decisions: &mut Vec<Decision>) {
+        if let Some(daemon) = self.forward_target(submission) {
+            let task = self.tasks[key].id;
+            self.leave_lane(key);
+            self.forget(key);
+            decisions.push(Decision::Forward { daemon, task });
+            return;
+        }
+        let demand = submission.class.demand;
+        if self.workers.is_empty() || self.workers.could_fit(&demand) {
+            return;
+        }
+        if submission.class.policy == Policy::Interactive {
+            self.drop_waiting(key, Refusal::NeverFits, decisions);
+            return;
+        }
+        decisions.push(Decision::Blocked {
+            missing: self.workers.missing(&demand),
+            task: self.tasks[key].id,
+        });
+    }
+
+    fn is_waiting(&self, key: TaskKey) -> bool {
+        self.tasks
+            .get(key)
+            .is_some_and(|task| matches!(task.stage, Stage::Waiting(_)))
+    }
+
+    fn waiting_interactive(&self) -> Vec<TaskKey> {
+        self.waiting
+            .lanes
+            .values()
+            .filter(|lane| self.waiting.groups[lane.group].policy == Policy::Interactive)
+            .flat_map(|lane| lane.tasks.values().copied())
+            .collect()
+    }
+}
+
+/// Builds the decision that a task is not run.
+pub(crate) fn refusal(task: TaskId, reason: Refusal) -> Decision {
+    let retry_after_ms = if reason.can_retry() { RETRY_AFTER_MS } else { 0 };
+    Decision::Refuse {
+        reason,
+        retry_after_ms,
+        task,
+    }
+}
+
+fn refuse_all(tasks: &[TaskId], reason: Refusal, decisions: &mut Vec<Decision>) {
+    decisions.extend(tasks.iter().map(|task| refusal(*task, reason)));
+}
--- /dev/null
+++ b/crates/kernel/src/team.rs
@@ -0,0 +1,94 @@
+//! One team.
+
+use {
+    crate::{
+        tokens::TokenPool,
+        waiting::{GroupKey, LaneKey},
+    },
+    fuchsiatack_model::TeamName,
+    slotmap::new_key_type,
+};
+
+new_key_type! {
+    /// Address of a team in its arena.
+    pub(crate) struct TeamKey;
+}
+
+/// Number of policies, which bounds the counters kept for each.
+pub(crate) const POLICIES: usize = 4;
+
+/// A team with work here, or with a record.
+pub(crate) struct Team {
+    /// Running tasks over the fleet at the last report.
+    pub(crate) fleet_running: u32,
+    /// Tokens of ended tasks on workers that are being released.
+    pub(crate) frozen: u32,
+    pub(crate) lanes: Vec<(GroupKey, LaneKey)>,
+    pub(crate) limited: bool,
+    /// Local running tasks when `fleet_running` was reported.
+    pub(crate) local_at_report: u32,
+    pub(crate) max_waiting: u32,
+    /// Measured run time on an ordinary worker in microseconds; 0 before the first end.
+    pub(crate) mean_run_us: f32,
+    pub(crate) name: TeamName,
+    /// Whether the team has a record.
+    pub(crate) present: bool,
+    pub(crate) running: u32,
+    pub(crate) tokens: TokenPool,
+    /// Waiting tasks by policy.
+    pub(crate) waiting: [u32; POLICIES],
+    pub(crate) weight_millis: u32,
+}
+
+impl Team {
+    pub(crate) fn new(name: TeamName) -> Self {
+        Self {
+            fleet_running: 0,
+            frozen: 0,
+            lanes: Vec::new(),
+            limited: false,
+            local_at_report: 0,
+            max_waiting: u32::MAX,
+            mean_run_us: 0.0,
+            name,
+            present: false,
+            running: 0,
+            tokens: TokenPool::default(),
+            waiting: [0; POLICIES],
+            weight_millis: 1_000,
+        }
+    }
+
+    /// Tokens that running tasks or frozen ones take up.
+    pub(crate) fn used_tokens(&self) -> u32 {
+        self.running + self.frozen
+    }
+
+    /// Number of tasks that may start by the team's tokens.
+    pub(crate) fn startable(&self) -> u32 {
+        if !self.limited {
+            return u32::MAX;
+        }
+        self.tokens.usable().saturating_sub(self.used_tokens())
+    }
+
+    /// Running tasks over the fleet: the last report and what changed here since.
+    pub(crate) fn effective_running(&self) -> u64 {
+        let others = self.fleet_running.saturating_sub(self.local_at_report);
+        u64::from(others) + u64::from(self.running)
+    }
+
+    /// Running work divided by weight. The team with the lowest share is served first.
+    pub(crate) fn share(&self) -> u64 {
+        self.effective_running() * 1_000_000 / u64::from(self.weight_millis.max(1))
+    }
+
+    pub(crate) fn all_waiting(&self) -> u32 {
+        self.waiting.iter().sum()
+    }
+
+    /// Whether nothing refers to the team any more.
+    pub(crate) fn is_unused(&self) -> bool {
+        !self.present && self.used_tokens() == 0 && self.all_waiting() == 0
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/teams.rs
@@ -0,0 +1,145 @@
+//! All teams, and events about them.
+
+use {
+    crate::{
+        Decision, Kernel,
+        task::TaskKey,
+        team::{Team, TeamKey},
+    },
+    fuchsiatack_model::{Refusal, TeamName},
+    slotmap::SlotMap,
+    std::{
+        collections::BTreeMap,
+        ops::{Index, IndexMut},
+    },
+};
+
+/// Arena of teams.
+#[derive(Default)]
+pub(crate) struct Teams {
+    arena: SlotMap<TeamKey, Team>,
+    by_name: BTreeMap<TeamName, TeamKey>,
+}
+
+impl Teams {
+    pub(crate) fn key(&self, name: &TeamName) -> Option<TeamKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the team, which is added without a record if it is unknown.
+    pub(crate) fn key_or_insert(&mut self, name: &TeamName) -> TeamKey {
+        if let Some(key) = self.key(name) {
+            return key;
+        }
+        let key = self.arena.insert(Team::new(name.clone()));
+        self.by_name.insert(name.clone(), key);
+        key
+    }
+
+    /// Returns the teams by name.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Team> {
+        self.by_name.values().map(|key| &self.arena[*key])
+    }
+
+    /// Forgets the team if nothing refers to it.
+    pub(crate) fn remove_unused(&mut self, key: TeamKey) {
+        match self.arena.get(key) {
+            Some(team) if team.is_unused() => {
+                self.by_name.remove(&team.name);
+                self.arena.remove(key);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Index<TeamKey> for Teams {
+    type Output = Team;
+
+    fn index(&self, key: TeamKey) -> &Team {
+        &self.arena[key]
+    }
+}
+
+impl IndexMut<TeamKey> for Teams {
+    fn index_mut(&mut self, key: TeamKey) -> &mut Team {
+        &mut self.arena[key]
+    }
+}
+
+impl Kernel {
+    pub(crate) fn team_set(&mut self, name: TeamName, limited: bool, max_waiting: u32, weight_millis: u32) {
+        let key = self.teams.key_or_insert(&name);
+        let team = &mut self.teams[key];
+        team.limited = limited;
+        team.max_waiting = max_waiting;
+        team.present = true;
+        team.weight_millis = weight_millis;
+        self.team_changed(key);
+    }
+
+    pub(crate) fn team_removed(&mut self, name: &TeamName, decisions: &mut Vec<Decision>) {
+        let Some(key) = self.teams.key(name) else { return };
+        self.teams[key].present = false;
+        for task in self.waiting_tasks(key) {
+            self.drop_waiting(task, Refusal::Cancelled, decisions);
+        }
+        self.teams.remove_unused(key);
+    }
+
+    pub(crate) fn fleet_usage(&mut self, name: &TeamName, running: u32) {
+        let Some(key) = self.teams.key(name) else { return };
+        let team = &mut self.teams[key];
+        team.fleet_running = running;
+        team.local_at_report = team.running;
+        self.team_changed(key);
+    }
+
+    pub(crate) fn tokens_set(&mut self, name: TeamName, tokens: u32, decisions: &mut Vec<Decision>) {
+        let key = self.teams.key_or_insert(&name);
+        self.teams[key].tokens.set(tokens);
+        self.tokens_changed(key, decisions);
+    }
+
+    pub(crate) fn tokens_advised(&mut self, name: &TeamName, target: u32, decisions: &mut Vec<Decision>) {
+        let Some(key) = self.teams.key(name) else { return };
+        self.teams[key].tokens.advise(target);
+        self.tokens_changed(key, decisions);
+    }
+
+    /// Gives back tokens that the leader wants, then lets the team use the rest.
+    pub(crate) fn tokens_changed(&mut self, key: TeamKey, decisions: &mut Vec<Decision>) {
+        let team = &mut self.teams[key];
+        let used = team.used_tokens();
+        let tokens = team.tokens.give_back(used);
+        if tokens > 0 {
+            decisions.push(Decision::ReturnTokens {
+                team: team.name.clone(),
+                tokens,
+            });
+        }
+        self.team_changed(key);
+    }
+
+    /// Moves the team's lanes to their place for its present share and tokens.
+    pub(crate) fn team_changed(&mut self, key: TeamKey) {
+        let team = &self.teams[key];
+        let share = team.share();
+        let may_start = team.startable() > 0;
+        for (_, lane) in &team.lanes {
+            if may_start {
+                self.waiting.unpark(*lane, share);
+            }
+            self.waiting.rank(*lane, share);
+        }
+    }
+
+    /// Returns the first task of each waiting request of a team.
+    pub(crate) fn waiting_tasks(&self, key: TeamKey) -> Vec<TaskKey> {
+        self.teams[key]
+            .lanes
+            .iter()
+            .flat_map(|(_, lane)| self.waiting.lanes[*lane].tasks.values().copied())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/worker.rs
@@ -0,0 +1,63 @@
+//! One worker.
+
+use {
+    crate::{task::TaskKey, team::TeamKey},
+    fuchsiatack_model::{Epoch, Resources, WorkerName},
+    slotmap::new_key_type,
+};
+
+new_key_type! {
+    /// Address of a worker in its arena.
+    pub(crate) struct WorkerKey;
+}
+
+/// Number of speed classes. Two classes are a factor of two apart.
+pub(crate) const SPEED_CLASSES: usize = 17;
+
+/// A worker that this daemon owns.
+pub(crate) struct Worker {
+    pub(crate) capacity: Resources,
+    pub(crate) class: usize,
+    pub(crate) data_center: u32,
+    pub(crate) epoch: Epoch,
+    /// Tokens of tasks that ended here while the worker was being released.
+    pub(crate) frozen: Vec<(TeamKey, u32)>,
+    pub(crate) held: bool,
+    pub(crate) name: WorkerName,
+    pub(crate) position: u32,
+    pub(crate) rack: u32,
+    pub(crate) releasing: bool,
+    /// Measured run time relative to an ordinary worker; 2 means half as fast.
+    pub(crate) slowdown: f32,
+    pub(crate) tasks: Vec<TaskKey>,
+    pub(crate) unreachable: bool,
+    pub(crate) used: Resources,
+}
+
+impl Worker {
+    /// Amounts that no task holds.
+    pub(crate) fn free(&self) -> Resources {
+        self.capacity.minus(&self.used)
+    }
+
+    /// Keeps one token of a team out of use until the worker is detached.
+    pub(crate) fn freeze(&mut self, team: TeamKey) {
+        match self.frozen.iter_mut().find(|(other, _)| *other == team) {
+            Some((_, tokens)) => *tokens += 1,
+            None => self.frozen.push((team, 1)),
+        }
+    }
+
+    /// Amounts in which new tasks may start, or `None` if nothing may start here.
+    pub(crate) fn offer(&self) -> Option<Resources> {
+        let usable = !self.held && !self.releasing && !self.unreachable;
+        usable.then(|| self.free())
+    }
+}
+
+/// Speed class of a slowdown, 0 for the fastest workers.
+pub(crate) fn speed_class(slowdown: f32) -> usize {
+    let middle = (SPEED_CLASSES / 2) as f32;
+    let class = slowdown.log2() * 2.0 + middle;
+    class.round().clamp(0.0, (SPEED_CLASSES - 1) as f32) as usize
+}
--- /dev/null
+++ b/crates/kernel/src/workers.rs
@@ -0,0 +1,184 @@
+//! All workers of this daemon, with search by speed and free capacity.
+
+use {
+    crate::{
+        capacity_tree::CapacityTree,
+        worker::{SPEED_CLASSES, Worker, WorkerKey, speed_class},
+    },
+    fuchsiatack_model::{Resources, WorkerName},
+    slotmap::SlotMap,
+    std::{
+        collections::HashMap,
+        ops::{Index, IndexMut},
+    },
+};
+
+/// Arena of workers. Changes to a worker take effect in searches after `refresh`.
+pub(crate) struct Workers {
+    arena: SlotMap<WorkerKey, Worker>,
+    by_name: HashMap<WorkerName, WorkerKey>,
+    capacities: CapacityTree,
+    capacity_positions: HashMap<WorkerKey, u32>,
+    classes: [CapacityTree; SPEED_CLASSES],
+}
+
+impl Workers {
+    pub(crate) fn new() -> Self {
+        Self {
+            arena: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            capacities: CapacityTree::default(),
+            capacity_positions: HashMap::new(),
+            classes: std::array::from_fn(|_| CapacityTree::default()),
+        }
+    }
+
+    pub(crate) fn insert(&mut self, worker: Worker) -> WorkerKey {
+        let name = worker.name.clone();
+        let capacity = worker.capacity;
+        let offer = worker.offer();
+        let class = worker.class;
+        let key = self.arena.insert(worker);
+        let position = self.classes[class].insert(key, offer);
+        self.arena[key].position = position;
+        self.by_name.insert(name, key);
+        let capacity_position = self.capacities.insert(key, Some(capacity));
+        self.capacity_positions.insert(key, capacity_position);
+        key
+    }
+
+    pub(crate) fn remove(&mut self, key: WorkerKey) -> Option<Worker> {
+        let worker = self.arena.remove(key)?;
+        self.by_name.remove(&worker.name);
+        self.classes[worker.class].remove(worker.position);
+        if let Some(position) = self.capacity_positions.remove(&key) {
+            self.capacities.remove(position);
+        }
+        Some(worker)
+    }
+
+    pub(crate) fn key(&self, name: &WorkerName) -> Option<WorkerKey> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.arena.is_empty()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        self.arena.iter()
+    }
+
+    /// Returns whether some worker is large enough when it is idle.
+    pub(crate) fn could_fit(&self, demand: &Resources) -> bool {
+        self.capacities.find(0, demand, &|_| true).is_some()
+    }
+
+    /// Returns what the worker that comes closest to `demand` lacks.
+    pub(crate) fn missing(&self, demand: &Resources) -> Resources {
+        self.arena
+            .values()
+            .map(|worker| demand.minus(&worker.capacity))
+            .min_by_key(|missing| {
+                let Resources {
+                    accelerators,
+                    connections,
+                    memory_bytes,
+                    processors_millis,
+                    slots,
+                } = *missing;
+                let lacking = [accelerators, connections, processors_millis, slots];
+                let kinds = lacking.iter().filter(|amount| **amount > 0).count();
+                (kinds + usize::from(memory_bytes > 0), *missing)
+            })
+            .unwrap_or(*demand)
+    }
+
+    /// Publishes a worker's present offer and speed to later searches.
+    pub(crate) fn refresh(&mut self, key: WorkerKey) {
+        let worker = &mut self.arena[key];
+        let offer = worker.offer();
+        let class = speed_class(worker.slowdown);
+        if class == worker.class {
+            self.classes[class].set(worker.position, offer);
+            return;
+        }
+        self.classes[worker.class].remove(worker.position);
+        worker.class = class;
+        worker.position = self.classes[class].insert(key, offer);
+    }
+
+    /// Returns the first accepted worker with room for `demand`, fastest class first.
+    pub(crate) fn fastest(
+        &self,
+        demand: &Resources,
+        accept: &dyn Fn(WorkerKey) -> bool,
+    ) -> Option<WorkerKey> {
+        self.classes
+            .iter()
+            .find_map(|class| class.find(0, demand, accept))
+            .map(|(worker, _)| worker)
+    }
+
+    /// Returns the first accepted worker with room for `demand`, slowest class first.
+    pub(crate) fn slowest(
+        &self,
+        demand: &Resources,
+        accept: &dyn Fn(WorkerKey) -> bool,
+    ) -> Option<WorkerKey> {
+        self.classes
+            .iter()
+            .rev()
+            .find_map(|class| class.find(0, demand, accept))
+            .map(|(worker, _)| worker)
+    }
+
+    /// Returns up to `count` accepted workers with room for `demand`, from a point in each
+    /// class that `salt` chooses, so that repeated calls see different workers.
+    pub(crate) fn sample(
+        &self,
+        demand: &Resources,
+        salt: u32,
+        count: usize,
+        accept: &dyn Fn(WorkerKey) -> bool,
+    ) -> Vec<WorkerKey> {
+        let mut found = Vec::with_capacity(count);
+        for class in &self.classes {
+            let start = salt % class.positions().max(1);
+            let mut next = start;
+            while found.len() < count {
+                let Some((worker, after)) = class.find(next, demand, accept) else {
+                    break;
+                };
+                found.push(worker);
+                next = after;
+            }
+            let mut next = 0;
+            while found.len() < count {
+                let Some((worker, after)) = class.find(next, demand, accept) else {
+                    break;
+                };
+                if after > start {
+                    break;
+                }
+                found.push(worker);
+                next = after;
+            }
+        }
+        found
+    }
+}
+
+impl Index<WorkerKey> for Workers {
+    type Output = Worker;
+
+    fn index(&self, key: WorkerKey) -> &Worker {
+        &self.arena[key]
+    }
+}
+
+impl IndexMut<WorkerKey> for Workers {
+    fn index_mut(&mut self, key: WorkerKey) -> &mut Worker {
+        &mut self.arena[key]
+    }
+}
