testkit: add the fake worker, the cell builder and the load generator

Other packages need stand-ins to test against before the daemon exists.

Test processes use a loopback address derived from their process id. Outgoing connections leave from 127.0.0.1, so a port that was chosen by the system and released is not taken before the daemon binds it.

The cell builder and the load generator are not yet run against a daemon.

Conclusion: the interfaces are ready to build against.

--- /dev/null
+++ b/crates/testkit/src/cell.rs
@@ -0,0 +1,402 @@
+//! A cell of real daemon processes and fake workers.
+
+use {
+    crate::{
+        AddressSettings, CallerSettings, CellBuilder, CellDaemon, CellError, CellWorker, DaemonSettings,
+        ElectionSettings, FakeWorkerSettings, LeaseSettings, LogSettings, MemberSettings, StoreSettings,
+        TraceSettings, WorkerEvent, free_address, read_json_log,
+    },
+    serde_json::Value,
+    std::{
+        collections::BTreeMap,
+        env, fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+    tempfile::TempDir,
+    tokio::time::{Instant, sleep},
+};
+
+/// Longest wait for a condition of a test that gives no other. Generous, since machines are shared.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
+/// Environment variable that keeps the folder of a cell after the test.
+const KEEP_VARIABLE: &str = "TESTKIT_KEEP_FOLDERS";
+/// Part of each log that is printed when a test fails, in bytes.
+const LOG_TAIL_BYTES: usize = 4_000;
+const OPERATOR_KEY: &str = "operator-key-of-a-test";
+const POLL: Duration = Duration::from_millis(25);
+
+/// A running cell. Dropping it kills its processes, also while a test panics; then the ends of
+/// the daemons' logs are printed.
+pub struct Cell {
+    builder: CellBuilder,
+    client: reqwest::Client,
+    daemons: Vec<CellDaemon>,
+    folder: Option<TempDir>,
+    members: Vec<MemberSettings>,
+    operations: u64,
+    path: PathBuf,
+    workers: BTreeMap<String, CellWorker>,
+}
+
+impl Cell {
+    pub(crate) async fn start(mut builder: CellBuilder) -> Result<Self, CellError> {
+        let folder = tempfile::Builder::new().prefix("fuchsiatack-cell-").tempdir()?;
+        let path = folder.path().to_path_buf();
+        fs::write(path.join("cell.secret"), "cell-secret-of-a-test")?;
+        fs::write(path.join("operator.key"), OPERATOR_KEY)?;
+        let workers = std::mem::take(&mut builder.workers);
+        let count = builder.daemons;
+        let mut cell = Self {
+            builder,
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .timeout(Duration::from_secs(10))
+                .build()
+                .expect("a client without TLS needs no system support"),
+            daemons: Vec::new(),
+            folder: Some(folder),
+            members: Vec::new(),
+            operations: 0,
+            path,
+            workers: BTreeMap::new(),
+        };
+        let peers = (0..count)
+            .map(|_| free_address())
+            .collect::<Result<Vec<_>, _>>()?;
+        cell.members = peers
+            .iter()
+            .take(cell.builder.store_members)
+            .enumerate()
+            .map(|(index, address)| MemberSettings {
+                name: daemon_name(index),
+                address: *address,
+            })
+            .collect();
+        for (index, peer) in peers.into_iter().enumerate() {
+            let settings = cell.daemon_settings(index, peer)?;
+            cell.start_daemon(settings)?;
+        }
+        for settings in workers {
+            cell.add_worker(settings).await?;
+        }
+        cell.wait_ready().await?;
+        for records in cell.builder.records.clone() {
+            cell.apply(&records).await?;
+        }
+        Ok(cell)
+    }
+
+    /// Folder with settings, logs and data of the cell.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Daemons in the order of their names.
+    pub fn daemons(&mut self) -> &mut [CellDaemon] {
+        &mut self.daemons
+    }
+
+    /// Daemon `entry-{number}`, from 1.
+    pub fn daemon(&mut self, number: usize) -> &mut CellDaemon {
+        &mut self.daemons[number - 1]
+    }
+
+    /// Worker with this name.
+    pub fn worker(&mut self, name: &str) -> &mut CellWorker {
+        self.workers
+            .get_mut(name)
+            .unwrap_or_else(|| panic!("the cell has no worker {name}"))
+    }
+
+    /// Addresses for callers of all daemons.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(CellDaemon::caller_address).collect()
+    }
+
+    /// File with the operator's key.
+    pub fn operator_key_file(&self) -> PathBuf {
+        self.path.join("operator.key")
+    }
+
+    /// Starts one more daemon, without the store role, and returns its number.
+    pub fn add_daemon(&mut self) -> Result<usize, CellError> {
+        let settings = self.daemon_settings(self.daemons.len(), free_address()?)?;
+        self.start_daemon(settings)?;
+        Ok(self.daemons.len())
+    }
+
+    /// Starts one more worker.
+    pub async fn add_worker(&mut self, mut settings: FakeWorkerSettings) -> Result<(), CellError> {
+        if settings.address.port() == 0 {
+            settings.address = free_address()?;
+        }
+        if settings.entries.is_empty() {
+            settings.entries = self.caller_addresses();
+            let first = self.workers.len() % settings.entries.len().max(1);
+            settings.entries.rotate_left(first);
+        }
+        let log = self.path.join(format!("{}.events", settings.name));
+        settings.log.get_or_insert(log);
+        let name = settings.name.to_string();
+        let mode = self.builder.worker_mode;
+        let program = self.builder.worker_program.as_deref();
+        let worker = CellWorker::start(settings, mode, program, &self.path).await?;
+        self.workers.insert(name, worker);
+        Ok(())
+    }
+
+    /// Waits until a condition holds, at most `WAIT_LIMIT`. An error counts as not yet.
+    pub async fn wait_until<F>(&mut self, what: &str, mut condition: F) -> Result<(), CellError>
+    where
+        F: AsyncFnMut(&mut Self) -> Result<bool, CellError>,
+    {
+        let deadline = Instant::now() + WAIT_LIMIT;
+        loop {
+            let seen = condition(self).await;
+            if let Ok(true) = seen {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                return Err(CellError::TimedOut {
+                    condition: what.to_owned(),
+                    last: format!("{seen:?}"),
+                });
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    /// Waits until every running daemon answers 200 to `GET /ready`.
+    pub async fn wait_ready(&mut self) -> Result<(), CellError> {
+        self.wait_until("all daemons are ready", async |cell| {
+            for index in 0..cell.daemons.len() {
+                if cell.daemons[index].process().is_running() && !cell.is_ready(index + 1).await {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        })
+        .await
+    }
+
+    /// Returns whether daemon `entry-{number}` answers 200 to `GET /ready`.
+    pub async fn is_ready(&self, number: usize) -> bool {
+        let address = self.daemons[number - 1].operator_address();
+        let answer = self.client.get(format!("http://{address}/ready")).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Reads `GET /v1/status` of daemon `entry-{number}`.
+    pub async fn status(&self, number: usize) -> Result<Value, CellError> {
+        self.operate(number, reqwest::Method::GET, "/v1/status", None)
+            .await
+    }
+
+    /// Reads the metrics of daemon `entry-{number}` as text.
+    pub async fn metrics(&self, number: usize) -> Result<String, CellError> {
+        let call = format!("http://{}/metrics", self.daemons[number - 1].operator_address());
+        let failed = |error: reqwest::Error| CellError::Call {
+            call: call.clone(),
+            cause: error.to_string(),
+        };
+        let answer = self.client.get(&call).send().await.map_err(failed)?;
+        answer.text().await.map_err(failed)
+    }
+
+    /// Writes all records of a YAML text through the first daemon that accepts each.
+    pub async fn apply(&mut self, yaml: &str) -> Result<(), CellError> {
+        let records: Vec<Value> =
+            serde_saphyr::from_multiple(yaml).map_err(|error| CellError::Io(std::io::Error::other(error)))?;
+        for record in records {
+            self.put_record(&record).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes one record through the first running daemon.
+    pub async fn put_record(&mut self, record: &Value) -> Result<Value, CellError> {
+        let text = |field: &str| record[field].as_str().unwrap_or_default().to_owned();
+        let path = format!("/v1/records/{}/{}", text("kind"), text("name"));
+        let number = self.first_running();
+        self.operations += 1;
+        self.operate(number, reqwest::Method::PUT, &path, Some(record))
+            .await
+    }
+
+    /// Reads one record in schema version 2.
+    pub async fn get_record(&self, number: usize, kind: &str, name: &str) -> Result<Value, CellError> {
+        let path = format!("/v1/records/{kind}/{name}?schema=2");
+        self.operate(number, reqwest::Method::GET, &path, None).await
+    }
+
+    /// Withdraws one record of a known version.
+    pub async fn delete_record(&mut self, kind: &str, name: &str, version: u64) -> Result<Value, CellError> {
+        let path = format!("/v1/records/{kind}/{name}?version={version}");
+        let number = self.first_running();
+        self.operations += 1;
+        self.operate(number, reqwest::Method::DELETE, &path, None).await
+    }
+
+    /// Makes an operator's call to daemon `entry-{number}` and returns the JSON body.
+    pub async fn operate(
+        &self,
+        number: usize,
+        method: reqwest::Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value, CellError> {
+        let address = self.daemons[number - 1].operator_address();
+        let call = format!("{method} http://{address}{path}");
+        let failed = |cause: String| CellError::Call {
+            call: call.clone(),
+            cause,
+        };
+        let mut request = self
+            .client
+            .request(method, format!("http://{address}{path}"))
+            .bearer_auth(OPERATOR_KEY)
+            .header("fuchsiatack-operation-id", format!("test-{}", self.operations));
+        if let Some(body) = body {
+            request = request.json(body);
+        }
+        let answer = request.send().await.map_err(|error| failed(error.to_string()))?;
+        let status = answer.status();
+        let text = answer.text().await.map_err(|error| failed(error.to_string()))?;
+        match status.is_success() {
+            true if text.is_empty() => Ok(Value::Null),
+            true => serde_json::from_str(&text).map_err(|error| failed(error.to_string())),
+            false => Err(failed(format!("{status} {text}"))),
+        }
+    }
+
+    /// Events of all workers so far, ordered by time.
+    pub fn worker_events(&self) -> Result<Vec<WorkerEvent>, CellError> {
+        let mut events = Vec::new();
+        for worker in self.workers.values() {
+            if let Some(log) = &worker.settings().log {
+                events.extend(read_json_log::<WorkerEvent>(log)?);
+            }
+        }
+        events.sort_by_key(|event| event.at_us);
+        Ok(events)
+    }
+
+    /// Stops workers, then daemons, gracefully. Returns an error unless all end with exit code 0.
+    pub async fn stop(mut self) -> Result<(), CellError> {
+        for worker in self.workers.values_mut() {
+            worker.stop(WAIT_LIMIT).await?;
+        }
+        for daemon in &mut self.daemons {
+            if !daemon.process().is_running() {
+                continue;
+            }
+            let status = daemon.stop(WAIT_LIMIT).await?;
+            if !status.success() {
+                let name = &daemon.settings().name;
+                return Err(CellError::Io(std::io::Error::other(format!(
+                    "daemon {name} ended with {status}"
+                ))));
+            }
+        }
+        Ok(())
+    }
+
+    fn first_running(&mut self) -> usize {
+        let running = self
+            .daemons
+            .iter_mut()
+            .position(|daemon| daemon.process().is_running());
+        running.unwrap_or(0) + 1
+    }
+
+    fn start_daemon(&mut self, settings: DaemonSettings) -> Result<(), CellError> {
+        let daemon = CellDaemon::start(&self.builder.daemon_program, settings, &self.path)?;
+        self.daemons.push(daemon);
+        Ok(())
+    }
+
+    fn daemon_settings(&self, index: usize, peer: SocketAddr) -> Result<DaemonSettings, CellError> {
+        let name = daemon_name(index);
+        let is_member = self.members.iter().any(|member| member.name == name);
+        let data_folder = self.path.join(format!("{name}.data"));
+        if is_member {
+            fs::create_dir_all(&data_folder)?;
+        }
+        let data_centers = &self.builder.data_centers;
+        let roles: &[&str] = if is_member {
+            &["entry", "store"]
+        } else {
+            &["entry"]
+        };
+        let mut settings = DaemonSettings {
+            data_center: data_centers[index % data_centers.len()].to_string(),
+            roles: roles.iter().map(ToString::to_string).collect(),
+            weight: 1,
+            cell_secret_file: self.path.join("cell.secret"),
+            operator_key_file: self.operator_key_file(),
+            callers: CallerSettings {
+                address: free_address()?,
+                advertised_address: None,
+                max_body_bytes: 1 << 20,
+                max_connections: 4_096,
+            },
+            operators: AddressSettings {
+                address: free_address()?,
+                advertised_address: None,
+            },
+            peers: AddressSettings {
+                address: peer,
+                advertised_address: None,
+            },
+            store: StoreSettings {
+                data_folder: is_member.then_some(data_folder),
+                members: self.members.clone(),
+            },
+            leases: LeaseSettings::default(),
+            election: ElectionSettings::default(),
+            log: LogSettings {
+                level: "info".to_owned(),
+                file: None,
+            },
+            traces: TraceSettings { file: None },
+            name,
+        };
+        for adjust in &self.builder.adjust_daemon {
+            adjust(&mut settings);
+        }
+        Ok(settings)
+    }
+
+    fn print_logs(&self) {
+        for daemon in &self.daemons {
+            let output = daemon.output().unwrap_or_default();
+            let mut start = output.len().saturating_sub(LOG_TAIL_BYTES);
+            while !output.is_char_boundary(start) {
+                start += 1;
+            }
+            eprintln!("--- end of the log of {}", daemon.settings().name);
+            eprintln!("{}", &output[start..]);
+        }
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_logs();
+        }
+        self.workers.clear();
+        self.daemons.clear();
+        if env::var_os(KEEP_VARIABLE).is_some()
+            && let Some(folder) = self.folder.take()
+        {
+            eprintln!("the folder of the cell is kept: {}", folder.keep().display());
+        }
+    }
+}
+
+fn daemon_name(index: usize) -> String {
+    format!("entry-{}", index + 1)
+}
--- /dev/null
+++ b/crates/testkit/src/cell_daemon.rs
@@ -0,0 +1,90 @@
+//! A daemon process of a cell.
+
+use {
+    crate::{CellError, ChildProcess, DaemonSettings},
+    std::{fs, io, net::SocketAddr, path::Path, process::ExitStatus, time::Duration},
+};
+
+/// A `fuchsiatackd` process with its settings.
+#[derive(Debug)]
+pub struct CellDaemon {
+    process: ChildProcess,
+    settings: DaemonSettings,
+}
+
+impl CellDaemon {
+    /// Writes the settings file `NAME.yaml` and starts the process; its output is in `NAME.log`.
+    pub(crate) fn start(program: &Path, settings: DaemonSettings, folder: &Path) -> Result<Self, CellError> {
+        let file = folder.join(format!("{}.yaml", settings.name));
+        let text = serde_saphyr::to_string(&settings).map_err(io::Error::other)?;
+        fs::write(&file, text)?;
+        let output = folder.join(format!("{}.log", settings.name));
+        let arguments = vec!["--settings".into(), file.into()];
+        Ok(Self {
+            process: ChildProcess::start(program, arguments, &output)?,
+            settings,
+        })
+    }
+
+    /// Settings of the daemon.
+    pub fn settings(&self) -> &DaemonSettings {
+        &self.settings
+    }
+
+    /// Address for callers and workers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.settings.callers.address
+    }
+
+    /// Address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.settings.operators.address
+    }
+
+    /// Process of the daemon.
+    pub fn process(&mut self) -> &mut ChildProcess {
+        &mut self.process
+    }
+
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        self.process.kill();
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) -> Result<(), CellError> {
+        Ok(self.process.pause()?)
+    }
+
+    /// Continues a paused process.
+    pub fn resume(&self) -> Result<(), CellError> {
+        Ok(self.process.resume()?)
+    }
+
+    /// Stops the process with SIGTERM and returns how it ended.
+    pub async fn stop(&mut self, limit: Duration) -> Result<ExitStatus, CellError> {
+        Ok(self.process.stop(limit).await?)
+    }
+
+    /// Starts the process again on the same data folder; a running one is killed first.
+    pub fn restart(&mut self) -> Result<(), CellError> {
+        Ok(self.process.restart()?)
+    }
+
+    /// Kills the process and removes its data folder, as if the disk were lost.
+    pub fn lose_disk(&mut self) -> Result<(), CellError> {
+        self.process.kill();
+        match &self.settings.store.data_folder {
+            None => Ok(()),
+            Some(folder) => {
+                fs::remove_dir_all(folder)?;
+                Ok(fs::create_dir(folder)?)
+            }
+        }
+    }
+
+    /// Standard output and error of all runs.
+    pub fn output(&self) -> Result<String, CellError> {
+        Ok(String::from_utf8_lossy(&fs::read(self.process.output())?).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/child_process.rs
@@ -0,0 +1,139 @@
+//! A process that a test starts and ends.
+
+use {
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        ffi::OsString,
+        fs::OpenOptions,
+        io,
+        path::{Path, PathBuf},
+        process::{Child, Command, ExitStatus, Stdio},
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep},
+};
+
+const EXIT_POLL: Duration = Duration::from_millis(10);
+
+/// A child process. Dropping it kills the process, also while a test panics.
+#[derive(Debug)]
+pub struct ChildProcess {
+    arguments: Vec<OsString>,
+    child: Option<Child>,
+    output: PathBuf,
+    program: PathBuf,
+}
+
+impl ChildProcess {
+    /// Starts a program whose standard output and error are appended to `output`.
+    pub fn start(program: &Path, arguments: Vec<OsString>, output: &Path) -> io::Result<Self> {
+        let mut process = Self {
+            arguments,
+            child: None,
+            output: output.to_path_buf(),
+            program: program.to_path_buf(),
+        };
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Starts the program again with the same arguments. A running process is killed first.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill();
+        let output = OpenOptions::new().append(true).create(true).open(&self.output)?;
+        let child = Command::new(&self.program)
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()
+            .map_err(|error| {
+                io::Error::new(
+                    error.kind(),
+                    format!("cannot start {}: {error}", self.program.display()),
+                )
+            })?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Process id while the process is not reaped.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// File with the standard output and error of all runs.
+    pub fn output(&self) -> &Path {
+        &self.output
+    }
+
+    /// Returns whether the process runs or is paused.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.as_mut().map(Child::try_wait), Some(Ok(None)))
+    }
+
+    /// Ends the process with SIGKILL and reaps it.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Pauses the process with SIGSTOP.
+    pub fn pause(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Continues a paused process with SIGCONT.
+    pub fn resume(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks the process to stop with SIGTERM.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits until the process has ended by itself and reaps it.
+    pub async fn wait(&mut self, limit: Duration) -> io::Result<ExitStatus> {
+        let deadline = Instant::now() + limit;
+        let missing = || io::Error::new(io::ErrorKind::NotFound, "the process was already reaped");
+        loop {
+            if let Some(status) = self.child.as_mut().ok_or_else(missing)?.try_wait()? {
+                self.child = None;
+                return Ok(status);
+            }
+            if Instant::now() >= deadline {
+                return Err(io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    format!("{} did not end within {limit:?}", self.program.display()),
+                ));
+            }
+            sleep(EXIT_POLL).await;
+        }
+    }
+
+    /// Asks the process to stop and waits for its end.
+    pub async fn stop(&mut self, limit: Duration) -> io::Result<ExitStatus> {
+        self.terminate()?;
+        self.wait(limit).await
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        let id = self
+            .child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id() as i32));
+        match id {
+            Some(id) => Ok(kill_process(id, signal)?),
+            None => Err(io::Error::new(io::ErrorKind::NotFound, "the process has ended")),
+        }
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/load_report.rs
@@ -0,0 +1,104 @@
+//! Result of a run of the load generator.
+
+use {
+    crate::{CallerEvent, Seen},
+    fuchsiatack_model::TeamName,
+    hdrhistogram::Histogram,
+    std::{
+        collections::BTreeMap,
+        fmt::{Display, Formatter, Result},
+    },
+};
+
+/// Longest wait that the histograms keep apart, in microseconds.
+const MAX_WAIT_US: u64 = 3_600_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// Outcomes and waits of one team.
+#[derive(Clone, Debug)]
+pub struct TeamReport {
+    /// Number of requests by what was seen last.
+    pub counts: BTreeMap<Seen, u64>,
+    /// Waits of the requests that were done, in microseconds.
+    pub waits: Histogram<u64>,
+}
+
+impl Default for TeamReport {
+    fn default() -> Self {
+        Self {
+            counts: BTreeMap::new(),
+            waits: Histogram::new_with_max(MAX_WAIT_US, SIGNIFICANT_DIGITS).expect("the limits are valid"),
+        }
+    }
+}
+
+/// Outcomes and waits of a run; `Display` prints a table.
+#[derive(Clone, Debug, Default)]
+pub struct LoadReport {
+    /// Requests that were due but not sent, since all callers were busy.
+    pub skipped: u64,
+    /// Attempts after the first of each request.
+    pub resends: u64,
+    /// Report by team.
+    pub teams: BTreeMap<TeamName, TeamReport>,
+    /// Answers `done` that were not whole or belonged to another request.
+    pub wrong_answers: u64,
+}
+
+impl LoadReport {
+    /// Adds one attempt.
+    pub fn add(&mut self, event: &CallerEvent) {
+        if event.attempt > 1 {
+            self.resends += 1;
+        }
+        if event.seen == Seen::Done && !(event.whole && event.own) {
+            self.wrong_answers += 1;
+        }
+        if !event.last {
+            return;
+        }
+        let team = self.teams.entry(event.team.clone()).or_default();
+        *team.counts.entry(event.seen).or_default() += 1;
+        if event.seen == Seen::Done {
+            team.waits.saturating_record(event.wait_us);
+        }
+    }
+
+    /// Number of requests of all teams that ended this way.
+    pub fn count(&self, seen: Seen) -> u64 {
+        let counts = self.teams.values().filter_map(|team| team.counts.get(&seen));
+        counts.sum()
+    }
+}
+
+impl Display for LoadReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> Result {
+        write!(formatter, "{:<16}", "team")?;
+        for seen in Seen::ALL {
+            write!(formatter, "{:>9}", seen.as_str())?;
+        }
+        for column in ["p50 ms", "p90 ms", "p99 ms", "max ms"] {
+            write!(formatter, "{column:>10}")?;
+        }
+        for (name, team) in &self.teams {
+            write!(formatter, "\n{:<16}", name.as_str())?;
+            for seen in Seen::ALL {
+                write!(formatter, "{:>9}", team.counts.get(&seen).unwrap_or(&0))?;
+            }
+            let waits = &team.waits;
+            for wait_us in [
+                waits.value_at_quantile(0.5),
+                waits.value_at_quantile(0.9),
+                waits.value_at_quantile(0.99),
+                waits.max(),
+            ] {
+                write!(formatter, "{:>10.1}", wait_us as f64 / 1_000.0)?;
+            }
+        }
+        write!(
+            formatter,
+            "\nresends {}, skipped {}, wrong answers {}",
+            self.resends, self.skipped, self.wrong_answers
+        )
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/ports.rs
@@ -0,0 +1,30 @@
+//! Free addresses for the processes of a test.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+};
+
+/// Attempts to find a port that is free for TCP and UDP.
+const ATTEMPTS: usize = 50;
+
+/// Loopback address of this test process. Tests in parallel use different ones, and connections
+/// leave from 127.0.0.1, so a released port is not taken before the daemon binds it.
+pub fn test_ip() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + high % 64, middle, low.clamp(1, 254))
+}
+
+/// Lets the system choose a port that is free for TCP and UDP, and releases it.
+pub fn free_address() -> io::Result<SocketAddr> {
+    let mut last = io::Error::other("no attempt was made");
+    for _ in 0..ATTEMPTS {
+        let listener = TcpListener::bind((test_ip(), 0))?;
+        let address = listener.local_addr()?;
+        match UdpSocket::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
--- /dev/null
+++ b/crates/testkit/src/wall_clock.rs
@@ -0,0 +1,18 @@
+//! Wall time that does not step back within one process.
+
+use std::{
+    sync::LazyLock,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+static START: LazyLock<(Instant, u64)> = LazyLock::new(|| {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (Instant::now(), since_epoch.as_micros() as u64)
+});
+
+/// Microseconds since the Unix epoch, read once from the system clock and then advanced by the
+/// monotonic clock. Logs of processes on one machine can be merged by it.
+pub fn wall_us() -> u64 {
+    let (instant, wall_us) = *START;
+    wall_us + instant.elapsed().as_micros() as u64
+}
