testkit: test the cell builder and the load generator against stand-ins

The builder and the load generator had no run behind them. A stub daemon that only reads its settings and reports itself ready shows that processes end with the test, also in a panic, and that a restart finds its data and addresses.

Cause of a change in the fake worker: a paused process answered its lease timer only when it resumed, so its log showed tasks running long after the lease. The log now has the time at which the lease ended, and a task whose own end passed during the pause is checked against the lease first.

Conclusion: ready for use by tests of the daemon; not yet run against it.

--- a/crates/testkit/examples/load.rs
+++ b/crates/testkit/examples/load.rs
@@ -71,6 +71,7 @@
     };
     Ok(LoadTeam {
         key: parts.next().map(str::to_owned),
+        key_name: None,
         name: TeamName::new(name),
         weight: weight.parse().map_err(|error| format!("{text}: {error}"))?,
     })
--- a/crates/testkit/src/caller_event.rs
+++ b/crates/testkit/src/caller_event.rs
@@ -2,7 +2,7 @@
 
 use {
     fuchsiatack_derives::{key, message},
-    fuchsiatack_model::{Outcome, TeamName},
+    fuchsiatack_model::{KeyName, Outcome, TeamName},
     smol_str::SmolStr,
 };
 
@@ -63,6 +63,9 @@
     pub entry: SmolStr,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Name of the key that came with the request; never its secret.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<KeyName>,
     /// Whether no further attempt follows.
     pub last: bool,
     /// Whether a `done` answer is the answer to this request's body.
--- a/crates/testkit/src/cell.rs
+++ b/crates/testkit/src/cell.rs
@@ -25,6 +25,8 @@
 /// Part of each log that is printed when a test fails, in bytes.
 const LOG_TAIL_BYTES: usize = 4_000;
 const OPERATOR_KEY: &str = "operator-key-of-a-test";
+/// Longest wait for an answer to `GET /ready`; a paused daemon does not answer.
+const READY_TIMEOUT: Duration = Duration::from_secs(2);
 const POLL: Duration = Duration::from_millis(25);
 
 /// A running cell. Dropping it kills its processes, also while a test panics; then the ends of
@@ -184,7 +186,8 @@
     /// Returns whether daemon `entry-{number}` answers 200 to `GET /ready`.
     pub async fn is_ready(&self, number: usize) -> bool {
         let address = self.daemons[number - 1].operator_address();
-        let answer = self.client.get(format!("http://{address}/ready")).send().await;
+        let request = self.client.get(format!("http://{address}/ready"));
+        let answer = request.timeout(READY_TIMEOUT).send().await;
         answer.is_ok_and(|answer| answer.status().is_success())
     }
 
--- a/crates/testkit/src/fake_worker.rs
+++ b/crates/testkit/src/fake_worker.rs
@@ -170,8 +170,11 @@
     /// calls before its timers run.
     fn lock_at(&self, now: Instant) -> MutexGuard<'_, WorkerState> {
         let mut state = self.lock();
-        if state.expire(now) {
-            self.write(self.event(state.epoch, WorkerEventKind::LeaseEnded));
+        if let Some(end) = state.expire(now) {
+            self.write(WorkerEvent {
+                at_us: wall_us_of(end),
+                ..self.event(state.epoch, WorkerEventKind::LeaseEnded)
+            });
         }
         state
     }
@@ -536,27 +539,29 @@
     mut signal: watch::Receiver<TaskSignal>,
     behaviour: Behaviour,
 ) -> WorkerEventKind {
-    let kind = loop {
+    loop {
         let TaskSignal { ends_at, stop } = *signal.borrow_and_update();
-        match stop {
-            Some(StopCause::Cancelled) => break WorkerEventKind::Cancelled,
-            Some(StopCause::LeaseEnded | StopCause::WorkerStops) => break WorkerEventKind::Stopped,
-            None => {}
+        if stop.is_some() {
+            break;
         }
         tokio::select! {
             biased;
             _ = signal.changed() => {}
-            () = sleep_until(ends_at.unwrap_or_else(Instant::now)), if ends_at.is_some() => {
-                break match behaviour {
-                    Behaviour::Fail => WorkerEventKind::Failed,
-                    Behaviour::Hang | Behaviour::Run => WorkerEventKind::Ended,
-                };
-            }
+            () = sleep_until(ends_at.unwrap_or_else(Instant::now)), if ends_at.is_some() => break,
         }
+    }
+    // A process that was paused may get here before its lease timer has run.
+    let mut state = shared.lock_at(Instant::now());
+    let stop = signal.borrow().stop;
+    let (kind, at_us) = match (stop, behaviour) {
+        (Some(StopCause::Cancelled), _) => (WorkerEventKind::Cancelled, wall_us()),
+        (Some(StopCause::LeaseEnded(end)), _) => (WorkerEventKind::Stopped, wall_us_of(end)),
+        (Some(StopCause::WorkerStops), _) => (WorkerEventKind::Stopped, wall_us()),
+        (None, Behaviour::Fail) => (WorkerEventKind::Failed, wall_us()),
+        (None, Behaviour::Hang | Behaviour::Run) => (WorkerEventKind::Ended, wall_us()),
     };
-    let mut state = shared.lock();
     shared.write(WorkerEvent {
-        at_us: wall_us(),
+        at_us,
         event: kind,
         ..event.clone()
     });
@@ -566,6 +571,11 @@
     kind
 }
 
+/// Wall time of an instant that has passed.
+fn wall_us_of(instant: Instant) -> u64 {
+    wall_us() - instant.elapsed().as_micros() as u64
+}
+
 async fn json_body<T: DeserializeOwned>(request: &mut Request) -> Option<T> {
     let body = request.payload_with_max_size(MAX_BODY_BYTES).await.ok()?;
     serde_json::from_slice(body).ok()
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -146,6 +146,7 @@
             detail: SmolStr::default(),
             entry: format_smolstr!("{entry}"),
             idempotent: planned.idempotent,
+            key: planned.team.key_name.clone(),
             last: false,
             own: false,
             request: planned.request.clone(),
--- a/crates/testkit/src/load_settings.rs
+++ b/crates/testkit/src/load_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the load generator.
 
 use {
-    fuchsiatack_model::{QueueName, TeamName},
+    fuchsiatack_model::{KeyName, QueueName, TeamName},
     std::{net::SocketAddr, ops::Range, path::PathBuf, time::Duration},
 };
 
@@ -20,8 +20,10 @@
 /// A team whose callers send requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadTeam {
-    /// Key of the team; without one, requests go to an open queue.
+    /// Secret of the key; without one, requests go to an open queue.
     pub key: Option<String>,
+    /// Name of the key record, for the outcomes.
+    pub key_name: Option<KeyName>,
     /// Name, for the outcomes.
     pub name: TeamName,
     /// Part of the requests relative to other teams.
--- a/crates/testkit/src/worker_state.rs
+++ b/crates/testkit/src/worker_state.rs
@@ -17,7 +17,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StopCause {
     Cancelled,
-    LeaseEnded,
+    /// The lease ended at this time, possibly while the process was paused.
+    LeaseEnded(Instant),
     WorkerStops,
 }
 
@@ -92,15 +93,12 @@
     }
 
     /// Ends the lease if its time has come and tells its tasks to stop.
-    pub(crate) fn expire(&mut self, now: Instant) -> bool {
-        match self.lease_ends {
-            Some(end) if now >= end => {
-                self.lease_ends = None;
-                self.stop_all(StopCause::LeaseEnded);
-                true
-            }
-            _ => false,
-        }
+    /// Returns the time it ended.
+    pub(crate) fn expire(&mut self, now: Instant) -> Option<Instant> {
+        let end = self.lease_ends.filter(|end| now >= *end)?;
+        self.lease_ends = None;
+        self.stop_all(StopCause::LeaseEnded(end));
+        Some(end)
     }
 
     /// Accepts a higher epoch, or the same one while its lease lasts.
--- /dev/null
+++ b/crates/testkit/tests/cell.rs
@@ -0,0 +1,195 @@
+//! The cell builder ends what it started and leaves data where a restart finds it. A stub takes
+//! the place of the daemon.
+
+use {
+    fuchsiatack_testkit::{
+        Behaviour, CellBuilder, DaemonSettings, TaskBody, WorkerEventKind, WorkerMode, example_program,
+    },
+    std::{
+        fs,
+        panic::{AssertUnwindSafe, catch_unwind},
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+fn stub() -> PathBuf {
+    example_program("stub_daemon").expect("cargo test builds the examples of this package")
+}
+
+fn is_alive(id: u32) -> bool {
+    Path::new(&format!("/proc/{id}")).exists()
+}
+
+/// Guards against processes that survive a test and disturb the next ones.
+#[test]
+fn a_panic_ends_all_processes() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let mut ids = Vec::new();
+    let mut folder = PathBuf::new();
+
+    let result = catch_unwind(AssertUnwindSafe(|| {
+        runtime.block_on(async {
+            let mut cell = CellBuilder::new(stub())
+                .daemons(2)
+                .workers(1)
+                .worker_mode(WorkerMode::Process)
+                .start()
+                .await
+                .expect("the cell starts");
+            folder = cell.path().to_path_buf();
+            ids.push(cell.daemon(1).process().id().expect("a process"));
+            ids.push(cell.daemon(2).process().id().expect("a process"));
+            ids.push(
+                cell.worker("worker-1")
+                    .process()
+                    .expect("a process")
+                    .id()
+                    .expect("an id"),
+            );
+            assert!(ids.iter().all(|id| is_alive(*id)));
+            panic!("the panic of this test");
+        })
+    }));
+
+    assert!(result.is_err());
+    assert!(ids.iter().all(|id| !is_alive(*id)));
+    assert!(!folder.exists());
+}
+
+/// Guards against a restart on another folder or address, and a lost disk that is not empty.
+#[tokio::test]
+async fn restarts_on_the_same_data_and_address() {
+    let mut cell = CellBuilder::new(stub())
+        .daemons(4)
+        .store_members(3)
+        .data_centers(&["dc-a", "dc-b"])
+        .start()
+        .await
+        .expect("the cell starts");
+    let address = cell.daemon(1).caller_address();
+    let data = cell
+        .daemon(1)
+        .settings()
+        .store
+        .data_folder
+        .clone()
+        .expect("a store member");
+    assert_eq!(cell.daemon(4).settings().store.data_folder, None);
+    assert_eq!(cell.daemon(2).settings().data_center, "dc-b");
+    fs::write(data.join("entry"), "kept").expect("a file");
+
+    cell.daemon(1).kill();
+    assert!(!cell.is_ready(1).await);
+    cell.daemon(1).restart().expect("the daemon starts");
+    cell.wait_ready().await.expect("ready again");
+    assert_eq!(cell.daemon(1).caller_address(), address);
+    assert!(data.join("entry").exists());
+
+    cell.daemon(1).lose_disk().expect("the folder is removed");
+    assert!(data.exists() && !data.join("entry").exists());
+    cell.daemon(1).restart().expect("the daemon starts");
+    cell.wait_ready().await.expect("ready again");
+    cell.stop().await.expect("exit code 0");
+}
+
+/// Guards against a paused daemon that still answers, and workers that do not find another one.
+#[tokio::test]
+async fn workers_announce_to_another_daemon_while_one_is_paused() {
+    let mut cell = CellBuilder::new(stub())
+        .daemons(2)
+        .worker(|worker| worker.leave_grace_ms = 50)
+        .worker_mode(WorkerMode::Process)
+        .start()
+        .await
+        .expect("the cell starts");
+    cell.daemon(1).pause().expect("a signal");
+    assert!(!cell.is_ready(1).await);
+    let second = cell.daemon(2).caller_address().to_string();
+
+    cell.wait_until("the worker announced itself to entry-2", async |cell| {
+        let events = cell.worker_events()?;
+        Ok(events
+            .iter()
+            .any(|event| event.event == WorkerEventKind::Announced && event.detail == second))
+    })
+    .await
+    .expect("an announcement");
+
+    cell.daemon(1).resume().expect("a signal");
+    cell.wait_ready().await.expect("ready again");
+    cell.stop().await.expect("exit code 0");
+}
+
+/// Guards against tasks of a paused worker that count as running after their lease, and against
+/// a worker that goes on with them when it resumes.
+#[tokio::test]
+async fn a_lease_ends_while_its_worker_is_paused() {
+    let mut cell = CellBuilder::new(stub())
+        .worker(|worker| worker.leave_grace_ms = 50)
+        .worker_mode(WorkerMode::Process)
+        .start()
+        .await
+        .expect("the cell starts");
+    let worker = cell.worker("worker-1").address();
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    cell.wait_until("the worker is fenced", async |_| {
+        let request = client
+            .post(format!("http://{worker}/v1/epoch"))
+            .json(&serde_json::json!({"epoch": 3, "lease_ms": 700}));
+        Ok(request.send().await.is_ok())
+    })
+    .await
+    .expect("an answer");
+    let body = TaskBody {
+        behaviour: Behaviour::Hang,
+        ..TaskBody::default()
+    };
+    let run = client
+        .post(format!("http://{worker}/v1/tasks/1-1/run"))
+        .header("fuchsiatack-epoch", 3)
+        .header("fuchsiatack-team", "anfa")
+        .body(body.to_json())
+        .send();
+    let run = tokio::spawn(run);
+    cell.wait_until("the task runs", async |cell| {
+        let events = cell.worker_events()?;
+        Ok(events.iter().any(|event| event.event == WorkerEventKind::Started))
+    })
+    .await
+    .expect("a start");
+
+    let process = cell.worker("worker-1").process().expect("a process");
+    process.pause().expect("a signal");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    process.resume().expect("a signal");
+
+    let status = run.await.expect("no panic").expect("an answer").status();
+    assert_eq!(status, 410);
+    let events = cell.worker_events().expect("events");
+    let at_us = |kind| {
+        let event = events.iter().find(|event| event.event == kind);
+        event.expect("the event is logged").at_us
+    };
+    let ran_us = at_us(WorkerEventKind::Stopped) - at_us(WorkerEventKind::Fenced);
+    assert!((300_000..1_800_000).contains(&ran_us), "the task ran {ran_us} us");
+    cell.stop().await.expect("exit code 0");
+}
+
+/// Guards against settings files that differ from section 9 of the design.
+#[tokio::test]
+async fn settings_have_the_form_of_the_design() {
+    let mut cell = CellBuilder::new(stub())
+        .adjust_daemon(|settings| settings.weight = 4)
+        .start()
+        .await
+        .expect("the cell starts");
+    let file = cell.path().join("entry-1.yaml");
+
+    let text = fs::read_to_string(file).expect("a settings file");
+    let read: DaemonSettings = serde_saphyr::from_str(&text).expect("YAML");
+
+    assert_eq!(&read, cell.daemon(1).settings());
+    assert_eq!(read.weight, 4);
+    assert!(!text.contains("advertised_address"));
+}
--- /dev/null
+++ b/crates/testkit/tests/load.rs
@@ -0,0 +1,223 @@
+//! The load generator reports what callers saw, against a server that follows a script.
+
+use {
+    fuchsiatack_model::{KeyName, TeamName},
+    fuchsiatack_testkit::{
+        CallerEvent, LoadReport, LoadSettings, LoadTeam, Pace, Seen, answer_to, read_json_log, run_load,
+    },
+    salvo::{
+        Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, conn::TcpListener,
+        http::StatusCode,
+    },
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        path::Path,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// What the server does with a request.
+#[derive(Clone, Copy)]
+enum Script {
+    /// Answers `done`.
+    Done,
+    /// Loses the answer of the first attempt of every request.
+    LoseFirst,
+    /// Answers `not-run`.
+    NotRun,
+    /// Answers with the answer to another body.
+    Swap,
+    /// Answers with the first half.
+    Truncate,
+    /// Answers after this many milliseconds.
+    Wait(u64),
+}
+
+struct FakeEntry {
+    script: Script,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+#[salvo::async_trait]
+impl Handler for FakeEntry {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _control: &mut FlowCtrl,
+    ) {
+        let id = request.header::<String>("fuchsiatack-request-id").expect("an id");
+        let body = request.payload().await.expect("a body").clone();
+        let is_first = {
+            let mut seen = self.seen.lock().expect("no panic");
+            seen.push(id.clone());
+            seen.iter().filter(|other| **other == id).count() == 1
+        };
+        let (outcome, answer) = match self.script {
+            Script::Done => ("done", answer_to(&body)),
+            Script::LoseFirst if is_first => {
+                response.status_code(StatusCode::BAD_GATEWAY);
+                return;
+            }
+            Script::LoseFirst => ("done", answer_to(&body)),
+            Script::NotRun => ("not-run", Vec::new()),
+            Script::Swap => ("done", answer_to(b"another body")),
+            Script::Truncate => ("done", answer_to(&body)[..70].to_vec()),
+            Script::Wait(wait_ms) => {
+                sleep(Duration::from_millis(wait_ms)).await;
+                ("done", answer_to(&body))
+            }
+        };
+        let name = salvo::http::HeaderName::from_static("fuchsiatack-outcome");
+        let value = salvo::http::HeaderValue::from_static(outcome);
+        response.headers_mut().insert(name, value);
+        response.write_body(answer).expect("a body");
+    }
+}
+
+async fn entry(script: Script) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let acceptor = TcpListener::new("127.0.0.1:0")
+        .try_bind()
+        .await
+        .expect("a free port");
+    let address = acceptor.inner().local_addr().expect("an address");
+    let seen = Arc::new(Mutex::default());
+    let handler = FakeEntry {
+        script,
+        seen: seen.clone(),
+    };
+    let router = Router::with_path("v1/queues/counter/requests").post(handler);
+    tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+    (address, seen)
+}
+
+fn settings(address: SocketAddr) -> LoadSettings {
+    let team = |name: &str, weight| LoadTeam {
+        key: Some(format!("secret-of-{name}")),
+        key_name: Some(KeyName::new(name)),
+        name: TeamName::new(name),
+        weight,
+    };
+    LoadSettings {
+        entries: vec![address],
+        max_requests: 60,
+        resend_pause: Duration::from_millis(1),
+        seed: 7,
+        teams: vec![team("anfa", 1), team("maarif", 3)],
+        ..LoadSettings::default()
+    }
+}
+
+async fn run(script: Script) -> LoadReport {
+    let (address, _) = entry(script).await;
+    run_load(settings(address)).await.expect("a report")
+}
+
+fn events(log: &Path) -> Vec<CallerEvent> {
+    read_json_log(log).expect("the log has JSON lines")
+}
+
+/// Guards against requests that are lost, counted twice or resent without need.
+#[tokio::test]
+async fn counts_each_request_once() {
+    let (address, seen) = entry(Script::Done).await;
+
+    let report = run_load(settings(address)).await.expect("a report");
+
+    assert_eq!(report.count(Seen::Done), 60);
+    assert_eq!((report.resends, report.wrong_answers), (0, 0));
+    assert_eq!(report.teams.len(), 2);
+    let seen = seen.lock().expect("no panic");
+    assert_eq!(seen.len(), 60);
+    assert_eq!(seen.iter().collect::<BTreeSet<_>>().len(), 60);
+    assert!(report.to_string().contains("p99 ms"));
+}
+
+/// Guards against a resend under a new identifier, which would run a request twice.
+#[tokio::test]
+async fn resends_the_same_id_after_a_lost_answer() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = folder.path().join("callers.jsonl");
+    let (address, seen) = entry(Script::LoseFirst).await;
+
+    let report = run_load(LoadSettings {
+        log: Some(log.clone()),
+        ..settings(address)
+    })
+    .await
+    .expect("a report");
+
+    assert_eq!((report.count(Seen::Done), report.resends), (60, 60));
+    let seen = seen.lock().expect("no panic");
+    assert_eq!(
+        (seen.len(), seen.iter().collect::<BTreeSet<_>>().len()),
+        (120, 60)
+    );
+    let events = events(&log);
+    assert_eq!(events.iter().filter(|event| event.seen == Seen::Lost).count(), 60);
+    assert_eq!(events.iter().filter(|event| event.last).count(), 60);
+}
+
+/// Guards against answers of other requests and incomplete answers that pass as good.
+#[tokio::test]
+async fn notices_wrong_answers() {
+    assert_eq!(run(Script::Swap).await.wrong_answers, 60);
+    assert_eq!(run(Script::Truncate).await.wrong_answers, 60);
+}
+
+/// Guards against rejections that count as answers.
+#[tokio::test]
+async fn reports_rejections() {
+    let report = run(Script::NotRun).await;
+
+    assert_eq!((report.count(Seen::NotRun), report.count(Seen::Done)), (60, 0));
+    assert_eq!(report.wrong_answers, 0);
+}
+
+/// Guards against an open loop that slows down with the server: it must start requests at its
+/// rate, or count those that no caller was free for.
+#[tokio::test]
+async fn the_open_loop_does_not_wait_for_answers() {
+    let (address, _) = entry(Script::Wait(1_500)).await;
+
+    let report = run_load(LoadSettings {
+        callers: 20,
+        duration: Duration::from_millis(600),
+        pace: Pace::Open { per_second: 100.0 },
+        ..settings(address)
+    })
+    .await
+    .expect("a report");
+
+    assert_eq!(report.count(Seen::Done) + report.skipped, 60);
+    assert!(report.count(Seen::Done) >= 20);
+    assert!(report.skipped > 0);
+}
+
+/// Guards against runs with one seed that differ.
+#[tokio::test]
+async fn the_seed_decides_the_requests() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut plans = Vec::new();
+    for name in ["first", "second"] {
+        let log = folder.path().join(name);
+        let (address, _) = entry(Script::Done).await;
+        run_load(LoadSettings {
+            log: Some(log.clone()),
+            ..settings(address)
+        })
+        .await
+        .expect("a report");
+        let plan: BTreeSet<_> = events(&log)
+            .into_iter()
+            .map(|event| (event.request, event.team, event.idempotent))
+            .collect();
+        plans.push(plan);
+    }
+
+    assert_eq!(plans[0], plans[1]);
+}
