Add the replicated log, its files and the store runtime

The store role needs a log whose decisions can be tested without I/O, so Node takes messages and time and returns work. LogStore writes one frame for each sync: a bad frame with a good one behind it is damage, one with nothing good behind it is an unfinished append. Separate frames for each entry were ruled out, since they cannot tell the two apart after a group commit.

Formation gets the member list of the answering member. Without it a member that was late to store the list could not be told from one that lost its disk, and the cell could stop half formed.

The allocator is optional in the settings, since it and the ledger are stubs here.

--- /dev/null
+++ b/crates/consensus/src/disk.rs
@@ -0,0 +1,550 @@
+//! Durable storage of the log in one folder.
+//!
+//! | file | content |
+//! | --- | --- |
+//! | `lock` | held exclusively while the folder is open |
+//! | `identity` | identity of the disk, created with the folder |
+//! | `snapshot-INDEX` | latest snapshot |
+//! | `log-NUMBER` | segments of the log, see `frames` |
+
+pub use crate::{disk_error::DiskError, disk_faults::DiskFaults};
+
+use {
+    crate::{
+        Entry, HardState, Member, MemberId, Ready, Snapshot, StoredState, Term,
+        frames::{self, Record},
+    },
+    fuchsiatack_model::LogIndex,
+    std::{
+        fs::{self, File, OpenOptions, TryLockError},
+        io::{self, Write},
+        path::{Path, PathBuf},
+        sync::Arc,
+    },
+};
+
+const IDENTITY_FILE: &str = "identity";
+const LOCK_FILE: &str = "lock";
+const SEGMENT_PREFIX: &str = "log-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// Settings of a `LogStore`.
+#[derive(Clone, Debug)]
+pub struct LogStoreSettings {
+    /// Faults for tests.
+    pub faults: DiskFaults,
+    /// Size in bytes from which a new segment is started.
+    pub segment_bytes: u64,
+}
+
+impl Default for LogStoreSettings {
+    fn default() -> Self {
+        Self {
+            faults: DiskFaults::default(),
+            segment_bytes: 16 << 20,
+        }
+    }
+}
+
+/// A segment that gets no more frames.
+struct ClosedSegment {
+    /// Highest index of an entry in it.
+    last: LogIndex,
+    path: PathBuf,
+}
+
+/// The open folder. All methods block.
+pub struct LogStore {
+    closed: Vec<ClosedSegment>,
+    failed: bool,
+    folder: PathBuf,
+    hard_state: HardState,
+    identity: MemberId,
+    _lock: File,
+    output: Output,
+    segment: File,
+    segment_bytes: u64,
+    segment_last: LogIndex,
+    segment_number: u64,
+    segment_path: PathBuf,
+    sequence: u64,
+    settings: LogStoreSettings,
+    snapshot: Option<LogIndex>,
+}
+
+impl LogStore {
+    /// Opens or creates the folder and reads it. Blocks.
+    pub fn open(folder: &Path) -> Result<(Self, StoredState), DiskError> {
+        Self::open_with(folder, LogStoreSettings::default())
+    }
+
+    /// Opens or creates the folder with settings other than the default ones.
+    pub fn open_with(folder: &Path, settings: LogStoreSettings) -> Result<(Self, StoredState), DiskError> {
+        fs::create_dir_all(folder).map_err(failure("create", folder))?;
+        let lock = lock(folder)?;
+        let mut output = Output::default();
+        let identity = load_identity(folder, &mut output)?;
+        let snapshot = load_snapshot(folder)?;
+        let mut scan = Scan::default();
+        let segments = numbered_files(folder, SEGMENT_PREFIX)?;
+        if let (Some(snapshot), true) = (&snapshot, segments.is_empty()) {
+            let file = snapshot_path(folder, snapshot.index);
+            return Err(damage(&file, 0, "there is a snapshot but no log segment"));
+        }
+        for (position, (_, path)) in segments.iter().enumerate() {
+            let is_last = position + 1 == segments.len();
+            scan.read_segment(path, is_last, &mut output)?;
+        }
+        let first_path = segments.first().map_or(folder, |(_, path)| path);
+        let needs_reset = scan.fit_snapshot(snapshot.as_deref(), first_path)?;
+        let number = segments.last().map_or(0, |(number, _)| *number) + 1;
+        let path = segment_path(folder, number);
+        let segment = File::create(&path).map_err(failure("create", &path))?;
+        let mut store = Self {
+            closed: scan.closed,
+            failed: false,
+            folder: folder.to_owned(),
+            hard_state: scan.hard_state,
+            identity,
+            _lock: lock,
+            output,
+            segment,
+            segment_bytes: 0,
+            segment_last: LogIndex(0),
+            segment_number: number,
+            segment_path: path,
+            sequence: scan.sequence,
+            settings,
+            snapshot: snapshot.as_ref().map(|snapshot| snapshot.index),
+        };
+        store.write_head(needs_reset)?;
+        store.remove_old_files()?;
+        store.output = Output::new(store.settings.faults.clone());
+        let stored = StoredState {
+            entries: scan.entries,
+            hard_state: scan.hard_state,
+            identity,
+            snapshot,
+        };
+        Ok((store, stored))
+    }
+
+    /// Stores the initial member list in a folder that has none, and returns the new state.
+    pub fn form(&mut self, members: Vec<Member>) -> Result<StoredState, DiskError> {
+        let snapshot = Arc::new(Snapshot {
+            data: Vec::new(),
+            index: LogIndex(0),
+            members,
+            term: Term(0),
+        });
+        self.guarded(|store| store.store_snapshot(&snapshot, true))?;
+        Ok(StoredState {
+            entries: Vec::new(),
+            hard_state: self.hard_state,
+            identity: self.identity,
+            snapshot: Some(snapshot),
+        })
+    }
+
+    /// Whether a write or sync has failed. The store accepts nothing any more then.
+    pub fn is_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Stores what the `Ready` asks for and syncs it.
+    pub fn persist(&mut self, ready: &Ready) -> Result<(), DiskError> {
+        self.persist_all([ready])
+    }
+
+    /// Stores several in order. Those without a snapshot share one sync.
+    pub fn persist_all<'a>(&mut self, batch: impl IntoIterator<Item = &'a Ready>) -> Result<(), DiskError> {
+        self.guarded(|store| store.persist_batch(batch))
+    }
+
+    /// Runs an operation unless an earlier one failed. After a failed sync the system may have
+    /// dropped the written pages, so that a later sync would succeed without them.
+    fn guarded<T>(&mut self, run: impl FnOnce(&mut Self) -> Result<T, DiskError>) -> Result<T, DiskError> {
+        if self.failed {
+            return Err(DiskError::Failed);
+        }
+        let result = run(self);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn persist_batch<'a>(&mut self, batch: impl IntoIterator<Item = &'a Ready>) -> Result<(), DiskError> {
+        let mut records = Vec::new();
+        for ready in batch {
+            let new_records = ready
+                .hard_state
+                .map(Record::HardState)
+                .into_iter()
+                .chain(ready.entries.iter().cloned().map(Record::Entry));
+            match &ready.snapshot {
+                None => records.extend(new_records),
+                Some(snapshot) if ready.reset_log => {
+                    self.append(std::mem::take(&mut records))?;
+                    self.store_snapshot(snapshot, true)?;
+                    records.extend(new_records);
+                }
+                Some(snapshot) => {
+                    records.extend(new_records);
+                    self.append(std::mem::take(&mut records))?;
+                    self.store_snapshot(snapshot, false)?;
+                }
+            }
+        }
+        self.append(records)
+    }
+
+    /// Appends one frame and syncs it.
+    fn append(&mut self, records: Vec<Record>) -> Result<(), DiskError> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        if self.segment_bytes >= self.settings.segment_bytes {
+            self.start_segment(false)?;
+        }
+        self.append_frame(&records)
+    }
+
+    fn append_frame(&mut self, records: &[Record]) -> Result<(), DiskError> {
+        let path = &self.segment_path;
+        let frame = frames::encode(self.sequence + 1, records)
+            .map_err(|_| damage(path, self.segment_bytes, "a record cannot be encoded"))?;
+        self.output.write(&mut self.segment, path, &frame)?;
+        self.output.sync(&self.segment, path)?;
+        self.sequence += 1;
+        self.segment_bytes += frame.len() as u64;
+        for record in records {
+            match record {
+                Record::Entry(entry) => self.segment_last = self.segment_last.max(entry.index),
+                Record::HardState(hard_state) => self.hard_state = *hard_state,
+                Record::Reset(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn start_segment(&mut self, reset: bool) -> Result<(), DiskError> {
+        let number = self.segment_number + 1;
+        let path = segment_path(&self.folder, number);
+        let segment = File::create(&path).map_err(failure("create", &path))?;
+        self.closed.push(ClosedSegment {
+            last: self.segment_last,
+            path: std::mem::replace(&mut self.segment_path, path),
+        });
+        self.segment = segment;
+        self.segment_bytes = 0;
+        self.segment_last = LogIndex(0);
+        self.segment_number = number;
+        self.write_head(reset)
+    }
+
+    /// Writes the first frame of a segment. It repeats the hard state, so that older segments can
+    /// be removed.
+    fn write_head(&mut self, reset: bool) -> Result<(), DiskError> {
+        let mut records = vec![Record::HardState(self.hard_state)];
+        if reset {
+            records.push(Record::Reset(self.snapshot.unwrap_or_default()));
+        }
+        self.append_frame(&records)?;
+        sync_folder(&mut self.output, &self.folder)
+    }
+
+    fn store_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), DiskError> {
+        let path = snapshot_path(&self.folder, snapshot.index);
+        let body =
+            postcard::to_stdvec(snapshot).map_err(|_| damage(&path, 0, "the snapshot cannot be encoded"))?;
+        replace_file(&path, &with_checksum(&body), &mut self.output)?;
+        self.snapshot = Some(snapshot.index);
+        self.start_segment(reset)?;
+        self.remove_old_files()
+    }
+
+    /// Removes snapshots before the present one and segments that it covers.
+    fn remove_old_files(&mut self) -> Result<(), DiskError> {
+        let Some(present) = self.snapshot else {
+            return Ok(());
+        };
+        for (index, path) in numbered_files(&self.folder, SNAPSHOT_PREFIX)? {
+            if index < present.0 {
+                remove(&path)?;
+            }
+        }
+        let covered = self
+            .closed
+            .iter()
+            .take_while(|segment| segment.last <= present)
+            .count();
+        for segment in self.closed.drain(..covered) {
+            remove(&segment.path)?;
+        }
+        Ok(())
+    }
+}
+
+/// What the segments contain.
+#[derive(Default)]
+struct Scan {
+    closed: Vec<ClosedSegment>,
+    entries: Vec<Arc<Entry>>,
+    hard_state: HardState,
+    sequence: u64,
+}
+
+impl Scan {
+    fn read_segment(&mut self, path: &Path, is_last: bool, output: &mut Output) -> Result<(), DiskError> {
+        let file = fs::read(path).map_err(failure("read", path))?;
+        let mut offset = 0;
+        let mut last = LogIndex(0);
+        while offset < file.len() {
+            let Some(frame) = frames::decode(&file, offset) else {
+                if is_last && !frames::has_frame_after(&file, offset) {
+                    break;
+                }
+                return Err(damage(path, offset as u64, "checksum or length is wrong"));
+            };
+            if self.sequence != 0 && frame.sequence != self.sequence + 1 {
+                return Err(damage(path, offset as u64, "a frame before this one is missing"));
+            }
+            self.sequence = frame.sequence;
+            for record in frame.records {
+                if let Record::Entry(entry) = &record {
+                    last = last.max(entry.index);
+                }
+                let is_continuous = self.replay(record);
+                if !is_continuous {
+                    return Err(damage(path, offset as u64, "an entry before this one is missing"));
+                }
+            }
+            offset = frame.end;
+        }
+        // What was read may be in the page cache only, and a failed sync may have marked it clean.
+        // Writing it again is the only way to be sure that it is on the disk.
+        if is_last {
+            replace_file(path, &file[..offset], output)?;
+        }
+        self.closed.push(ClosedSegment {
+            last,
+            path: path.to_owned(),
+        });
+        Ok(())
+    }
+
+    /// Returns whether the record continues the ones before it.
+    fn replay(&mut self, record: Record) -> bool {
+        match record {
+            Record::Entry(entry) => {
+                let first = self.entries.first().map_or(entry.index, |first| first.index);
+                let Some(kept) = entry.index.0.checked_sub(first.0) else {
+                    return false;
+                };
+                if kept as usize > self.entries.len() {
+                    return false;
+                }
+                self.entries.truncate(kept as usize);
+                self.entries.push(entry);
+            }
+            Record::HardState(hard_state) => self.hard_state = hard_state,
+            Record::Reset(_) => self.entries.clear(),
+        }
+        true
+    }
+
+    /// Drops the entries that the snapshot covers. Returns whether the rest had to be discarded
+    /// because it does not continue the snapshot, which happens when the process ended between
+    /// the installation of a snapshot and the start of its segment.
+    fn fit_snapshot(&mut self, snapshot: Option<&Snapshot>, first_path: &Path) -> Result<bool, DiskError> {
+        let Some(first) = self.entries.first().map(|entry| entry.index) else {
+            return Ok(false);
+        };
+        let Some(snapshot) = snapshot else {
+            return Err(damage(first_path, 0, "there are entries but no snapshot"));
+        };
+        if first.0 > snapshot.index.0 + 1 {
+            return Err(damage(first_path, 0, "entries after the snapshot are missing"));
+        }
+        let covered = (snapshot.index.0 + 1 - first.0) as usize;
+        let continues = match covered.checked_sub(1) {
+            None => true,
+            Some(position) => self
+                .entries
+                .get(position)
+                .is_some_and(|entry| entry.term == snapshot.term),
+        };
+        match continues {
+            true => drop(self.entries.drain(..covered)),
+            false => self.entries.clear(),
+        }
+        Ok(!continues)
+    }
+}
+
+/// Writes and syncs, with the faults that a test asks for.
+#[derive(Default)]
+struct Output {
+    bytes: u64,
+    faults: DiskFaults,
+    syncs: u64,
+    writes: u64,
+}
+
+impl Output {
+    fn new(faults: DiskFaults) -> Self {
+        Self {
+            faults,
+            ..Self::default()
+        }
+    }
+
+    fn write(&mut self, file: &mut File, path: &Path, data: &[u8]) -> Result<(), DiskError> {
+        self.writes += 1;
+        let room = self.faults.no_space_after_bytes.map(|limit| limit - self.bytes);
+        let (allowed, error) = match room {
+            _ if self.faults.fail_write == Some(self.writes) => (0, Some(io::ErrorKind::Other)),
+            _ if self.faults.short_write == Some(self.writes) => (data.len() / 2, Some(io::ErrorKind::Other)),
+            Some(room) if room < data.len() as u64 => (room as usize, Some(io::ErrorKind::StorageFull)),
+            _ => (data.len(), None),
+        };
+        file.write_all(&data[..allowed]).map_err(failure("write", path))?;
+        self.bytes += allowed as u64;
+        match error {
+            Some(kind) => Err(failure("write", path)(io::Error::from(kind))),
+            None => Ok(()),
+        }
+    }
+
+    fn sync(&mut self, file: &File, path: &Path) -> Result<(), DiskError> {
+        self.syncs += 1;
+        if self.faults.fail_sync == Some(self.syncs) {
+            return Err(failure("sync", path)(io::Error::from(io::ErrorKind::Other)));
+        }
+        file.sync_data().map_err(failure("sync", path))
+    }
+}
+
+fn lock(folder: &Path) -> Result<File, DiskError> {
+    let path = folder.join(LOCK_FILE);
+    let file = OpenOptions::new()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(&path)
+        .map_err(failure("open", &path))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(DiskError::Locked(folder.to_owned())),
+        Err(TryLockError::Error(source)) => Err(failure("lock", &path)(source)),
+    }
+}
+
+fn load_identity(folder: &Path, output: &mut Output) -> Result<MemberId, DiskError> {
+    let path = folder.join(IDENTITY_FILE);
+    let file = match fs::read(&path) {
+        Ok(file) => file,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return create_identity(folder, output),
+        Err(error) => return Err(failure("read", &path)(error)),
+    };
+    let identity = without_checksum(&file).and_then(|body| body.try_into().ok());
+    match identity {
+        Some(bytes) => Ok(MemberId(u64::from_le_bytes(bytes))),
+        None => Err(damage(&path, 0, "checksum or length is wrong")),
+    }
+}
+
+fn create_identity(folder: &Path, output: &mut Output) -> Result<MemberId, DiskError> {
+    let path = folder.join(IDENTITY_FILE);
+    let is_used = !numbered_files(folder, SEGMENT_PREFIX)?.is_empty()
+        || !numbered_files(folder, SNAPSHOT_PREFIX)?.is_empty();
+    if is_used {
+        return Err(damage(&path, 0, "the file is missing but there is a log"));
+    }
+    let identity = MemberId(rand::random());
+    replace_file(&path, &with_checksum(&identity.0.to_le_bytes()), output)?;
+    Ok(identity)
+}
+
+fn load_snapshot(folder: &Path) -> Result<Option<Arc<Snapshot>>, DiskError> {
+    let Some((_, path)) = numbered_files(folder, SNAPSHOT_PREFIX)?.pop() else {
+        return Ok(None);
+    };
+    let file = fs::read(&path).map_err(failure("read", &path))?;
+    let snapshot = without_checksum(&file).and_then(|body| postcard::from_bytes(body).ok());
+    match snapshot {
+        Some(snapshot) => Ok(Some(Arc::new(snapshot))),
+        None => Err(damage(&path, 0, "checksum or length is wrong")),
+    }
+}
+
+/// Lists the files `PREFIX-NUMBER` in the order of their numbers.
+fn numbered_files(folder: &Path, prefix: &str) -> Result<Vec<(u64, PathBuf)>, DiskError> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder).map_err(failure("list", folder))? {
+        let path = entry.map_err(failure("list", folder))?.path();
+        let number = path
+            .file_name()
+            .and_then(|name| name.to_str())
+            .and_then(|name| name.strip_prefix(prefix))
+            .and_then(|number| number.parse().ok());
+        if let Some(number) = number {
+            files.push((number, path));
+        }
+    }
+    files.sort_unstable();
+    Ok(files)
+}
+
+fn segment_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{SEGMENT_PREFIX}{number:020}"))
+}
+
+fn snapshot_path(folder: &Path, index: LogIndex) -> PathBuf {
+    folder.join(format!("{SNAPSHOT_PREFIX}{:020}", index.0))
+}
+
+/// Writes a temporary file, syncs it, renames it to `path` and syncs the folder.
+fn replace_file(path: &Path, content: &[u8], output: &mut Output) -> Result<(), DiskError> {
+    let mut temporary = path.as_os_str().to_owned();
+    temporary.push(TEMPORARY_SUFFIX);
+    let temporary = PathBuf::from(temporary);
+    let mut file = File::create(&temporary).map_err(failure("create", &temporary))?;
+    output.write(&mut file, &temporary, content)?;
+    output.sync(&file, &temporary)?;
+    fs::rename(&temporary, path).map_err(failure("rename", &temporary))?;
+    sync_folder(output, path.parent().unwrap_or(path))
+}
+
+fn sync_folder(output: &mut Output, folder: &Path) -> Result<(), DiskError> {
+    let file = File::open(folder).map_err(failure("open", folder))?;
+    output.sync(&file, folder)
+}
+
+fn remove(path: &Path) -> Result<(), DiskError> {
+    fs::remove_file(path).map_err(failure("remove", path))
+}
+
+fn with_checksum(body: &[u8]) -> Vec<u8> {
+    let mut file = crc32fast::hash(body).to_le_bytes().to_vec();
+    file.extend_from_slice(body);
+    file
+}
+
+fn without_checksum(file: &[u8]) -> Option<&[u8]> {
+    let (checksum, body) = file.split_first_chunk::<4>()?;
+    (crc32fast::hash(body) == u32::from_le_bytes(*checksum)).then_some(body)
+}
+
+fn damage(file: &Path, offset: u64, reason: &'static str) -> DiskError {
+    DiskError::Damaged {
+        file: file.to_owned(),
+        offset,
+        reason,
+    }
+}
+
+fn failure(action: &'static str, file: &Path) -> impl FnOnce(io::Error) -> DiskError {
+    let file = file.to_owned();
+    move |source| DiskError::File { action, file, source }
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,5 +1,34 @@
 //! Replicated log: elections, replication, snapshots and membership.
+//!
+//! `Node` does no I/O and reads no clock; `disk::LogStore` stores its state.
 
+pub mod disk;
+
+mod disk_error;
+mod disk_faults;
+mod entry;
+mod error;
+mod frames;
+mod log;
+mod member;
 mod message;
+mod node;
+mod progress;
+mod ready;
+mod settings;
+mod snapshot;
+mod stored_state;
+mod term;
 
-pub use self::message::{Envelope, MemberId};
+pub use self::{
+    entry::{Entry, Payload},
+    error::{ChangeError, NotLeader},
+    member::{Member, MemberChange, MemberId, MemberRole},
+    message::{Body, Envelope},
+    node::{Node, Role},
+    ready::{PersistMark, Ready},
+    settings::NodeSettings,
+    snapshot::Snapshot,
+    stored_state::{HardState, StoredState},
+    term::Term,
+};
--- /dev/null
+++ b/crates/store/src/peers.rs
@@ -0,0 +1,77 @@
+//! Connections to other members.
+
+use {
+    fuchsiatack_consensus::{Envelope, Member, MemberId},
+    fuchsiatack_wire::{CellSecret, Frame, PeerClient, PeerClientSettings},
+    std::{collections::HashMap, net::SocketAddr},
+    tokio::sync::mpsc,
+};
+
+/// Messages that wait for one member. More are dropped, which consensus tolerates.
+const QUEUE_MESSAGES: usize = 1_024;
+
+struct Link {
+    address: SocketAddr,
+    queue: mpsc::Sender<Envelope>,
+}
+
+/// Sends messages to members without waiting for them.
+pub(crate) struct Peers {
+    addresses: HashMap<MemberId, SocketAddr>,
+    links: HashMap<MemberId, Link>,
+    secret: CellSecret,
+    settings: PeerClientSettings,
+}
+
+impl Peers {
+    pub(crate) fn new(secret: CellSecret, settings: PeerClientSettings) -> Self {
+        Self {
+            addresses: HashMap::new(),
+            links: HashMap::new(),
+            secret,
+            settings,
+        }
+    }
+
+    pub(crate) fn address(&self, member: MemberId) -> Option<SocketAddr> {
+        self.addresses.get(&member).copied()
+    }
+
+    /// Notes the address of a member that is in no member list yet.
+    pub(crate) fn learn(&mut self, member: MemberId, address: SocketAddr) {
+        self.addresses.insert(member, address);
+    }
+
+    /// Notes the addresses of a member list.
+    pub(crate) fn learn_all(&mut self, members: &[Member]) {
+        for member in members {
+            self.learn(member.id, member.address);
+        }
+    }
+
+    /// Queues a message, or drops it if the address is unknown or the queue is full.
+    pub(crate) fn send(&mut self, message: Envelope) {
+        let Some(address) = self.address(message.to) else {
+            return;
+        };
+        let known = self.links.get(&message.to).filter(|link| link.address == address);
+        if known.is_none() {
+            let link = self.connect(address);
+            self.links.insert(message.to, link);
+        }
+        if let Some(link) = self.links.get(&message.to) {
+            let _ = link.queue.try_send(message);
+        }
+    }
+
+    fn connect(&self, address: SocketAddr) -> Link {
+        let client = PeerClient::new(address, self.secret.clone(), self.settings.clone(), None);
+        let (queue, mut messages) = mpsc::channel(QUEUE_MESSAGES);
+        tokio::spawn(async move {
+            while let Some(message) = messages.recv().await {
+                client.send(Frame::Consensus(Box::new(message))).await;
+            }
+        });
+        Link { address, queue }
+    }
+}
--- /dev/null
+++ b/crates/store/src/runtime.rs
@@ -0,0 +1,583 @@
+//! Task that owns the node and the ledger.
+
+use {
+    crate::{
+        StoreError, StoreSettings, StoreStatus,
+        calls::{Calls, WaitingRead, failed},
+        event::{Event, Input},
+        followers::Followers,
+        formation::{self, Verdict},
+        peers::Peers,
+        writer::{Job, Writer},
+    },
+    fuchsiatack_consensus::{
+        Entry, Envelope, MemberId, Node, NodeSettings, Payload, Ready, Role, Snapshot, StoredState, Term,
+    },
+    fuchsiatack_ledger::{Addressed, Allocator, Command, Ledger, Renewal, Reply, TeamUsage},
+    fuchsiatack_model::{LogIndex, SessionId},
+    fuchsiatack_wire::{Formation, NotLeader, Request, Response},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::AbortHandle,
+        time::MissedTickBehavior,
+    },
+};
+
+/// Most inputs that are taken before the node's work is carried out.
+const MAX_INPUTS_PER_TURN: usize = 512;
+/// Interval of the allocator's plans in milliseconds.
+const PLAN_INTERVAL_MS: u64 = 100;
+/// Ticks of the node in each heartbeat interval.
+const TICKS_PER_HEARTBEAT: u64 = 4;
+
+/// State of a member that leads.
+struct Leadership {
+    allocator: Option<Allocator>,
+    /// Waiting tasks that each session reported last.
+    demand: HashMap<SessionId, Vec<TeamUsage>>,
+    plan_due_ms: u64,
+    /// No plan is made before this index is applied.
+    planned: LogIndex,
+    term: Term,
+}
+
+pub(crate) struct Runtime {
+    calls: Calls,
+    events: mpsc::UnboundedSender<Event>,
+    failure: Option<String>,
+    followers: Followers,
+    formation: Option<AbortHandle>,
+    forming: bool,
+    identity: MemberId,
+    leadership: Option<Leadership>,
+    ledger: Ledger,
+    node: Node,
+    peers: Peers,
+    settings: StoreSettings,
+    /// Index of the last snapshot that was taken or is being encoded.
+    snapshot: LogIndex,
+    snapshot_running: bool,
+    started: Instant,
+    status: Arc<Mutex<StoreStatus>>,
+    writer: Writer,
+}
+
+impl Runtime {
+    pub(crate) fn new(
+        settings: StoreSettings,
+        stored: StoredState,
+        writer: Writer,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Result<Self, StoreError> {
+        let identity = stored.identity;
+        let ledger = decode_ledger(stored.snapshot.as_deref())?;
+        let snapshot = stored.snapshot.as_ref().map(|snapshot| snapshot.index);
+        let node = Node::new(node_settings(&settings, identity), stored);
+        let status = StoreStatus {
+            applied: node.applied(),
+            commit: node.commit(),
+            disk_failure: None,
+            formed: node.is_formed(),
+            identity,
+            leader: None,
+            members: node.members().to_vec(),
+            role: node.role(),
+            term: node.term(),
+        };
+        let mut runtime = Self {
+            calls: Calls::default(),
+            events,
+            failure: None,
+            followers: Followers::default(),
+            formation: None,
+            forming: false,
+            identity,
+            leadership: None,
+            ledger,
+            peers: Peers::new(settings.secret.clone(), settings.peer.clone()),
+            node,
+            settings,
+            snapshot: snapshot.unwrap_or_default(),
+            snapshot_running: false,
+            started: Instant::now(),
+            status: Arc::new(Mutex::new(status)),
+            writer,
+        };
+        runtime.peers.learn_all(runtime.node.members());
+        if !runtime.node.is_formed() {
+            runtime.start_formation();
+        }
+        Ok(runtime)
+    }
+
+    pub(crate) fn status(&self) -> Arc<Mutex<StoreStatus>> {
+        self.status.clone()
+    }
+
+    /// Runs until the store is stopped or its last handle is dropped.
+    pub(crate) async fn run(
+        mut self,
+        mut inputs: mpsc::Receiver<Input>,
+        mut events: mpsc::UnboundedReceiver<Event>,
+    ) {
+        let period_ms = (self.settings.heartbeat_ms / TICKS_PER_HEARTBEAT).max(1);
+        let mut ticks = tokio::time::interval(Duration::from_millis(period_ms));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut waiting = Vec::with_capacity(MAX_INPUTS_PER_TURN);
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.handle_event(event),
+                _ = ticks.tick() => self.tick(),
+                received = inputs.recv_many(&mut waiting, MAX_INPUTS_PER_TURN) => {
+                    if received == 0 {
+                        break;
+                    }
+                }
+            }
+            while let Ok(event) = events.try_recv() {
+                self.handle_event(event);
+            }
+            let stops = waiting.iter().any(|input| matches!(input, Input::Stop));
+            for input in waiting.drain(..) {
+                self.handle_input(input);
+            }
+            self.advance();
+            if stops {
+                break;
+            }
+        }
+        self.finish().await;
+    }
+
+    async fn finish(mut self) {
+        if let Some(formation) = self.formation.take() {
+            formation.abort();
+        }
+        self.calls.lost_leadership(&failed("the store has stopped"));
+        let writer = self.writer;
+        let _ = tokio::task::spawn_blocking(move || writer.join()).await;
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn tick(&mut self) {
+        if self.failure.is_some() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        self.node.tick(now_ms);
+        self.followers.push_idle(now_ms, self.node.applied());
+        let is_due = |leadership: &Leadership| now_ms >= leadership.plan_due_ms;
+        if self.leadership.as_ref().is_some_and(is_due) {
+            self.plan();
+        }
+    }
+
+    // Inputs.
+
+    fn handle_input(&mut self, input: Input) {
+        match input {
+            Input::Call {
+                caller,
+                reply,
+                request,
+            } => self.handle_call(WaitingRead {
+                caller,
+                reply,
+                request,
+            }),
+            Input::Consensus(envelope) if self.failure.is_none() && !self.forming => {
+                self.node.receive(self.now_ms(), envelope);
+            }
+            Input::Consensus(_) | Input::Stop => {}
+        }
+    }
+
+    fn handle_call(&mut self, call: WaitingRead) {
+        let is_leader = self.failure.is_none() && self.node.role() == Role::Leader;
+        match call.request {
+            Request::Form(_) => {
+                let _ = call.reply.send(Response::Formation(self.own_formation()));
+            }
+            Request::Propose(command) if is_leader => self.propose(*command, Some(call.reply)),
+            Request::Follow { .. } | Request::Query(_) | Request::Renew(_) if is_leader => {
+                self.calls.add_read(call);
+            }
+            Request::Follow { .. } | Request::Propose(_) | Request::Query(_) | Request::Renew(_) => {
+                let _ = call.reply.send(self.not_leader());
+            }
+            Request::Forward(_) | Request::Ping => {
+                let _ = call.reply.send(failed("the store does not answer such calls"));
+            }
+        }
+    }
+
+    fn propose(&mut self, command: Command, reply: Option<oneshot::Sender<Response>>) {
+        let encoded = match postcard::to_stdvec(&command) {
+            Ok(encoded) => encoded,
+            Err(_) => {
+                reply.map(|reply| reply.send(failed("the command cannot be encoded")));
+                return;
+            }
+        };
+        match (self.node.propose(encoded), reply) {
+            (Ok(index), Some(reply)) => self.calls.add_proposal(index, self.node.term(), reply),
+            (Err(_), Some(reply)) => drop(reply.send(self.not_leader())),
+            (_, None) => {}
+        }
+    }
+
+    fn not_leader(&self) -> Response {
+        Response::NotLeader(NotLeader {
+            leader: self.leader_address(),
+        })
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        match self.failure {
+            Some(_) => None,
+            None => self.node.leader().and_then(|leader| self.peers.address(leader)),
+        }
+    }
+
+    // Events.
+
+    fn handle_event(&mut self, event: Event) {
+        match event {
+            Event::DiskFailed(message) => self.fail(message),
+            Event::Formation(answers) => self.handle_formation(&answers),
+            Event::Formed(stored) => self.formed(*stored),
+            Event::Persisted { mark, messages } => {
+                self.node.persisted(mark);
+                self.send_all(messages);
+            }
+            Event::SnapshotEncoded { data, index } => {
+                self.snapshot_running = false;
+                if !data.is_empty() {
+                    self.node.compact(index, data);
+                }
+            }
+        }
+    }
+
+    fn fail(&mut self, message: String) {
+        self.failure = Some(message);
+        self.resign();
+    }
+
+    fn start_formation(&mut self) {
+        let asking = formation::ask_members(self.settings.clone(), self.own_formation(), self.events.clone());
+        self.formation = Some(tokio::spawn(asking).abort_handle());
+    }
+
+    fn own_formation(&self) -> Formation {
+        Formation {
+            formed: self.node.is_formed(),
+            identity: self.identity,
+            members: self.node.members().to_vec(),
+            name: self.settings.name.clone(),
+        }
+    }
+
+    fn handle_formation(&mut self, answers: &[(SocketAddr, Option<Formation>)]) {
+        for (address, answer) in answers {
+            if let Some(answer) = answer {
+                self.peers.learn_all(&answer.members);
+                self.peers.learn(answer.identity, *address);
+            }
+        }
+        if self.node.is_formed() || self.forming || self.failure.is_some() {
+            return;
+        }
+        match formation::decide(&self.settings, self.identity, answers) {
+            Verdict::Form(members) => {
+                self.forming = true;
+                self.writer.push(Job::Form(members));
+            }
+            Verdict::Wait => {}
+        }
+    }
+
+    fn formed(&mut self, stored: StoredState) {
+        self.forming = false;
+        self.node = Node::new(node_settings(&self.settings, self.identity), stored);
+        self.peers.learn_all(self.node.members());
+    }
+
+    // Work of the node.
+
+    /// Carries out the node's work until there is none.
+    fn advance(&mut self) {
+        if self.failure.is_none() && !self.forming {
+            self.follow_role();
+            self.confirm_reads();
+            loop {
+                let ready = self.node.take_ready();
+                if ready.is_empty() {
+                    break;
+                }
+                self.run_ready(ready);
+                self.follow_role();
+            }
+            self.take_snapshot();
+        }
+        if self.node.is_formed()
+            && let Some(formation) = self.formation.take()
+        {
+            formation.abort();
+        }
+        self.update_status();
+    }
+
+    fn confirm_reads(&mut self) {
+        if self.node.role() != Role::Leader {
+            return;
+        }
+        if let Some(token) = self.calls.next_token() {
+            // The role was checked above, so this cannot fail.
+            let _ = self.node.confirm_leadership(token);
+        }
+    }
+
+    fn run_ready(&mut self, mut ready: Ready) {
+        let immediate = std::mem::take(&mut ready.immediate);
+        let committed = std::mem::take(&mut ready.committed);
+        let confirmed = std::mem::take(&mut ready.confirmed);
+        let installed = ready.snapshot.clone().filter(|_| ready.install_snapshot);
+        let has_members = |entry: &Arc<Entry>| matches!(entry.payload, Payload::Members(_));
+        if installed.is_some() || ready.entries.iter().any(has_members) {
+            self.peers.learn_all(self.node.members());
+        }
+        self.send_all(immediate);
+        if ready.needs_sync() || !ready.after_sync.is_empty() {
+            self.writer.push(Job::Persist(Box::new(ready)));
+        }
+        if let Some(snapshot) = installed {
+            self.install(&snapshot);
+        }
+        self.apply(committed);
+        for token in confirmed {
+            for read in self.calls.confirmed(token) {
+                self.answer(read);
+            }
+        }
+    }
+
+    fn send_all(&mut self, messages: Vec<Envelope>) {
+        for message in messages {
+            self.peers.send(message);
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) {
+        match decode_ledger(Some(snapshot)) {
+            Ok(ledger) => {
+                self.ledger = ledger;
+                self.snapshot = snapshot.index;
+            }
+            Err(error) => self.fail(error.to_string()),
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Arc<Entry>>) {
+        let Some(last) = entries.last().map(|entry| entry.index) else {
+            return;
+        };
+        let mut changes = Vec::new();
+        for entry in entries {
+            let reply = match &entry.payload {
+                Payload::Command(command) => self.apply_command(&entry, command, &mut changes),
+                Payload::Members(_) => Reply::Applied,
+            };
+            self.calls.applied(entry.index, entry.term, reply);
+        }
+        let now_ms = self.now_ms();
+        self.followers.push(now_ms, &changes, last);
+    }
+
+    fn apply_command(&mut self, entry: &Entry, command: &[u8], changes: &mut Vec<Addressed>) -> Reply {
+        if command.is_empty() {
+            return Reply::Applied;
+        }
+        match postcard::from_bytes(command) {
+            Ok(Command::Noop) => Reply::Applied,
+            Ok(command) => {
+                let applied = self.ledger.apply(entry.index, command);
+                changes.extend(applied.changes);
+                applied.reply
+            }
+            Err(error) => {
+                // Skipping it would let this member's state differ from that of the others.
+                self.fail(format!("entry {} cannot be decoded: {error}", entry.index.0));
+                Reply::Applied
+            }
+        }
+    }
+
+    fn take_snapshot(&mut self) {
+        let applied = self.node.applied();
+        let is_due = applied.0 >= self.snapshot.0 + self.settings.snapshot_entries;
+        if !is_due || self.snapshot_running {
+            return;
+        }
+        self.snapshot = applied;
+        self.snapshot_running = true;
+        let ledger = self.ledger.clone();
+        let events = self.events.clone();
+        tokio::task::spawn_blocking(move || {
+            let data = encode_ledger(&ledger);
+            let _ = events.send(Event::SnapshotEncoded { data, index: applied });
+        });
+    }
+
+    // Reads.
+
+    fn answer(&mut self, read: WaitingRead) {
+        let index = self.node.applied();
+        let response = match read.request {
+            Request::Follow { session, .. } => self.follow(read.caller, session, index),
+            Request::Query(query) => Response::Queried {
+                index,
+                reply: Box::new(self.ledger.query(&query)),
+            },
+            Request::Renew(renewal) => self.renew(&renewal, index),
+            _ => failed("the store does not answer such calls"),
+        };
+        let _ = read.reply.send(response);
+    }
+
+    fn follow(&mut self, caller: fuchsiatack_wire::Caller, session: SessionId, index: LogIndex) -> Response {
+        let now_ms = self.now_ms();
+        match self.followers.add(now_ms, caller, session, index, &self.ledger) {
+            true => Response::Following,
+            false => failed("the connection's queue is full"),
+        }
+    }
+
+    fn renew(&mut self, renewal: &Renewal, index: LogIndex) -> Response {
+        let now_ms = self.now_ms();
+        let Some(leadership) = &mut self.leadership else {
+            return self.not_leader();
+        };
+        let Some(allocator) = &mut leadership.allocator else {
+            return failed("the store runs no allocator");
+        };
+        let mut advice = allocator.renewed(now_ms, renewal, &self.ledger);
+        advice.commit = index;
+        let changed = leadership.demand.get(&renewal.session) != Some(&renewal.usage);
+        if changed {
+            leadership.demand.insert(renewal.session, renewal.usage.clone());
+            self.plan();
+        }
+        self.followers.push_index(now_ms, renewal.session, index);
+        Response::Renewed(advice)
+    }
+
+    // Leadership.
+
+    /// Starts or ends the work of a leader when the role has changed.
+    fn follow_role(&mut self) {
+        let led = self.leadership.as_ref().map(|leadership| leadership.term);
+        let leads = (self.node.role() == Role::Leader).then(|| self.node.term());
+        if led == leads {
+            return;
+        }
+        if led.is_some() {
+            self.resign();
+        }
+        if let Some(term) = leads {
+            let now_ms = self.now_ms();
+            let allocator = self.settings.allocator.clone();
+            self.leadership = Some(Leadership {
+                allocator: allocator.map(|settings| Allocator::new(settings, now_ms)),
+                demand: HashMap::new(),
+                plan_due_ms: now_ms,
+                planned: self.node.last(),
+                term,
+            });
+        }
+    }
+
+    fn resign(&mut self) {
+        self.leadership = None;
+        self.followers.clear();
+        let not_leader = self.not_leader();
+        self.calls.lost_leadership(&not_leader);
+    }
+
+    /// Proposes the allocator's commands, unless former ones are not applied yet.
+    fn plan(&mut self) {
+        let now_ms = self.now_ms();
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if self.node.applied() < leadership.planned {
+            return;
+        }
+        leadership.plan_due_ms = now_ms + PLAN_INTERVAL_MS;
+        let Some(allocator) = &mut leadership.allocator else {
+            return;
+        };
+        let commands = allocator.plan(now_ms, &self.ledger);
+        if commands.is_empty() {
+            return;
+        }
+        for command in commands {
+            self.propose(command, None);
+        }
+        if let Some(leadership) = &mut self.leadership {
+            leadership.planned = self.node.last();
+        }
+    }
+
+    fn update_status(&self) {
+        let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        status.applied = self.node.applied();
+        status.commit = self.node.commit();
+        status.disk_failure.clone_from(&self.failure);
+        status.formed = self.node.is_formed();
+        status.leader = self.leader_address();
+        status.role = match self.failure {
+            Some(_) => Role::Follower,
+            None => self.node.role(),
+        };
+        status.term = self.node.term();
+        if status.members != self.node.members() {
+            status.members = self.node.members().to_vec();
+        }
+    }
+}
+
+fn node_settings(settings: &StoreSettings, id: MemberId) -> NodeSettings {
+    NodeSettings {
+        election_maximum_ms: settings.election_maximum_ms,
+        election_minimum_ms: settings.election_minimum_ms,
+        heartbeat_ms: settings.heartbeat_ms,
+        id,
+        seed: rand::random(),
+        ..NodeSettings::default()
+    }
+}
+
+/// Encodes the ledger as `Some`, so that no ledger has the empty encoding of the initial snapshot.
+fn encode_ledger(ledger: &Ledger) -> Vec<u8> {
+    postcard::to_stdvec(&Some(ledger)).unwrap_or_default()
+}
+
+fn decode_ledger(snapshot: Option<&Snapshot>) -> Result<Ledger, postcard::Error> {
+    match snapshot {
+        Some(snapshot) if !snapshot.data.is_empty() => {
+            let ledger: Option<Ledger> = postcard::from_bytes(&snapshot.data)?;
+            Ok(ledger.unwrap_or_default())
+        }
+        _ => Ok(Ledger::default()),
+    }
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,104 @@
+//! Handle of the store role.
+
+use {
+    crate::{
+        StoreError, StoreSettings, StoreStatus,
+        event::{Event, Input},
+        runtime::Runtime,
+        writer::Writer,
+    },
+    fuchsiatack_consensus::{Envelope, disk::LogStore},
+    fuchsiatack_wire::{Caller, Request, Response},
+    smol_str::SmolStr,
+    std::sync::{Arc, Mutex, PoisonError},
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinHandle,
+    },
+};
+
+/// Inputs that may wait for the runtime. Calls wait for room; further messages are dropped.
+const INPUT_QUEUE: usize = 8_192;
+
+struct Shared {
+    inputs: mpsc::Sender<Input>,
+    status: Arc<Mutex<StoreStatus>>,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+/// The store role of one daemon. Clones share one runtime, which ends when the last one is
+/// dropped.
+#[derive(Clone)]
+pub struct Store {
+    shared: Arc<Shared>,
+}
+
+impl Store {
+    /// Opens the data folder and starts the runtime. Must be called in a tokio runtime; it reads
+    /// the log before it returns.
+    pub fn start(settings: StoreSettings) -> Result<Self, StoreError> {
+        if !settings.members.iter().any(|member| member.name == settings.name) {
+            return Err(StoreError::NotListed(settings.name));
+        }
+        let (log_store, stored) = LogStore::open_with(&settings.data_folder, settings.log_store.clone())?;
+        let (events, event_queue) = mpsc::unbounded_channel::<Event>();
+        let writer = Writer::start(log_store, events.clone()).map_err(StoreError::Thread)?;
+        let (inputs, input_queue) = mpsc::channel(INPUT_QUEUE);
+        let runtime = Runtime::new(settings, stored, writer, events)?;
+        let status = runtime.status();
+        let task = tokio::spawn(runtime.run(input_queue, event_queue));
+        Ok(Self {
+            shared: Arc::new(Shared {
+                inputs,
+                status,
+                task: Mutex::new(Some(task)),
+            }),
+        })
+    }
+
+    /// Answers a call of a daemon: `Follow`, `Form`, `Propose`, `Query` or `Renew`.
+    pub async fn call(&self, caller: Caller, request: Request) -> Response {
+        let (reply, response) = oneshot::channel();
+        let input = Input::Call {
+            caller,
+            reply,
+            request,
+        };
+        let stopped = || Response::Failed {
+            message: SmolStr::new_static("the store has stopped"),
+        };
+        match self.shared.inputs.send(input).await {
+            Ok(()) => response.await.unwrap_or_else(|_| stopped()),
+            Err(_) => stopped(),
+        }
+    }
+
+    /// Takes a message of another member. It never blocks; if the runtime is behind, the message
+    /// is dropped.
+    pub fn consensus(&self, envelope: Envelope) {
+        let _ = self.shared.inputs.try_send(Input::Consensus(envelope));
+    }
+
+    /// Returns the latest state.
+    pub fn status(&self) -> StoreStatus {
+        self.shared
+            .status
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Stops the runtime and waits until queued writes are done and the folder is released.
+    pub async fn stop(self) {
+        let _ = self.shared.inputs.send(Input::Stop).await;
+        let task = self
+            .shared
+            .task
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(task) = task {
+            let _ = task.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/tests/common/mod.rs
@@ -0,0 +1,175 @@
+//! Builder of store cells on loopback.
+
+use {
+    fuchsiatack_consensus::{Envelope, Role, disk::DiskFaults},
+    fuchsiatack_ledger::Command,
+    fuchsiatack_model::LogIndex,
+    fuchsiatack_store::{InitialMember, Store, StoreSettings},
+    fuchsiatack_wire::{Caller, CellSecret, Frame, Handler, PeerServer, Request, Response},
+    std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
+    tempfile::TempDir,
+    tokio::{
+        sync::mpsc,
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
+};
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct StoreHandler(Store);
+
+impl Handler for StoreHandler {
+    async fn call(&self, caller: Caller, request: Request) -> Response {
+        self.0.call(caller, request).await
+    }
+
+    fn consensus(&self, envelope: Envelope) {
+        self.0.consensus(envelope);
+    }
+}
+
+/// One running member.
+pub struct Running {
+    server: JoinHandle<()>,
+    pub store: Store,
+}
+
+/// Members on loopback with their data folders.
+pub struct Cell {
+    pub members: Vec<Option<Running>>,
+    folder: TempDir,
+    listed: Vec<InitialMember>,
+}
+
+impl Cell {
+    /// Binds a port for each member and starts all of them.
+    pub async fn start(size: usize) -> Self {
+        let mut servers = Vec::new();
+        for _ in 0..size {
+            let address = SocketAddr::from(([127, 0, 0, 1], 0));
+            servers.push(PeerServer::bind(address, secret()).await.unwrap());
+        }
+        let listed = servers.iter().enumerate().map(|(member, server)| InitialMember {
+            address: server.local_address().unwrap(),
+            name: name(member).into(),
+        });
+        let mut cell = Self {
+            listed: listed.collect(),
+            folder: tempfile::tempdir().unwrap(),
+            members: Vec::new(),
+        };
+        for (member, server) in servers.into_iter().enumerate() {
+            let running = cell.run(member, server, DiskFaults::default());
+            cell.members.push(Some(running));
+        }
+        cell
+    }
+
+    fn run(&self, member: usize, server: PeerServer, faults: DiskFaults) -> Running {
+        let mut settings = StoreSettings::new(
+            name(member),
+            self.data_folder(member),
+            self.listed.clone(),
+            secret(),
+        );
+        settings.allocator = None;
+        settings.log_store.faults = faults;
+        settings.snapshot_entries = 50;
+        let store = Store::start(settings).unwrap();
+        let handler = Arc::new(StoreHandler(store.clone()));
+        Running {
+            server: tokio::spawn(server.serve(handler)),
+            store,
+        }
+    }
+
+    pub fn data_folder(&self, member: usize) -> PathBuf {
+        self.folder.path().join(name(member))
+    }
+
+    /// Stops a member and closes its connections.
+    pub async fn stop(&mut self, member: usize) {
+        let running = self.members[member].take().unwrap();
+        running.server.abort();
+        running.store.stop().await;
+    }
+
+    /// Starts a stopped member again on its address.
+    pub async fn restart(&mut self, member: usize, faults: DiskFaults) {
+        let address = self.listed[member].address;
+        let started = Instant::now();
+        let server = loop {
+            match PeerServer::bind(address, secret()).await {
+                Ok(server) => break server,
+                Err(error) => assert!(started.elapsed() < PATIENCE, "cannot bind: {error}"),
+            }
+            sleep(Duration::from_millis(20)).await;
+        };
+        self.members[member] = Some(self.run(member, server, faults));
+    }
+
+    pub fn store(&self, member: usize) -> &Store {
+        &self.members[member].as_ref().unwrap().store
+    }
+
+    /// Waits until a running member leads and returns it.
+    pub async fn leader(&self) -> usize {
+        let leads = |member: &Option<Running>| {
+            let status = member.as_ref().map(|running| running.store.status());
+            status.is_some_and(|status| status.role == Role::Leader && status.commit > LogIndex(0))
+        };
+        wait_for("a leader", || self.members.iter().position(leads)).await
+    }
+
+    /// Proposes a no-op through whoever leads until one is applied.
+    pub async fn propose(&self) -> LogIndex {
+        let started = Instant::now();
+        loop {
+            let leader = self.leader().await;
+            let request = Request::Propose(Box::new(Command::Noop));
+            match self.store(leader).call(caller().0, request).await {
+                Response::Proposed { index, .. } => return index,
+                other => assert!(started.elapsed() < PATIENCE, "not applied: {other:?}"),
+            }
+        }
+    }
+
+    /// Waits until all running members have applied an index.
+    pub async fn applied_everywhere(&self, index: LogIndex) {
+        wait_for("all members to apply", || {
+            let mut running = self.members.iter().flatten();
+            running
+                .all(|member| member.store.status().applied >= index)
+                .then_some(())
+        })
+        .await;
+    }
+}
+
+/// Returns a caller with the frames that are sent back to it.
+pub fn caller() -> (Caller, mpsc::Receiver<Frame>) {
+    let (pushes, frames) = mpsc::channel(16);
+    (Caller { pushes }, frames)
+}
+
+/// Polls until a condition holds.
+pub async fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let started = Instant::now();
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(started.elapsed() < PATIENCE, "waited too long for {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn name(member: usize) -> String {
+    format!("store-{member}")
+}
+
+fn secret() -> CellSecret {
+    CellSecret::new("store tests")
+}
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::ForwardedRequest,
-    fuchsiatack_consensus::MemberId,
+    fuchsiatack_consensus::{Member, MemberId},
     fuchsiatack_derives::message,
     fuchsiatack_ledger::{Command, Query, Renewal},
     fuchsiatack_model::{LogIndex, SessionId},
@@ -16,6 +16,8 @@
     pub formed: bool,
     /// Identity of its disk.
     pub identity: MemberId,
+    /// Its member list; empty unless `formed`.
+    pub members: Vec<Member>,
     /// Its name from the settings.
     pub name: SmolStr,
 }
