daemon: answer interactive requests end to end

The store role runs the real store runtime, and the engine follows the kernel's rules: it retries lost idempotent tasks under their identifier, and expects one end for each start. The session's load says whether the daemon stops, which the renewal of the ledger asks for.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -93,9 +93,9 @@
 
 impl From<WorkerAnswer> for Answer {
     fn from(answer: WorkerAnswer) -> Self {
-        let (outcome, status) = match answer.status {
-            200..=299 => (Outcome::Done, STATUS_DONE),
-            _ => (Outcome::Failed, STATUS_FAILED),
+        let (outcome, status) = match answer.is_success() {
+            true => (Outcome::Done, STATUS_DONE),
+            false => (Outcome::Failed, STATUS_FAILED),
         };
         Self {
             body: answer.body,
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -196,7 +196,7 @@
             .session
             .directory()
             .worker(&announcement.name)
-            .is_some_and(|entry| entry.announcement == announcement);
+            .is_some_and(|entry| entry.announcement == announcement && !entry.lost);
         if !is_known {
             self.register(announcement.clone()).await?;
         }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -78,7 +78,7 @@
             operators = bound.operators.local_addr().map(|address| address.to_string()).unwrap_or_default(),
             peers = daemon.peer_address.to_string(),
         });
-        let store = StoreRole::start(&settings, secret.clone()).await?;
+        let store = StoreRole::start(&settings, secret.clone())?;
         let slot: Arc<OnceLock<Arc<Shared>>> = Arc::default();
         let counters = bound.peers.counters();
         let handler = Arc::new(PeerHandler::new(store.clone(), slot.clone()));
@@ -166,10 +166,13 @@
             message: error.to_string(),
         })?;
         Ok(DaemonInfo {
-            caller_address,
+            caller_address: settings.callers.advertised_address.unwrap_or(caller_address),
             data_center: DataCenter::new(&settings.data_center),
             name: DaemonName::new(&settings.name),
-            peer_address: self.peers.local_address()?,
+            peer_address: settings
+                .peers
+                .advertised_address
+                .unwrap_or(self.peers.local_address()?),
             weight: settings.weight,
         })
     }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -69,7 +69,6 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) started: Instant,
     pub(crate) teams: BTreeMap<TeamName, TeamSetting>,
-    pub(crate) tokens: HashMap<TeamName, u32>,
     pub(crate) valid: bool,
 }
 
@@ -94,7 +93,6 @@
             shared,
             started: Instant::now(),
             teams: BTreeMap::new(),
-            tokens: HashMap::new(),
             valid: false,
         }
     }
@@ -110,7 +108,7 @@
         let mut reports = interval(REPORT_PERIOD);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let something_waits = self.entries.waiting() > 0;
+            let something_waits = self.kernel.waiting() > 0;
             tokio::select! {
                 Some(event) = session.recv() => self.on_session(event),
                 Some(message) = messages.recv() => self.on_message(message),
@@ -198,13 +196,16 @@
     fn refusal_of(&mut self, new: &NewJobs) -> Option<Refusal> {
         let class = &new.class;
         let is_other = class.session.is_some_and(|session| Some(session) != self.session);
+        let is_work = new.jobs.iter().any(|job| matches!(job.reply, ReplyTo::Work(_)));
         let is_full = class
             .queue
             .as_ref()
             .is_some_and(|(queue, most)| self.entries.queued(queue, &class.team) >= *most);
         match () {
             () if self.handing_over.is_some() => Some(Refusal::Stopping),
-            () if is_other || !self.check_lease() => Some(Refusal::LeaseLapsed),
+            () if is_other || self.session.is_none() => Some(Refusal::LeaseLapsed),
+            // Queued work waits for the lease, since its assignment is the ledger's.
+            () if !is_work && !self.check_lease() => Some(Refusal::LeaseLapsed),
             () if is_full => Some(Refusal::QueueFull),
             () => None,
         }
@@ -304,11 +305,13 @@
         let EntryState::Running(running) = &entry.state else {
             return;
         };
-        let idempotent = entry.class.class.idempotent;
+        let stopping = entry.stopping;
         let worker = running.worker.clone();
         let run_us = ran.as_micros() as u64;
         self.shared.metrics.ran(ran);
         match end {
+            // A worker that stops a task on request answers its call too.
+            RunEnd::Answered(answer) if stopping && !answer.is_success() => self.on_stopped(task),
             RunEnd::Answered(answer) => {
                 let answer = Answer::from(answer);
                 let end = match answer.outcome {
@@ -320,13 +323,9 @@
             }
             RunEnd::Refused => self.on_refused(task, &worker, run_us),
             RunEnd::Lost => {
-                let end = TaskEnd::Lost;
-                self.feed(Event::Ended { end, run_us, task });
+                self.on_lost(task, worker.clone(), run_us);
+                self.stop_on_worker(task, &worker);
                 self.poke(&worker);
-                match idempotent && self.attached.contains_key(&worker) {
-                    true => self.on_lost(task, worker),
-                    false => self.finish(task, Answer::unknown("the connection to the worker was lost")),
-                }
             }
         }
     }
@@ -338,57 +337,45 @@
                 self.entries.set_state(task, EntryState::Waiting);
                 let end = TaskEnd::Refused;
                 self.feed(Event::Ended { end, run_us, task });
-                if self.entries.get(task).is_some_and(|entry| entry.cancelled) {
-                    self.feed(Event::Cancel { task });
-                }
             }
             false => self.finish(task, Answer::not_run(Refusal::WorkerRefused, LEASE_RETRY_MS)),
         }
     }
 
-    /// Keeps an idempotent task until it is known to be over. Stopping it makes that soon.
-    fn on_lost(&mut self, task: TaskId, worker: WorkerName) {
-        self.stop_on_worker(task, &worker);
-        let at = Instant::now();
-        self.entries.set_state(task, EntryState::Lost { at, worker });
+    /// Reacts to a broken call. The kernel starts an idempotent task again, or abandons it, once
+    /// the attempt is known to be over.
+    fn on_lost(&mut self, task: TaskId, worker: WorkerName, run_us: u64) {
+        let end = TaskEnd::Lost;
+        self.feed(Event::Ended { end, run_us, task });
+        let is_kept = self
+            .entries
+            .get(task)
+            .is_some_and(|entry| entry.class.class.idempotent && !entry.cancelled);
+        match is_kept && Some(task.session) == self.session {
+            true => {
+                let at = Instant::now();
+                self.entries.set_state(task, EntryState::Lost { at, worker });
+            }
+            false => self.finish(task, Answer::unknown("the connection to the worker was lost")),
+        }
     }
 
+    /// Reacts to the worker's word that a task no longer runs.
     fn on_stopped(&mut self, task: TaskId) {
         let Some(entry) = self.entries.get(task) else {
             return;
         };
-        match &entry.state {
-            EntryState::Lost { .. } => self.retry(task),
-            EntryState::Running(running) => {
-                running.abort.abort();
-                let (cancelled, idempotent) = (entry.cancelled, entry.class.class.idempotent);
-                let end = TaskEnd::Done;
-                self.feed(Event::Ended { end, run_us: 0, task });
-                match (cancelled, idempotent) {
-                    (true, _) => self.finish(task, Answer::unknown("the request was cancelled")),
-                    (false, true) => self.resubmit(task),
-                    (false, false) => self.finish(task, Answer::unknown("the task was preempted")),
-                }
-            }
-            EntryState::Forwarded(_) | EntryState::Waiting => {}
-        }
-    }
-
-    /// Runs an idempotent job again after its task is known to be over.
-    pub(crate) fn retry(&mut self, task: TaskId) {
-        let Some(entry) = self.entries.get(task) else {
+        let EntryState::Running(running) = &entry.state else {
             return;
         };
-        let is_work = matches!(entry.job.reply, ReplyTo::Work(_));
-        match is_work || self.budget.take() {
-            true => {
-                self.shared.metrics.retries.inc();
-                self.resubmit(task);
-            }
-            false => self.finish(
-                task,
-                Answer::unknown("the connection to the worker was lost and the retry budget is used up"),
-            ),
+        running.abort.abort();
+        let may_wait = !entry.cancelled && entry.class.class.idempotent;
+        let end = TaskEnd::Failed;
+        self.feed(Event::Ended { end, run_us: 0, task });
+        match may_wait && Some(task.session) == self.session {
+            // The kernel has a task that it stopped to make room wait again.
+            true => self.entries.set_state(task, EntryState::Waiting),
+            false => self.finish(task, Answer::unknown("the task was stopped")),
         }
     }
 
@@ -419,12 +406,6 @@
         );
         let mut running = reported.clone();
         running.extend(broken_later.iter().filter(|task| !reported.contains(task)));
-        let over = self
-            .entries
-            .tasks_where(|entry| matches!(&entry.state, EntryState::Lost { worker: on, .. } if on == worker));
-        over.into_iter()
-            .filter(|task| !running.contains(task))
-            .for_each(|task| self.retry(task));
         self.end_adopted(worker, &running);
         if report.leaving {
             self.hold(worker.clone(), true);
@@ -449,16 +430,15 @@
         self.end_adopted(&worker, &[]);
     }
 
+    /// Ends the call of a task whose worker is gone. The kernel expects one end for each start.
     fn end_on_removed_worker(&mut self, task: TaskId) {
         let Some(entry) = self.entries.get(task) else {
             return;
         };
         if let EntryState::Running(running) = &entry.state {
             running.abort.abort();
-        }
-        match entry.class.class.idempotent && !entry.cancelled {
-            true => self.retry(task),
-            false => self.finish(task, Answer::unknown("the worker was lost")),
+            let worker = running.worker.clone();
+            self.on_lost(task, worker, 0);
         }
     }
 
@@ -509,8 +489,8 @@
         metrics.set_usage(&usage);
         self.load.set(OwnLoad {
             free_slots: free.slots,
-            token_teams: self.teams_with_tokens(&usage),
-            waiting: usage.iter().map(|(_, _, waiting)| waiting).sum(),
+            token_teams: self.token_teams(),
+            waiting: self.kernel.waiting(),
         });
         let usage = usage
             .into_iter()
@@ -520,17 +500,18 @@
                 waiting,
             })
             .collect();
-        self.shared.session.set_load(Load { free, usage });
+        let stopping = self.shared.stopping.is_not_ready();
+        self.shared.session.set_load(Load {
+            free,
+            stopping,
+            usage,
+        });
     }
 
-    fn teams_with_tokens(&self, usage: &[(TeamName, u32, u32)]) -> Vec<TeamName> {
-        let running: HashMap<_, _> = usage.iter().map(|(team, running, _)| (team, *running)).collect();
-        self.tokens
-            .iter()
-            .filter(|(team, tokens)| **tokens > running.get(team).copied().unwrap_or_default())
-            .map(|(team, _)| team.clone())
-            .take(LoadHint::MAX_TOKEN_TEAMS)
-            .collect()
+    fn token_teams(&self) -> Vec<TeamName> {
+        let mut teams = self.kernel.token_teams();
+        teams.truncate(LoadHint::MAX_TOKEN_TEAMS);
+        teams
     }
 }
 
--- a/crates/daemon/src/engine_decisions.rs
+++ b/crates/daemon/src/engine_decisions.rs
@@ -29,6 +29,9 @@
 impl Engine {
     pub(crate) fn carry_out(&mut self, decision: Decision) {
         match decision {
+            Decision::Abandon { task } => {
+                self.finish(task, Answer::unknown("the connection to the worker was lost"));
+            }
             Decision::Blocked { task, .. } => {
                 spdlog::debug!("no present worker is large enough for a task", kv: { task = task.to_string() });
             }
@@ -44,13 +47,24 @@
                 }
             }
             Decision::Start { epoch, task, worker } => self.start(task, worker, epoch),
-            Decision::Stop { task, worker } => self.stop_on_worker(task, &worker),
+            Decision::Stop { task, worker } => {
+                if let Some(entry) = self.entries.get_mut(task) {
+                    entry.stopping = true;
+                }
+                self.stop_on_worker(task, &worker);
+            }
         }
     }
 
     /// Runs a task on a worker, if the lease holds at this moment.
     fn start(&mut self, task: TaskId, worker: WorkerName, epoch: Epoch) {
         let valid = self.check_lease();
+        if !self.may_start_again(task) {
+            let end = TaskEnd::Done;
+            self.feed(Event::Ended { end, run_us: 0, task });
+            let message = "the connection to the worker was lost and the retry budget is used up";
+            return self.finish(task, Answer::unknown(message));
+        }
         let address = self
             .attached
             .get(&worker)
@@ -59,6 +73,7 @@
             let end = TaskEnd::Refused;
             return self.feed(Event::Ended { end, run_us: 0, task });
         };
+        entry.stopping = false;
         entry.wait = None;
         self.shared.metrics.waited(entry.waiting_since.elapsed());
         let call = run_call(entry, task, epoch);
@@ -85,6 +100,21 @@
         self.entries.set_state(task, EntryState::Running(running));
     }
 
+    /// Takes a retry out of the budget if the task was lost before. Queued work needs none.
+    fn may_start_again(&mut self, task: TaskId) -> bool {
+        let Some(entry) = self.entries.get(task) else {
+            return true;
+        };
+        match (&entry.state, &entry.job.reply) {
+            (EntryState::Lost { .. }, ReplyTo::Caller(_)) if !self.budget.take() => false,
+            (EntryState::Lost { .. }, _) => {
+                self.shared.metrics.retries.inc();
+                true
+            }
+            _ => true,
+        }
+    }
+
     fn forward(&mut self, task: TaskId, daemon: &DaemonName) {
         let address = Peers::address_of(&self.shared.session.directory(), daemon);
         let (Some(entry), Some(address)) = (self.entries.get_mut(task), address) else {
@@ -187,6 +217,7 @@
         content_type: entry.job.content_type.clone(),
         demand: entry.class.class.demand,
         epoch,
+        request: entry.job.request.clone(),
         task,
         team: entry.class.team.clone(),
         trace_parent: entry.job.trace_parent.clone(),
--- a/crates/daemon/src/engine_directory.rs
+++ b/crates/daemon/src/engine_directory.rs
@@ -13,7 +13,7 @@
     fuchsiatack_model::{LogIndex, Refusal, SessionId, WorkerName, WorkerReport},
     fuchsiatack_records::{Kind, Spec},
     fuchsiatack_session::SessionEvent,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -48,7 +48,6 @@
         self.releasing.clear();
         self.returns.clear();
         self.teams.clear();
-        self.tokens.clear();
         self.kernel = new_kernel();
         for task in self.entries.tasks_where(|entry| entry.is_waiting()) {
             self.finish(task, Answer::not_run(Refusal::LeaseLapsed, LEASE_RETRY_MS));
@@ -107,11 +106,16 @@
                 self.follow_hold(WorkerName(record.name));
             }
             Change::RecordDeleted { .. } | Change::RecordWritten(_) => {}
-            Change::TasksAssigned { spec, tasks, work } => self.on_tasks_assigned(*spec, tasks, work),
-            Change::TokensSet { team, tokens } => {
-                self.tokens.insert(team.clone(), tokens);
-                self.feed(Event::TokensSet { team, tokens });
-            }
+            Change::TasksAssigned {
+                running,
+                spec,
+                tasks,
+                work,
+            } => match running {
+                true => self.book.expect(&Arc::new(*spec), &work, tasks),
+                false => self.on_tasks_assigned(*spec, tasks, work),
+            },
+            Change::TokensSet { team, tokens } => self.feed(Event::TokensSet { team, tokens }),
             Change::WorkCancelled { work } => self.on_work_cancelled(&work),
             Change::WorkerChanged(entry) => self.on_worker_changed(*entry),
             Change::WorkerDetached { moved, worker } => self.on_worker_detached(worker, moved),
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -35,6 +35,8 @@
     pub(crate) class: JobClass,
     pub(crate) job: Job,
     pub(crate) state: EntryState,
+    /// Whether its worker was asked to stop it.
+    pub(crate) stopping: bool,
     /// Span of the wait.
     pub(crate) wait: Option<Hop>,
     pub(crate) waiting_since: Instant,
@@ -47,6 +49,7 @@
             class,
             job,
             state: EntryState::Waiting,
+            stopping: false,
             wait: Some(wait),
             waiting_since: Instant::now(),
         }
--- a/crates/daemon/src/http_adapter.rs
+++ b/crates/daemon/src/http_adapter.rs
@@ -25,7 +25,9 @@
 const TEAM_HEADER: &str = "fuchsiatack-team";
 /// Header with the W3C trace context.
 const TRACE_HEADER: &str = "traceparent";
-/// Header with the task of a queued work, as JSON.
+/// Header with the request id of the caller.
+const REQUEST_HEADER: &str = "fuchsiatack-request-id";
+/// Header with the task of a queued work, as `NAME/NUMBER`.
 const WORK_HEADER: &str = "fuchsiatack-work";
 
 /// Client of HTTP workers with pooled connections.
@@ -68,6 +70,7 @@
             .header(EPOCH_HEADER, call.epoch.0)
             .header(TEAM_HEADER, call.team.as_str())
             .header(DEMAND_HEADER, json(&call.demand))
+            .header(REQUEST_HEADER, call.request.as_str())
             .body(call.body);
         if let Some(content_type) = call.content_type {
             request = request.header(header::CONTENT_TYPE, content_type.as_str());
@@ -76,7 +79,7 @@
             request = request.header(TRACE_HEADER, trace_parent.as_str());
         }
         match call.work {
-            Some(work) => request.header(WORK_HEADER, json(&work)),
+            Some(work) => request.header(WORK_HEADER, format!("{}/{}", work.work, work.number)),
             None => request,
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -25,6 +25,8 @@
 pub struct CallerSettings {
     /// Address to listen on.
     pub address: Option<SocketAddr>,
+    /// Address that workers and daemons are given, if it is not the one listened on.
+    pub advertised_address: Option<SocketAddr>,
     /// Longest request body in bytes.
     pub max_body_bytes: usize,
     /// Most open connections.
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             address: None,
+            advertised_address: None,
             max_body_bytes: 1 << 20,
             max_connections: 4_096,
         }
@@ -55,6 +58,8 @@
 pub struct PeerSettings {
     /// Address to listen on.
     pub address: Option<SocketAddr>,
+    /// Address that other daemons are given, if it is not the one listened on.
+    pub advertised_address: Option<SocketAddr>,
 }
 
 /// An initial store member.
--- a/crates/daemon/src/settings_check.rs
+++ b/crates/daemon/src/settings_check.rs
@@ -161,8 +161,9 @@
         let message = format!("the store role needs {} itself in the member list", settings.name);
         return Err(fault("store.members", message));
     };
+    let address = Some(settings.store.members[number].address);
     require(
-        Some(settings.store.members[number].address) == settings.peers.address,
+        address == settings.peers.address || address == settings.peers.advertised_address,
         &format!("store.members.{number}.address"),
         "differs from peers.address of this daemon",
     )
--- a/crates/daemon/src/work_book.rs
+++ b/crates/daemon/src/work_book.rs
@@ -14,6 +14,8 @@
     Adopted { task: TaskId, worker: WorkerName },
     /// Its end is being committed.
     Ending,
+    /// A worker of this session runs it; the report that names its task has not arrived yet.
+    Expected,
     /// Its end was applied at this index. Older directories may still list it.
     Settled(LogIndex),
     /// It waits or runs here.
@@ -46,10 +48,23 @@
 
     /// Notes a task that a fenced worker runs. One that this session holds already stays as it is.
     pub(crate) fn adopt(&mut self, work: WorkTask, task: TaskId, worker: WorkerName) {
-        self.entries.entry(work).or_insert(Entry {
-            spec: None,
-            state: WorkState::Adopted { task, worker },
-        });
+        let state = WorkState::Adopted { task, worker };
+        match self.entries.get_mut(&work) {
+            Some(entry) if entry.state == WorkState::Expected => entry.state = state,
+            Some(_) => {}
+            None => drop(self.entries.insert(work, Entry { spec: None, state })),
+        }
+    }
+
+    /// Notes assigned tasks that a fenced worker already runs. They are not submitted.
+    pub(crate) fn expect(&mut self, spec: &Arc<WorkSpec>, work: &WorkName, tasks: Vec<u32>) {
+        for task in self.assign(spec, work, tasks) {
+            let entry = Entry {
+                spec: Some(spec.clone()),
+                state: WorkState::Expected,
+            };
+            self.entries.insert(task, entry);
+        }
     }
 
     /// Returns which of the assigned tasks are new and must be submitted.
--- a/crates/daemon/src/worker_adapter.rs
+++ b/crates/daemon/src/worker_adapter.rs
@@ -4,7 +4,8 @@
     async_trait::async_trait,
     bytes::Bytes,
     fuchsiatack_model::{
-        Epoch, EpochRequest, LeaseRequest, Resources, TaskCommand, TaskId, TeamName, WorkTask, WorkerReport,
+        Epoch, EpochRequest, LeaseRequest, RequestId, Resources, TaskCommand, TaskId, TeamName, WorkTask,
+        WorkerReport,
     },
     smol_str::SmolStr,
 };
@@ -30,6 +31,8 @@
     pub(crate) demand: Resources,
     /// Ownership epoch.
     pub(crate) epoch: Epoch,
+    /// Identifier that the caller chose.
+    pub(crate) request: RequestId,
     /// The task.
     pub(crate) task: TaskId,
     /// Team it counts for.
@@ -51,6 +54,13 @@
     pub(crate) status: u16,
 }
 
+impl WorkerAnswer {
+    /// Returns whether the task succeeded.
+    pub(crate) fn is_success(&self) -> bool {
+        matches!(self.status, 200..=299)
+    }
+}
+
 /// How a run call ended.
 #[derive(Clone, Debug)]
 pub(crate) enum RunEnd {
