daemon: name the key of each wrong setting and answer unknown paths whole

A value of the wrong type was reported with its line only; the key is found by its place now. An unknown path lacked the fuchsiatack-index header.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -102,11 +102,13 @@
         });
         let _ = slot.set(shared.clone());
         let callers = HttpServer::start(
+            &shared,
             bound.callers,
             shared.settings.callers.max_connections,
             caller_api::router(&shared),
         )?;
         let operators = HttpServer::start(
+            &shared,
             bound.operators,
             OPERATOR_CONNECTIONS,
             operator_api::router(&shared),
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -16,7 +16,7 @@
         server::ServerHandle,
     },
     serde_json::{Value, json},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::JoinHandle},
 };
 
@@ -40,6 +40,7 @@
 impl HttpServer {
     /// Starts to serve on a bound listener.
     pub(crate) fn start(
+        shared: &Arc<Shared>,
         listener: TcpListener,
         max_connections: usize,
         router: Router,
@@ -57,7 +58,8 @@
             .max_headers(MAX_HEADERS)
             .max_buf_size(MAX_HEAD_BYTES);
         let handle = server.handle();
-        let service = Service::new(router).catcher(salvo::catcher::Catcher::default().hoop(NotFound));
+        let service =
+            Service::new(router).catcher(salvo::catcher::Catcher::default().hoop(NotFound(shared.clone())));
         let task = tokio::spawn(async move {
             let _ = server.try_serve(service).await;
         });
@@ -72,7 +74,7 @@
 }
 
 /// Answers paths and methods that do not exist, as JSON.
-struct NotFound;
+struct NotFound(Arc<Shared>);
 
 #[salvo::async_trait]
 impl salvo::Handler for NotFound {
@@ -91,6 +93,7 @@
         };
         let message = format!("{} {} {message}", request.method(), request.uri().path());
         render_error(response, &HttpError::new(status, reason, message));
+        set_index(response, applied(&self.0));
         flow.skip_rest();
     }
 }
--- a/crates/daemon/src/locate.rs
+++ b/crates/daemon/src/locate.rs
@@ -1,7 +1,9 @@
-//! Finds the line of a key in a settings file.
+//! Finds the line of a key in a settings file, and the key at a place.
 
 use {
     serde::de::{DeserializeSeed, Deserializer, Error, IgnoredAny, MapAccess, SeqAccess, Visitor},
+    serde_json::Value,
+    serde_saphyr::Location,
     std::fmt::{Formatter, Result as FormatResult},
 };
 
@@ -17,13 +19,57 @@
         .unwrap_or(1)
 }
 
+/// Path of the key whose value is at `place`, with dots.
+pub(crate) fn key_at(text: &str, place: &Location) -> Option<String> {
+    paths_of(text).into_iter().find(|path| {
+        let steps: Vec<_> = path.split('.').collect();
+        location_of(text, &steps).is_some_and(|found| same_place(&found, place))
+    })
+}
+
+fn same_place(one: &Location, other: &Location) -> bool {
+    (one.line(), one.column()) == (other.line(), other.column())
+}
+
 fn line_of_exact(text: &str, path: &[&str]) -> Option<u64> {
+    location_of(text, path).map(|location| location.line())
+}
+
+fn location_of(text: &str, path: &[&str]) -> Option<Location> {
     let walked = serde_saphyr::with_deserializer_from_str(text, |yaml| Walk { path }.deserialize(yaml));
-    walked
-        .err()?
-        .location()
-        .map(|location| location.line())
-        .filter(|line| *line > 0)
+    walked.err()?.location().filter(|location| location.line() > 0)
+}
+
+/// Paths of all keys, those with longer paths after their beginnings.
+fn paths_of(text: &str) -> Vec<String> {
+    let mut paths = Vec::new();
+    let mut level = vec![String::new()];
+    while let Some(parent) = level.pop() {
+        let children = keys_below(text, &parent);
+        level.extend(children.iter().cloned());
+        paths.extend(children);
+    }
+    paths
+}
+
+fn keys_below(text: &str, parent: &str) -> Vec<String> {
+    let Ok(Value::Object(root)) = serde_saphyr::from_str::<Value>(text) else {
+        return Vec::new();
+    };
+    let root = Value::Object(root);
+    let pointer = match parent {
+        "" => String::new(),
+        parent => format!("/{}", parent.replace('.', "/")),
+    };
+    let join = |key: String| match parent {
+        "" => key,
+        parent => format!("{parent}.{key}"),
+    };
+    match root.pointer(&pointer) {
+        Some(Value::Object(map)) => map.keys().cloned().map(join).collect(),
+        Some(Value::Array(items)) => (0..items.len()).map(|number| join(number.to_string())).collect(),
+        _ => Vec::new(),
+    }
 }
 
 struct Walk<'a> {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -240,7 +240,8 @@
     /// Reads and checks a settings file.
     pub fn read(file: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(file).map_err(|error| SettingsError::unreadable(file, &error))?;
-        let settings = serde_saphyr::from_str(&text).map_err(|error| SettingsError::parse(file, &error))?;
+        let settings =
+            serde_saphyr::from_str(&text).map_err(|error| SettingsError::parse(file, &text, &error))?;
         crate::settings_check::check(&settings, file, &text)?;
         Ok(settings)
     }
--- a/crates/daemon/src/settings_error.rs
+++ b/crates/daemon/src/settings_error.rs
@@ -1,10 +1,14 @@
 //! Errors of the settings file.
 
 use {
+    crate::locate::key_at,
     displaydoc::Display,
     std::path::{Path, PathBuf},
 };
 
+/// Beginning of the place that the YAML library appends to its messages.
+const PLACE: &str = " at line ";
+
 /// What is wrong with the settings.
 #[derive(Debug, Display)]
 pub enum SettingsError {
@@ -38,11 +42,22 @@
 }
 
 impl SettingsError {
-    pub(crate) fn parse(file: &Path, error: &serde_saphyr::Error) -> Self {
-        Self::Parse {
-            file: file.display().to_string(),
-            line: error.location().map_or(1, |location| location.line()),
-            message: error.without_snippet().to_string(),
+    pub(crate) fn parse(file: &Path, text: &str, error: &serde_saphyr::Error) -> Self {
+        let file = file.display().to_string();
+        let line = error.location().map_or(1, |location| location.line());
+        let shown = error.without_snippet().to_string();
+        let message = match shown.rsplit_once(PLACE) {
+            Some((message, _)) => message.to_owned(),
+            None => shown,
+        };
+        match error.location().and_then(|place| key_at(text, &place)) {
+            Some(key) => Self::Invalid {
+                file,
+                key,
+                line,
+                message,
+            },
+            None => Self::Parse { file, line, message },
         }
     }
 
--- /dev/null
+++ b/crates/daemon/tests/http_input.rs
@@ -0,0 +1,281 @@
+//! Wrong input over HTTP gets an error that says what was wrong, and nothing is run.
+
+use {
+    fuchsiatack_testkit::{Cell, CellBuilder, WorkerEventKind},
+    reqwest::{Client, Method, RequestBuilder},
+    serde_json::{Value, json},
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+const KEY: &str = "key-of-team-anfa";
+const RECORDS: &str = r#"
+{schema: 2, kind: team, name: anfa, version: 0, spec: {title: Anfa}}
+---
+{schema: 1, kind: key, name: anfa-1, version: 0, spec: {team: anfa, secret: key-of-team-anfa}}
+---
+{schema: 2, kind: queue, name: repairs, version: 0, spec: {access: keyed, policy: interactive, max_waiting: 100, demand: {slots: 1, connections: 1}}}
+"#;
+const MAX_BODY_BYTES: u64 = 2_000;
+
+async fn cell() -> Cell {
+    CellBuilder::new(env!("CARGO_BIN_EXE_fuchsiatackd"))
+        .workers(1)
+        .adjust_daemon(|daemon| daemon.callers.max_body_bytes = MAX_BODY_BYTES)
+        .records(RECORDS)
+        .start()
+        .await
+        .expect("the cell starts")
+}
+
+fn client() -> Client {
+    Client::builder()
+        .no_proxy()
+        .timeout(Duration::from_secs(30))
+        .build()
+        .expect("a client without TLS needs no system support")
+}
+
+fn post(cell: &Cell, path: &str) -> RequestBuilder {
+    let address = cell.caller_addresses()[0];
+    client().post(format!("http://{address}{path}")).body("a body")
+}
+
+fn request(cell: &Cell) -> RequestBuilder {
+    post(cell, "/v1/queues/repairs/requests")
+}
+
+async fn assert_refused(request: RequestBuilder, status: u16, reason: &str, part: &str) {
+    let response = request.send().await.expect("an answer");
+    assert_eq!(response.status(), status, "{reason}");
+    assert_eq!(response.headers()["fuchsiatack-outcome"], "not-run", "{reason}");
+    assert!(response.headers().contains_key("fuchsiatack-index"), "{reason}");
+    let body: Value = response.json().await.expect("JSON");
+    assert_eq!(body["outcome"], "not-run");
+    assert_eq!(body["reason"], reason);
+    let message = body["message"].as_str().expect("a message");
+    assert!(message.contains(part), "no {part} in {message}");
+}
+
+async fn assert_nothing_started(cell: &Cell) {
+    let events = cell.worker_events().expect("a readable log");
+    assert!(events.iter().all(|event| event.event != WorkerEventKind::Started));
+}
+
+/// Guards against a request that runs although its headers, key, queue or body are wrong.
+#[tokio::test]
+async fn refuses_wrong_requests() {
+    let cell = cell().await;
+    let id = "fuchsiatack-request-id";
+    let keyed = || request(&cell).bearer_auth(KEY).header(id, "request-1");
+
+    assert_refused(
+        request(&cell).header(id, "request-1"),
+        401,
+        "missing-key",
+        "authorization",
+    )
+    .await;
+    assert_refused(
+        request(&cell).bearer_auth("wrong").header(id, "r"),
+        403,
+        "wrong-key",
+        "key",
+    )
+    .await;
+    assert_refused(
+        request(&cell)
+            .header(id, "r")
+            .header("authorization", "Basic YQ=="),
+        401,
+        "malformed-authorization",
+        "Bearer",
+    )
+    .await;
+    assert_refused(request(&cell).bearer_auth(KEY), 400, "missing-request-id", id).await;
+    assert_refused(
+        request(&cell).bearer_auth(KEY).header(id, "x".repeat(129)),
+        400,
+        "id-too-long",
+        "128",
+    )
+    .await;
+    assert_refused(keyed().header(id, "request-2"), 400, "repeated-header", id).await;
+    assert_refused(
+        keyed().header("fuchsiatack-deadline-ms", "soon"),
+        400,
+        "bad-deadline",
+        "fuchsiatack-deadline-ms",
+    )
+    .await;
+    assert_refused(
+        keyed().header("fuchsiatack-deadline-ms", "-1"),
+        400,
+        "bad-deadline",
+        "whole number",
+    )
+    .await;
+    assert_refused(
+        keyed().header("fuchsiatack-deadline-ms", "99999999999"),
+        400,
+        "bad-deadline",
+        "86400000",
+    )
+    .await;
+    assert_refused(
+        keyed().header("fuchsiatack-idempotent", "yes"),
+        400,
+        "bad-idempotent",
+        "true",
+    )
+    .await;
+    assert_refused(keyed().body("x".repeat(2_001)), 413, "body-too-long", "2000").await;
+    assert_refused(
+        post(&cell, "/v1/queues/none/requests")
+            .bearer_auth(KEY)
+            .header(id, "r"),
+        404,
+        "unknown-queue",
+        "none",
+    )
+    .await;
+    assert_refused(post(&cell, "/v1/nothing"), 404, "unknown-path", "/v1/nothing").await;
+    assert_refused(
+        post(&cell, "/v1/workers/announce").body("{"),
+        400,
+        "bad-announcement",
+        "EOF",
+    )
+    .await;
+
+    assert_nothing_started(&cell).await;
+    cell.stop().await.expect("exit code 0");
+}
+
+/// Guards against a request whose body was cut off and runs nevertheless.
+#[tokio::test]
+async fn refuses_a_truncated_body() {
+    let cell = cell().await;
+    let mut stream = TcpStream::connect(cell.caller_addresses()[0])
+        .await
+        .expect("a connection");
+    let head = format!(
+        "POST /v1/queues/repairs/requests HTTP/1.1\r\nhost: daemon\r\nauthorization: Bearer {KEY}\r\n\
+         fuchsiatack-request-id: request-1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\nnot a size\r\n"
+    );
+
+    stream.write_all(head.as_bytes()).await.expect("a write");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("a read");
+
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("truncated-body"), "{answer}");
+    assert_nothing_started(&cell).await;
+    cell.stop().await.expect("exit code 0");
+}
+
+/// Guards against reads and writes of records without the operators' key or with wrong input.
+#[tokio::test]
+async fn refuses_wrong_operator_calls() {
+    let mut cell = cell().await;
+    let address = cell.daemon(1).operator_address();
+    let key = std::fs::read_to_string(cell.operator_key_file()).expect("a key");
+    let call = |method: Method, path: &str| client().request(method, format!("http://{address}{path}"));
+    let keyed = |method, path: &str| call(method, path).bearer_auth(key.trim());
+    let team = json!({"schema": 2, "kind": "team", "name": "anfa", "version": 0, "spec": {"title": "Again"}});
+    let other =
+        json!({"schema": 2, "kind": "team", "name": "other", "version": 0, "spec": {"title": "Other"}});
+
+    assert_refused(
+        call(Method::GET, "/v1/status"),
+        401,
+        "missing-key",
+        "authorization",
+    )
+    .await;
+    assert_refused(
+        call(Method::GET, "/v1/status").bearer_auth(KEY),
+        403,
+        "wrong-key",
+        "key",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::GET, "/v1/records/teams"),
+        404,
+        "unknown-kind",
+        "teams",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::GET, "/v1/records/team/none"),
+        404,
+        "unknown-record",
+        "none",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::GET, "/v1/records/team/anfa?schema=3"),
+        400,
+        "unknown-schema",
+        "3",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::GET, "/v1/records/team/anfa?floor=x"),
+        400,
+        "bad-number",
+        "floor",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::DELETE, "/v1/records/team/anfa"),
+        400,
+        "missing-version",
+        "version",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::PUT, "/v1/records/team/anfa").body("{"),
+        400,
+        "bad-json",
+        "EOF",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::PUT, "/v1/records/team/anfa").json(&other),
+        400,
+        "wrong-name",
+        "path",
+    )
+    .await;
+    assert_refused(
+        keyed(Method::PUT, "/v1/records/team/anfa").json(&team),
+        409,
+        "conflict",
+        "version 1",
+    )
+    .await;
+    assert_eq!(
+        call(Method::GET, "/live")
+            .send()
+            .await
+            .expect("an answer")
+            .status(),
+        200
+    );
+    assert_eq!(
+        call(Method::GET, "/ready")
+            .send()
+            .await
+            .expect("an answer")
+            .status(),
+        200
+    );
+
+    cell.stop().await.expect("exit code 0");
+}
