session: report a planned stop with each renewal

Ruled out: inferring a stop from released workers, since the allocator would hand them back in the meantime. Before: build error. After: the workspace builds and all its tests pass in one run.

--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -29,6 +29,8 @@
 pub struct Load {
     /// Free amounts on its workers, added up.
     pub free: Resources,
+    /// Whether the daemon is in a planned stop.
+    pub stopping: bool,
     /// Use by team, for teams with running or waiting tasks.
     pub usage: Vec<TeamUsage>,
 }
@@ -71,6 +73,7 @@
         let (events, receiver) = mpsc::channel(UPDATE_QUEUE);
         let load = Load {
             free: Resources::NONE,
+            stopping: false,
             usage: Vec::new(),
         };
         let shared = Arc::new(Shared {
@@ -233,6 +236,7 @@
             applied,
             free: load.free,
             session,
+            stopping: load.stopping,
             usage: load.usage,
         }
     }
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -119,6 +119,7 @@
                 applied: LogIndex(0),
                 free: Resources::NONE,
                 session: SessionId(number),
+                stopping: false,
                 usage: Vec::new(),
             };
             tokio::spawn(async move { (number, client.call(Request::Renew(renewal), GENEROUS).await) })
