session: repeat a repeatable proposal after a leader change

Cause: a leader that loses its office answers open proposals with a failure, since it cannot tell whether they will be committed; the client passed that on as an error even for writes that carry an operation id. Ruled out: answering NotLeader there, which would claim that the proposal had no effect. Before: the new test fails with "leadership was lost" at the first failure. After: it passes, and the other 8 tests with it.

--- a/crates/session/src/cell_client.rs
+++ b/crates/session/src/cell_client.rs
@@ -140,7 +140,12 @@
                 Ok(Response::NotLeader(NotLeader { leader })) => {
                     self.redirect(client.address(), leader);
                 }
-                Ok(Response::Failed { message }) => return Err(SessionError::Failed(message)),
+                // A leader that lost its office cannot tell whether a proposal will be committed.
+                Ok(Response::Failed { message }) if !repeat => return Err(SessionError::Failed(message)),
+                Ok(Response::Failed { .. }) => {
+                    in_doubt = true;
+                    self.redirect(client.address(), None);
+                }
                 Ok(response) => return Ok(response),
                 Err(WireError::Lost | WireError::TimedOut) if in_doubt && !repeat => {
                     return Err(SessionError::NoAnswer);
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -28,6 +28,8 @@
 #[derive(Default)]
 struct Script {
     commit: u64,
+    /// Number of calls that are answered with a failure first.
+    failures: u32,
     follower: Option<mpsc::Sender<Frame>>,
     leader: Option<SocketAddr>,
     opened: u64,
@@ -65,6 +67,16 @@
         if let Some(leader) = self.change(|script| script.leader) {
             return Response::NotLeader(NotLeader { leader: Some(leader) });
         }
+        let fails = self.change(|script| {
+            let fails = script.failures > 0;
+            script.failures = script.failures.saturating_sub(1);
+            fails
+        });
+        if fails {
+            return Response::Failed {
+                message: "leadership was lost".into(),
+            };
+        }
         match request {
             Request::Propose(command) => match *command {
                 Command::OpenSession(_) => {
@@ -317,6 +329,21 @@
     assert_eq!(committed.reply, Reply::Applied);
 }
 
+/// Guards against an error for a repeatable write only because the leader changed meanwhile.
+#[tokio::test]
+async fn repeatable_command_outlives_a_leader_change() {
+    let fixture = store().await;
+    fixture.store.change(|script| script.failures = 3);
+
+    let committed = cell(vec![fixture.address])
+        .propose(Command::Noop, true, GENEROUS)
+        .await
+        .expect("committed");
+
+    assert_eq!(committed.reply, Reply::Applied);
+    assert_eq!(fixture.store.change(|script| script.failures), 0);
+}
+
 /// Guards against a second proposal of a command that may already have been applied.
 #[tokio::test]
 async fn command_in_doubt_is_not_repeated() {
