--- a/crates/ledger/src/apply_fence.rs
+++ b/crates/ledger/src/apply_fence.rs
@@ -1,11 +1,18 @@
 //! Fencing and loss of workers, with the tokens and tasks of their former owners.
 
 use {
-    crate::{Change, Ledger, LedgerError, Reply, TeamCount, apply_sessions::stale, changes::Changes},
+    crate::{
+        Change, Ledger, LedgerError, Reply, TeamCount, apply_sessions::stale, changes::Changes,
+        worker::Worker,
+    },
     fuchsiatack_model::{Epoch, SessionId, TeamName, WorkTask, WorkerName},
     std::collections::BTreeMap,
 };
 
+/// Lost workers that are known, so that workers which never return do not add up. About
+/// 46 VMs fail a day, so a worker is known for some weeks.
+const MAX_LOST_WORKERS: usize = 1_000;
+
 impl Ledger {
     /// Notes that the owner fenced a worker, and moves the tokens and tasks that run there.
     ///
@@ -62,6 +69,8 @@
         self.send_detached(name, former, Vec::new(), changes);
         changes.all(Change::WorkerChanged(entry));
         self.detach(name, former);
+        self.lost_workers.push_back((name.clone(), epoch));
+        self.forget_lost_workers(changes);
         self.revisions.fleet += 1;
         self.revisions.work += 1;
         Ok(Reply::Applied)
@@ -75,6 +84,18 @@
         self.forget_if_counted(former);
     }
 
+    fn forget_lost_workers(&mut self, changes: &mut Changes) {
+        while self.lost_workers.len() > MAX_LOST_WORKERS
+            && let Some((worker, epoch)) = self.lost_workers.pop_front()
+        {
+            let is_away = |known: &Worker| known.entry.lost && known.entry.epoch == epoch;
+            if self.workers.get(&worker).is_some_and(is_away) {
+                self.workers.remove(&worker);
+                changes.all(Change::WorkerForgotten { worker });
+            }
+        }
+    }
+
     fn move_tokens(
         &mut self,
         worker: &WorkerName,
--- a/crates/ledger/src/apply_sessions.rs
+++ b/crates/ledger/src/apply_sessions.rs
@@ -8,6 +8,9 @@
     fuchsiatack_model::{Epoch, LogIndex, SessionId, WorkerAnnouncement, WorkerName},
 };
 
+/// Workers that are known at once: three times the planned size of the cell.
+const MAX_WORKERS: usize = 10_000;
+
 impl Ledger {
     /// Makes a session the owner of a worker that has none.
     pub(crate) fn assign_worker(
@@ -98,8 +101,13 @@
         &mut self,
         announcement: WorkerAnnouncement,
         changes: &mut Changes,
-    ) -> Reply {
+    ) -> Result<Reply, LedgerError> {
         let name = announcement.name.clone();
+        if self.workers.len() >= MAX_WORKERS && !self.workers.contains_key(&name) {
+            return Err(LedgerError::TooManyWorkers {
+                limit: MAX_WORKERS as u32,
+            });
+        }
         let worker = self.workers.entry(name).or_insert_with(|| Worker {
             counted_for: None,
             entry: WorkerEntry {
@@ -118,7 +126,7 @@
             self.revisions.fleet += 1;
             self.revisions.work += 1;
         }
-        Reply::Applied
+        Ok(Reply::Applied)
     }
 
     /// Takes a worker from its owner at the owner's wish.
--- a/crates/ledger/src/apply_work.rs
+++ b/crates/ledger/src/apply_work.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        Change, Ledger, LedgerError, RecordAction, RecordWrite, Reply, changes::Changes, work_store::Work,
+        Change, Ledger, LedgerError, RecordAction, RecordWrite, Reply, changes::Changes, session::Session,
+        work_store::Work,
     },
     fuchsiatack_model::{
         LogIndex, Policy, Refusal, Resources, SessionId, TaskOutcome, WorkName, WorkSpec, WorkStatus,
-        WorkTask,
+        WorkTask, WorkerName,
     },
     fuchsiatack_records::{Kind, Record, Spec},
     smol_str::SmolStr,
@@ -107,12 +108,32 @@
             Policy::Batch | Policy::Interactive | Policy::Service => 1,
         };
         let limit = self.records.limit(&spec.team).unwrap_or(u32::MAX);
-        let mut places = 0_u32;
         limit >= needed
-            && self.usable_capacities().any(|capacity| {
-                places = places.saturating_add(times(capacity, &spec.demand));
-                places >= needed
-            })
+            && match needed {
+                1 => self
+                    .workers
+                    .keys()
+                    .any(|worker| self.places(worker, &spec.demand) > 0),
+                _ => self
+                    .largest_owner(&spec.demand)
+                    .is_some_and(|(_, places)| places >= needed),
+            }
+    }
+
+    /// Returns the live session on whose workers most tasks of a size fit, and how many.
+    pub(crate) fn largest_owner(&self, demand: &Resources) -> Option<(SessionId, u32)> {
+        let places = |session: &Session| {
+            let places = session.owned.iter().map(|worker| self.places(worker, demand));
+            places.fold(0, u32::saturating_add)
+        };
+        self.live_sessions()
+            .map(|(id, session)| (id, places(session)))
+            .max_by_key(|(id, places)| (*places, std::cmp::Reverse(*id)))
+    }
+
+    fn places(&self, worker: &WorkerName, demand: &Resources) -> u32 {
+        self.usable_capacity(worker)
+            .map_or(0, |capacity| times(capacity, demand))
     }
 
     fn delete_record(&mut self, kind: Kind, name: SmolStr, author: &SmolStr, changes: &mut Changes) -> Reply {
--- a/crates/ledger/src/change.rs
+++ b/crates/ledger/src/change.rs
@@ -103,4 +103,9 @@
         /// The worker.
         worker: WorkerName,
     },
+    /// A worker that was lost long ago was removed from the directory.
+    WorkerForgotten {
+        /// The worker.
+        worker: WorkerName,
+    },
 }
--- a/crates/ledger/src/demand.rs
+++ b/crates/ledger/src/demand.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Renewal, TeamUsage},
-    fuchsiatack_model::{Resources, SessionId, TeamName},
+    fuchsiatack_model::{LogIndex, Resources, SessionId, TeamName},
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -22,6 +22,8 @@
 
 /// Last report of one session.
 pub(crate) struct Report {
+    /// Index up to which the session had applied changes.
+    pub(crate) applied: LogIndex,
     /// Free amounts.
     pub(crate) free: Resources,
     /// Last renewal, or the time at which the session was first seen.
@@ -34,6 +36,8 @@
 /// Last reports of all live sessions.
 #[derive(Default)]
 pub(crate) struct Demand {
+    /// Counts changes of free amounts and of use.
+    pub(crate) capacity_revision: u64,
     /// Teams whose use changed since the token planner last looked.
     pub(crate) changed_teams: BTreeSet<TeamName>,
     /// Counts sessions that joined, left or began to stop.
@@ -61,7 +65,11 @@
         let Some(report) = self.reports.get_mut(&renewal.session) else {
             return;
         };
-        report.free = renewal.free;
+        report.applied = renewal.applied;
+        if report.free != renewal.free {
+            report.free = renewal.free;
+            self.capacity_revision += 1;
+        }
         report.seen_ms = now_ms;
         if report.stopping != renewal.stopping {
             report.stopping = renewal.stopping;
@@ -101,6 +109,7 @@
             return;
         }
         let report = Report {
+            applied: LogIndex::default(),
             free: Resources::NONE,
             seen_ms: now_ms,
             stopping: false,
@@ -146,6 +155,7 @@
         if sessions.is_empty() {
             self.usage.remove(team);
         }
+        self.capacity_revision += 1;
         self.changed_teams.insert(team.clone());
     }
 }
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -25,6 +25,11 @@
         /// The worker.
         worker: SmolStr,
     },
+    /// the cell knows {limit} workers, the most that it keeps
+    TooManyWorkers {
+        /// Number of workers.
+        limit: u32,
+    },
     /// work {work} was created before and still has tasks that have not ended
     WorkBusy {
         /// The work.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -7,9 +7,9 @@
         session::Session, token_pools::TokenPools, work_store::WorkStore, worker::Worker,
     },
     fuchsiatack_derives::{message, value},
-    fuchsiatack_model::{LogIndex, Resources, SessionId, WorkerName},
+    fuchsiatack_model::{Epoch, LogIndex, Resources, SessionId, WorkerName},
     fuchsiatack_records::Kind,
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, VecDeque},
 };
 
 /// Result of applying one command.
@@ -37,7 +37,11 @@
 #[derive(Default)]
 #[message]
 pub struct Ledger {
+    /// Index of the last command.
+    pub(crate) applied: LogIndex,
     pub(crate) journal: JournalStore,
+    /// Workers by the order in which they were lost. One that came back is skipped.
+    pub(crate) lost_workers: VecDeque<(WorkerName, Epoch)>,
     pub(crate) records: RecordStore,
     pub(crate) revisions: Revisions,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
@@ -50,6 +54,7 @@
     /// Applies the command at `index`.
     pub fn apply(&mut self, index: LogIndex, command: Command) -> Applied {
         let mut changes = Changes::default();
+        self.applied = index;
         let result = self.dispatch(index, command, &mut changes);
         Applied {
             changes: changes.into_vec(),
@@ -117,13 +122,12 @@
         self.sessions.get(&session).is_some_and(|state| !state.ended)
     }
 
-    /// Returns the capacities of workers that may run new tasks.
-    pub(crate) fn usable_capacities(&self) -> impl Iterator<Item = &Resources> {
-        self.workers
-            .values()
-            .map(|worker| &worker.entry)
-            .filter(|entry| !entry.lost && !entry.announcement.leaving)
-            .map(|entry| &entry.announcement.capacity)
+    /// Returns the capacity of a worker if it may run new tasks.
+    pub(crate) fn usable_capacity(&self, worker: &WorkerName) -> Option<&Resources> {
+        let entry = &self.workers.get(worker)?.entry;
+        let is_drained = self.records.get(Kind::Drain, &worker.0).is_some();
+        let is_usable = !entry.lost && !entry.announcement.leaving && !is_drained;
+        is_usable.then_some(&entry.announcement.capacity)
     }
 
     fn dispatch(
@@ -171,7 +175,7 @@
             }
             Command::Noop => Ok(Reply::Applied),
             Command::OpenSession(daemon) => Ok(self.open_session(index, daemon, changes)),
-            Command::RegisterWorker(announcement) => Ok(self.register_worker(announcement, changes)),
+            Command::RegisterWorker(announcement) => self.register_worker(announcement, changes),
             Command::ReleaseWorker { session, worker } => self.release_worker(session, &worker, changes),
             Command::ReturnTasks { session, tasks, work } => self.return_tasks(session, &work, &tasks),
             Command::ReturnTokens {
--- a/crates/ledger/src/token_planner.rs
+++ b/crates/ledger/src/token_planner.rs
@@ -27,6 +27,12 @@
 }
 
 impl Holding {
+    /// Returns the tokens that the session should get. Tasks that started before the team had
+    /// a limit run without tokens; they get theirs before anything else may start.
+    fn missing(&self) -> u32 {
+        self.target.max(self.usage.running).saturating_sub(self.held)
+    }
+
     /// Returns whether the session could use more tokens.
     fn is_short(&self) -> bool {
         self.held < self.target && self.usage.total() > self.held
@@ -120,10 +126,13 @@
         set_targets(&mut holdings, limit, team);
         self.note_returns(&holdings, team, total > limit);
         let mut free = limit.saturating_sub(total);
-        holdings.sort_by_key(|holding| (!holding.is_short(), holding.session));
+        holdings.sort_by_key(|holding| {
+            let is_overdrawn = holding.usage.running > holding.held;
+            (!is_overdrawn, !holding.is_short(), holding.session)
+        });
         let count = out.len();
         for holding in &holdings {
-            let tokens = holding.target.saturating_sub(holding.held).min(free);
+            let tokens = holding.missing().min(free);
             if tokens > 0 {
                 free -= tokens;
                 out.push(Command::GrantTokens {
--- a/crates/ledger/src/work_planner.rs
+++ b/crates/ledger/src/work_planner.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Command, Ledger, apply_work::times, demand::Demand, work_store::Work},
     fuchsiatack_model::{LogIndex, Policy, Resources, SessionId, TeamName, WorkName},
-    std::collections::{BTreeMap, BTreeSet, VecDeque},
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Tasks of a batch in one portion.
@@ -14,17 +14,21 @@
 
 /// Works of one team that are looked at in one plan. A work that does not fit anywhere
 /// holds back only works behind this number.
-const MAX_TEAM_WORKS: usize = 16;
+const MAX_SCANNED_WORKS: usize = 16;
 
 /// Waiting tasks of a team at a session above which it gets no more, unless it runs as many.
 const MAX_BACKLOG: u32 = 16;
 
-/// Time for which an assignment is counted although the ledger or the session's report does
-/// not show it yet. It covers two renewals.
-const PENDING_MS: u64 = 1_000;
+/// Time after which an assignment that was not applied is proposed again.
+const RETRY_MS: u64 = 1_000;
+
+/// Time for which a session is kept free for a gang before another gang may have its turn.
+const RESERVATION_MS: u64 = 30_000;
 
 /// Tasks that were proposed for a session.
 struct Assignment {
+    /// Index at which the ledger showed it, once it did.
+    applied: Option<LogIndex>,
     demand: Resources,
     session: SessionId,
     tasks: Vec<u32>,
@@ -32,6 +36,14 @@
     work: WorkName,
 }
 
+/// A session that gets no other work until a gang fits there. Without it, batch work takes
+/// what becomes free and the gang waits for ever.
+struct Reservation {
+    session: SessionId,
+    until_ms: u64,
+    work: WorkName,
+}
+
 /// A team with waiting tasks.
 struct Candidate<'a> {
     running: u64,
@@ -50,20 +62,29 @@
 /// Plans assignments of tasks.
 #[derive(Default)]
 pub(crate) struct WorkPlanner {
-    pending: VecDeque<Assignment>,
-    /// Tasks in `pending`, by work.
+    /// Whether the last plan was cut short.
+    is_cut: bool,
+    /// Assignments that the ledger or the session's report does not show yet.
+    pending: Vec<Assignment>,
+    /// Tasks in `pending` that the ledger shows as waiting, by work.
     pending_tasks: BTreeMap<WorkName, BTreeSet<u32>>,
+    reserved: Option<Reservation>,
+    seen: Option<(u64, u64, u64)>,
 }
 
 impl WorkPlanner {
     /// Adds assignments of waiting tasks while there is free capacity.
     pub(crate) fn plan(&mut self, now_ms: u64, ledger: &Ledger, demand: &Demand, out: &mut Vec<Command>) {
-        self.forget_pending(now_ms);
-        let mut candidates = candidates(ledger, demand);
-        if candidates.is_empty() {
+        let seen = Some((ledger.revisions.work, demand.revision, demand.capacity_revision));
+        if self.seen == seen && self.pending.is_empty() && !self.is_cut {
             return;
         }
+        self.seen = seen;
+        self.settle_pending(now_ms, ledger, demand);
+        self.settle_reservation(now_ms, ledger, demand);
+        let mut candidates = candidates(ledger, demand);
         let mut free = self.free(demand);
+        self.is_cut = false;
         for _ in 0..MAX_PORTIONS {
             let next = (0..candidates.len()).min_by_key(|index| candidates[*index].rank());
             let Some(next) = next else { return };
@@ -78,6 +99,7 @@
                 }
             }
         }
+        self.is_cut = true;
     }
 
     /// Assigns a portion of the first work of a team that fits somewhere.
@@ -89,35 +111,112 @@
         candidate: &Candidate<'_>,
         free: &mut BTreeMap<SessionId, Resources>,
     ) -> Option<(Command, u64)> {
-        for (_, name) in candidate.works.iter().take(MAX_TEAM_WORKS) {
+        for (_, name) in candidate.works.iter().take(MAX_SCANNED_WORKS) {
             let work = ledger.works.get(name)?;
-            let assigned = self.pending_tasks.get(name).map_or(0, BTreeSet::len) as u32;
-            let waiting = work.waiting().saturating_sub(assigned);
+            let size = &work.spec().demand;
+            let pending = self.pending_tasks.get(name).map_or(0, BTreeSet::len) as u32;
+            let waiting = work.waiting().saturating_sub(pending);
             let is_gang = work.spec().policy == Policy::Gang;
-            let least = if is_gang { waiting } else { 1 };
-            if waiting == 0 {
-                continue;
-            }
-            let Some((session, fits)) = roomiest(free, demand, candidate.team, &work.spec().demand) else {
-                continue;
+            let (least, most) = if is_gang {
+                (waiting, waiting)
+            } else {
+                (1, MAX_PORTION)
             };
-            if fits < least {
+            if waiting == 0 {
                 continue;
             }
-            let count = if is_gang {
-                waiting
-            } else {
-                waiting.min(fits).min(MAX_PORTION)
-            };
-            let tasks = self.next_tasks(work, name, count);
-            if let Some(free) = free.get_mut(&session) {
-                *free = free.minus(&scaled(&work.spec().demand, count));
+            match self.roomiest(free, demand, candidate.team, name, size) {
+                Some((session, fits)) if fits >= least => {
+                    let count = waiting.min(fits).min(most);
+                    let tasks = self.next_tasks(work, name, count);
+                    if let Some(free) = free.get_mut(&session) {
+                        *free = free.minus(&scaled(size, count));
+                    }
+                    self.reserved.take_if(|kept| kept.work == *name);
+                    return Some(self.propose(now_ms, work, name, session, tasks));
+                }
+                _ if is_gang => self.reserve(now_ms, ledger, name, size, waiting),
+                _ => {}
             }
-            return Some(self.propose(now_ms, work, name, session, tasks));
         }
         None
     }
 
+    /// Keeps the session with the largest workers free for a gang that it can hold.
+    fn reserve(&mut self, now_ms: u64, ledger: &Ledger, work: &WorkName, size: &Resources, tasks: u32) {
+        if self.reserved.is_some() {
+            return;
+        }
+        if let Some((session, places)) = ledger.largest_owner(size)
+            && places >= tasks
+        {
+            self.reserved = Some(Reservation {
+                session,
+                until_ms: now_ms + RESERVATION_MS,
+                work: work.clone(),
+            });
+        }
+    }
+
+    /// Returns the session where most tasks of a size fit, and how many.
+    fn roomiest(
+        &self,
+        free: &BTreeMap<SessionId, Resources>,
+        demand: &Demand,
+        team: &TeamName,
+        work: &WorkName,
+        size: &Resources,
+    ) -> Option<(SessionId, u32)> {
+        let is_open = |session: SessionId| {
+            let usage = demand.usage(team, session);
+            let is_kept = |kept: &Reservation| kept.session == session && kept.work != *work;
+            usage.waiting < usage.running.max(MAX_BACKLOG) && !self.reserved.as_ref().is_some_and(is_kept)
+        };
+        free.iter()
+            .filter(|(session, _)| is_open(**session))
+            .map(|(session, free)| (*session, times(free, size)))
+            .filter(|(_, fits)| *fits > 0)
+            .max_by_key(|(session, fits)| (*fits, std::cmp::Reverse(*session)))
+    }
+
+    /// Drops assignments that the session's report shows, and those to be proposed again.
+    fn settle_pending(&mut self, now_ms: u64, ledger: &Ledger, demand: &Demand) {
+        let Self {
+            pending,
+            pending_tasks,
+            ..
+        } = self;
+        pending.retain_mut(|assignment| {
+            let is_waiting = |work: &Work| work.is_waiting(assignment.tasks[0]);
+            let is_applied = !ledger.works.get(&assignment.work).is_some_and(is_waiting);
+            if is_applied && assignment.applied.is_none() {
+                assignment.applied = Some(ledger.applied);
+                forget_tasks(pending_tasks, assignment);
+            }
+            let report = demand.report(assignment.session).map(|report| report.applied);
+            let is_open = match assignment.applied {
+                None => now_ms < assignment.until_ms,
+                Some(applied) => report.is_some_and(|report| report < applied),
+            };
+            if !is_open && assignment.applied.is_none() {
+                forget_tasks(pending_tasks, assignment);
+            }
+            is_open
+        });
+    }
+
+    fn settle_reservation(&mut self, now_ms: u64, ledger: &Ledger, demand: &Demand) {
+        let is_open = |kept: &Reservation| {
+            let is_waiting = ledger
+                .works
+                .get(&kept.work)
+                .is_some_and(|work| work.waiting() > 0);
+            let report = demand.report(kept.session);
+            is_waiting && now_ms < kept.until_ms && report.is_some_and(|report| !report.stopping)
+        };
+        self.reserved = self.reserved.take().filter(is_open);
+    }
+
     fn propose(
         &mut self,
         now_ms: u64,
@@ -128,11 +227,12 @@
     ) -> (Command, u64) {
         let count = tasks.len() as u64;
         self.pending_tasks.entry(name.clone()).or_default().extend(&tasks);
-        self.pending.push_back(Assignment {
+        self.pending.push(Assignment {
+            applied: None,
             demand: scaled(&work.spec().demand, count as u32),
             session,
             tasks: tasks.clone(),
-            until_ms: now_ms + PENDING_MS,
+            until_ms: now_ms + RETRY_MS,
             work: name.clone(),
         });
         let command = Command::AssignTasks {
@@ -143,20 +243,6 @@
         (command, count)
     }
 
-    fn forget_pending(&mut self, now_ms: u64) {
-        while self.pending.front().is_some_and(|first| first.until_ms <= now_ms)
-            && let Some(assignment) = self.pending.pop_front()
-            && let Some(tasks) = self.pending_tasks.get_mut(&assignment.work)
-        {
-            for number in &assignment.tasks {
-                tasks.remove(number);
-            }
-            if tasks.is_empty() {
-                self.pending_tasks.remove(&assignment.work);
-            }
-        }
-    }
-
     fn free(&self, demand: &Demand) -> BTreeMap<SessionId, Resources> {
         let mut free: BTreeMap<SessionId, Resources> = demand
             .sessions()
@@ -196,22 +282,16 @@
         .collect()
 }
 
-/// Returns the session where most tasks of a size fit, and how many.
-fn roomiest(
-    free: &BTreeMap<SessionId, Resources>,
-    demand: &Demand,
-    team: &TeamName,
-    size: &Resources,
-) -> Option<(SessionId, u32)> {
-    let has_backlog = |session: SessionId| {
-        let usage = demand.usage(team, session);
-        usage.waiting >= usage.running.max(MAX_BACKLOG)
+fn forget_tasks(pending_tasks: &mut BTreeMap<WorkName, BTreeSet<u32>>, assignment: &Assignment) {
+    let Some(tasks) = pending_tasks.get_mut(&assignment.work) else {
+        return;
     };
-    free.iter()
-        .filter(|(session, _)| !has_backlog(**session))
-        .map(|(session, free)| (*session, times(free, size)))
-        .filter(|(_, fits)| *fits > 0)
-        .max_by_key(|(session, fits)| (*fits, std::cmp::Reverse(*session)))
+    for number in &assignment.tasks {
+        tasks.remove(number);
+    }
+    if tasks.is_empty() {
+        pending_tasks.remove(&assignment.work);
+    }
 }
 
 fn scaled(size: &Resources, count: u32) -> Resources {
--- a/crates/ledger/src/work_store.rs
+++ b/crates/ledger/src/work_store.rs
@@ -81,6 +81,11 @@
         self.waiting
     }
 
+    /// Returns whether a task is waiting.
+    pub(crate) fn is_waiting(&self, number: u32) -> bool {
+        self.tasks.get(number as usize) == Some(&TaskState::Waiting)
+    }
+
     /// Returns the numbers of the first `count` waiting tasks.
     pub(crate) fn waiting_tasks(&self, count: u32) -> Vec<u32> {
         let is_waiting = |(_, task): &(u32, &TaskState)| **task == TaskState::Waiting;
@@ -138,8 +143,11 @@
     /// Gives waiting tasks to a session. Returns the change for it if there were any.
     pub(crate) fn assign(&mut self, name: &WorkName, session: SessionId, tasks: &[u32]) -> Option<Change> {
         let work = self.works.get(name)?;
-        let is_waiting = |number: &u32| work.tasks.get(*number as usize) == Some(&TaskState::Waiting);
-        let numbers: BTreeSet<u32> = tasks.iter().copied().filter(is_waiting).collect();
+        let numbers: BTreeSet<u32> = tasks
+            .iter()
+            .copied()
+            .filter(|number| work.is_waiting(*number))
+            .collect();
         let is_partial = numbers.len() < tasks.len();
         if numbers.is_empty() || (is_partial && work.spec().policy == Policy::Gang) {
             return None;
--- a/crates/ledger/tests/allocator.rs
+++ b/crates/ledger/tests/allocator.rs
@@ -4,11 +4,11 @@
 
 use {
     fuchsiatack_ledger::{
-        Allocator, AllocatorSettings, Command, DaemonInfo, EndReason, Renewal, Reply, TeamUsage, WorkerEntry,
+        Allocator, AllocatorSettings, Command, DaemonInfo, Renewal, Reply, TeamUsage, WorkerEntry,
     },
-    fuchsiatack_model::{LogIndex, Policy, Resources, SessionId, TeamName, WorkName},
+    fuchsiatack_model::{LogIndex, Policy, Resources, SessionId, TeamName},
     std::collections::{BTreeMap, BTreeSet},
-    support::{Cell, announcement, daemon, team, work},
+    support::{Cell, announcement, daemon, end, release, return_tokens, team, work},
 };
 
 const STEP_MS: u64 = 250;
@@ -146,20 +146,14 @@
         };
         let advice = self.allocator.renewed(self.now_ms, &renewal, &self.cell.ledger);
         for worker in advice.release_workers {
-            self.cell.apply(Command::ReleaseWorker { session, worker });
+            self.cell.apply(release(worker.as_str(), session));
         }
         for target in advice.return_tokens {
-            let (team, held) = (
-                target.team.clone(),
-                self.cell.tokens(session, target.team.as_str()),
-            );
-            let running = self.daemons[&session].usage.get(&team).map_or(0, |usage| usage.0);
+            let team = target.team.as_str();
+            let held = self.cell.tokens(session, team);
+            let running = self.daemons[&session].usage.get(team).map_or(0, |usage| usage.0);
             let tokens = held.saturating_sub(target.target.max(running));
-            self.cell.apply(Command::ReturnTokens {
-                session,
-                team,
-                tokens,
-            });
+            self.cell.apply(return_tokens(session, team, tokens));
         }
     }
 
@@ -171,12 +165,29 @@
             .collect()
     }
 
-    /// Names of the kinds of commands that the allocator returned in the last run.
+    /// Tasks of a work that were assigned in the last run.
+    fn assigned(&self, name: &str) -> usize {
+        let count = |command: &Command| match command {
+            Command::AssignTasks { tasks, work, .. } if work.as_str() == name => tasks.len(),
+            _ => 0,
+        };
+        self.commands.iter().map(count).sum()
+    }
+
+    /// Commands of a kind that the allocator returned in the last run.
     fn count(&self, is_counted: impl Fn(&Command) -> bool) -> usize {
         self.commands.iter().filter(|command| is_counted(command)).count()
     }
 }
 
+fn slots(slots: u32) -> Resources {
+    Resources {
+        connections: slots,
+        slots,
+        ..Resources::NONE
+    }
+}
+
 fn is_assignment(command: &Command) -> bool {
     matches!(command, Command::AssignWorker { .. })
 }
@@ -192,14 +203,7 @@
     fleet.run(3_750);
     assert_eq!(fleet.commands, []);
     fleet.run(250);
-    let reason = EndReason::Expired;
-    assert_eq!(
-        fleet.commands,
-        [Command::EndSession {
-            reason,
-            session: silent
-        }]
-    );
+    assert_eq!(fleet.commands, [end(silent)]);
 }
 
 /// Guards against a new leader that ends sessions which renewed with the old one.
@@ -289,26 +293,36 @@
     fleet.daemons.get_mut(&stopping).unwrap().is_stopping = true;
     fleet.run(500);
     for entry in &fleet.owned()[&stopping] {
-        let worker = entry.announcement.name.clone();
-        fleet.cell.apply(Command::ReleaseWorker {
-            session: stopping,
-            worker,
-        });
+        fleet
+            .cell
+            .apply(release(entry.announcement.name.as_str(), stopping));
     }
     fleet.run(5_000);
     assert_eq!(fleet.owned_counts(), [15, 15, 0]);
 
-    let reason = EndReason::Stopped;
-    fleet.apply(Command::EndSession {
-        reason,
-        session: stopping,
-    });
+    fleet.apply(end(stopping));
     fleet.run(5_000);
 
     assert_eq!(fleet.tokens("red").iter().sum::<u32>(), 90);
     assert_eq!(fleet.cell.status().sessions.len(), 2);
 }
 
+/// Guards against a worker that goes back to the daemon which gave it away.
+#[test]
+fn a_released_worker_goes_to_another_daemon() {
+    let mut fleet = Fleet::new()
+        .daemons(&[("dc-1", 1), ("dc-2", 1)])
+        .workers("dc-1", 1);
+    fleet.run(1_000);
+    assert_eq!(fleet.owned_counts(), [1, 0]);
+    let owner = fleet.sessions()[0];
+    fleet.cell.apply(release("dc-1-w0", owner));
+
+    fleet.run(1_000);
+
+    assert_eq!(fleet.owned_counts(), [0, 1]);
+}
+
 /// Guards against a team that waits at one daemon while its tokens are idle at another.
 #[test]
 fn tokens_move_to_demand_and_then_rest() {
@@ -319,6 +333,12 @@
     assert_eq!(fleet.tokens("red"), [50, 50]);
     let sessions = fleet.sessions();
 
+    fleet.demand(sessions[0], "red", 50, 2);
+    fleet.demand(sessions[1], "red", 49, 0);
+    fleet.run(5_000);
+    assert_eq!(fleet.tokens("red"), [50, 50]);
+
+    fleet.demand(sessions[1], "red", 0, 0);
     fleet.demand(sessions[0], "red", 50, 100);
     fleet.run(5_000);
     let tokens = fleet.tokens("red");
@@ -370,51 +390,60 @@
 fn work_goes_to_free_capacity_gangs_whole_and_teams_by_share() {
     let mut fleet = Fleet::new().daemons(&[("dc-1", 1), ("dc-1", 1)]);
     fleet.cell.put("gang", 0, work("red", Policy::Gang, 9, true));
-    fleet.free = Resources {
-        connections: 8,
-        slots: 8,
-        ..Resources::NONE
-    };
+    fleet.free = slots(8);
     fleet.run(2_000);
     assert_eq!(fleet.commands, []);
 
-    fleet.free = Resources {
-        connections: 12,
-        slots: 12,
-        ..Resources::NONE
-    };
+    fleet.free = slots(12);
     fleet.run(500);
     assert!(matches!(&fleet.commands[..], [Command::AssignTasks { tasks, .. }] if tasks.len() == 9));
 
-    fleet.free = Resources {
-        connections: 96,
-        slots: 96,
-        ..Resources::NONE
-    };
+    fleet.free = slots(96);
     fleet.cell.share("blue", 3_000);
     for name in ["red", "blue"] {
         fleet.cell.put(name, 0, work(name, Policy::Batch, 1_000, true));
     }
     fleet.run(STEP_MS);
-    let given = |name: &str| -> usize {
-        let is_given = |command: &&Command| matches!(command, Command::AssignTasks { work, .. } if *work == WorkName::new(name));
-        fleet
-            .commands
-            .iter()
-            .filter(is_given)
-            .map(|command| match command {
-                Command::AssignTasks { tasks, .. } => tasks.len(),
-                _ => 0,
-            })
-            .sum()
-    };
-    assert_eq!(given("red") + given("blue"), 2 * 96 - 9);
-    assert!(
-        given("blue") >= 2 * given("red"),
-        "{} and {}",
-        given("blue"),
-        given("red")
-    );
+    let (red, blue) = (fleet.assigned("red"), fleet.assigned("blue"));
+    assert_eq!(red + blue, 2 * 96);
+    assert!(blue >= 2 * red, "{blue} and {red}");
+    assert_eq!(fleet.allocator.plan(fleet.now_ms, &fleet.cell.ledger), []);
+}
+
+/// Guards against a gang that never starts because batch work takes what becomes free.
+#[test]
+fn a_session_is_kept_free_for_a_gang_that_waits() {
+    let mut fleet = Fleet::new().daemons(&[("dc-1", 1)]).workers("dc-1", 2);
+    fleet.run(2_000);
+    fleet.cell.put("gang", 0, work("red", Policy::Gang, 12, true));
+    fleet.run(STEP_MS);
+    fleet
+        .cell
+        .put("batch", 0, work("blue", Policy::Batch, 1_000, true));
+
+    for free in [4, 8, 11] {
+        fleet.free = slots(free);
+        fleet.run(1_000);
+        assert_eq!(fleet.assigned("batch"), 0);
+    }
+    fleet.free = slots(13);
+    fleet.run(STEP_MS);
+    assert_eq!(fleet.assigned("gang"), 12);
+    fleet.run(STEP_MS);
+    assert!(fleet.assigned("batch") > 0);
+}
+
+/// Guards against starts above a limit that is created while tasks run without tokens.
+#[test]
+fn tasks_that_run_without_tokens_get_theirs_before_others_may_start() {
+    let mut fleet = Fleet::new().daemons(&[("dc-1", 1), ("dc-1", 1)]);
+    let sessions = fleet.sessions();
+    fleet.demand(sessions[1], "red", 95, 0);
+    fleet.run(STEP_MS);
+    let mut fleet = fleet.limit("red", 100);
+    fleet.run(STEP_MS);
+
+    assert_eq!(fleet.tokens("red"), [5, 95]);
 }
 
 /// Guards against a plan that costs more than the daemon's part of a core.
--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use {
-    fuchsiatack_ledger::{Change, Command, EndReason, JournalEntry, LedgerError, Query, QueryReply, Reply},
-    support::{Cell, journal_key},
+    fuchsiatack_ledger::{Change, Command, JournalEntry, LedgerError, Query, QueryReply, Reply},
+    support::{Cell, end, journal_key},
 };
 
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -103,8 +103,7 @@
     let mut cell = Cell::default();
     let (old, new) = (cell.open("a"), cell.open("b"));
     cell.start("r", old);
-    let reason = EndReason::Expired;
-    cell.apply(Command::EndSession { reason, session: old });
+    cell.apply(end(old));
 
     let directory = cell.ledger.directory(new);
     let has_old = directory
--- a/crates/ledger/tests/ownership.rs
+++ b/crates/ledger/tests/ownership.rs
@@ -3,21 +3,10 @@
 mod support;
 
 use {
-    fuchsiatack_ledger::{Change, Command, EndReason, LedgerError, Reply},
-    fuchsiatack_model::{SessionId, WorkerName},
-    support::Cell,
+    fuchsiatack_ledger::{Change, Command, LedgerError, Reply},
+    support::{Cell, end, lost, release, return_tokens},
 };
 
-fn end(session: SessionId) -> Command {
-    let reason = EndReason::Expired;
-    Command::EndSession { reason, session }
-}
-
-fn release(worker: &str, session: SessionId) -> Command {
-    let worker = WorkerName::new(worker);
-    Command::ReleaseWorker { session, worker }
-}
-
 /// Guards against a former owner that keeps using tokens which its tasks took along.
 #[test]
 fn fence_moves_tokens_of_running_tasks_to_the_new_owner() {
@@ -58,8 +47,7 @@
     cell.fence("w1", epoch, &[("red", 2)]);
     assert_eq!(cell.grant(new, "red", 10), Reply::Counted(0));
     let epoch = cell.assign("w2", new);
-    let worker = WorkerName::new("w2");
-    cell.apply(Command::WorkerLost { epoch, worker });
+    cell.apply(lost("w2", epoch));
 
     assert_eq!(cell.grant(new, "red", 10), Reply::Counted(8));
     assert_eq!(cell.status().sessions.len(), 1);
@@ -98,6 +86,10 @@
     assert!(second > first);
     assert!(is_stale(cell.fence("w", first, &[])));
     assert!(is_stale(cell.apply(release("w", old))));
+    let worker = "w".into();
+    assert!(is_stale(
+        cell.apply(Command::AssignWorker { session: old, worker })
+    ));
     cell.apply(end(old));
     assert_eq!(
         cell.grant(old, "red", 1),
@@ -149,8 +141,7 @@
     let mut cell = Cell::default();
     let session = cell.open("a");
     let epoch = cell.own("w", session);
-    let worker = WorkerName::new("w");
-    cell.apply(Command::WorkerLost { epoch, worker });
+    cell.apply(lost("w", epoch));
     assert!(cell.status().workers[0].lost);
 
     cell.register("w");
@@ -170,11 +161,38 @@
 
     assert_eq!(cell.tokens(session, "red"), 10);
     assert_eq!(cell.grant(session, "red", 1), Reply::Counted(0));
-    let (team, tokens) = ("red".into(), 8);
-    cell.apply(Command::ReturnTokens {
-        session,
-        team,
-        tokens,
-    });
+    cell.apply(return_tokens(session, "red", 8));
     assert_eq!(cell.grant(session, "red", 9), Reply::Counted(2));
 }
+
+/// Guards against tokens that move twice when the report of a fence is sent again.
+#[test]
+fn a_resent_fence_or_loss_changes_nothing() {
+    let mut cell = Cell::default();
+    let session = cell.open("a");
+    let epoch = cell.own("w", session);
+
+    assert_eq!(cell.fence("w", epoch, &[("red", 3)]), Reply::Applied);
+    assert!(cell.changes.is_empty());
+    cell.apply(lost("w", epoch));
+    assert_eq!(cell.apply(lost("w", epoch)), Reply::Applied);
+    assert!(cell.changes.is_empty());
+}
+
+/// Guards against a directory that grows with every worker that was ever seen.
+#[test]
+fn the_longest_lost_workers_are_forgotten() {
+    let mut cell = Cell::default();
+    let session = cell.open("a");
+    for number in 0..=1_000 {
+        let epoch = cell.own(&number.to_string(), session);
+        cell.apply(lost(&number.to_string(), epoch));
+    }
+
+    let worker = "0".into();
+    assert_eq!(
+        cell.changes.last().unwrap().change,
+        Change::WorkerForgotten { worker }
+    );
+    assert_eq!(cell.status().workers.len(), 1_000);
+}
--- a/crates/ledger/tests/records.rs
+++ b/crates/ledger/tests/records.rs
@@ -3,9 +3,7 @@
 mod support;
 
 use {
-    fuchsiatack_ledger::{
-        Change, Command, OperationId, Query, QueryReply, RecordAction, RecordWrite, Reply, WriteConflict,
-    },
+    fuchsiatack_ledger::{Change, Command, OperationId, RecordAction, RecordWrite, Reply, WriteConflict},
     fuchsiatack_records::Kind,
     support::{Cell, put, team},
 };
@@ -107,9 +105,7 @@
     cell.put("red", 0, team("r"));
     let session = cell.open("a");
 
-    let QueryReply::Records(teams) = cell.ledger.query(&Query::Records(Kind::Team)) else {
-        panic!()
-    };
+    let teams = cell.records(Kind::Team);
     assert_eq!(
         teams.iter().map(|team| team.name.as_str()).collect::<Vec<_>>(),
         ["blue", "red"]
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -4,12 +4,13 @@
 
 use {
     fuchsiatack_ledger::{
-        Addressed, Applied, Audience, Change, Command, DaemonInfo, JournalKey, Ledger, LedgerStatus,
-        OperationId, Query, QueryReply, RecordAction, RecordWrite, Reply, StoredAnswer, TeamCount,
+        Addressed, Applied, Audience, Change, Command, DaemonInfo, EndReason, JournalKey, Ledger,
+        LedgerStatus, OperationId, Query, QueryReply, RecordAction, RecordWrite, Reply, StoredAnswer,
+        TeamCount,
     },
     fuchsiatack_model::{
-        Epoch, LogIndex, Outcome, Policy, Resources, SessionId, TeamName, WorkName, WorkSpec, WorkStatus,
-        WorkTask, WorkerAnnouncement, WorkerName,
+        Epoch, LogIndex, Outcome, Policy, Resources, SessionId, TaskOutcome, TeamName, WorkName, WorkSpec,
+        WorkStatus, WorkTask, WorkerAnnouncement, WorkerName,
     },
     fuchsiatack_records::{Kind, LimitSpec, Record, ShareSpec, Spec, TeamSpec},
     smol_str::SmolStr,
@@ -157,6 +158,13 @@
             .sum()
     }
 
+    pub fn records(&self, kind: Kind) -> Vec<Record> {
+        match self.ledger.query(&Query::Records(kind)) {
+            QueryReply::Records(records) => records,
+            reply => panic!("not records: {reply:?}"),
+        }
+    }
+
     pub fn status(&self) -> LedgerStatus {
         match self.ledger.query(&Query::Status) {
             QueryReply::Status(status) => *status,
@@ -182,6 +190,47 @@
     }
 }
 
+pub fn assign_tasks(session: SessionId, work: &str, tasks: &[u32]) -> Command {
+    let (tasks, work) = (tasks.to_vec(), work.into());
+    Command::AssignTasks { session, tasks, work }
+}
+
+pub fn end(session: SessionId) -> Command {
+    let reason = EndReason::Expired;
+    Command::EndSession { reason, session }
+}
+
+pub fn finish_task(session: SessionId, work: &str, number: u32, outcome: TaskOutcome) -> Command {
+    Command::FinishTask {
+        outcome,
+        session,
+        task: task(work, number),
+    }
+}
+
+pub fn lost(worker: &str, epoch: Epoch) -> Command {
+    let worker = worker.into();
+    Command::WorkerLost { epoch, worker }
+}
+
+pub fn release(worker: &str, session: SessionId) -> Command {
+    let worker = worker.into();
+    Command::ReleaseWorker { session, worker }
+}
+
+pub fn return_tasks(session: SessionId, work: &str, tasks: &[u32]) -> Command {
+    let (tasks, work) = (tasks.to_vec(), work.into());
+    Command::ReturnTasks { session, tasks, work }
+}
+
+pub fn return_tokens(session: SessionId, team: &str, tokens: u32) -> Command {
+    Command::ReturnTokens {
+        session,
+        team: team.into(),
+        tokens,
+    }
+}
+
 pub fn announcement(name: &str, data_center: &str, rack: &str) -> WorkerAnnouncement {
     WorkerAnnouncement {
         address: "127.0.0.1:9000".into(),
--- a/crates/ledger/tests/work.rs
+++ b/crates/ledger/tests/work.rs
@@ -3,38 +3,19 @@
 mod support;
 
 use {
-    fuchsiatack_ledger::{Change, Command, EndReason, LedgerError, Reply},
-    fuchsiatack_model::{Policy, Refusal, SessionId, TaskOutcome, WorkName, WorkPhase, WorkerName},
-    fuchsiatack_records::Kind,
-    support::{Cell, task, work},
+    fuchsiatack_ledger::{Change, LedgerError, Reply},
+    fuchsiatack_model::{Policy, Refusal, SessionId, TaskOutcome, WorkPhase},
+    fuchsiatack_records::{DrainSpec, Kind, Spec},
+    support::{Cell, assign_tasks, end, finish_task, lost, release, return_tasks, task, work},
 };
 
-fn assign(session: SessionId, tasks: &[u32]) -> Command {
-    let (tasks, work) = (tasks.to_vec(), WorkName::new("w"));
-    Command::AssignTasks { session, tasks, work }
-}
-
-fn end(session: SessionId) -> Command {
-    let reason = EndReason::Expired;
-    Command::EndSession { reason, session }
-}
-
-fn finish(session: SessionId, number: u32, outcome: TaskOutcome) -> Command {
-    let task = task("w", number);
-    Command::FinishTask {
-        outcome,
-        session,
-        task,
-    }
-}
-
 /// A cell with work `w` of four tasks; session `a` owns a worker and holds tasks 0 to 2.
 fn running_cell(idempotent: bool) -> (Cell, SessionId, SessionId) {
     let mut cell = Cell::default();
     let (old, new) = (cell.open("a"), cell.open("b"));
     cell.own("worker", old);
     cell.put("w", 0, work("red", Policy::Batch, 4, idempotent));
-    cell.apply(assign(old, &[0, 1, 2]));
+    cell.apply(assign_tasks(old, "w", &[0, 1, 2]));
     (cell, old, new)
 }
 
@@ -44,12 +25,15 @@
     let (mut cell, old, new) = running_cell(true);
 
     assert!(matches!(
-        cell.apply(finish(new, 0, TaskOutcome::Failed)),
+        cell.apply(finish_task(new, "w", 0, TaskOutcome::Failed)),
         Reply::Refused(_)
     ));
-    assert_eq!(cell.apply(finish(old, 0, TaskOutcome::Done)), Reply::Applied);
+    assert_eq!(
+        cell.apply(finish_task(old, "w", 0, TaskOutcome::Done)),
+        Reply::Applied
+    );
     assert!(matches!(
-        cell.apply(finish(old, 0, TaskOutcome::Failed)),
+        cell.apply(finish_task(old, "w", 0, TaskOutcome::Failed)),
         Reply::Refused(_)
     ));
     assert_eq!(cell.work("w").outcomes[0], Some(TaskOutcome::Done));
@@ -60,18 +44,13 @@
 #[test]
 fn only_waiting_tasks_are_assigned_and_gangs_whole() {
     let (mut cell, _, new) = running_cell(true);
-    cell.apply(assign(new, &[2, 3, 9]));
+    cell.apply(assign_tasks(new, "w", &[2, 3, 9]));
     assert!(
         matches!(cell.sent_to(new)[..], [Change::TasksAssigned { tasks, running: false, .. }] if tasks[..] == [3])
     );
 
     cell.put("gang", 0, work("red", Policy::Gang, 2, true));
-    let (tasks, work) = (vec![0, 1, 2], WorkName::new("gang"));
-    cell.apply(Command::AssignTasks {
-        session: new,
-        tasks,
-        work,
-    });
+    cell.apply(assign_tasks(new, "gang", &[0, 1, 2]));
     assert!(cell.changes.is_empty());
 }
 
@@ -81,7 +60,7 @@
     for (idempotent, outcome) in [(true, None), (false, Some(TaskOutcome::Unknown))] {
         let (mut cell, old, new) = running_cell(idempotent);
         cell.apply(end(old));
-        cell.apply(assign(new, &[0, 1, 2]));
+        cell.apply(assign_tasks(new, "w", &[0, 1, 2]));
         assert!(cell.changes.is_empty());
 
         let epoch = cell.assign("worker", new);
@@ -91,9 +70,12 @@
             matches!(change, Change::TasksAssigned { running: true, tasks, .. } if tasks[..] == [1])
         }));
         assert_eq!(cell.work("w").outcomes, [outcome, None, outcome, None]);
-        cell.apply(assign(new, &[0, 1]));
+        cell.apply(assign_tasks(new, "w", &[0, 1]));
         assert_eq!(cell.changes.len(), usize::from(idempotent));
-        assert_eq!(cell.apply(finish(new, 1, TaskOutcome::Unknown)), Reply::Applied);
+        assert_eq!(
+            cell.apply(finish_task(new, "w", 1, TaskOutcome::Unknown)),
+            Reply::Applied
+        );
     }
 }
 
@@ -103,11 +85,9 @@
     let (mut cell, old, new) = running_cell(true);
     cell.apply(end(old));
     let epoch = cell.assign("worker", new);
-    let worker = WorkerName::new("worker");
+    cell.apply(lost("worker", epoch));
 
-    cell.apply(Command::WorkerLost { epoch, worker });
-
-    cell.apply(assign(new, &[0, 1, 2, 3]));
+    cell.apply(assign_tasks(new, "w", &[0, 1, 2, 3]));
     assert!(matches!(cell.sent_to(new)[..], [Change::TasksAssigned { tasks, .. }] if tasks.len() == 4));
 }
 
@@ -115,14 +95,16 @@
 #[test]
 fn a_live_former_owner_reports_the_end_of_a_call_that_it_relays() {
     let (mut cell, old, new) = running_cell(false);
-    let worker = WorkerName::new("worker");
-    cell.apply(Command::ReleaseWorker { session: old, worker });
+    cell.apply(release("worker", old));
     let epoch = cell.assign("worker", new);
     cell.fence_with_tasks("worker", epoch, &[], &[task("w", 0)]);
 
-    assert_eq!(cell.apply(finish(old, 0, TaskOutcome::Done)), Reply::Applied);
+    assert_eq!(
+        cell.apply(finish_task(old, "w", 0, TaskOutcome::Done)),
+        Reply::Applied
+    );
     assert!(matches!(
-        cell.apply(finish(new, 0, TaskOutcome::Unknown)),
+        cell.apply(finish_task(new, "w", 0, TaskOutcome::Unknown)),
         Reply::Refused(_)
     ));
     assert_eq!(cell.work("w").outcomes[0], Some(TaskOutcome::Done));
@@ -137,13 +119,8 @@
 
     let busy = cell.put("w", 0, work("red", Policy::Batch, 1, true));
     assert!(matches!(busy, Reply::Refused(LedgerError::WorkBusy { .. })));
-    let (tasks, name) = (vec![1, 2], WorkName::new("w"));
-    cell.apply(Command::ReturnTasks {
-        session: old,
-        tasks,
-        work: name,
-    });
-    cell.apply(finish(old, 0, TaskOutcome::Done));
+    cell.apply(return_tasks(old, "w", &[1, 2]));
+    cell.apply(finish_task(old, "w", 0, TaskOutcome::Done));
 
     let status = cell.work("w");
     let cancelled = Some(TaskOutcome::Cancelled);
@@ -168,6 +145,14 @@
     cell.own("more", session);
 
     assert_eq!(cell.work("w").blocked, None);
+    cell.put(
+        "more",
+        0,
+        Spec::Drain(DrainSpec {
+            reason: "disk".into(),
+        }),
+    );
+    assert_eq!(cell.work("w").blocked, Some(Refusal::NeverFits));
 }
 
 /// Guards against a daemon that reconnects and starts running tasks a second time.
@@ -177,7 +162,7 @@
     cell.apply(end(old));
     let epoch = cell.assign("worker", new);
     cell.fence_with_tasks("worker", epoch, &[], &[task("w", 2)]);
-    cell.apply(assign(new, &[3]));
+    cell.apply(assign_tasks(new, "w", &[3]));
     cell.delete(Kind::Work, "w", 1);
 
     let directory = cell.ledger.directory(new);
--- a/crates/records/tests/forms.rs
+++ b/crates/records/tests/forms.rs
@@ -1,11 +1,7 @@
 //! Both schema versions: parsing, refusals and conversion.
 
 use {
-    fuchsiatack_model::{Policy, Resources, WorkSpec},
-    fuchsiatack_records::{
-        Access, DrainSpec, KeyDigest, KeySpec, Kind, LimitSpec, QueueSpec, Record, RecordError, Schema,
-        ShareSpec, Spec, StoreMemberSpec, TeamSpec, WorkerClassSpec,
-    },
+    fuchsiatack_records::{KeyDigest, Kind, Record, RecordError, Schema},
     quickcheck::{Arbitrary, Gen, QuickCheck},
     serde_json::{Value, json},
     std::collections::BTreeSet,
@@ -19,63 +15,43 @@
 struct AnyRecord(Record);
 
 impl Arbitrary for AnyRecord {
-    fn arbitrary(gen_: &mut Gen) -> Self {
-        let number = |gen_: &mut Gen, end: u32| u32::arbitrary(gen_) % end + 1;
-        let demand = Resources {
-            accelerators: number(gen_, 4) - 1,
-            connections: number(gen_, 3) - 1,
-            memory_bytes: u64::from(number(gen_, 50)) * 500_000,
-            processors_millis: number(gen_, 64_000),
-            slots: number(gen_, 3) - 1,
-        };
-        let team = || "red".into();
+    fn arbitrary(random: &mut Gen) -> Self {
+        let mut number = |end: u64| u64::arbitrary(random) % end + 1;
+        let (tasks, weight, speed) = (number(10_000), number(10_000), number(1_000_000));
+        let demand = json!({
+            "accelerators": number(4) - 1, "connections": number(3) - 1, "memory_bytes": number(50) * 500_000,
+            "processors_millis": number(64_000), "slots": number(3) - 1,
+        });
+        let identity = u64::arbitrary(random);
+        let digest = KeyDigest::of(&String::arbitrary(random)).to_hex();
+        let (body, truth) = (String::arbitrary(random), bool::arbitrary(random));
+        let access = random.choose(&["keyed", "open"]).unwrap();
+        let policy = random.choose(&["batch", "gang", "service"]).unwrap();
         let specs = [
-            Spec::Drain(DrainSpec { reason: "".into() }),
-            Spec::Key(KeySpec {
-                digest: KeyDigest::of(&String::arbitrary(gen_)),
-                team: team(),
-            }),
-            Spec::Limit(LimitSpec {
-                max_running: number(gen_, 10_000_000),
-                team: team(),
-            }),
-            Spec::Queue(QueueSpec {
-                access: *gen_.choose(&[Access::Keyed, Access::Open]).unwrap(),
-                demand,
-                max_waiting: number(gen_, 1_000),
-                policy: *gen_.choose(&[Policy::Interactive, Policy::Service]).unwrap(),
-                team: Some(team()),
-            }),
-            Spec::Share(ShareSpec {
-                team: team(),
-                weight_millis: number(gen_, 10_000),
-            }),
-            Spec::StoreMember(StoreMemberSpec {
-                address: "[::1]:9".parse().unwrap(),
-                identity: u64::arbitrary(gen_),
-            }),
-            Spec::Team(TeamSpec {
-                title: "Größe: 1 — {x}".into(),
-            }),
-            Spec::Work(WorkSpec {
-                body: String::arbitrary(gen_).into(),
-                demand,
-                idempotent: bool::arbitrary(gen_),
-                policy: *gen_
-                    .choose(&[Policy::Batch, Policy::Gang, Policy::Service])
-                    .unwrap(),
-                tasks: number(gen_, 10_000),
-                team: team(),
-            }),
-            Spec::WorkerClass(WorkerClassSpec {
-                speed_millis: number(gen_, 1_000_000),
-            }),
+            ("drain", json!({"reason": ""})),
+            ("key", json!({"secret_blake3": digest, "team": "red"})),
+            ("limit", json!({"max_running": tasks, "team": "red"})),
+            (
+                "queue",
+                json!({"access": access, "demand": demand, "max_waiting": 9, "policy": "interactive", "team": "red"}),
+            ),
+            ("share", json!({"team": "red", "weight_millis": weight})),
+            (
+                "store_member",
+                json!({"address": "[::1]:9", "identity": identity}),
+            ),
+            ("team", json!({"title": "Größe: 1 — {x}"})),
+            (
+                "work",
+                json!({"body": body, "demand": demand, "idempotent": truth, "policy": policy, "tasks": tasks, "team": "red"}),
+            ),
+            ("worker_class", json!({"speed_millis": speed})),
         ];
-        Self(Record {
-            name: "name".into(),
-            spec: gen_.choose(&specs).unwrap().clone(),
-            version: u64::arbitrary(gen_),
-        })
+        let (kind, spec) = random.choose(&specs).unwrap();
+        let value = json!({"kind": kind, "name": "name", "schema": 2, "spec": spec, "version": identity});
+        let record = Record::from_json(&value).unwrap();
+        assert_eq!(record.to_json(Schema::V2), value);
+        Self(record)
     }
 }
 
@@ -156,62 +132,37 @@
 /// Guards against mistakes that are ignored, and errors that do not say where they are.
 #[test]
 fn mistakes_are_refused_with_field_and_expectation() {
-    let long = "n".repeat(129);
+    let long = format!("\"{}\"", "n".repeat(129));
     let cases = [
+        ("", "schema", "3", "schema: version 3 is unknown"),
+        ("", "kind", "\"limits\"", "kind: limits is unknown"),
+        ("", "name", "\"\"", "name: expected a name of 1 to 128"),
+        ("", "name", &long, "name: expected a name of 1 to 128"),
+        ("", "name", "\"a/b\"", "name: expected a name"),
+        ("", "name", "\"a\\nb\"", "name: expected a name"),
+        ("", "version", "-1", "version: expected a whole number"),
+        ("", "extra", "1", "extra: unknown field; expected one of schema"),
+        ("", "spec", "[]", "spec: expected an object"),
+        ("/spec", "team", "null", "spec.team: expected a name"),
+        ("/spec", "max", "1", "spec.max: unknown field"),
         (
-            with(limit(), "", "schema", json!(3)),
-            "schema: version 3 is unknown",
-        ),
-        (
-            with(limit(), "", "kind", json!("limits")),
-            "kind: limits is unknown",
-        ),
-        (
-            with(limit(), "", "name", json!("")),
-            "name: expected a name of 1 to 128",
-        ),
-        (
-            with(limit(), "", "name", json!(long)),
-            "name: expected a name of 1 to 128",
-        ),
-        (with(limit(), "", "name", json!("a/b")), "name: expected"),
-        (with(limit(), "", "name", json!("a\nb")), "name: expected"),
-        (
-            with(limit(), "", "version", json!(-1)),
-            "version: expected a whole number",
-        ),
-        (
-            with(limit(), "", "extra", json!(1)),
-            "extra: unknown field; expected one of schema",
-        ),
-        (with(limit(), "", "spec", json!([])), "spec: expected an object"),
-        (
-            with(limit(), "/spec", "team", json!(null)),
-            "spec.team: expected a name",
-        ),
-        (with(limit(), "/spec", "max", json!(1)), "spec.max: unknown field"),
-        (
-            with(limit(), "/spec", "max_running", json!("4 tasks")),
+            "/spec",
+            "max_running",
+            "\"4 tasks\"",
             "spec.max_running: expected a whole number of tasks",
         ),
-        (
-            with(limit(), "/spec", "max_running", json!(1.5)),
-            "spec.max_running: expected",
-        ),
-        (
-            with(limit(), "/spec", "max_running", json!(u64::MAX)),
-            "spec.max_running: expected",
-        ),
-        (json!(7), "record: expected an object"),
-        (json!({}), "schema: required field is missing"),
+        ("/spec", "max_running", "1.5", "spec.max_running: expected"),
+        ("/spec", "max_running", "10000001", "spec.max_running: expected"),
     ];
-    for (value, expected) in &cases {
-        let error = error_of(value);
+    for (pointer, field, value, expected) in cases {
+        let error = error_of(&with(limit(), pointer, field, value.parse().unwrap()));
         assert!(
             error.starts_with(expected),
             "{error} does not start with {expected}"
         );
     }
+    assert_eq!(error_of(&json!(7)), "record: expected an object");
+    assert!(error_of(&json!({})).starts_with("schema: required field is missing"));
 }
 
 /// Guards against a wrong unit that is read as another amount.
