--- a/crates/kernel/src/attachment.rs
+++ b/crates/kernel/src/attachment.rs
@@ -221,6 +221,7 @@
             team,
         });
         self.by_id.entry(running.task).or_insert(key);
+        self.teams[team].tasks += 1;
         self.occupy(key, worker);
     }
 }
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -144,6 +144,7 @@
         if self.by_id.get(&task.id) == Some(&key) {
             self.by_id.remove(&task.id);
         }
+        self.teams[task.team].tasks -= 1;
         self.teams.remove_unused(task.team);
     }
 
@@ -217,6 +218,7 @@
             team,
         });
         self.by_id.insert(id, key);
+        self.teams[team].tasks += 1;
         key
     }
 
--- a/crates/kernel/src/team.rs
+++ b/crates/kernel/src/team.rs
@@ -34,6 +34,8 @@
     /// Whether the team has a record.
     pub(crate) present: bool,
     pub(crate) running: u32,
+    /// Tasks known here, also those that only await the end of their call.
+    pub(crate) tasks: u32,
     pub(crate) tokens: TokenPool,
     /// Waiting tasks by policy.
     pub(crate) waiting: [u32; POLICIES],
@@ -53,6 +55,7 @@
             name,
             present: false,
             running: 0,
+            tasks: 0,
             tokens: TokenPool::default(),
             waiting: [0; POLICIES],
             weight_millis: 1_000,
@@ -89,6 +92,6 @@
 
     /// Whether nothing refers to the team any more.
     pub(crate) fn is_unused(&self) -> bool {
-        !self.present && self.used_tokens() == 0 && self.all_waiting() == 0
+        !self.present && self.tasks == 0 && self.frozen == 0
     }
 }
--- a/crates/kernel/src/tokens.rs
+++ b/crates/kernel/src/tokens.rs
@@ -28,6 +28,7 @@
     /// Takes off tokens that moved to another daemon together with a worker.
     pub(crate) fn moved(&mut self, tokens: u32) {
         self.held = self.held.saturating_sub(tokens);
+        self.returning = self.returning.min(self.held);
     }
 
     /// Remembers the pool size that the leader wants.
--- /dev/null
+++ b/crates/kernel/tests/rules.rs
@@ -0,0 +1,628 @@
+//! Rules that hold after every event, checked against an independent model of what runs where.
+
+mod common;
+
+use {
+    common::{id, inherited, slots_only},
+    fuchsiatack_kernel::{Decision, Event, Kernel, KernelSettings, PeerLoad, Submission, TaskEnd},
+    fuchsiatack_model::{Epoch, Policy, Resources, TaskClass, TaskId, TeamName, WorkerName},
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+    std::collections::{BTreeMap, HashMap, HashSet},
+};
+
+const TEAMS: u8 = 4;
+const WORKERS: u8 = 4;
+
+/// One step, in terms that stay meaningful for any state.
+#[derive(Clone, Debug)]
+struct Step {
+    amount: u8,
+    kind: u8,
+    pick: u8,
+    wait_ms: u16,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let wait_ms = u16::arbitrary(random);
+        Self {
+            amount: u8::arbitrary(random),
+            kind: u8::arbitrary(random),
+            pick: u8::arbitrary(random),
+            wait_ms: if u8::arbitrary(random) < 25 {
+                wait_ms
+            } else {
+                wait_ms % 20
+            },
+        }
+    }
+}
+
+/// A task as the model knows it.
+#[derive(Clone, Default)]
+struct ModelTask {
+    awaits_end: bool,
+    demand: u32,
+    finished: bool,
+    gang: Vec<u64>,
+    idempotent: bool,
+    inherited: bool,
+    lost: bool,
+    may_start: bool,
+    on: Option<u8>,
+    out_of_sight: bool,
+    ran: bool,
+    stopped: bool,
+    team: u8,
+}
+
+#[derive(Clone, Default)]
+struct ModelWorker {
+    capacity: u32,
+    epoch: u64,
+    frozen: HashMap<u8, u32>,
+    held: bool,
+    releasing: bool,
+    unreachable: bool,
+}
+
+#[derive(Default)]
+struct ModelTeam {
+    limited: bool,
+    present: bool,
+    returned: u32,
+    tokens: u32,
+}
+
+struct Model {
+    epoch: u64,
+    held: HashSet<u8>,
+    kernel: Kernel,
+    lease: bool,
+    next: u64,
+    now_us: u64,
+    tasks: BTreeMap<u64, ModelTask>,
+    teams: HashMap<u8, ModelTeam>,
+    workers: BTreeMap<u8, ModelWorker>,
+}
+
+fn team_name(team: u8) -> TeamName {
+    TeamName::new(format!("team-{team}"))
+}
+
+fn worker_name(worker: u8) -> WorkerName {
+    WorkerName::new(format!("worker-{worker}"))
+}
+
+fn number(name: &str) -> u8 {
+    name.rsplit('-').next().unwrap().parse().unwrap()
+}
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        Self {
+            epoch: 0,
+            held: HashSet::new(),
+            kernel: Kernel::new(KernelSettings {
+                seed,
+                ..KernelSettings::default()
+            }),
+            lease: false,
+            next: 0,
+            now_us: 0,
+            tasks: BTreeMap::new(),
+            teams: HashMap::new(),
+            workers: BTreeMap::new(),
+        }
+    }
+
+    fn used(&self, worker: u8) -> u32 {
+        let on = |task: &&ModelTask| task.on == Some(worker);
+        self.tasks.values().filter(on).map(|task| task.demand).sum()
+    }
+
+    fn used_tokens(&self, team: u8) -> u32 {
+        let running = self
+            .tasks
+            .values()
+            .filter(|task| task.on.is_some() && task.team == team);
+        let frozen = self
+            .workers
+            .values()
+            .filter_map(|worker| worker.frozen.get(&team));
+        running.count() as u32 + frozen.sum::<u32>()
+    }
+
+    fn send(&mut self, event: Event) -> Result<(), String> {
+        let shown = format!("{event:?}");
+        let mut decisions = Vec::new();
+        self.kernel.handle(self.now_us, event, &mut decisions);
+        let mut started = Vec::new();
+        for decision in decisions {
+            self.check(&decision, &mut started)
+                .map_err(|problem| format!("{problem}: {decision:?} after {shown}"))?;
+        }
+        for task in &started {
+            let gang = &self.tasks[task].gang;
+            if !gang.iter().all(|member| started.contains(member)) {
+                return Err(format!("a gang started in part after {shown}"));
+            }
+        }
+        for task in started {
+            self.tasks.get_mut(&task).unwrap().gang.clear();
+        }
+        self.compare_usage()
+            .map_err(|problem| format!("{problem} after {shown}"))
+    }
+
+    fn check(&mut self, decision: &Decision, started: &mut Vec<u64>) -> Result<(), &'static str> {
+        match decision {
+            Decision::Start { epoch, task, worker } => self.check_start(*epoch, *task, worker, started),
+            Decision::Refuse { task, .. } | Decision::Forward { task, .. } => {
+                let task = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
+                let valid = task.may_start && !task.ran;
+                task.may_start = false;
+                task.finished = true;
+                valid
+                    .then_some(())
+                    .ok_or("refused or forwarded a task that was started")
+            }
+            Decision::Abandon { task } => {
+                let task = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
+                let valid = (task.ran || task.awaits_end) && task.on.is_none() && !task.finished;
+                task.may_start = false;
+                task.finished = true;
+                valid
+                    .then_some(())
+                    .ok_or("abandoned a task that never ran or still runs")
+            }
+            Decision::ReturnTokens { team, tokens } => {
+                let team = self.teams.get_mut(&number(team.as_str())).ok_or("unknown team")?;
+                team.returned += tokens;
+                (team.returned <= team.tokens)
+                    .then_some(())
+                    .ok_or("returned too many tokens")
+            }
+            Decision::Stop { task, worker } => {
+                let task = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
+                task.stopped = true;
+                (task.on == Some(number(worker.as_str())))
+                    .then_some(())
+                    .ok_or("stopped elsewhere")
+            }
+            Decision::Blocked { .. } => Ok(()),
+        }
+    }
+
+    fn check_start(
+        &mut self,
+        epoch: Epoch,
+        task: TaskId,
+        worker: &WorkerName,
+        started: &mut Vec<u64>,
+    ) -> Result<(), &'static str> {
+        let place = number(worker.as_str());
+        let target = self.workers.get(&place).ok_or("started on a removed worker")?;
+        if !self.lease || target.held || target.releasing || target.unreachable {
+            return Err("started without lease or on an unusable worker");
+        }
+        if target.epoch != epoch.0 {
+            return Err("started under another epoch");
+        }
+        let capacity = target.capacity;
+        let entry = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
+        if !entry.may_start || entry.on.is_some() {
+            return Err("started twice");
+        }
+        entry.may_start = false;
+        entry.on = Some(place);
+        let team = entry.team;
+        started.push(task.sequence);
+        let pool = &self.teams[&team];
+        if pool.limited && self.used_tokens(team) > pool.tokens - pool.returned {
+            return Err("more tasks than tokens");
+        }
+        (self.used(place) <= capacity)
+            .then_some(())
+            .ok_or("more than the capacity")
+    }
+
+    fn compare_usage(&self) -> Result<(), String> {
+        for (team, running, _) in self.kernel.usage() {
+            let place = number(team.as_str());
+            let expected = self
+                .tasks
+                .values()
+                .filter(|task| task.on.is_some() && task.team == place);
+            let expected = expected.count() as u32;
+            if running != expected {
+                return Err(format!("{team} runs {expected}, the kernel counts {running}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Marks an attempt as over that the kernel learns of without the end of a call.
+    fn over(&mut self, task: u64) {
+        let entry = self.tasks.get_mut(&task).unwrap();
+        entry.on = None;
+        if entry.lost {
+            entry.lost = false;
+            entry.ran = true;
+            entry.may_start = entry.idempotent;
+            entry.finished = !entry.idempotent;
+        } else if entry.inherited {
+            entry.finished = true;
+        } else {
+            entry.awaits_end = true;
+        }
+    }
+
+    fn on(&self, worker: u8) -> Vec<u64> {
+        let on = |entry: &(&u64, &ModelTask)| entry.1.on == Some(worker);
+        self.tasks.iter().filter(on).map(|(task, _)| *task).collect()
+    }
+
+    fn picked(&self, pick: u8, wanted: impl Fn(&ModelTask) -> bool) -> Option<u64> {
+        let found: Vec<u64> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| wanted(task))
+            .map(|(task, _)| *task)
+            .collect();
+        (!found.is_empty()).then(|| found[pick as usize % found.len()])
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), String> {
+        self.now_us += u64::from(step.wait_ms) * 1_000;
+        let worker = step.pick % WORKERS;
+        let team = step.pick % TEAMS;
+        match step.kind % 64 {
+            0..24 => self.submit(step),
+            24..40 => self.end(step),
+            40..43 => self.attach(worker, step.amount),
+            43 => self.remove(worker),
+            44..46 => self.set_team(team, step.amount),
+            46..49 => self.set_tokens(team, step.amount),
+            49 => self.advise(team, step.amount),
+            50 => self.release(worker),
+            51 => self.detach(worker),
+            52 => self.hold(worker, step.amount.is_multiple_of(2)),
+            53 => self.unreachable(worker),
+            54..57 => self.report(worker, step.amount),
+            57 => self.lease(!step.amount.is_multiple_of(3)),
+            58 => self.cancel(step.pick),
+            59 => self.send(Event::FleetUsage {
+                running: u32::from(step.amount),
+                team: team_name(team),
+            }),
+            60 => self.send(Event::PeerSeen(PeerLoad {
+                daemon: format!("peer-{worker}").as_str().into(),
+                free_slots: u32::from(step.amount % 4),
+                token_teams: vec![team_name(team)],
+                waiting: 0,
+            })),
+            61 if step.amount.is_multiple_of(4) => self.remove_team(team),
+            _ => self.send(Event::Tick),
+        }
+    }
+
+    fn submit(&mut self, step: &Step) -> Result<(), String> {
+        let policy =
+            [Policy::Interactive, Policy::Service, Policy::Gang, Policy::Batch][(step.amount % 4) as usize];
+        let size = if policy == Policy::Gang {
+            1 + u64::from(step.amount / 4 % 5)
+        } else {
+            1
+        };
+        let demand = 1 + u32::from(step.amount / 16 % 3);
+        let team = step.pick % TEAMS;
+        let tasks: Vec<u64> = (1..=size).map(|offset| self.next + offset).collect();
+        self.next += size;
+        let idempotent = step.pick % 8 > 1;
+        for task in &tasks {
+            let entry = ModelTask {
+                demand,
+                gang: tasks.clone(),
+                idempotent,
+                may_start: true,
+                team,
+                ..ModelTask::default()
+            };
+            self.tasks.insert(*task, entry);
+        }
+        let deadline = (step.pick.is_multiple_of(3)).then_some(self.now_us + u64::from(step.amount) * 20_000);
+        self.send(Event::Submit(Submission {
+            class: TaskClass {
+                demand: slots_only(demand),
+                idempotent,
+                policy,
+            },
+            deadline_us: deadline,
+            may_forward: step.pick.is_multiple_of(5),
+            tasks: tasks.into_iter().map(id).collect(),
+            team: team_name(team),
+        }))
+    }
+
+    fn end(&mut self, step: &Step) -> Result<(), String> {
+        let calls = |task: &ModelTask| {
+            (task.on.is_some() && !task.lost && !task.inherited) || (task.awaits_end && !task.finished)
+        };
+        let Some(task) = self.picked(step.pick, calls) else {
+            return Ok(());
+        };
+        let end = match step.amount % 8 {
+            0 => TaskEnd::Failed,
+            1 => TaskEnd::Lost,
+            2 => TaskEnd::Refused,
+            _ => TaskEnd::Done,
+        };
+        let worker = self.tasks[&task].on;
+        let entry = self.tasks.get_mut(&task).unwrap();
+        let detached = std::mem::take(&mut entry.awaits_end);
+        match end {
+            TaskEnd::Lost if !detached => entry.lost = true,
+            TaskEnd::Lost => {
+                entry.ran = true;
+                entry.may_start = entry.idempotent && !entry.out_of_sight;
+            }
+            TaskEnd::Refused => entry.may_start = true,
+            TaskEnd::Failed if entry.stopped && entry.idempotent => {
+                entry.ran = true;
+                entry.may_start = true;
+            }
+            _ => entry.finished = true,
+        }
+        entry.out_of_sight = false;
+        entry.stopped = false;
+        if !entry.lost {
+            entry.on = None;
+            let team = entry.team;
+            let target = worker.and_then(|worker| self.workers.get_mut(&worker));
+            if let Some(target) = target.filter(|target| target.releasing) {
+                *target.frozen.entry(team).or_default() += 1;
+            }
+        }
+        self.send(Event::Ended {
+            end,
+            run_us: u64::from(step.amount) * 1_000,
+            task: id(task),
+        })
+    }
+
+    fn attach(&mut self, worker: u8, amount: u8) -> Result<(), String> {
+        let mut running = Vec::new();
+        for task in self.on(worker) {
+            if task.is_multiple_of(2) {
+                let entry = &self.tasks[&task];
+                let mut listed = inherited(task, team_name(entry.team).as_str());
+                listed.demand = slots_only(entry.demand);
+                running.push(listed);
+            } else {
+                self.over(task);
+            }
+        }
+        let capacity = 1 + u32::from(amount % 6);
+        if amount.is_multiple_of(4) {
+            self.next += 1;
+            let team = amount % TEAMS;
+            self.teams.entry(team).or_default();
+            let entry = ModelTask {
+                demand: 1,
+                inherited: true,
+                on: Some(worker),
+                team,
+                ..ModelTask::default()
+            };
+            self.tasks.insert(self.next, entry);
+            running.push(inherited(self.next, team_name(team).as_str()));
+        }
+        self.epoch += 1;
+        let entry = ModelWorker {
+            capacity,
+            epoch: self.epoch,
+            held: self.held.contains(&worker),
+            ..ModelWorker::default()
+        };
+        self.workers.insert(worker, entry);
+        self.send(Event::WorkerAttached {
+            capacity: Resources {
+                connections: 64,
+                ..slots_only(capacity)
+            },
+            data_center: "zone".into(),
+            epoch: Epoch(self.epoch),
+            rack: "rack".into(),
+            running,
+            speed_millis: 500 + u32::from(amount) * 10,
+            worker: worker_name(worker),
+        })
+    }
+
+    fn remove(&mut self, worker: u8) -> Result<(), String> {
+        for task in self.on(worker) {
+            self.over(task);
+        }
+        self.workers.remove(&worker);
+        self.send(Event::WorkerRemoved {
+            worker: worker_name(worker),
+        })
+    }
+
+    fn detach(&mut self, worker: u8) -> Result<(), String> {
+        if !self.workers.get(&worker).is_some_and(|worker| worker.releasing) {
+            return Ok(());
+        }
+        let mut moved: BTreeMap<u8, u32> = BTreeMap::new();
+        for task in self.on(worker) {
+            let entry = self.tasks.get_mut(&task).unwrap();
+            *moved.entry(entry.team).or_default() += 1;
+            entry.on = None;
+            entry.ran |= entry.lost;
+            entry.finished = entry.inherited || (entry.lost && !entry.idempotent);
+            entry.awaits_end = !entry.inherited && !entry.lost;
+            entry.out_of_sight = entry.awaits_end;
+        }
+        self.workers.remove(&worker);
+        for (team, tokens) in &moved {
+            let pool = self.teams.get_mut(team).unwrap();
+            pool.tokens = pool.tokens.saturating_sub(*tokens).max(pool.returned);
+        }
+        self.send(Event::WorkerDetached {
+            moved: moved
+                .into_iter()
+                .map(|(team, tokens)| (team_name(team), tokens))
+                .collect(),
+            worker: worker_name(worker),
+        })
+    }
+
+    fn set_team(&mut self, team: u8, amount: u8) -> Result<(), String> {
+        let pool = self.teams.entry(team).or_default();
+        pool.limited = amount.is_multiple_of(2);
+        pool.present = true;
+        self.send(Event::TeamSet {
+            limited: amount.is_multiple_of(2),
+            max_waiting: 50,
+            team: team_name(team),
+            weight_millis: 1_000 + u32::from(amount),
+        })
+    }
+
+    /// The ledger has applied all returns and then makes the pool `amount`.
+    fn set_tokens(&mut self, team: u8, amount: u8) -> Result<(), String> {
+        let pool = self.teams.entry(team).or_default();
+        let applied = pool.tokens - pool.returned;
+        *pool = ModelTeam {
+            returned: 0,
+            tokens: applied,
+            ..std::mem::take(pool)
+        };
+        self.send_tokens(team, applied)?;
+        self.teams.get_mut(&team).unwrap().tokens = u32::from(amount % 12);
+        self.teams.get_mut(&team).unwrap().returned = 0;
+        self.send_tokens(team, u32::from(amount % 12))
+    }
+
+    fn send_tokens(&mut self, team: u8, tokens: u32) -> Result<(), String> {
+        self.send(Event::TokensSet {
+            team: team_name(team),
+            tokens,
+        })
+    }
+
+    fn advise(&mut self, team: u8, amount: u8) -> Result<(), String> {
+        self.send(Event::TokensAdvised {
+            target: u32::from(amount % 8),
+            team: team_name(team),
+        })
+    }
+
+    fn release(&mut self, worker: u8) -> Result<(), String> {
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.releasing = true;
+        }
+        self.send(Event::WorkerReleasing {
+            worker: worker_name(worker),
+        })
+    }
+
+    fn hold(&mut self, worker: u8, held: bool) -> Result<(), String> {
+        match held {
+            true => self.held.insert(worker),
+            false => self.held.remove(&worker),
+        };
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.held = held;
+        }
+        self.send(Event::WorkerHeld {
+            held,
+            worker: worker_name(worker),
+        })
+    }
+
+    fn unreachable(&mut self, worker: u8) -> Result<(), String> {
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.unreachable = true;
+        }
+        self.send(Event::WorkerUnreachable {
+            worker: worker_name(worker),
+        })
+    }
+
+    fn report(&mut self, worker: u8, amount: u8) -> Result<(), String> {
+        let Some(target) = self.workers.get_mut(&worker) else {
+            return Ok(());
+        };
+        target.unreachable = false;
+        let releasing = target.releasing;
+        let mut running = Vec::new();
+        for task in self.on(worker) {
+            let entry = &self.tasks[&task];
+            let ends = (entry.lost || entry.inherited) && amount.is_multiple_of(2);
+            if !ends {
+                running.push(id(task));
+                continue;
+            }
+            let team = entry.team;
+            self.over(task);
+            if releasing {
+                *self
+                    .workers
+                    .get_mut(&worker)
+                    .unwrap()
+                    .frozen
+                    .entry(team)
+                    .or_default() += 1;
+            }
+        }
+        self.send(Event::WorkerReported {
+            running,
+            worker: worker_name(worker),
+        })
+    }
+
+    fn lease(&mut self, valid: bool) -> Result<(), String> {
+        self.lease = valid;
+        self.send(Event::LeaseChanged { valid })
+    }
+
+    fn cancel(&mut self, pick: u8) -> Result<(), String> {
+        let Some(task) = self.picked(pick, |task| !task.finished && !task.inherited) else {
+            return Ok(());
+        };
+        self.send(Event::Cancel { task: id(task) })
+    }
+
+    fn remove_team(&mut self, team: u8) -> Result<(), String> {
+        self.send(Event::TeamRemoved {
+            team: team_name(team),
+        })
+    }
+}
+
+/// Guards against every breach of the rules: capacity, tokens, lease, unusable workers,
+/// second starts, gangs in part, untrue refusals, and counts that drift from what runs.
+#[test]
+fn rules_hold_after_every_event() {
+    fn rules(seed: u64, steps: Vec<Step>) -> Result<bool, String> {
+        let mut model = Model::new(seed);
+        model.lease(true)?;
+        for worker in 0..WORKERS {
+            model.attach(worker, 5 + 4 * worker + 1)?;
+        }
+        for team in 0..TEAMS {
+            model.set_team(team, team)?;
+            model.set_tokens(team, 6)?;
+        }
+        for step in &steps {
+            model.step(step)?;
+        }
+        Ok(true)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 7))
+        .tests(600)
+        .quickcheck(rules as fn(u64, Vec<Step>) -> Result<bool, String>);
+}
