--- a/crates/kernel/src/attachment.rs
+++ b/crates/kernel/src/attachment.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Decision, Kernel,
+        health::{Health, Service},
         task::{Stage, Task, TaskKey},
         team::TeamKey,
         worker::{Worker, WorkerKey, speed_class},
@@ -36,7 +37,9 @@
             self.end_unlisted(old, &listed, decisions);
             kept = self.workers[old].tasks.clone();
             self.thaw(old, decisions);
-            self.workers.remove(old);
+            self.workers[old].unreachable = true;
+            self.offer_changed(old);
+            self.drop_worker(old);
         }
         let running = attachment.running.clone();
         let key = self.insert_worker(attachment);
@@ -49,6 +52,7 @@
                 self.inherit(task, key);
             }
         }
+        self.waiting.unblock();
         self.offer_changed(key);
     }
 
@@ -75,17 +79,19 @@
             }
         }
         self.thaw(key, decisions);
-        self.workers.remove(key);
+        self.drop_worker(key);
+        self.report_blocked(decisions);
     }
 
     /// Accounts for a worker whose tasks are certainly over.
     pub(crate) fn worker_removed(&mut self, name: &WorkerName, decisions: &mut Vec<Decision>) {
         let Some(key) = self.workers.key(name) else { return };
         self.workers[key].unreachable = true;
-        self.workers.refresh(key);
+        self.offer_changed(key);
         self.end_unlisted(key, &[], decisions);
         self.thaw(key, decisions);
-        self.workers.remove(key);
+        self.drop_worker(key);
+        self.report_blocked(decisions);
     }
 
     pub(crate) fn worker_held(&mut self, name: WorkerName, held: bool) {
@@ -102,14 +108,14 @@
     pub(crate) fn worker_releasing(&mut self, name: &WorkerName) {
         if let Some(key) = self.workers.key(name) {
             self.workers[key].releasing = true;
-            self.workers.refresh(key);
+            self.offer_changed(key);
         }
     }
 
     pub(crate) fn worker_unreachable(&mut self, name: &WorkerName) {
         if let Some(key) = self.workers.key(name) {
             self.workers[key].unreachable = true;
-            self.workers.refresh(key);
+            self.offer_changed(key);
         }
     }
 
@@ -168,6 +174,13 @@
         }
     }
 
+    fn drop_worker(&mut self, key: WorkerKey) {
+        if self.workers[key].health.service == Service::Ejected {
+            self.ejected -= 1;
+        }
+        self.workers.remove(key);
+    }
+
     fn insert_worker(&mut self, attachment: Attachment) -> WorkerKey {
         let (data_center, rack) = attachment.place;
         let slowdown = 1_000.0 / attachment.speed_millis.max(1) as f32;
@@ -177,11 +190,14 @@
             data_center: self.spread.place(&data_center, &RackName::default()),
             epoch: attachment.epoch,
             frozen: Vec::new(),
+            health: Health::default(),
             held: self.held.contains(&attachment.worker),
             name: attachment.worker,
+            paused: false,
             position: 0,
             rack: self.spread.place(&data_center, &rack),
             releasing: false,
+            reserved: Resources::NONE,
             slowdown,
             tasks: Vec::new(),
             unreachable: false,
@@ -216,6 +232,8 @@
             policy: Policy::Batch,
             preempted: false,
             sequence: self.next_sequence,
+            started_us: self.now_us,
+            submitted_us: self.now_us,
             stage: Stage::Running(worker),
             started: true,
             team,
--- /dev/null
+++ b/crates/kernel/src/ejection.rs
@@ -0,0 +1,114 @@
+//! Workers that fail are taken out of service, probed and brought back.
+
+use crate::{Kernel, TaskEnd, health::Service, task::TaskKey, timer::Timer, worker::WorkerKey};
+
+/// One worker in this number may be out of service because of its failures.
+const EJECTED_PART: usize = 5;
+/// Weight of a new end in the fleet's failure rate.
+const FLEET_GAIN: f32 = 0.02;
+/// Time after which a probe that still runs counts as a success.
+const PROBE_LIMIT_US: u64 = 30_000_000;
+/// Pause of a worker that refused a task, so that the task does not return to it at once.
+const REFUSAL_PAUSE_US: u64 = 100_000;
+/// Time between the steps of a slow start.
+const SLOW_START_STEP_US: u64 = 2_000_000;
+
+impl Kernel {
+    /// Notes how a task ended on a worker.
+    pub(crate) fn judge(&mut self, task: TaskKey, key: WorkerKey, end: TaskEnd) {
+        let failed = end != TaskEnd::Done;
+        let value = if failed { 1.0 } else { 0.0 };
+        self.fleet_failure_rate += FLEET_GAIN * (value - self.fleet_failure_rate);
+        if end == TaskEnd::Refused {
+            self.workers[key].paused = true;
+            self.timers
+                .insert((self.now_us + REFUSAL_PAUSE_US, Timer::Resume(key)));
+        }
+        let probed = self.workers[key].health.service == Service::Probing(Some(task));
+        let health = &mut self.workers[key].health;
+        let unfit = health.observe(failed, self.fleet_failure_rate);
+        match probed {
+            true if failed => self.eject(key),
+            true => self.bring_back(key),
+            false if unfit && self.may_eject() => self.eject(key),
+            false => {}
+        }
+    }
+
+    /// Remembers the task that probes a worker.
+    pub(crate) fn note_probe(&mut self, task: TaskKey, key: WorkerKey) {
+        let health = &mut self.workers[key].health;
+        if health.service == Service::Probing(None) {
+            health.service = Service::Probing(Some(task));
+            self.timers
+                .insert((self.now_us + PROBE_LIMIT_US, Timer::Probed(key, task)));
+        }
+    }
+
+    /// Lets another task probe if the present one says nothing about the worker.
+    pub(crate) fn forget_probe(&mut self, task: TaskKey, key: WorkerKey) {
+        let health = &mut self.workers[key].health;
+        if health.service == Service::Probing(Some(task)) {
+            health.service = Service::Probing(None);
+        }
+    }
+
+    /// Ends the pause of an ejected worker.
+    pub(crate) fn begin_probe(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.health.service == Service::Ejected {
+            self.ejected -= 1;
+            worker.health.service = Service::Probing(None);
+            self.offer_changed(key);
+        }
+    }
+
+    /// Counts a probe that has run for long as a success.
+    pub(crate) fn end_probe(&mut self, key: WorkerKey, task: TaskKey) {
+        let probed = self.workers.get_mut(key).map(|worker| worker.health.service);
+        if probed == Some(Service::Probing(Some(task))) {
+            self.bring_back(key);
+            self.offer_changed(key);
+        }
+    }
+
+    /// Takes the next step of a slow start.
+    pub(crate) fn grow_slow_start(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let slots = worker.capacity.slots;
+        if !worker.health.grow(slots) {
+            self.timers
+                .insert((self.now_us + SLOW_START_STEP_US, Timer::Grow(key)));
+        }
+        self.offer_changed(key);
+    }
+
+    /// Ends the pause of a worker that refused a task.
+    pub(crate) fn resume(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.paused = false;
+            self.offer_changed(key);
+        }
+    }
+
+    fn bring_back(&mut self, key: WorkerKey) {
+        self.workers[key].health.recover();
+        self.timers
+            .insert((self.now_us + SLOW_START_STEP_US, Timer::Grow(key)));
+    }
+
+    fn eject(&mut self, key: WorkerKey) {
+        let pause_us = self.workers[key].health.eject();
+        self.ejected += 1;
+        self.timers.insert((self.now_us + pause_us, Timer::Probe(key)));
+    }
+
+    fn may_eject(&self) -> bool {
+        let limit = self.workers.len().div_ceil(EJECTED_PART);
+        self.ejected < limit && self.ejected + 1 < self.workers.len()
+    }
+}
--- a/crates/kernel/src/ending.rs
+++ b/crates/kernel/src/ending.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         Decision, Kernel, TaskEnd,
-        submission::refusal,
         task::{Stage, TaskKey},
         worker::WorkerKey,
     },
@@ -28,7 +27,12 @@
         let task = &self.tasks[key];
         let preempted = task.preempted && task.idempotent;
         match (task.stage, end) {
-            (Stage::Running(worker), TaskEnd::Lost) => self.tasks[key].stage = Stage::Lost(worker),
+            (Stage::Running(worker), TaskEnd::Lost) => {
+                self.unlist_victim(key);
+                self.tasks[key].stage = Stage::Lost(worker);
+                self.measure(key, worker, end, run_us);
+                self.offer_changed(worker);
+            }
             (Stage::Running(worker), _) => {
                 self.measure(key, worker, end, run_us);
                 self.release(key, decisions);
@@ -48,9 +52,14 @@
 
     /// Ends an attempt whose connection was lost and that certainly no longer runs.
     pub(crate) fn lost_attempt_over(&mut self, key: TaskKey, decisions: &mut Vec<Decision>) {
-        match self.tasks[key].idempotent {
+        let task = &self.tasks[key];
+        let retry = match task.policy {
+            Policy::Interactive if task.idempotent => self.teams[task.team].spend_retry(),
+            _ => task.idempotent,
+        };
+        match retry {
             true => self.wait_again(key, true, decisions),
-            false => self.forget(key),
+            false => self.abandon(key, decisions),
         }
     }
 
@@ -69,6 +78,13 @@
         let (Stage::Running(worker_key) | Stage::Lost(worker_key)) = task.stage else {
             return;
         };
+        if task.policy == Policy::Interactive {
+            self.flow.running -= 1;
+        }
+        self.victims.remove(&(task.started_us, key));
+        if task.preempted {
+            self.stopping -= 1;
+        }
         task.stage = Stage::Detached { over: true };
         let team_key = task.team;
         let worker = &mut self.workers[worker_key];
@@ -84,12 +100,19 @@
             worker.freeze(team_key);
         }
         self.tokens_changed(team_key, decisions);
+        self.forget_probe(key, worker_key);
         self.offer_changed(worker_key);
     }
 
+    /// Publishes an offer that has only become smaller.
+    pub(crate) fn offer_lowered(&mut self, key: WorkerKey) {
+        self.adjust_reservation(key);
+        self.workers.refresh(key);
+    }
+
     /// Publishes a worker's offer and has waiting work looked at that it covers.
     pub(crate) fn offer_changed(&mut self, key: WorkerKey) {
-        self.workers.refresh(key);
+        self.offer_lowered(key);
         if let Some(offer) = self.workers[key].offer() {
             self.waiting.wake_covered(&offer);
         }
@@ -102,6 +125,7 @@
         let task = &mut self.tasks[key];
         task.preempted = false;
         task.started |= started;
+        let task = &self.tasks[key];
         let lapsed = task.policy == Policy::Interactive && !self.lease_valid;
         let reason = match task.deadline_us {
             _ if task.cancelled || !present => Refusal::Cancelled,
@@ -109,21 +133,30 @@
             Some(deadline_us) if deadline_us <= self.now_us => Refusal::DeadlineTooShort,
             _ => {
                 self.enter_lane(key);
+                self.watch_again(key);
                 return;
             }
         };
         decisions.push(match task.started {
             true => Decision::Abandon { task: task.id },
-            false => refusal(task.id, reason),
+            false => self.refusal(task.id, task.team, reason),
         });
         self.forget(key);
     }
 
     /// Learns the team's run time and the worker's speed from a completed task.
     fn measure(&mut self, key: TaskKey, worker: WorkerKey, end: TaskEnd, run_us: u64) {
+        let task = &self.tasks[key];
+        let policy = task.policy;
+        if !task.preempted && !task.cancelled {
+            self.judge(key, worker, end);
+        }
         if end != TaskEnd::Done || run_us == 0 {
             return;
         }
+        if policy == Policy::Interactive {
+            self.flow.ran(run_us as f32);
+        }
         let team = &mut self.teams[self.tasks[key].team];
         let worker = &mut self.workers[worker];
         let run_us = run_us as f32;
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -3,19 +3,22 @@
 use {
     crate::{
         Decision, Event, KernelSettings,
+        admission::Flow,
         peers::Peers,
         policy::{PlacementPolicy, registered},
+        reservation::Reservation,
         spread::Spread,
-        task::{GangKey, Task, TaskKey},
+        task::{Gang, GangKey, Task, TaskKey},
         team::POLICIES,
         teams::Teams,
+        timer::Timer,
         waiting::Waiting,
         workers::Workers,
     },
     fuchsiatack_model::{Policy, Resources, TaskId, TeamName, WorkerName},
     rand::{SeedableRng, rngs::StdRng},
     slotmap::SlotMap,
-    std::collections::{BTreeSet, HashMap, HashSet},
+    std::collections::{BTreeSet, HashMap, HashSet, VecDeque},
 };
 
 /// Policies in order of precedence, which is the order of their values.
@@ -26,7 +29,13 @@
     pub(crate) by_id: HashMap<TaskId, TaskKey>,
     /// Deadlines of waiting tasks.
     pub(crate) deadlines: BTreeSet<(u64, TaskKey)>,
-    pub(crate) gangs: SlotMap<GangKey, Vec<TaskKey>>,
+    /// Workers out of service because of their failures.
+    pub(crate) ejected: usize,
+    pub(crate) fleet_failure_rate: f32,
+    pub(crate) flow: Flow,
+    /// First tasks of gangs that wait for their turn to reserve room.
+    pub(crate) gang_queue: VecDeque<TaskKey>,
+    pub(crate) gangs: SlotMap<GangKey, Gang>,
     /// Drained workers by name, kept apart since a drain can precede the attachment.
     pub(crate) held: HashSet<WorkerName>,
     pub(crate) lease_valid: bool,
@@ -35,10 +44,18 @@
     pub(crate) peers: Peers,
     pub(crate) policies: [&'static dyn PlacementPolicy; POLICIES],
     pub(crate) random: StdRng,
+    pub(crate) reservation: Option<Reservation>,
+    /// Whether `Timer::Reserve` is set.
+    pub(crate) reserve_armed: bool,
     pub(crate) settings: KernelSettings,
     pub(crate) spread: Spread,
+    /// Tasks that were stopped to make room and have not ended yet.
+    pub(crate) stopping: u32,
     pub(crate) tasks: SlotMap<TaskKey, Task>,
     pub(crate) teams: Teams,
+    pub(crate) timers: BTreeSet<(u64, Timer)>,
+    /// Batch tasks that can make room, by start.
+    pub(crate) victims: BTreeSet<(u64, TaskKey)>,
     pub(crate) waiting: Waiting,
     pub(crate) workers: Workers,
 }
@@ -49,6 +66,10 @@
         Self {
             by_id: HashMap::new(),
             deadlines: BTreeSet::new(),
+            ejected: 0,
+            fleet_failure_rate: 0.0,
+            flow: Flow::default(),
+            gang_queue: VecDeque::new(),
             gangs: SlotMap::with_key(),
             held: HashSet::new(),
             lease_valid: false,
@@ -57,10 +78,15 @@
             peers: Peers::default(),
             policies: PRECEDENCE.map(registered),
             random: StdRng::seed_from_u64(settings.seed),
+            reservation: None,
+            reserve_armed: false,
             settings,
             spread: Spread::default(),
+            stopping: 0,
             tasks: SlotMap::with_key(),
             teams: Teams::default(),
+            timers: BTreeSet::new(),
+            victims: BTreeSet::new(),
             waiting: Waiting::default(),
             workers: Workers::new(),
         }
@@ -71,6 +97,7 @@
         self.now_us = self.now_us.max(now_us);
         self.refuse_overdue(decisions);
         self.apply(event, decisions);
+        self.run_timers(decisions);
         self.place_waiting(decisions);
     }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! The kernel owns no clock, does no I/O and uses no randomness but a seed in its settings.
 
+mod admission;
 mod attachment;
 mod capacity_tree;
 mod decision;
+mod ejection;
 mod ending;
 mod event;
 mod forwarding;
+mod health;
 mod kernel;
 mod peers;
 mod placement;
@@ -16,13 +19,17 @@
 mod policy_gang;
 mod policy_interactive;
 mod policy_service;
+mod preemption;
+mod reservation;
 mod settings;
 mod spread;
 mod submission;
 mod task;
 mod team;
 mod teams;
+mod timer;
 mod tokens;
+mod urgency;
 mod waiting;
 mod worker;
 mod workers;
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -18,8 +18,17 @@
         if !self.lease_valid {
             return;
         }
-        while let Some(lane) = self.waiting.next() {
-            self.serve(lane, decisions);
+        loop {
+            let next = self.waiting.next();
+            let policy = next.map(|lane| self.waiting.policy(lane));
+            let before_gangs = policy.is_some_and(|policy| policy < Policy::Gang);
+            if !before_gangs && self.start_reserved(decisions) {
+                continue;
+            }
+            match next {
+                Some(lane) => self.serve(lane, decisions),
+                None => return,
+            }
         }
     }
 
@@ -31,15 +40,18 @@
         };
         let (group, team) = (entry.group, entry.team);
         let gang = self.tasks[key].gang;
-        let size = gang.map_or(1, |gang| self.gangs[gang].len());
+        let size = gang.map_or(1, |gang| self.gangs[gang].members.len());
         if (self.teams[team].startable() as usize) < size {
             self.waiting.park(lane);
             return;
         }
         match gang {
-            Some(_) => match self.plan_gang(key, size) {
+            Some(gang) => match self.plan_gang(key, size) {
                 Some(workers) => self.start_gang(key, &workers, decisions),
-                None => self.waiting.rest(group),
+                None => {
+                    self.waiting.rest(group);
+                    self.queue_gang(key, gang);
+                }
             },
             None => match self.choose_worker(key) {
                 Some(worker) => {
@@ -55,7 +67,7 @@
         let salt = self.random.random();
         let task = &self.tasks[key];
         let view = PlacementView {
-            accept: &|_| true,
+            accept: &|worker| self.is_open_to(key, worker),
             demand: &task.demand,
             salt,
             spread: &self.spread,
@@ -84,7 +96,8 @@
         (workers.len() == size).then_some(workers)
     }
 
-    fn start_gang(&mut self, key: TaskKey, workers: &[WorkerKey], decisions: &mut Vec<Decision>) {
+    /// Starts a waiting gang, each task on the worker at its position.
+    pub(crate) fn start_gang(&mut self, key: TaskKey, workers: &[WorkerKey], decisions: &mut Vec<Decision>) {
         let members = self.leave_lane(key);
         for (member, worker) in members.into_iter().zip(workers) {
             self.start(member, *worker, decisions);
@@ -94,6 +107,9 @@
     /// Starts a task that has left its lane.
     fn start(&mut self, key: TaskKey, worker_key: WorkerKey, decisions: &mut Vec<Decision>) {
         self.occupy(key, worker_key);
+        self.list_victim(key);
+        self.note_probe(key, worker_key);
+        self.offer_lowered(worker_key);
         let worker = &self.workers[worker_key];
         decisions.push(Decision::Start {
             epoch: worker.epoch,
@@ -115,7 +131,9 @@
         }
         let team = task.team;
         self.teams[team].running += 1;
-        self.workers.refresh(worker_key);
+        if task.policy == Policy::Interactive {
+            self.flow.running += 1;
+        }
         self.team_changed(team);
     }
 }
--- /dev/null
+++ b/crates/kernel/src/reservation.rs
@@ -0,0 +1,256 @@
+//! Room that is kept for a gang until all its tasks can start.
+
+use {
+    crate::{
+        Decision, Kernel,
+        task::{GangKey, Stage, TaskKey},
+        timer::Timer,
+        worker::WorkerKey,
+    },
+    fuchsiatack_model::{Policy, Resources},
+};
+
+/// Waiting time after which room is also kept from callers and made by stopping batch work.
+const FIRM_AFTER_US: u64 = 60_000_000;
+/// Time between attempts to place gangs that hold no reservation.
+const RETRY_US: u64 = 500_000;
+/// Part of a reservation's term during which nothing is reserved after it expired.
+const REST_DIVISOR: u64 = 4;
+const TERM_FIRST_US: u64 = 10_000_000;
+/// Doublings of the term, so that a gang that needs much room gets it at last.
+const TERM_DOUBLINGS: u32 = 8;
+
+/// The reservation of one gang. Only one gang reserves at a time, so that two never keep
+/// room from each other.
+pub(crate) struct Reservation {
+    demand: Resources,
+    firm: bool,
+    held: u32,
+    holds: Vec<(WorkerKey, u32)>,
+    pub(crate) leader: TaskKey,
+    size: u32,
+}
+
+impl Kernel {
+    /// Queues a gang for a reservation after it found no room.
+    pub(crate) fn queue_gang(&mut self, leader: TaskKey, gang: GangKey) {
+        let entry = &mut self.gangs[gang];
+        if entry.queued {
+            return;
+        }
+        entry.queued = true;
+        if self.gang_queue.len() > 2 * self.gangs.len() {
+            let tasks = &self.tasks;
+            self.gang_queue
+                .retain(|leader| tasks.get(*leader).is_some_and(|task| task.gang.is_some()));
+        }
+        self.gang_queue.push_back(leader);
+        self.arm_reserve(RETRY_US);
+    }
+
+    /// Gives the reservation to the gang that waits longest for its turn, and has gangs
+    /// without reservation looked at again.
+    pub(crate) fn reserve_next(&mut self, decisions: &mut Vec<Decision>) {
+        self.reserve_armed = false;
+        while self.reservation.is_none() {
+            let Some(leader) = self.gang_queue.pop_front() else {
+                break;
+            };
+            if self.waiting_gang(leader).is_some() {
+                self.reserve(leader, decisions);
+            }
+        }
+        self.waiting.wake_gangs();
+        if !self.gang_queue.is_empty() {
+            self.arm_reserve(RETRY_US);
+        }
+    }
+
+    /// Ends a reservation whose term is over; the gang goes to the back of the queue.
+    pub(crate) fn reservation_expired(&mut self, leader: TaskKey) {
+        if self.reservation.as_ref().map(|reservation| reservation.leader) != Some(leader) {
+            return;
+        }
+        self.cancel_reservation();
+        let Some(gang) = self.waiting_gang(leader) else {
+            return;
+        };
+        let term_us = self.term_us(gang);
+        self.gangs[gang].attempts += 1;
+        self.gang_queue.push_back(leader);
+        self.arm_reserve(term_us / REST_DIVISOR);
+    }
+
+    /// Gives the reserved room free.
+    pub(crate) fn cancel_reservation(&mut self) {
+        let Some(reservation) = self.reservation.take() else {
+            return;
+        };
+        for (worker, _) in reservation.holds {
+            if let Some(entry) = self.workers.get_mut(worker) {
+                entry.reserved = Resources::NONE;
+                self.offer_changed(worker);
+            }
+        }
+        if !self.gang_queue.is_empty() {
+            self.arm_reserve(RETRY_US);
+        }
+    }
+
+    /// Adapts the reservation to a worker whose free room has changed.
+    pub(crate) fn adjust_reservation(&mut self, key: WorkerKey) {
+        let Some(reservation) = &mut self.reservation else {
+            return;
+        };
+        let worker = &mut self.workers[key];
+        let room = worker.offer().unwrap_or(Resources::NONE);
+        let position = reservation.holds.iter().position(|(other, _)| *other == key);
+        let old = position.map_or(0, |position| reservation.holds[position].1);
+        let open = reservation.size - reservation.held + old;
+        let (count, reserved) = fits(&room, &reservation.demand, open, worker.offer().is_some());
+        worker.reserved = reserved;
+        reservation.held = reservation.held - old + count;
+        match position {
+            Some(position) if count == 0 => {
+                reservation.holds.swap_remove(position);
+            }
+            Some(position) => reservation.holds[position].1 = count,
+            None if count > 0 => reservation.holds.push((key, count)),
+            None => {}
+        }
+    }
+
+    /// Starts the gang if its reservation is complete. Returns whether a reservation ended.
+    pub(crate) fn start_reserved(&mut self, decisions: &mut Vec<Decision>) -> bool {
+        let complete = self
+            .reservation
+            .as_ref()
+            .filter(|reservation| reservation.held == reservation.size);
+        let Some(reservation) = complete else {
+            return false;
+        };
+        let leader = reservation.leader;
+        let size = reservation.size;
+        let workers: Vec<WorkerKey> = reservation
+            .holds
+            .iter()
+            .flat_map(|(worker, count)| std::iter::repeat_n(*worker, *count as usize))
+            .collect();
+        let team = self.tasks[leader].team;
+        let may_start = self.teams[team].startable() >= size;
+        self.cancel_reservation();
+        match may_start {
+            true => self.start_gang(leader, &workers, decisions),
+            false => self.requeue_gang(leader),
+        }
+        true
+    }
+
+    /// Returns whether a task may use a worker in view of what is kept for a gang.
+    pub(crate) fn is_open_to(&self, key: TaskKey, worker: WorkerKey) -> bool {
+        let entry = &self.workers[worker];
+        if entry.reserved == Resources::NONE {
+            return true;
+        }
+        let task = &self.tasks[key];
+        let firm = self
+            .reservation
+            .as_ref()
+            .is_some_and(|reservation| reservation.firm);
+        match task.policy {
+            Policy::Interactive if !firm || self.is_urgent(key) => true,
+            Policy::Service if !firm => true,
+            _ => entry.free().minus(&entry.reserved).covers(&task.demand),
+        }
+    }
+
+    fn reserve(&mut self, leader: TaskKey, decisions: &mut Vec<Decision>) {
+        let Some(gang) = self.waiting_gang(leader) else {
+            return;
+        };
+        let task = &self.tasks[leader];
+        let firm = self.now_us >= task.submitted_us + FIRM_AFTER_US;
+        let demand = task.demand;
+        let size = self.gangs[gang].members.len() as u32;
+        self.reservation = Some(Reservation {
+            demand,
+            firm,
+            held: 0,
+            holds: Vec::new(),
+            leader,
+            size,
+        });
+        self.collect_room(&demand, size);
+        let term_us = self.term_us(gang);
+        self.timers
+            .insert((self.now_us + term_us, Timer::ReservationEnd(leader)));
+        if firm {
+            let missing = self
+                .reservation
+                .as_ref()
+                .map_or(0, |reservation| size - reservation.held);
+            for _ in 0..missing {
+                if !self.make_room(&demand, decisions) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Takes the free room of as many workers as the gang needs.
+    fn collect_room(&mut self, demand: &Resources, size: u32) {
+        for _ in 0..size {
+            let complete = self
+                .reservation
+                .as_ref()
+                .is_none_or(|reservation| reservation.held == size);
+            if complete {
+                return;
+            }
+            let workers = &self.workers;
+            let untouched = |worker: WorkerKey| workers[worker].reserved == Resources::NONE;
+            let Some(worker) = workers.fastest(demand, &untouched) else {
+                return;
+            };
+            self.adjust_reservation(worker);
+        }
+    }
+
+    fn requeue_gang(&mut self, leader: TaskKey) {
+        if self.waiting_gang(leader).is_some() {
+            self.gang_queue.push_back(leader);
+            self.arm_reserve(RETRY_US);
+        }
+    }
+
+    fn arm_reserve(&mut self, delay_us: u64) {
+        if !self.reserve_armed {
+            self.reserve_armed = true;
+            self.timers.insert((self.now_us + delay_us, Timer::Reserve));
+        }
+    }
+
+    fn term_us(&self, gang: GangKey) -> u64 {
+        TERM_FIRST_US << self.gangs[gang].attempts.min(TERM_DOUBLINGS)
+    }
+
+    /// Returns the gang of a task that waits as its first member.
+    fn waiting_gang(&self, leader: TaskKey) -> Option<GangKey> {
+        let task = self.tasks.get(leader)?;
+        match task.stage {
+            Stage::Waiting(_) => task.gang,
+            _ => None,
+        }
+    }
+}
+
+/// Returns how many tasks fit in a room, at most `limit`, and what they take together.
+fn fits(room: &Resources, demand: &Resources, limit: u32, usable: bool) -> (u32, Resources) {
+    let mut count = 0;
+    let mut taken = Resources::NONE;
+    while usable && count < limit && room.covers(&taken.plus(demand)) {
+        taken = taken.plus(demand);
+        count += 1;
+    }
+    (count, taken)
+}
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -3,15 +3,13 @@
 use {
     crate::{
         Decision, Kernel, Submission,
-        task::{Stage, Task, TaskKey},
+        task::{Gang, Stage, Task, TaskKey},
         team::TeamKey,
+        waiting::GroupKey,
     },
-    fuchsiatack_model::{Policy, Refusal, TaskId},
+    fuchsiatack_model::{Policy, Refusal, Resources, TaskId},
 };
 
-/// Hint for a retry when nothing better is known, in milliseconds.
-const RETRY_AFTER_MS: u32 = 1_000;
-
 impl Kernel {
     /// Takes in a request or gang: starts it, forwards it, lets it wait or refuses it.
     pub(crate) fn submit(&mut self, submission: Submission, decisions: &mut Vec<Decision>) {
@@ -25,7 +23,7 @@
                     daemon,
                     task: submission.tasks[0],
                 }),
-                None => refuse_all(&submission.tasks, reason, decisions),
+                None => self.refuse_all(&submission, reason, decisions),
             }
             return;
         }
@@ -62,7 +60,7 @@
             let task = &self.tasks[member];
             decisions.push(match task.started {
                 true => Decision::Abandon { task: task.id },
-                false => refusal(task.id, reason),
+                false => self.refusal(task.id, task.team, reason),
             });
             self.forget(member);
         }
@@ -98,8 +96,14 @@
         let team_key = task.team;
         let members = self.members(key);
         let team = &mut self.teams[team_key];
-        let lane = self.waiting.lane(team_key, &mut team.lanes, policy, demand);
-        team.waiting[policy as usize] += members.len() as u32;
+        let count = members.len() as u32;
+        let lane = self
+            .waiting
+            .lane(team_key, &mut team.lanes, (policy, demand, count));
+        team.waiting[policy as usize] += count;
+        if policy == Policy::Interactive {
+            self.flow.arrived(team, count);
+        }
         let share = team.share();
         self.waiting.push(lane, sequence, key, share);
         for member in members {
@@ -122,7 +126,11 @@
             self.deadlines.remove(&(deadline_us, leader));
         }
         let team = &mut self.teams[task.team];
-        team.waiting[task.policy as usize] -= members.len() as u32;
+        let count = members.len() as u32;
+        team.waiting[task.policy as usize] -= count;
+        if task.policy == Policy::Interactive {
+            self.flow.left(team, count);
+        }
         let share = team.share();
         if self.waiting.take(lane, task.sequence, share) {
             team.lanes.retain(|(_, other)| *other != lane);
@@ -133,6 +141,13 @@
         for member in &members {
             self.tasks[*member].gang = None;
         }
+        if self
+            .reservation
+            .as_ref()
+            .is_some_and(|reservation| reservation.leader == leader)
+        {
+            self.cancel_reservation();
+        }
         members
     }
 
@@ -151,7 +166,7 @@
     /// Returns the tasks that start together with a task, itself included.
     pub(crate) fn members(&self, key: TaskKey) -> Vec<TaskKey> {
         match self.tasks[key].gang {
-            Some(gang) => self.gangs[gang].clone(),
+            Some(gang) => self.gangs[gang].members.clone(),
             None => vec![key],
         }
     }
@@ -190,8 +205,9 @@
             .map(|id| self.insert_task(*id, submission, team))
             .collect();
         let leader = keys[0];
+        self.teams[team].earn_retry();
         if keys.len() > 1 {
-            let gang = self.gangs.insert(keys.clone());
+            let gang = self.gangs.insert(Gang::new(keys.clone()));
             for key in keys {
                 self.tasks[key].gang = Some(gang);
             }
@@ -213,6 +229,8 @@
             policy: submission.class.policy,
             preempted: false,
             sequence: self.next_sequence,
+            started_us: self.now_us,
+            submitted_us: self.now_us,
             stage: Stage::Detached { over: true },
             started: false,
             team,
@@ -231,18 +249,74 @@
             decisions.push(Decision::Forward { daemon, task });
             return;
         }
-        let demand = submission.class.demand;
-        if self.workers.is_empty() || self.workers.could_fit(&demand) {
-            return;
+        let interactive = submission.class.policy == Policy::Interactive;
+        match self.missing_room(&submission.class.demand, submission.tasks.len()) {
+            Some(_) if interactive => self.drop_waiting(key, Refusal::NeverFits, decisions),
+            Some(missing) => decisions.push(Decision::Blocked {
+                missing,
+                task: self.tasks[key].id,
+            }),
+            None if self.watch_bound(key, decisions) => {}
+            None if self.misses_deadline(key) && interactive => {
+                self.drop_waiting(key, Refusal::DeadlineTooShort, decisions);
+            }
+            None => {}
         }
-        if submission.class.policy == Policy::Interactive {
-            self.drop_waiting(key, Refusal::NeverFits, decisions);
-            return;
+    }
+
+    /// Reports queued work that no longer fits any worker after one is gone.
+    pub(crate) fn report_blocked(&mut self, decisions: &mut Vec<Decision>) {
+        let groups: Vec<GroupKey> = self.waiting.groups.keys().collect();
+        for key in groups {
+            let group = &self.waiting.groups[key];
+            if group.policy == Policy::Interactive || group.blocked {
+                continue;
+            }
+            let Some(missing) = self.missing_room(&group.demand, group.size as usize) else {
+                continue;
+            };
+            self.waiting.groups[key].blocked = true;
+            let lanes = self.waiting.lanes.values().filter(|lane| lane.group == key);
+            for task in lanes.flat_map(|lane| lane.tasks.values()) {
+                decisions.push(Decision::Blocked {
+                    missing,
+                    task: self.tasks[*task].id,
+                });
+            }
         }
-        decisions.push(Decision::Blocked {
-            missing: self.workers.missing(&demand),
-            task: self.tasks[key].id,
-        });
+    }
+
+    /// Returns what the fleet lacks for `size` tasks at once, or `None` if they fit an idle
+    /// fleet. An empty fleet says nothing yet.
+    fn missing_room(&self, demand: &Resources, size: usize) -> Option<Resources> {
+        if self.workers.is_empty() {
+            return None;
+        }
+        if !self.workers.could_fit(demand) {
+            return Some(self.workers.missing(demand));
+        }
+        let lacking = (size > 1).then(|| size.saturating_sub(self.workers.count_fitting(demand, size)))?;
+        let missing = (0..lacking).fold(Resources::NONE, |sum, _| sum.plus(demand));
+        (lacking > 0).then_some(missing)
+    }
+
+    /// Builds the decision that a task is not run.
+    pub(crate) fn refusal(&self, task: TaskId, team: TeamKey, reason: Refusal) -> Decision {
+        Decision::Refuse {
+            reason,
+            retry_after_ms: self.retry_after_ms(Some(team), reason),
+            task,
+        }
+    }
+
+    fn refuse_all(&self, submission: &Submission, reason: Refusal, decisions: &mut Vec<Decision>) {
+        let team = self.teams.key(&submission.team);
+        let retry_after_ms = self.retry_after_ms(team, reason);
+        decisions.extend(submission.tasks.iter().map(|task| Decision::Refuse {
+            reason,
+            retry_after_ms,
+            task: *task,
+        }));
     }
 
     fn is_waiting(&self, key: TaskKey) -> bool {
@@ -260,17 +334,3 @@
             .collect()
     }
 }
-
-/// Builds the decision that a task is not run.
-pub(crate) fn refusal(task: TaskId, reason: Refusal) -> Decision {
-    let retry_after_ms = if reason.can_retry() { RETRY_AFTER_MS } else { 0 };
-    Decision::Refuse {
-        reason,
-        retry_after_ms,
-        task,
-    }
-}
-
-fn refuse_all(tasks: &[TaskId], reason: Refusal, decisions: &mut Vec<Decision>) {
-    decisions.extend(tasks.iter().map(|task| refusal(*task, reason)));
-}
--- a/crates/kernel/src/task.rs
+++ b/crates/kernel/src/task.rs
@@ -30,6 +30,25 @@
     Waiting(LaneKey),
 }
 
+/// Tasks that start together.
+pub(crate) struct Gang {
+    /// Reservations that expired.
+    pub(crate) attempts: u32,
+    pub(crate) members: Vec<TaskKey>,
+    /// Whether it has had or awaits its turn to reserve room.
+    pub(crate) queued: bool,
+}
+
+impl Gang {
+    pub(crate) fn new(members: Vec<TaskKey>) -> Self {
+        Self {
+            attempts: 0,
+            members,
+            queued: false,
+        }
+    }
+}
+
 /// A task that waits, runs or is still to be accounted for.
 pub(crate) struct Task {
     pub(crate) deadline_us: Option<u64>,
@@ -48,5 +67,7 @@
     /// `Stop` was decided because its place is needed.
     pub(crate) preempted: bool,
     pub(crate) cancelled: bool,
+    pub(crate) started_us: u64,
+    pub(crate) submitted_us: u64,
     pub(crate) team: TeamKey,
 }
--- a/crates/kernel/src/team.rs
+++ b/crates/kernel/src/team.rs
@@ -14,11 +14,17 @@
     pub(crate) struct TeamKey;
 }
 
+/// Retries of lost requests as a part of all requests.
+const RETRY_PART: f32 = 0.1;
+/// Retries that a team may save up.
+const RETRY_CREDIT_LIMIT: f32 = 10.0;
 /// Number of policies, which bounds the counters kept for each.
 pub(crate) const POLICIES: usize = 4;
 
 /// A team with work here, or with a record.
 pub(crate) struct Team {
+    /// Weight counted while interactive tasks wait, else 0.
+    pub(crate) backlog_weight: u64,
     /// Running tasks over the fleet at the last report.
     pub(crate) fleet_running: u32,
     /// Tokens of ended tasks on workers that are being released.
@@ -33,6 +39,7 @@
     pub(crate) name: TeamName,
     /// Whether the team has a record.
     pub(crate) present: bool,
+    retry_credit: f32,
     pub(crate) running: u32,
     /// Tasks known here, also those that only await the end of their call.
     pub(crate) tasks: u32,
@@ -45,6 +52,7 @@
 impl Team {
     pub(crate) fn new(name: TeamName) -> Self {
         Self {
+            backlog_weight: 0,
             fleet_running: 0,
             frozen: 0,
             lanes: Vec::new(),
@@ -54,6 +62,7 @@
             mean_run_us: 0.0,
             name,
             present: false,
+            retry_credit: RETRY_CREDIT_LIMIT,
             running: 0,
             tasks: 0,
             tokens: TokenPool::default(),
@@ -62,6 +71,20 @@
         }
     }
 
+    /// Adds a request to the retry budget.
+    pub(crate) fn earn_retry(&mut self) {
+        self.retry_credit = (self.retry_credit + RETRY_PART).min(RETRY_CREDIT_LIMIT);
+    }
+
+    /// Takes one retry from the budget, if there is one.
+    pub(crate) fn spend_retry(&mut self) -> bool {
+        let allowed = self.retry_credit >= 1.0;
+        if allowed {
+            self.retry_credit -= 1.0;
+        }
+        allowed
+    }
+
     /// Tokens that running tasks or frozen ones take up.
     pub(crate) fn used_tokens(&self) -> u32 {
         self.running + self.frozen
--- a/crates/kernel/src/waiting.rs
+++ b/crates/kernel/src/waiting.rs
@@ -14,7 +14,10 @@
     pub(crate) struct LaneKey;
 }
 
-/// Tasks of one team with equal policy and demand, in order of arrival.
+/// Policy, demand and number of tasks that start together.
+pub(crate) type Class = (Policy, Resources, u32);
+
+/// Requests of one team with equal policy, demand and size, in order of arrival.
 pub(crate) struct Lane {
     pub(crate) group: GroupKey,
     /// Waits for tokens, so it is not in its group's order.
@@ -24,39 +27,45 @@
     pub(crate) team: TeamKey,
 }
 
-/// Lanes of all teams with equal policy and demand. If one of them finds no worker, none does.
+/// Lanes of all teams with equal policy, demand and size. If one of them finds no worker, none does.
 pub(crate) struct Group {
+    /// Whether its waiting tasks were reported as larger than any worker.
+    pub(crate) blocked: bool,
     pub(crate) demand: Resources,
     lanes: u32,
     order: BTreeSet<(u64, u64, LaneKey)>,
     pub(crate) policy: Policy,
+    /// Tasks that start together.
+    pub(crate) size: u32,
 }
 
 /// Waiting work. A group is looked at only while it is in `ready`, which it enters when it
 /// gets its first lane or when a worker offers enough for it.
 #[derive(Default)]
 pub(crate) struct Waiting {
-    by_class: HashMap<(Policy, Resources), GroupKey>,
+    by_class: HashMap<Class, GroupKey>,
     pub(crate) groups: SlotMap<GroupKey, Group>,
     pub(crate) lanes: SlotMap<LaneKey, Lane>,
     ready: BTreeSet<(Policy, GroupKey)>,
 }
 
 impl Waiting {
-    /// Returns the team's lane for a policy and demand, and whether it was created.
+    /// Returns the team's lane for a class; it is created if there is none.
     pub(crate) fn lane(
         &mut self,
         team: TeamKey,
         team_lanes: &mut Vec<(GroupKey, LaneKey)>,
-        policy: Policy,
-        demand: Resources,
+        class: Class,
     ) -> LaneKey {
-        let group = *self.by_class.entry((policy, demand)).or_insert_with(|| {
+        let (policy, demand, size) = class;
+        let group = *self.by_class.entry(class).or_insert_with(|| {
             self.groups.insert(Group {
+                blocked: false,
                 demand,
                 lanes: 0,
                 order: BTreeSet::new(),
                 policy,
+                size,
             })
         });
         if let Some((_, lane)) = team_lanes.iter().find(|(other, _)| *other == group) {
@@ -133,20 +142,42 @@
         self.wake(self.lanes[lane].group);
     }
 
+    /// Returns the policy of a lane's tasks.
+    pub(crate) fn policy(&self, lane: LaneKey) -> Policy {
+        self.groups[self.lanes[lane].group].policy
+    }
+
     /// Has a group looked at.
     pub(crate) fn wake(&mut self, group: GroupKey) {
         self.ready.insert((self.groups[group].policy, group));
     }
 
-    /// Has every group looked at whose demand the offer covers.
+    /// Has every group looked at whose demand the offer covers. Gangs are left out: they are
+    /// looked at in intervals, since each look costs as much as the gang is large.
     pub(crate) fn wake_covered(&mut self, offer: &Resources) {
         for (key, group) in &self.groups {
-            if offer.covers(&group.demand) {
+            if group.size == 1 && offer.covers(&group.demand) {
+                self.ready.insert((group.policy, key));
+            }
+        }
+    }
+
+    /// Has every gang looked at.
+    pub(crate) fn wake_gangs(&mut self) {
+        for (key, group) in &self.groups {
+            if group.size > 1 {
                 self.ready.insert((group.policy, key));
             }
         }
     }
 
+    /// Has all groups judged anew whether they fit, after the fleet has grown.
+    pub(crate) fn unblock(&mut self) {
+        for group in self.groups.values_mut() {
+            group.blocked = false;
+        }
+    }
+
     /// Stops looking at a group until it is woken.
     pub(crate) fn rest(&mut self, group: GroupKey) {
         if let Some(entry) = self.groups.get(group) {
@@ -174,7 +205,7 @@
 
     fn remove_group(&mut self, key: GroupKey) {
         if let Some(group) = self.groups.remove(key) {
-            self.by_class.remove(&(group.policy, group.demand));
+            self.by_class.remove(&(group.policy, group.demand, group.size));
             self.ready.remove(&(group.policy, key));
         }
     }
--- a/crates/kernel/src/worker.rs
+++ b/crates/kernel/src/worker.rs
@@ -1,7 +1,7 @@
 //! One worker.
 
 use {
-    crate::{task::TaskKey, team::TeamKey},
+    crate::{health::Health, task::TaskKey, team::TeamKey},
     fuchsiatack_model::{Epoch, Resources, WorkerName},
     slotmap::new_key_type,
 };
@@ -22,11 +22,16 @@
     pub(crate) epoch: Epoch,
     /// Tokens of tasks that ended here while the worker was being released.
     pub(crate) frozen: Vec<(TeamKey, u32)>,
+    pub(crate) health: Health,
     pub(crate) held: bool,
     pub(crate) name: WorkerName,
+    /// Has just refused a task.
+    pub(crate) paused: bool,
     pub(crate) position: u32,
     pub(crate) rack: u32,
     pub(crate) releasing: bool,
+    /// Free room that is kept for a gang.
+    pub(crate) reserved: Resources,
     /// Measured run time relative to an ordinary worker; 2 means half as fast.
     pub(crate) slowdown: f32,
     pub(crate) tasks: Vec<TaskKey>,
@@ -50,7 +55,8 @@
 
     /// Amounts in which new tasks may start, or `None` if nothing may start here.
     pub(crate) fn offer(&self) -> Option<Resources> {
-        let usable = !self.held && !self.releasing && !self.unreachable;
+        let held = self.held || self.paused || self.releasing || self.unreachable;
+        let usable = !held && self.health.admits(self.tasks.len());
         usable.then(|| self.free())
     }
 }
--- a/crates/kernel/src/workers.rs
+++ b/crates/kernel/src/workers.rs
@@ -61,10 +61,18 @@
         self.by_name.get(name).copied()
     }
 
+    pub(crate) fn get_mut(&mut self, key: WorkerKey) -> Option<&mut Worker> {
+        self.arena.get_mut(key)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.arena.is_empty()
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.arena.len()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
         self.arena.iter()
     }
@@ -94,6 +102,19 @@
             .unwrap_or(*demand)
     }
 
+    /// Counts how many tasks an idle fleet could run at once, up to `limit`.
+    pub(crate) fn count_fitting(&self, demand: &Resources, limit: usize) -> usize {
+        let mut count = 0;
+        for worker in self.arena.values() {
+            let mut taken = *demand;
+            while count < limit && worker.capacity.covers(&taken) {
+                taken = taken.plus(demand);
+                count += 1;
+            }
+        }
+        count
+    }
+
     /// Publishes a worker's present offer and speed to later searches.
     pub(crate) fn refresh(&mut self, key: WorkerKey) {
         let worker = &mut self.arena[key];
--- /dev/null
+++ b/crates/kernel/tests/policies.rs
@@ -0,0 +1,304 @@
+//! Shares, deadlines, gangs, preemption, ejection and forwarding.
+
+mod common;
+
+use {
+    common::{Cell, id, inherited, slots_only, started, started_tasks, stopped_tasks, submission},
+    fuchsiatack_kernel::{Decision, Event, TaskEnd},
+    fuchsiatack_model::{Policy, Refusal},
+};
+
+fn refused(decisions: &[Decision]) -> Vec<(u64, Refusal)> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            Decision::Refuse { reason, task, .. } => Some((task.sequence, *reason)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn forwarded(decisions: &[Decision]) -> Vec<String> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            Decision::Forward { daemon, .. } => Some(daemon.to_string()),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Guards against a small team that waits behind a large team's backlog.
+#[test]
+fn small_team_passes_the_backlog_of_a_large_one() {
+    let mut cell = Cell::new()
+        .team("large", 1_000)
+        .team("small", 1_000)
+        .worker("w", 2);
+    for task in 1..=100 {
+        cell.submit(task, "large", Policy::Interactive);
+    }
+    cell.submit(200, "small", Policy::Interactive);
+
+    let after_end = cell.end(1, TaskEnd::Done);
+
+    assert_eq!(started_tasks(&after_end), [200]);
+}
+
+/// Guards against local choices that ignore what a team runs elsewhere, and against
+/// shares that ignore weights.
+#[test]
+fn shares_follow_fleet_usage_and_weight() {
+    let mut cell = Cell::new().team("a", 1_000).team("b", 4_000).worker("w", 1);
+    cell.submit(1, "a", Policy::Interactive);
+    for (task, team) in [(2, "b"), (3, "a"), (4, "b")] {
+        cell.submit(task, team, Policy::Interactive);
+    }
+    for (team, running) in [("a", 10), ("b", 30)] {
+        cell.step(Event::FleetUsage {
+            running,
+            team: team.into(),
+        });
+    }
+
+    let first = cell.end(1, TaskEnd::Done);
+    cell.step(Event::FleetUsage {
+        running: 60,
+        team: "b".into(),
+    });
+    let second = cell.end(2, TaskEnd::Done);
+
+    assert_eq!(started_tasks(&first), [2]);
+    assert_eq!(started_tasks(&second), [3]);
+}
+
+/// Guards against callers that wait for an answer which cannot come in time.
+#[test]
+fn work_that_misses_its_deadline_is_refused() {
+    let mut cell = Cell::new().team("a", 1_000).worker("w", 1);
+    cell.submit(1, "a", Policy::Interactive);
+    cell.step(Event::Ended {
+        end: TaskEnd::Done,
+        run_us: 1_000_000,
+        task: id(1),
+    });
+    cell.submit(2, "a", Policy::Interactive);
+    let mut tight = submission(&[3], "a", Policy::Interactive);
+    tight.deadline_us = Some(cell.now_us + 100_000);
+    let mut loose = submission(&[4], "a", Policy::Interactive);
+    loose.deadline_us = Some(cell.now_us + 3_000_000);
+
+    let at_once = cell.step(Event::Submit(tight));
+    let waits = cell.step(Event::Submit(loose));
+    let passed = cell.after_ms(3_000);
+
+    assert_eq!(refused(&at_once), [(3, Refusal::DeadlineTooShort)]);
+    assert_eq!(waits, []);
+    assert_eq!(refused(&passed), [(4, Refusal::DeadlineTooShort)]);
+}
+
+/// Guards against a queue that one team can grow without bound.
+#[test]
+fn full_queue_refuses_only_its_team() {
+    let mut cell = Cell::new().team("a", 1_000).team("b", 1_000);
+    for task in 1..=1_000 {
+        cell.submit(task, "a", Policy::Interactive);
+    }
+
+    let full = cell.submit(1_001, "a", Policy::Interactive);
+    let other = cell.submit(1_002, "b", Policy::Interactive);
+
+    assert_eq!(refused(&full), [(1_001, Refusal::QueueFull)]);
+    assert_eq!(other, []);
+}
+
+/// Guards against a task that waits for a worker that does not exist.
+#[test]
+fn oversized_work_is_refused_or_blocked() {
+    let mut cell = Cell::new().team("a", 1_000).worker("w", 2);
+    let mut request = submission(&[1], "a", Policy::Interactive);
+    request.class.demand = slots_only(3);
+    let mut work = submission(&[2], "a", Policy::Batch);
+    work.class.demand = slots_only(3);
+
+    let never = cell.step(Event::Submit(request));
+    let blocked = cell.step(Event::Submit(work));
+    let after_growth = cell.attach("v", 4, 1_000, Vec::new());
+
+    let missing = Decision::Blocked {
+        missing: slots_only(1),
+        task: id(2),
+    };
+    assert_eq!(refused(&never), [(1, Refusal::NeverFits)]);
+    assert_eq!(blocked, [missing]);
+    assert_eq!(started(&after_growth), [(2, "v".into())]);
+}
+
+/// Guards against a gang that starves behind small work which takes every free slot.
+#[test]
+fn gang_collects_room_while_batch_work_goes_on() {
+    let mut cell = Cell::new().team("a", 1_000).team("b", 1_000).worker("w", 4);
+    for task in 1..=40 {
+        cell.submit(task, "b", Policy::Batch);
+    }
+    cell.step(Event::Submit(submission(&[101, 102, 103], "a", Policy::Gang)));
+    cell.after_ms(1_000);
+
+    let mut starts = Vec::new();
+    for task in 1..=4 {
+        starts.extend(started_tasks(&cell.end(task, TaskEnd::Done)));
+    }
+
+    assert_eq!(starts.len(), 4);
+    assert_eq!(starts[..3], [101, 102, 103]);
+}
+
+/// Guards against room that stays empty for a gang which cannot be completed.
+#[test]
+fn reservation_expires() {
+    let mut cell = Cell::new().team("a", 1_000).team("b", 1_000).worker("w", 4);
+    cell.submit(1, "b", Policy::Service);
+    cell.submit(2, "b", Policy::Batch);
+    cell.step(Event::Submit(submission(
+        &[101, 102, 103, 104],
+        "a",
+        Policy::Gang,
+    )));
+    cell.after_ms(1_000);
+
+    let kept = cell.submit(3, "b", Policy::Batch);
+    let expired = cell.after_ms(10_000);
+
+    assert_eq!(kept, []);
+    assert_eq!(started_tasks(&expired), [3]);
+}
+
+/// Guards against urgent work that waits for batch tasks to end by themselves, and against
+/// a stopped task that is lost or stopped for nothing.
+#[test]
+fn batch_makes_room_for_urgent_work() {
+    let mut cell = Cell::new().team("a", 1_000).team("b", 1_000).worker("w", 2);
+    cell.submit(1, "b", Policy::Batch);
+    cell.now_us += 1_000;
+    cell.submit(2, "b", Policy::Batch);
+
+    let arrival = cell.submit(3, "a", Policy::Interactive);
+    let later = cell.after_ms(3_000);
+    let stopped = cell.end(2, TaskEnd::Failed);
+    let after_urgent = cell.end(3, TaskEnd::Done);
+
+    assert_eq!(stopped_tasks(&arrival), [2]);
+    assert_eq!(stopped_tasks(&later), []);
+    assert_eq!(started_tasks(&stopped), [3]);
+    assert_eq!(started_tasks(&after_urgent), [2]);
+}
+
+/// Guards against a worker that fails every task and stays in service, against a fleet
+/// that is taken out as a whole, and against a full load right after a probe.
+#[test]
+fn failing_worker_is_taken_out_probed_and_brought_back() {
+    let mut cell = Cell::new().team("a", 1_000);
+    cell.attach("bad", 8, 4_000, Vec::new());
+    for name in ["v", "w"] {
+        cell.attach(name, 8, 1_000, Vec::new());
+    }
+    for task in 1..=5 {
+        let chosen = cell.submit(task, "a", Policy::Interactive);
+        assert_eq!(started(&chosen), [(task, "bad".into())]);
+        cell.end(task, TaskEnd::Failed);
+    }
+
+    let avoided = cell.submit(6, "a", Policy::Interactive);
+    cell.after_ms(5_000);
+    let probe = cell.submit(7, "a", Policy::Interactive);
+    let beside_probe = cell.submit(8, "a", Policy::Interactive);
+    cell.end(7, TaskEnd::Done);
+    let slow: Vec<_> = (9..12)
+        .flat_map(|task| started(&cell.submit(task, "a", Policy::Interactive)))
+        .collect();
+
+    assert_ne!(started(&avoided)[0].1, "bad".into());
+    assert_eq!(started(&probe), [(7, "bad".into())]);
+    assert_ne!(started(&beside_probe)[0].1, "bad".into());
+    assert_eq!(
+        slow.iter().filter(|(_, worker)| *worker == "bad".into()).count(),
+        2
+    );
+}
+
+/// Guards against work that goes to slow workers although faster ones are free.
+#[test]
+fn interactive_work_goes_to_the_worker_measured_as_fastest() {
+    let mut cell = Cell::new().team("a", 1_000).worker("v", 1).worker("w", 1);
+    for round in 0..60 {
+        let (first, second) = (2 * round + 1, 2 * round + 2);
+        let mut starts = started(&cell.submit(first, "a", Policy::Interactive));
+        starts.extend(started(&cell.submit(second, "a", Policy::Interactive)));
+        for (task, worker) in starts {
+            let run_us = if worker == "v".into() { 80_000 } else { 20_000 };
+            cell.step(Event::Ended {
+                end: TaskEnd::Done,
+                run_us,
+                task: id(task),
+            });
+        }
+    }
+
+    let chosen = cell.submit(1_000, "a", Policy::Interactive);
+
+    assert_eq!(started(&chosen), [(1_000, "w".into())]);
+}
+
+/// Guards against requests that wait here while a peer has room, that go to a peer without
+/// tokens, that are forwarded twice, or that all go to one peer.
+#[test]
+fn requests_go_to_peers_with_room_and_tokens() {
+    let mut cell = Cell::new().team("a", 1_000).limited_team("b", 0);
+    cell = cell.peer("p", 2, &[]).peer("q", 2, &["b"]);
+
+    let limited = forwarded(&cell.submit(1, "b", Policy::Interactive));
+    let mut others: Vec<String> = (2..5)
+        .flat_map(|task| forwarded(&cell.submit(task, "a", Policy::Interactive)))
+        .collect();
+    others.sort();
+    let exhausted = cell.submit(5, "a", Policy::Interactive);
+    let only_tokens = forwarded(&cell.submit(6, "b", Policy::Interactive));
+    let mut again = submission(&[7], "b", Policy::Interactive);
+    again.may_forward = false;
+    let kept = cell.step(Event::Submit(again));
+
+    assert_eq!(limited, ["q"]);
+    assert_eq!(others, ["p", "p", "q"]);
+    assert_eq!(exhausted, []);
+    assert_eq!(only_tokens, ["q"]);
+    assert_eq!(kept, []);
+}
+
+/// Guards against service tasks that share a rack while another is free.
+#[test]
+fn service_tasks_spread_over_racks() {
+    let mut cell = Cell::new().team("a", 1_000);
+    for (number, rack) in [(1, "r1"), (2, "r1"), (3, "r2"), (4, "r3")] {
+        let mut event = Event::WorkerAttached {
+            capacity: slots_only(4),
+            data_center: "zone".into(),
+            epoch: fuchsiatack_model::Epoch(number),
+            rack: rack.into(),
+            running: Vec::new(),
+            speed_millis: 1_000,
+            worker: format!("{rack}-{number}").as_str().into(),
+        };
+        if let Event::WorkerAttached { running, .. } = &mut event {
+            running.push(inherited(500 + number, "a"));
+        }
+        cell.step(event);
+    }
+
+    let mut racks: Vec<String> = (1..=3)
+        .flat_map(|task| started(&cell.submit(task, "a", Policy::Service)))
+        .map(|(_, worker)| worker.as_str()[..2].to_owned())
+        .collect();
+    racks.sort();
+
+    assert_eq!(racks, ["r1", "r2", "r3"]);
+}
