testkit: add the fault-injecting proxy

Tests need silent partitions between real processes on one machine.

A daemon advertises one peer address to all others, so one front address serves several senders. The proxy names a sender by the process that holds its socket (from /proc), or by its registered UDP address. Ruled out: one front address for each pair, since daemons learn peer addresses from the directory.

A first form of the test of workers behind the proxy failed: it expected the worker to use entry-1, but the worker can start before that daemon listens. It now cuts whichever daemon the worker uses, and still requires that no other one got a byte.

Not yet run against the daemon.

--- a/crates/testkit/src/cell.rs
+++ b/crates/testkit/src/cell.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         AddressSettings, CallerSettings, CellBuilder, CellDaemon, CellError, CellWorker, DaemonSettings,
-        ElectionSettings, FakeWorkerSettings, LeaseSettings, LogSettings, MemberSettings, StoreSettings,
-        TraceSettings, WorkerEvent, free_address, read_json_log,
+        ElectionSettings, FakeWorkerSettings, LeaseSettings, LogSettings, MemberSettings, Proxy,
+        StoreSettings, TraceSettings, WorkerEvent, free_address, read_json_log,
     },
     serde_json::Value,
     std::{
@@ -39,6 +39,7 @@
     members: Vec<MemberSettings>,
     operations: u64,
     path: PathBuf,
+    proxy: Option<Proxy>,
     workers: BTreeMap<String, CellWorker>,
 }
 
@@ -50,6 +51,7 @@
         fs::write(path.join("operator.key"), OPERATOR_KEY)?;
         let workers = std::mem::take(&mut builder.workers);
         let count = builder.daemons;
+        let proxy = builder.proxy_seed.map(Proxy::new);
         let mut cell = Self {
             builder,
             client: reqwest::Client::builder()
@@ -62,18 +64,20 @@
             members: Vec::new(),
             operations: 0,
             path,
+            proxy,
             workers: BTreeMap::new(),
         };
-        let peers = (0..count)
-            .map(|_| free_address())
-            .collect::<Result<Vec<_>, _>>()?;
+        let mut peers = Vec::new();
+        for index in 0..count {
+            peers.push(cell.peer_settings(index).await?);
+        }
         cell.members = peers
             .iter()
             .take(cell.builder.store_members)
             .enumerate()
-            .map(|(index, address)| MemberSettings {
+            .map(|(index, peer)| MemberSettings {
                 name: daemon_name(index),
-                address: *address,
+                address: peer.advertised_address.unwrap_or(peer.address),
             })
             .collect();
         for (index, peer) in peers.into_iter().enumerate() {
@@ -112,6 +116,11 @@
             .unwrap_or_else(|| panic!("the cell has no worker {name}"))
     }
 
+    /// The proxy, if the cell was built with one.
+    pub fn proxy(&self) -> &Proxy {
+        self.proxy.as_ref().expect("the cell was built with `with_proxy`")
+    }
+
     /// Addresses for callers of all daemons.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(CellDaemon::caller_address).collect()
@@ -123,8 +132,10 @@
     }
 
     /// Starts one more daemon, without the store role, and returns its number.
-    pub fn add_daemon(&mut self) -> Result<usize, CellError> {
-        let settings = self.daemon_settings(self.daemons.len(), free_address()?)?;
+    pub async fn add_daemon(&mut self) -> Result<usize, CellError> {
+        let index = self.daemons.len();
+        let peers = self.peer_settings(index).await?;
+        let settings = self.daemon_settings(index, peers)?;
         self.start_daemon(settings)?;
         Ok(self.daemons.len())
     }
@@ -141,6 +152,7 @@
         }
         let log = self.path.join(format!("{}.events", settings.name));
         settings.log.get_or_insert(log);
+        self.route_worker(&mut settings).await?;
         let name = settings.name.to_string();
         let mode = self.builder.worker_mode;
         let program = self.builder.worker_program.as_deref();
@@ -315,12 +327,42 @@
     }
 
     fn start_daemon(&mut self, settings: DaemonSettings) -> Result<(), CellError> {
-        let daemon = CellDaemon::start(&self.builder.daemon_program, settings, &self.path)?;
+        let daemon = CellDaemon::start(
+            &self.builder.daemon_program,
+            settings,
+            &self.path,
+            self.proxy.clone(),
+        )?;
         self.daemons.push(daemon);
         Ok(())
     }
 
-    fn daemon_settings(&self, index: usize, peer: SocketAddr) -> Result<DaemonSettings, CellError> {
+    async fn peer_settings(&self, index: usize) -> Result<AddressSettings, CellError> {
+        let address = free_address()?;
+        let advertised_address = match &self.proxy {
+            None => None,
+            Some(proxy) => Some(proxy.open(&daemon_name(index), address).await?),
+        };
+        Ok(AddressSettings {
+            address,
+            advertised_address,
+        })
+    }
+
+    /// Leads the traffic of a worker through the proxy, both ways.
+    async fn route_worker(&self, settings: &mut FakeWorkerSettings) -> Result<(), CellError> {
+        let Some(proxy) = &self.proxy else { return Ok(()) };
+        let name = settings.name.as_str();
+        settings.advertised_address = Some(proxy.open(name, settings.address).await?);
+        for daemon in &self.daemons {
+            let address = daemon.caller_address();
+            let front = proxy.open_from(name, &daemon.settings().name, address).await?;
+            settings.routes.insert(address.to_string().into(), front);
+        }
+        Ok(())
+    }
+
+    fn daemon_settings(&self, index: usize, peers: AddressSettings) -> Result<DaemonSettings, CellError> {
         let name = daemon_name(index);
         let is_member = self.members.iter().any(|member| member.name == name);
         let data_folder = self.path.join(format!("{name}.data"));
@@ -349,10 +391,7 @@
                 address: free_address()?,
                 advertised_address: None,
             },
-            peers: AddressSettings {
-                address: peer,
-                advertised_address: None,
-            },
+            peers,
             store: StoreSettings {
                 data_folder: is_member.then_some(data_folder),
                 members: self.members.clone(),
--- a/crates/testkit/src/cell_builder.rs
+++ b/crates/testkit/src/cell_builder.rs
@@ -35,6 +35,7 @@
     pub(crate) daemons: usize,
     pub(crate) data_centers: Vec<SmolStr>,
     pub(crate) records: Vec<String>,
+    pub(crate) proxy_seed: Option<u64>,
     pub(crate) store_members: usize,
     pub(crate) worker_mode: WorkerMode,
     pub(crate) worker_program: Option<PathBuf>,
@@ -50,6 +51,7 @@
             daemons: 1,
             data_centers: vec!["dc-1".into(), "dc-2".into(), "dc-3".into()],
             records: Vec::new(),
+            proxy_seed: None,
             store_members: 3,
             worker_mode: WorkerMode::Task,
             worker_program: None,
@@ -110,6 +112,15 @@
         self
     }
 
+    /// Places the fault-injecting proxy between daemons, and between daemons and workers. Parties
+    /// are the names of daemons and workers. Callers and operators are not behind it.
+    ///
+    /// Daemons must give `peers.advertised_address` to other daemons.
+    pub fn with_proxy(mut self, seed: u64) -> Self {
+        self.proxy_seed = Some(seed);
+        self
+    }
+
     /// Writes records, as YAML documents, once the cell is ready.
     pub fn records(mut self, yaml: impl Into<String>) -> Self {
         self.records.push(yaml.into());
--- a/crates/testkit/src/cell_daemon.rs
+++ b/crates/testkit/src/cell_daemon.rs
@@ -1,29 +1,37 @@
 //! A daemon process of a cell.
 
 use {
-    crate::{CellError, ChildProcess, DaemonSettings},
+    crate::{CellError, ChildProcess, DaemonSettings, Proxy},
     std::{fs, io, net::SocketAddr, path::Path, process::ExitStatus, time::Duration},
 };
 
 /// A `fuchsiatackd` process with its settings.
-#[derive(Debug)]
 pub struct CellDaemon {
     process: ChildProcess,
+    proxy: Option<Proxy>,
     settings: DaemonSettings,
 }
 
 impl CellDaemon {
     /// Writes the settings file `NAME.yaml` and starts the process; its output is in `NAME.log`.
-    pub(crate) fn start(program: &Path, settings: DaemonSettings, folder: &Path) -> Result<Self, CellError> {
+    pub(crate) fn start(
+        program: &Path,
+        settings: DaemonSettings,
+        folder: &Path,
+        proxy: Option<Proxy>,
+    ) -> Result<Self, CellError> {
         let file = folder.join(format!("{}.yaml", settings.name));
         let text = serde_saphyr::to_string(&settings).map_err(io::Error::other)?;
         fs::write(&file, text)?;
         let output = folder.join(format!("{}.log", settings.name));
         let arguments = vec!["--settings".into(), file.into()];
-        Ok(Self {
+        let daemon = Self {
             process: ChildProcess::start(program, arguments, &output)?,
+            proxy,
             settings,
-        })
+        };
+        daemon.register();
+        Ok(daemon)
     }
 
     /// Settings of the daemon.
@@ -68,7 +76,9 @@
 
     /// Starts the process again on the same data folder; a running one is killed first.
     pub fn restart(&mut self) -> Result<(), CellError> {
-        Ok(self.process.restart()?)
+        self.process.restart()?;
+        self.register();
+        Ok(())
     }
 
     /// Kills the process and removes its data folder, as if the disk were lost.
@@ -83,6 +93,14 @@
         }
     }
 
+    /// Tells the proxy which process sends as this daemon.
+    fn register(&self) {
+        if let (Some(proxy), Some(id)) = (&self.proxy, self.process.id()) {
+            proxy.register_process(&self.settings.name, id);
+            proxy.register_address(&self.settings.name, self.settings.peers.address);
+        }
+    }
+
     /// Standard output and error of all runs.
     pub fn output(&self) -> Result<String, CellError> {
         Ok(String::from_utf8_lossy(&fs::read(self.process.output())?).into_owned())
--- a/crates/testkit/src/fake_worker.rs
+++ b/crates/testkit/src/fake_worker.rs
@@ -216,11 +216,12 @@
     loop {
         let entry = settings.entries[next_entry % settings.entries.len()];
         let target = match &owner {
-            None => entry.to_string(),
-            Some(owner) => match settings.routes.get(owner) {
-                Some(route) => route.to_string(),
-                None => owner.to_string(),
-            },
+            None => SmolStr::new(entry.to_string()),
+            Some(owner) => owner.clone(),
+        };
+        let target = match settings.routes.get(&target) {
+            Some(route) => SmolStr::new(route.to_string()),
+            None => target,
         };
         let announcement = shared.announcement();
         let pause = match send_announcement(&client, &target, &announcement).await {
@@ -231,7 +232,7 @@
                 };
                 let epoch = shared.lock().epoch;
                 shared.write(WorkerEvent {
-                    detail: SmolStr::new(&target),
+                    detail: target,
                     ..shared.event(epoch, kind)
                 });
                 if announcement.leaving {
--- a/crates/testkit/src/fake_worker_settings.rs
+++ b/crates/testkit/src/fake_worker_settings.rs
@@ -40,7 +40,7 @@
     pub name: WorkerName,
     /// Rack to announce.
     pub rack: RackName,
-    /// Replacement of owner addresses from announce replies, for a proxy between.
+    /// Replacement of entry and owner addresses, for a proxy between.
     pub routes: BTreeMap<SmolStr, SocketAddr>,
     /// Speed relative to an ordinary worker, in thousandths.
     pub speed_millis: u32,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,10 +12,15 @@
 mod fake_worker;
 mod fake_worker_settings;
 mod json_log;
+mod link_faults;
 mod load;
 mod load_report;
 mod load_settings;
 mod ports;
+mod proxy;
+mod proxy_stream;
+mod proxy_udp;
+mod socket_owner;
 mod task_body;
 mod wall_clock;
 mod worker_event;
@@ -37,10 +42,12 @@
     fake_worker::FakeWorker,
     fake_worker_settings::{FakeWorkerSettings, WorkerControl},
     json_log::{JsonLog, read_json_log},
+    link_faults::LinkFaults,
     load::run_load,
     load_report::{LoadReport, TeamReport},
     load_settings::{LoadSettings, LoadTeam, Pace},
     ports::{free_address, test_ip},
+    proxy::{ANY, OUTSIDE, Proxy, Traffic},
     task_body::{Behaviour, TaskBody},
     wall_clock::wall_us,
     worker_event::{WorkerEvent, WorkerEventKind},
--- /dev/null
+++ b/crates/testkit/src/proxy_stream.rs
@@ -0,0 +1,139 @@
+//! TCP side of the proxy.
+
+use {
+    crate::{
+        proxy::{Route, Rules},
+        socket_owner::Protocol,
+    },
+    bytes::Bytes,
+    smol_str::SmolStr,
+    std::io,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream, tcp},
+        sync::{mpsc, watch},
+        task::JoinSet,
+        time::{Instant, sleep_until},
+    },
+};
+
+/// Longest part of a stream that is forwarded at once, in bytes.
+const CHUNK_BYTES: usize = 16 << 10;
+/// Parts that are held for one direction. Beyond it, the sender's own buffers fill up.
+const HELD_CHUNKS: usize = 64;
+
+/// One item of a stream with the time it arrived at.
+enum Item {
+    Data(Instant, Bytes),
+    End,
+    Error(io::Error),
+}
+
+/// Accepts connections until the proxy ends.
+pub(crate) async fn serve(listener: TcpListener, route: Route) {
+    let mut connections = JoinSet::new();
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            connections.spawn(relay(stream, route.clone()));
+        }
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn relay(mut near: TcpStream, route: Route) {
+    let Ok(address) = near.peer_addr() else { return };
+    let from = route.sender(Protocol::Tcp, address).await;
+    let mut rules = route.shared.rules.subscribe();
+    let resets = rules.borrow().resets(&from, &route.to) + rules.borrow().resets(&route.to, &from);
+    if wait_open(&mut rules, &from, &route.to).await.is_err() {
+        return;
+    }
+    let Ok(mut far) = TcpStream::connect(route.target).await else {
+        reset(&near);
+        return;
+    };
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let is_clean = {
+        let (near_reader, near_writer) = near.split();
+        let (far_reader, far_writer) = far.split();
+        let forward = pump(&route, from.clone(), route.to.clone(), near_reader, far_writer);
+        let back = pump(&route, route.to.clone(), from.clone(), far_reader, near_writer);
+        tokio::select! {
+            result = async { tokio::try_join!(forward, back) } => result.is_ok(),
+            _ = rules.wait_for(|rules| {
+                rules.resets(&from, &route.to) + rules.resets(&route.to, &from) > resets
+            }) => false,
+        }
+    };
+    if !is_clean {
+        reset(&near);
+        reset(&far);
+    }
+}
+
+/// Makes the close of a stream a reset.
+fn reset(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
+}
+
+async fn pump(
+    route: &Route,
+    from: SmolStr,
+    to: SmolStr,
+    mut reader: tcp::ReadHalf<'_>,
+    mut writer: tcp::WriteHalf<'_>,
+) -> io::Result<()> {
+    let (sender, mut held) = mpsc::channel(HELD_CHUNKS);
+    let read = async {
+        let mut buffer = vec![0; CHUNK_BYTES];
+        loop {
+            let item = match reader.read(&mut buffer).await {
+                Ok(0) => Item::End,
+                Ok(length) => Item::Data(Instant::now(), Bytes::copy_from_slice(&buffer[..length])),
+                Err(error) => Item::Error(error),
+            };
+            let is_last = !matches!(item, Item::Data(..));
+            if sender.send(item).await.is_err() || is_last {
+                return;
+            }
+        }
+    };
+    let write = async {
+        let mut rules = route.shared.rules.subscribe();
+        while let Some(item) = held.recv().await {
+            wait_open(&mut rules, &from, &to).await?;
+            match item {
+                Item::Data(arrived, data) => {
+                    let delay = rules.borrow().faults(&from, &to).delay;
+                    if !delay.is_zero() {
+                        sleep_until(arrived + delay).await;
+                        // A cut that began during the delay holds the bytes as well.
+                        wait_open(&mut rules, &from, &to).await?;
+                    }
+                    if let Err(error) = writer.write_all(&data).await {
+                        // The news that the receiver is gone travels the other way.
+                        wait_open(&mut rules, &to, &from).await?;
+                        return Err(error);
+                    }
+                    route
+                        .shared
+                        .count(&from, &to, |traffic| traffic.bytes += data.len() as u64);
+                }
+                Item::End => return writer.shutdown().await,
+                Item::Error(error) => return Err(error),
+            }
+        }
+        Ok(())
+    };
+    let ((), result) = tokio::join!(read, write);
+    result
+}
+
+async fn wait_open(rules: &mut watch::Receiver<Rules>, from: &str, to: &str) -> io::Result<()> {
+    rules
+        .wait_for(|rules| !rules.faults(from, to).cut)
+        .await
+        .map(|_| ())
+        .map_err(io::Error::other)
+}
--- a/crates/testkit/tests/cell.rs
+++ b/crates/testkit/tests/cell.rs
@@ -3,7 +3,7 @@
 
 use {
     fuchsiatack_testkit::{
-        Behaviour, CellBuilder, DaemonSettings, TaskBody, WorkerEventKind, WorkerMode, example_program,
+        Behaviour, Cell, CellBuilder, DaemonSettings, TaskBody, WorkerEventKind, WorkerMode, example_program,
     },
     std::{
         fs,
@@ -176,6 +176,46 @@
     cell.stop().await.expect("exit code 0");
 }
 
+/// Guards against a proxy that is not between workers and daemons, or whose cut hits the wrong pair.
+#[tokio::test]
+async fn the_proxy_is_between_workers_and_daemons() {
+    let mut cell = CellBuilder::new(stub())
+        .daemons(2)
+        .worker(|worker| worker.leave_grace_ms = 50)
+        .with_proxy(1)
+        .start()
+        .await
+        .expect("the cell starts");
+    let peers = &cell.daemon(1).settings().peers;
+    let advertised = peers.advertised_address.expect("a front address");
+    assert_ne!(advertised, peers.address);
+    assert_eq!(cell.daemon(2).settings().store.members[0].address, advertised);
+    let carried = |cell: &Cell, daemon: &str| {
+        let traffic = cell.proxy().traffic();
+        let found = traffic.get(&("worker-1".into(), daemon.into()));
+        found.copied().unwrap_or_default().bytes
+    };
+    // The worker may have started before the first daemon listened.
+    let names = ["entry-1", "entry-2"];
+    cell.wait_until("the worker announced itself", async |cell| {
+        Ok(names.iter().any(|name| carried(cell, name) > 0))
+    })
+    .await
+    .expect("an announcement");
+    let is_first = carried(&cell, "entry-2") == 0;
+    let [used, other] = if is_first { names } else { ["entry-2", "entry-1"] };
+    assert_eq!(carried(&cell, other), 0);
+
+    cell.proxy().cut("worker-1", used);
+    cell.wait_until("the worker announced itself to the other daemon", async |cell| {
+        Ok(carried(cell, other) > 0)
+    })
+    .await
+    .expect("an announcement");
+    cell.proxy().heal_all();
+    cell.stop().await.expect("exit code 0");
+}
+
 /// Guards against settings files that differ from section 9 of the design.
 #[tokio::test]
 async fn settings_have_the_form_of_the_design() {
--- /dev/null
+++ b/crates/testkit/tests/proxy.rs
@@ -0,0 +1,295 @@
+//! The proxy injects exactly the faults it was told to.
+
+use {
+    fuchsiatack_testkit::{LinkFaults, OUTSIDE, Proxy, free_address},
+    std::{
+        net::SocketAddr,
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream, UdpSocket},
+        time::{sleep, timeout},
+    },
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+/// Time in which something that must not happen would have happened.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// A server that echoes each byte.
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut reader, mut writer) = stream.split();
+                tokio::io::copy(&mut reader, &mut writer).await
+            });
+        }
+    });
+    address
+}
+
+async fn read(stream: &mut TcpStream, length: usize) -> Vec<u8> {
+    let mut buffer = vec![0; length];
+    timeout(LIMIT, stream.read_exact(&mut buffer))
+        .await
+        .expect("the bytes arrive in time")
+        .expect("the connection is open");
+    buffer
+}
+
+async fn is_quiet(stream: &mut TcpStream) -> bool {
+    timeout(QUIET, stream.read_u8()).await.is_err()
+}
+
+/// Guards against a cut that loses, repeats or reorders bytes of a connection, or lets some pass.
+#[tokio::test]
+async fn a_cut_holds_the_bytes_of_a_connection() {
+    let proxy = Proxy::new(1);
+    let front = proxy.open_from("a", "b", echo().await).await.expect("an address");
+    let mut stream = TcpStream::connect(front).await.expect("a connection");
+    stream.write_all(b"one").await.expect("written");
+    assert_eq!(read(&mut stream, 3).await, b"one");
+
+    proxy.cut("a", "b");
+    stream.write_all(b"two").await.expect("written");
+    assert!(is_quiet(&mut stream).await);
+    stream.write_all(b"three").await.expect("written");
+    proxy.heal("a", "b");
+    assert_eq!(read(&mut stream, 8).await, b"twothree");
+
+    proxy.cut("b", "a");
+    stream.write_all(b"four").await.expect("written");
+    assert!(is_quiet(&mut stream).await);
+    proxy.heal_all();
+    assert_eq!(read(&mut stream, 4).await, b"four");
+}
+
+/// Guards against a cut that a new connection gets around, and an end of a connection that passes
+/// a cut.
+#[tokio::test]
+async fn a_cut_holds_new_connections_and_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = listener.local_addr().expect("an address");
+    let proxy = Proxy::new(1);
+    let front = proxy.open_from("a", "b", target).await.expect("an address");
+
+    proxy.isolate("b");
+    let stream = TcpStream::connect(front).await.expect("the proxy accepts");
+    assert!(timeout(QUIET, listener.accept()).await.is_err());
+    proxy.heal_both("b", fuchsiatack_testkit::ANY);
+    let (mut accepted, _) = timeout(LIMIT, listener.accept())
+        .await
+        .expect("in time")
+        .expect("a connection");
+
+    proxy.cut_both("a", "b");
+    drop(stream);
+    assert!(is_quiet(&mut accepted).await);
+    proxy.heal_all();
+    let end = timeout(LIMIT, accepted.read(&mut [0; 1])).await.expect("in time");
+    assert_eq!(end.expect("a clean end"), 0);
+}
+
+/// Guards against resets that look like a clean end or hit other parties.
+#[tokio::test]
+async fn a_reset_breaks_only_its_connections() {
+    let proxy = Proxy::new(1);
+    let target = echo().await;
+    let first = proxy.open_from("a", "b", target).await.expect("an address");
+    let second = proxy.open_from("a", "c", target).await.expect("an address");
+    let mut hit = TcpStream::connect(first).await.expect("a connection");
+    let mut spared = TcpStream::connect(second).await.expect("a connection");
+    for stream in [&mut hit, &mut spared] {
+        stream.write_all(b"x").await.expect("written");
+        read(stream, 1).await;
+    }
+
+    proxy.reset("b", "a");
+
+    let error = timeout(LIMIT, hit.read_u8())
+        .await
+        .expect("in time")
+        .expect_err("a reset");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+    spared.write_all(b"y").await.expect("written");
+    assert_eq!(read(&mut spared, 1).await, b"y");
+    let mut again = TcpStream::connect(first).await.expect("a connection");
+    again.write_all(b"z").await.expect("written");
+    assert_eq!(read(&mut again, 1).await, b"z");
+}
+
+/// Guards against a delay that is not applied, or applied once for each part of a stream.
+#[tokio::test]
+async fn a_delay_is_added_once() {
+    let proxy = Proxy::new(1);
+    let front = proxy.open_from("a", "b", echo().await).await.expect("an address");
+    proxy.set(
+        "a",
+        "b",
+        LinkFaults {
+            delay: Duration::from_millis(200),
+            ..LinkFaults::default()
+        },
+    );
+    let mut stream = TcpStream::connect(front).await.expect("a connection");
+    let start = Instant::now();
+
+    let sent: Vec<u8> = (0..400_000_u32).map(|number| number as u8).collect();
+    let (mut reader, mut writer) = stream.split();
+    let mut received = vec![0; sent.len()];
+    let (written, received_all) = tokio::join!(writer.write_all(&sent), reader.read_exact(&mut received));
+
+    written.expect("written");
+    received_all.expect("read");
+    assert!(received == sent);
+    let elapsed = start.elapsed();
+    assert!(elapsed >= Duration::from_millis(200), "{elapsed:?}");
+    // 25 parts of 16 KiB, each with its own delay in sequence, would take 5 s.
+    assert!(elapsed < Duration::from_secs(4), "{elapsed:?}");
+}
+
+struct Datagrams {
+    front: SocketAddr,
+    proxy: Proxy,
+    receiver: UdpSocket,
+    sender: UdpSocket,
+}
+
+async fn datagrams() -> Datagrams {
+    let proxy = Proxy::new(7);
+    let receiver = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let sender = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    proxy.register_address("a", sender.local_addr().expect("an address"));
+    let target = receiver.local_addr().expect("an address");
+    Datagrams {
+        front: proxy.open("b", target).await.expect("an address"),
+        proxy,
+        receiver,
+        sender,
+    }
+}
+
+impl Datagrams {
+    async fn send(&self, text: &str) {
+        self.sender
+            .send_to(text.as_bytes(), self.front)
+            .await
+            .expect("sent");
+    }
+
+    async fn receive(&self) -> Option<String> {
+        let mut buffer = [0; 100];
+        let (length, _) = timeout(Duration::from_secs(2), self.receiver.recv_from(&mut buffer))
+            .await
+            .ok()?
+            .expect("received");
+        Some(String::from_utf8_lossy(&buffer[..length]).into_owned())
+    }
+}
+
+/// Guards against datagrams that arrive after a cut as if they had only been late.
+#[tokio::test]
+async fn a_cut_drops_datagrams() {
+    let test = datagrams().await;
+    test.send("one").await;
+    assert_eq!(test.receive().await.as_deref(), Some("one"));
+
+    test.proxy.cut("a", "b");
+    test.send("two").await;
+    sleep(QUIET).await;
+    test.proxy.heal("a", "b");
+    test.send("three").await;
+
+    assert_eq!(test.receive().await.as_deref(), Some("three"));
+    let traffic = test.proxy.traffic()[&("a".into(), "b".into())];
+    assert_eq!((traffic.datagrams, traffic.dropped, traffic.bytes), (2, 1, 8));
+}
+
+/// Guards against duplication and reordering that do not happen.
+#[tokio::test]
+async fn duplicates_and_reorders_datagrams() {
+    let test = datagrams().await;
+    test.proxy.set(
+        "a",
+        "b",
+        LinkFaults {
+            duplicate_millis: 1_000,
+            ..LinkFaults::default()
+        },
+    );
+    test.send("one").await;
+    assert_eq!(test.receive().await.as_deref(), Some("one"));
+    assert_eq!(test.receive().await.as_deref(), Some("one"));
+
+    test.proxy.set(
+        "a",
+        "b",
+        LinkFaults {
+            reorder_millis: 1_000,
+            ..LinkFaults::default()
+        },
+    );
+    test.send("two").await;
+    test.send("three").await;
+    assert_eq!(test.receive().await.as_deref(), Some("three"));
+    assert_eq!(test.receive().await.as_deref(), Some("two"));
+    test.send("four").await;
+    assert_eq!(test.receive().await.as_deref(), Some("four"));
+}
+
+/// A process that connects to an address and sends one byte.
+fn client_process(address: SocketAddr) -> Child {
+    let script = format!(
+        "exec 3<>/dev/tcp/{}/{}; echo x >&3; exec sleep 20",
+        address.ip(),
+        address.port()
+    );
+    Command::new("bash")
+        .args(["-c", &script])
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("bash is part of the build scripts' needs")
+}
+
+/// Guards against faults between two daemons that hit a third one behind the same address.
+#[tokio::test]
+async fn names_the_sender_by_its_process() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = listener.local_addr().expect("an address");
+    let proxy = Proxy::new(1);
+    let front = proxy.open("b", target).await.expect("an address");
+    proxy.cut("a", "b");
+
+    let mut cut_off = client_process(front);
+    proxy.register_process("a", cut_off.id());
+    let held = timeout(Duration::from_secs(1), listener.accept()).await.is_err();
+    let mut other = TcpStream::connect(front).await.expect("a connection");
+    other.write_all(b"y").await.expect("written");
+    let (mut accepted, _) = timeout(LIMIT, listener.accept())
+        .await
+        .expect("in time")
+        .expect("a connection");
+    let byte = accepted.read_u8().await.expect("a byte");
+    cut_off.kill().expect("the process runs");
+    cut_off.wait().expect("the process ends");
+
+    assert!(held);
+    assert_eq!(byte, b'y');
+    assert!(proxy.traffic().contains_key(&(OUTSIDE.into(), "b".into())));
+}
+
+/// Guards against a proxy that hides that its target is down.
+#[tokio::test]
+async fn a_target_that_is_down_resets_the_connection() {
+    let proxy = Proxy::new(1);
+    let closed = free_address().expect("a free port");
+    let front = proxy.open_from("a", "b", closed).await.expect("an address");
+    let mut stream = TcpStream::connect(front).await.expect("the proxy accepts");
+
+    assert!(timeout(LIMIT, stream.read_u8()).await.expect("in time").is_err());
+}
