testkit: add the history checker

Tests of a whole cell need one judge of the invariants that reads what workers and callers logged, independent of what daemons report.

A lowered limit counts after the 7 s the design allows; a request counts as not run only if no attempt of it was lost.

A test of the builder failed once in the run before this commit: a paused daemon still answered. Cause: kill returns before all threads have stopped. ChildProcess::pause now waits for that.

Conclusion: ready; not yet run on logs of a real cell.

--- a/crates/testkit/src/cell.rs
+++ b/crates/testkit/src/cell.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        AddressSettings, CallerSettings, CellBuilder, CellDaemon, CellError, CellWorker, DaemonSettings,
-        ElectionSettings, FakeWorkerSettings, LeaseSettings, LogSettings, MemberSettings, Proxy,
-        StoreSettings, TraceSettings, WorkerEvent, free_address, read_json_log,
+        AddressSettings, CallerSettings, CellBuilder, CellDaemon, CellError, CellWorker, Control,
+        ControlEvent, DaemonSettings, ElectionSettings, FakeWorkerSettings, History, LeaseSettings,
+        LoadSettings, LogSettings, MemberSettings, Proxy, StoreSettings, TraceSettings, WorkerEvent,
+        free_address, read_json_log,
     },
+    fuchsiatack_model::{KeyName, TeamName, WorkName, WorkerName},
     serde_json::Value,
     std::{
         collections::BTreeMap,
@@ -22,6 +24,8 @@
 pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
 /// Environment variable that keeps the folder of a cell after the test.
 const KEEP_VARIABLE: &str = "TESTKIT_KEEP_FOLDERS";
+/// File with the outcomes of the load generator.
+const CALLER_LOG: &str = "callers.jsonl";
 /// Part of each log that is printed when a test fails, in bytes.
 const LOG_TAIL_BYTES: usize = 4_000;
 const OPERATOR_KEY: &str = "operator-key-of-a-test";
@@ -34,6 +38,7 @@
 pub struct Cell {
     builder: CellBuilder,
     client: reqwest::Client,
+    controls: Vec<ControlEvent>,
     daemons: Vec<CellDaemon>,
     folder: Option<TempDir>,
     members: Vec<MemberSettings>,
@@ -59,6 +64,7 @@
                 .timeout(Duration::from_secs(10))
                 .build()
                 .expect("a client without TLS needs no system support"),
+            controls: Vec::new(),
             daemons: Vec::new(),
             folder: Some(folder),
             members: Vec::new(),
@@ -236,8 +242,19 @@
         let path = format!("/v1/records/{}/{}", text("kind"), text("name"));
         let number = self.first_running();
         self.operations += 1;
-        self.operate(number, reqwest::Method::PUT, &path, Some(record))
-            .await
+        let answer = self
+            .operate(number, reqwest::Method::PUT, &path, Some(record))
+            .await?;
+        let control = match text("kind").as_str() {
+            "drain" => Some(Control::Drained {
+                worker: WorkerName::new(text("name")),
+            }),
+            "limit" => limit_set(&record["spec"]),
+            "work" => work_submitted(&text("name"), &record["spec"]),
+            _ => None,
+        };
+        self.controls.extend(control.map(ControlEvent::now));
+        Ok(answer)
     }
 
     /// Reads one record in schema version 2.
@@ -251,7 +268,54 @@
         let path = format!("/v1/records/{kind}/{name}?version={version}");
         let number = self.first_running();
         self.operations += 1;
-        self.operate(number, reqwest::Method::DELETE, &path, None).await
+        let answer = self.operate(number, reqwest::Method::DELETE, &path, None).await?;
+        let control = match kind {
+            "drain" => Some(Control::DrainEnded {
+                worker: WorkerName::new(name),
+            }),
+            "key" => Some(Control::KeyWithdrawn {
+                key: KeyName::new(name),
+            }),
+            _ => None,
+        };
+        self.controls.extend(control.map(ControlEvent::now));
+        Ok(answer)
+    }
+
+    /// Ends a worker without notice and records it for the history checker.
+    pub fn kill_worker(&mut self, name: &str) {
+        self.worker(name).kill();
+        self.record(Control::WorkerKilled {
+            worker: WorkerName::new(name),
+        });
+    }
+
+    /// Records an action for the history checker that was not made through this type.
+    pub fn record(&mut self, control: Control) {
+        self.controls.push(ControlEvent::now(control));
+    }
+
+    /// Settings of a load on all daemons, logged for the history checker. Teams are missing.
+    pub fn load_settings(&self) -> LoadSettings {
+        LoadSettings {
+            entries: self.caller_addresses(),
+            log: Some(self.path.join(CALLER_LOG)),
+            ..LoadSettings::default()
+        }
+    }
+
+    /// Reads the logs of workers and callers, and what the test did.
+    pub fn history(&self) -> Result<History, CellError> {
+        let mut history = History {
+            controls: self.controls.clone(),
+            workers: self.worker_events()?,
+            ..History::default()
+        };
+        let callers = self.path.join(CALLER_LOG);
+        if callers.exists() {
+            history.read_callers(&callers)?;
+        }
+        Ok(history)
     }
 
     /// Makes an operator's call to daemon `entry-{number}` and returns the JSON body.
@@ -294,6 +358,7 @@
                 events.extend(read_json_log::<WorkerEvent>(log)?);
             }
         }
+        // Stable: events of one worker keep their order.
         events.sort_by_key(|event| event.at_us);
         Ok(events)
     }
@@ -439,6 +504,21 @@
     }
 }
 
+fn limit_set(spec: &Value) -> Option<Control> {
+    Some(Control::LimitSet {
+        max_running: spec["max_running"].as_u64()?.try_into().ok()?,
+        team: TeamName::new(spec["team"].as_str()?),
+    })
+}
+
+fn work_submitted(name: &str, spec: &Value) -> Option<Control> {
+    Some(Control::WorkSubmitted {
+        idempotent: spec["idempotent"].as_bool()?,
+        tasks: spec["tasks"].as_u64()?.try_into().ok()?,
+        work: WorkName::new(name),
+    })
+}
+
 fn daemon_name(index: usize) -> String {
     format!("entry-{}", index + 1)
 }
--- a/crates/testkit/src/child_process.rs
+++ b/crates/testkit/src/child_process.rs
@@ -4,7 +4,7 @@
     rustix::process::{Pid, Signal, kill_process},
     std::{
         ffi::OsString,
-        fs::OpenOptions,
+        fs::{self, OpenOptions},
         io,
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
@@ -14,6 +14,8 @@
 };
 
 const EXIT_POLL: Duration = Duration::from_millis(10);
+const PAUSE_LIMIT: Duration = Duration::from_secs(10);
+const PAUSE_POLL: Duration = Duration::from_millis(1);
 
 /// A child process. Dropping it kills the process, also while a test panics.
 #[derive(Debug)]
@@ -80,9 +82,21 @@
         }
     }
 
-    /// Pauses the process with SIGSTOP.
+    /// Pauses the process with SIGSTOP and waits until all its threads have stopped: the signal
+    /// alone returns while they may still answer a call.
     pub fn pause(&self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let deadline = Instant::now() + PAUSE_LIMIT;
+        while !self.is_paused()? {
+            if Instant::now() >= deadline {
+                return Err(io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    "the process did not pause",
+                ));
+            }
+            std::thread::sleep(PAUSE_POLL);
+        }
+        Ok(())
     }
 
     /// Continues a paused process with SIGCONT.
@@ -120,6 +134,19 @@
         self.wait(limit).await
     }
 
+    /// Reads the state of each thread, the field after the command in parentheses.
+    fn is_paused(&self) -> io::Result<bool> {
+        let id = self.id().unwrap_or_default();
+        for thread in fs::read_dir(format!("/proc/{id}/task"))? {
+            let stat = fs::read_to_string(thread?.path().join("stat"))?;
+            let state = stat.rsplit_once(") ").and_then(|(_, rest)| rest.chars().next());
+            if state != Some('T') {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
     fn signal(&self, signal: Signal) -> io::Result<()> {
         let id = self
             .child
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,9 +8,12 @@
 mod cell_error;
 mod cell_worker;
 mod child_process;
+mod control_event;
 mod daemon_settings;
 mod fake_worker;
 mod fake_worker_settings;
+mod history;
+mod history_checker;
 mod json_log;
 mod link_faults;
 mod load;
@@ -22,6 +25,7 @@
 mod proxy_udp;
 mod socket_owner;
 mod task_body;
+mod violation;
 mod wall_clock;
 mod worker_event;
 mod worker_state;
@@ -35,12 +39,15 @@
     cell_error::CellError,
     cell_worker::{CellWorker, WorkerMode, example_program},
     child_process::ChildProcess,
+    control_event::{Control, ControlEvent},
     daemon_settings::{
         AddressSettings, CallerSettings, DaemonSettings, ElectionSettings, LeaseSettings, LogSettings,
         MemberSettings, StoreSettings, TraceSettings,
     },
     fake_worker::FakeWorker,
     fake_worker_settings::{FakeWorkerSettings, WorkerControl},
+    history::History,
+    history_checker::HistoryChecker,
     json_log::{JsonLog, read_json_log},
     link_faults::LinkFaults,
     load::run_load,
@@ -49,6 +56,7 @@
     ports::{free_address, test_ip},
     proxy::{ANY, OUTSIDE, Proxy, Traffic},
     task_body::{Behaviour, TaskBody},
+    violation::Violation,
     wall_clock::wall_us,
     worker_event::{WorkerEvent, WorkerEventKind},
 };
--- /dev/null
+++ b/crates/testkit/tests/history_checker.rs
@@ -0,0 +1,491 @@
+//! Each kind of violation that is planted in a history is found, and a good history has none.
+
+use {
+    fuchsiatack_model::{
+        Epoch, KeyName, Resources, SessionId, TaskId, TaskOutcome, TeamName, WorkName, WorkTask, WorkerName,
+    },
+    fuchsiatack_testkit::{
+        CallerEvent, Control, ControlEvent, History, HistoryChecker, Seen, Violation, WorkerEvent,
+        WorkerEventKind,
+    },
+};
+
+const SECOND_US: u64 = 1_000_000;
+
+/// Builds histories step by step. Times are in seconds.
+#[derive(Default)]
+struct Script {
+    history: History,
+}
+
+fn us(at: f64) -> u64 {
+    (at * SECOND_US as f64) as u64
+}
+
+fn task(sequence: u64) -> TaskId {
+    TaskId {
+        session: SessionId(1),
+        sequence,
+    }
+}
+
+impl Script {
+    fn new() -> Self {
+        Self::default().up("w1", 0.0).up("w2", 0.0)
+    }
+
+    fn event(mut self, worker: &str, at: f64, kind: WorkerEventKind) -> Self {
+        let worker = WorkerName::new(worker);
+        self.history
+            .workers
+            .push(WorkerEvent::new(us(at), &worker, Epoch(1), kind));
+        self
+    }
+
+    fn last(&mut self) -> &mut WorkerEvent {
+        self.history.workers.last_mut().expect("an event")
+    }
+
+    fn up(self, worker: &str, at: f64) -> Self {
+        let mut script = self.event(worker, at, WorkerEventKind::Up);
+        script.last().capacity = Some(Resources {
+            connections: 8,
+            memory_bytes: 100,
+            slots: 2,
+            ..Resources::NONE
+        });
+        script
+    }
+
+    fn start(self, worker: &str, at: f64, sequence: u64, request: &str) -> Self {
+        let mut script = self.event(worker, at, WorkerEventKind::Started);
+        let event = script.last();
+        event.task = Some(task(sequence));
+        event.team = Some(TeamName::new("anfa"));
+        event.demand = Some(Resources::default());
+        event.request = (!request.is_empty()).then(|| request.into());
+        script
+    }
+
+    fn with_memory(mut self, memory_bytes: u64) -> Self {
+        let demand = self.last().demand.as_mut().expect("a start");
+        demand.memory_bytes = memory_bytes;
+        self
+    }
+
+    fn of_work(mut self, number: u32) -> Self {
+        self.last().work = Some(WorkTask {
+            number,
+            work: WorkName::new("night"),
+        });
+        self
+    }
+
+    fn end(self, worker: &str, at: f64, sequence: u64) -> Self {
+        self.end_as(worker, at, sequence, WorkerEventKind::Ended)
+    }
+
+    fn end_as(self, worker: &str, at: f64, sequence: u64, kind: WorkerEventKind) -> Self {
+        let mut script = self.event(worker, at, kind);
+        script.last().task = Some(task(sequence));
+        script
+    }
+
+    fn call(mut self, request: &str, sent: f64, seen: Seen) -> Self {
+        let attempt = self
+            .history
+            .callers
+            .iter()
+            .filter(|event| event.request == request)
+            .count();
+        self.history.callers.push(CallerEvent {
+            at_us: us(sent) + SECOND_US,
+            attempt: attempt as u32 + 1,
+            detail: "".into(),
+            entry: "127.0.0.1:1".into(),
+            idempotent: false,
+            key: Some(KeyName::new("anfa-desk")),
+            last: seen != Seen::Lost,
+            own: true,
+            request: request.into(),
+            seen,
+            sent_us: us(sent),
+            team: TeamName::new("anfa"),
+            wait_us: SECOND_US,
+            whole: true,
+        });
+        self
+    }
+
+    fn change_call(mut self, change: impl FnOnce(&mut CallerEvent)) -> Self {
+        change(self.history.callers.last_mut().expect("a call"));
+        self
+    }
+
+    fn control(mut self, at: f64, control: Control) -> Self {
+        self.history.controls.push(ControlEvent {
+            at_us: us(at),
+            control,
+        });
+        self
+    }
+
+    fn limit(self, at: f64, max_running: u32) -> Self {
+        let team = TeamName::new("anfa");
+        self.control(at, Control::LimitSet { max_running, team })
+    }
+
+    fn submit(self, tasks: u32, idempotent: bool) -> Self {
+        let work = WorkName::new("night");
+        self.control(
+            1.0,
+            Control::WorkSubmitted {
+                idempotent,
+                tasks,
+                work,
+            },
+        )
+    }
+
+    fn status(self, outcomes: &[Option<TaskOutcome>]) -> Self {
+        let (outcomes, work) = (outcomes.to_vec(), WorkName::new("night"));
+        self.control(90.0, Control::WorkEnded { outcomes, work })
+    }
+
+    fn check(&self) -> Vec<Violation> {
+        HistoryChecker::default().check(&self.history)
+    }
+}
+
+fn drained(worker: &str) -> Control {
+    Control::Drained {
+        worker: WorkerName::new(worker),
+    }
+}
+
+fn withdrawn() -> Control {
+    Control::KeyWithdrawn {
+        key: KeyName::new("anfa-desk"),
+    }
+}
+
+/// Guards against reports about good histories: full workers, back-to-back runs, retries after a
+/// known end, lost attempts, restarts and the allowed propagation times.
+#[test]
+fn a_good_history_has_no_violations() {
+    let script = Script::new()
+        .limit(0.0, 3)
+        .start("w1", 10.0, 1, "r1")
+        .start("w1", 10.0, 2, "r2")
+        .start("w2", 10.5, 3, "r3")
+        .end("w1", 11.0, 1)
+        .start("w1", 11.0, 4, "r4")
+        .end("w1", 12.0, 2)
+        .end("w2", 12.0, 3)
+        .end("w1", 12.0, 4)
+        .call("r1", 9.0, Seen::Lost)
+        .call("r1", 9.5, Seen::Done)
+        .call("r2", 9.0, Seen::Done)
+        .call("r3", 9.0, Seen::Done)
+        .call("r4", 9.0, Seen::Done)
+        .call("r5", 9.0, Seen::NotRun)
+        // An idempotent request runs again after its worker was killed.
+        .start("w2", 13.0, 5, "r6")
+        .control(
+            14.0,
+            Control::WorkerKilled {
+                worker: WorkerName::new("w2"),
+            },
+        )
+        .start("w1", 14.5, 6, "r6")
+        .end("w1", 15.0, 6)
+        .call("r6", 13.0, Seen::Done)
+        .change_call(|call| call.idempotent = true)
+        .up("w2", 16.0)
+        // A lowered limit and a drain take effect within their bounds.
+        .limit(20.0, 1)
+        .start("w2", 21.0, 7, "")
+        .start("w2", 22.0, 8, "")
+        .end("w2", 23.0, 7)
+        .end("w2", 23.0, 8)
+        .control(30.0, drained("w2"))
+        .start("w2", 32.9, 9, "")
+        .end("w2", 34.0, 9)
+        .control(40.0, withdrawn())
+        .start("w1", 44.0, 10, "r7")
+        .end("w1", 46.0, 10)
+        .call("r7", 43.5, Seen::Done)
+        .submit(1, false)
+        .start("w1", 50.0, 11, "")
+        .of_work(0)
+        .end("w1", 51.0, 11)
+        .status(&[Some(TaskOutcome::Done)]);
+
+    assert_eq!(script.check(), []);
+}
+
+/// Guards against a missed overload of slots.
+#[test]
+fn finds_exceeded_slots() {
+    let script = Script::new()
+        .start("w1", 1.0, 1, "")
+        .start("w1", 2.0, 2, "")
+        .start("w1", 3.0, 3, "");
+
+    assert!(matches!(script.check()[..], [Violation::CapacityExceeded { .. }]));
+}
+
+/// Guards against a missed overload of another resource.
+#[test]
+fn finds_exceeded_memory() {
+    let script = Script::new()
+        .start("w1", 1.0, 1, "")
+        .with_memory(60)
+        .start("w1", 2.0, 2, "")
+        .with_memory(60);
+
+    assert!(matches!(script.check()[..], [Violation::CapacityExceeded { .. }]));
+}
+
+/// Guards against a missed second place of the same task, request or work task.
+#[test]
+fn finds_two_places() {
+    let same_task = Script::new()
+        .start("w1", 1.0, 1, "")
+        .start("w2", 2.0, 1, "")
+        .end("w1", 3.0, 1);
+    let same_request = Script::new()
+        .start("w1", 1.0, 1, "r1")
+        .start("w2", 2.0, 2, "r1")
+        .end("w1", 3.0, 1);
+    let same_work = Script::new()
+        .start("w1", 1.0, 1, "")
+        .of_work(0)
+        .start("w2", 2.0, 2, "")
+        .of_work(0)
+        .end("w1", 3.0, 1);
+
+    for script in [same_task, same_request, same_work] {
+        assert!(matches!(script.check()[..], [Violation::TwoPlaces { .. }]));
+    }
+}
+
+/// Guards against a missed sum over workers, and a lowered limit that never takes effect.
+#[test]
+fn finds_a_team_above_its_limit() {
+    let at_once = Script::new()
+        .limit(0.0, 1)
+        .start("w1", 10.0, 1, "")
+        .start("w2", 11.0, 2, "")
+        .end("w1", 12.0, 1);
+    let after_change = Script::new()
+        .limit(0.0, 5)
+        .limit(10.0, 1)
+        .start("w1", 17.5, 1, "")
+        .start("w2", 18.0, 2, "");
+
+    for script in [at_once, after_change] {
+        assert!(matches!(
+            script.check()[..],
+            [Violation::AboveLimit {
+                limit: 1,
+                running: 2,
+                ..
+            }]
+        ));
+    }
+}
+
+/// Guards against wrong answers that the checker takes for good.
+#[test]
+fn finds_wrong_answers() {
+    let script = |change: fn(&mut CallerEvent)| {
+        Script::new()
+            .start("w1", 1.0, 1, "r1")
+            .end("w1", 2.0, 1)
+            .call("r1", 0.5, Seen::Done)
+            .change_call(change)
+    };
+    let incomplete = script(|call| (call.whole, call.own) = (false, false));
+    let foreign = script(|call| call.own = false);
+
+    assert!(matches!(
+        incomplete.check()[..],
+        [Violation::WrongAnswer { is_whole: false, .. }]
+    ));
+    assert!(matches!(
+        foreign.check()[..],
+        [Violation::WrongAnswer { is_whole: true, .. }]
+    ));
+}
+
+/// Guards against a `not run` that is not true. A lost attempt may have run, so it excuses a start.
+#[test]
+fn finds_a_not_run_that_ran() {
+    let ran = Script::new()
+        .start("w1", 1.0, 1, "r1")
+        .end("w1", 2.0, 1)
+        .call("r1", 0.5, Seen::NotRun);
+    let lost_before = Script::new()
+        .start("w1", 1.0, 1, "r1")
+        .end("w1", 2.0, 1)
+        .call("r1", 0.5, Seen::Lost)
+        .call("r1", 3.0, Seen::NotRun);
+
+    assert!(matches!(ran.check()[..], [Violation::NotRunRan { .. }]));
+    assert_eq!(lost_before.check(), []);
+}
+
+/// Guards against a missed second run of a request or task that must run once.
+#[test]
+fn finds_a_second_run() {
+    let request = Script::new()
+        .start("w1", 1.0, 1, "r1")
+        .end("w1", 2.0, 1)
+        .start("w2", 3.0, 2, "r1")
+        .end("w2", 4.0, 2)
+        .call("r1", 0.5, Seen::Done);
+    let work = Script::new()
+        .submit(1, false)
+        .start("w1", 1.0, 1, "")
+        .of_work(0)
+        .end_as("w1", 2.0, 1, WorkerEventKind::Stopped)
+        .start("w2", 3.0, 2, "")
+        .of_work(0)
+        .end("w2", 4.0, 2)
+        .status(&[Some(TaskOutcome::Done)]);
+
+    for script in [request, work] {
+        assert!(matches!(
+            script.check()[..],
+            [Violation::RanTwice { starts: 2, .. }]
+        ));
+    }
+}
+
+/// Guards against accepted work that is lost, ends twice or is reported done without having run.
+#[test]
+fn finds_work_that_did_not_end_once() {
+    let no_status = Script::new().submit(1, true);
+    let no_outcome = Script::new().submit(1, true).status(&[None]);
+    let not_run = Script::new().submit(1, true).status(&[Some(TaskOutcome::Done)]);
+    let changed = Script::new()
+        .submit(1, true)
+        .status(&[Some(TaskOutcome::Failed)])
+        .status(&[Some(TaskOutcome::Unknown)]);
+    let request_without_run = Script::new().call("r1", 1.0, Seen::Done);
+    let request_without_outcome = Script::new().call("r1", 1.0, Seen::Lost);
+    let request_with_two = Script::new()
+        .start("w1", 1.0, 1, "r1")
+        .end("w1", 2.0, 1)
+        .call("r1", 0.5, Seen::Done)
+        .call("r1", 3.0, Seen::Done);
+
+    for script in [
+        no_status,
+        no_outcome,
+        not_run,
+        changed,
+        request_without_run,
+        request_without_outcome,
+        request_with_two,
+    ] {
+        assert!(matches!(script.check()[..], [Violation::NotEndedOnce { .. }]));
+    }
+}
+
+/// Guards against new work on a worker that is leaving or drained.
+#[test]
+fn finds_work_after_leaving() {
+    let leaving = Script::new()
+        .event("w1", 10.0, WorkerEventKind::AnnouncedLeaving)
+        .event("w1", 12.0, WorkerEventKind::AnnouncedLeaving)
+        .start("w1", 13.5, 1, "");
+    let drain = Script::new()
+        .control(10.0, drained("w2"))
+        .start("w2", 13.5, 1, "");
+    let again = Script::new()
+        .control(10.0, drained("w2"))
+        .control(
+            12.0,
+            Control::DrainEnded {
+                worker: WorkerName::new("w2"),
+            },
+        )
+        .start("w2", 13.5, 1, "");
+
+    for script in [leaving, drain] {
+        assert!(matches!(
+            script.check()[..],
+            [Violation::WorkAfterLeaving {
+                after_us: 3_500_000,
+                ..
+            }]
+        ));
+    }
+    assert_eq!(again.check(), []);
+}
+
+/// Guards against work for a withdrawn key, whether its caller saw an answer or not.
+#[test]
+fn finds_work_for_a_withdrawn_key() {
+    let answered = Script::new()
+        .control(10.0, withdrawn())
+        .start("w1", 15.6, 1, "r1")
+        .end("w1", 15.7, 1)
+        .call("r1", 15.5, Seen::Done);
+    let lost = Script::new()
+        .control(10.0, withdrawn())
+        .start("w1", 15.6, 1, "r1")
+        .end("w1", 15.7, 1)
+        .call("r1", 15.5, Seen::Lost)
+        .change_call(|call| call.last = true);
+    let rejected = Script::new()
+        .control(10.0, withdrawn())
+        .call("r1", 15.5, Seen::NotRun);
+
+    for script in [answered, lost] {
+        assert!(matches!(
+            script.check()[..],
+            [Violation::WorkAfterWithdrawal { .. }]
+        ));
+    }
+    assert_eq!(rejected.check(), []);
+}
+
+/// Guards against logs that the checker cannot read back.
+#[test]
+fn reads_the_logs_of_workers_and_callers() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (workers, callers) = (folder.path().join("w1"), folder.path().join("callers"));
+    let script = Script::new()
+        .start("w1", 1.0, 1, "r1")
+        .of_work(3)
+        .end("w1", 2.0, 1)
+        .call("r1", 0.5, Seen::Done);
+    let worker_log = fuchsiatack_testkit::JsonLog::open(&workers).expect("a log");
+    script
+        .history
+        .workers
+        .iter()
+        .for_each(|event| worker_log.write(event));
+    let caller_log = fuchsiatack_testkit::JsonLog::open(&callers).expect("a log");
+    script
+        .history
+        .callers
+        .iter()
+        .for_each(|event| caller_log.write(event));
+    // A killed process leaves an incomplete line.
+    std::fs::write(
+        &workers,
+        [std::fs::read(&workers).expect("a log"), b"{\"at".to_vec()].concat(),
+    )
+    .expect("a log");
+
+    let mut history = History::default();
+    history.read_worker(&workers).expect("events");
+    history.read_callers(&callers).expect("events");
+
+    assert_eq!(history.workers, script.history.workers);
+    assert_eq!(history.callers, script.history.callers);
+}
