--- a/crates/testkit/src/cell.rs
+++ b/crates/testkit/src/cell.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        AddressSettings, CallerSettings, CellBuilder, CellDaemon, CellError, CellWorker, DaemonSettings,
-        ElectionSettings, FakeWorkerSettings, LeaseSettings, LogSettings, MemberSettings, StoreSettings,
-        TraceSettings, WorkerEvent, free_address, read_json_log,
+        AddressSettings, CallerSettings, CellBuilder, CellDaemon, CellError, CellWorker, Control,
+        ControlEvent, DaemonSettings, ElectionSettings, FakeWorkerSettings, History, LeaseSettings,
+        LoadSettings, LogSettings, MemberSettings, Proxy, StoreSettings, TraceSettings, WorkerEvent,
+        free_address, read_json_log,
     },
+    fuchsiatack_model::{KeyName, TeamName, WorkName, WorkerName},
     serde_json::Value,
     std::{
         collections::BTreeMap,
@@ -22,6 +24,8 @@
 pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
 /// Environment variable that keeps the folder of a cell after the test.
 const KEEP_VARIABLE: &str = "TESTKIT_KEEP_FOLDERS";
+/// File with the outcomes of the load generator.
+const CALLER_LOG: &str = "callers.jsonl";
 /// Part of each log that is printed when a test fails, in bytes.
 const LOG_TAIL_BYTES: usize = 4_000;
 const OPERATOR_KEY: &str = "operator-key-of-a-test";
@@ -34,11 +38,13 @@
 pub struct Cell {
     builder: CellBuilder,
     client: reqwest::Client,
+    controls: Vec<ControlEvent>,
     daemons: Vec<CellDaemon>,
     folder: Option<TempDir>,
     members: Vec<MemberSettings>,
     operations: u64,
     path: PathBuf,
+    proxy: Option<Proxy>,
     workers: BTreeMap<String, CellWorker>,
 }
 
@@ -50,6 +56,7 @@
         fs::write(path.join("operator.key"), OPERATOR_KEY)?;
         let workers = std::mem::take(&mut builder.workers);
         let count = builder.daemons;
+        let proxy = builder.proxy_seed.map(Proxy::new);
         let mut cell = Self {
             builder,
             client: reqwest::Client::builder()
@@ -57,23 +64,26 @@
                 .timeout(Duration::from_secs(10))
                 .build()
                 .expect("a client without TLS needs no system support"),
+            controls: Vec::new(),
             daemons: Vec::new(),
             folder: Some(folder),
             members: Vec::new(),
             operations: 0,
             path,
+            proxy,
             workers: BTreeMap::new(),
         };
-        let peers = (0..count)
-            .map(|_| free_address())
-            .collect::<Result<Vec<_>, _>>()?;
+        let mut peers = Vec::new();
+        for index in 0..count {
+            peers.push(cell.peer_settings(index).await?);
+        }
         cell.members = peers
             .iter()
             .take(cell.builder.store_members)
             .enumerate()
-            .map(|(index, address)| MemberSettings {
+            .map(|(index, peer)| MemberSettings {
                 name: daemon_name(index),
-                address: *address,
+                address: peer.advertised_address.unwrap_or(peer.address),
             })
             .collect();
         for (index, peer) in peers.into_iter().enumerate() {
@@ -112,6 +122,11 @@
             .unwrap_or_else(|| panic!("the cell has no worker {name}"))
     }
 
+    /// The proxy, if the cell was built with one.
+    pub fn proxy(&self) -> &Proxy {
+        self.proxy.as_ref().expect("the cell was built with `with_proxy`")
+    }
+
     /// Addresses for callers of all daemons.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(CellDaemon::caller_address).collect()
@@ -123,8 +138,10 @@
     }
 
     /// Starts one more daemon, without the store role, and returns its number.
-    pub fn add_daemon(&mut self) -> Result<usize, CellError> {
-        let settings = self.daemon_settings(self.daemons.len(), free_address()?)?;
+    pub async fn add_daemon(&mut self) -> Result<usize, CellError> {
+        let index = self.daemons.len();
+        let peers = self.peer_settings(index).await?;
+        let settings = self.daemon_settings(index, peers)?;
         self.start_daemon(settings)?;
         Ok(self.daemons.len())
     }
@@ -141,6 +158,7 @@
         }
         let log = self.path.join(format!("{}.events", settings.name));
         settings.log.get_or_insert(log);
+        self.route_worker(&mut settings).await?;
         let name = settings.name.to_string();
         let mode = self.builder.worker_mode;
         let program = self.builder.worker_program.as_deref();
@@ -224,8 +242,19 @@
         let path = format!("/v1/records/{}/{}", text("kind"), text("name"));
         let number = self.first_running();
         self.operations += 1;
-        self.operate(number, reqwest::Method::PUT, &path, Some(record))
-            .await
+        let answer = self
+            .operate(number, reqwest::Method::PUT, &path, Some(record))
+            .await?;
+        let control = match text("kind").as_str() {
+            "drain" => Some(Control::Drained {
+                worker: WorkerName::new(text("name")),
+            }),
+            "limit" => limit_set(&record["spec"]),
+            "work" => work_submitted(&text("name"), &record["spec"]),
+            _ => None,
+        };
+        self.controls.extend(control.map(ControlEvent::now));
+        Ok(answer)
     }
 
     /// Reads one record in schema version 2.
@@ -239,7 +268,54 @@
         let path = format!("/v1/records/{kind}/{name}?version={version}");
         let number = self.first_running();
         self.operations += 1;
-        self.operate(number, reqwest::Method::DELETE, &path, None).await
+        let answer = self.operate(number, reqwest::Method::DELETE, &path, None).await?;
+        let control = match kind {
+            "drain" => Some(Control::DrainEnded {
+                worker: WorkerName::new(name),
+            }),
+            "key" => Some(Control::KeyWithdrawn {
+                key: KeyName::new(name),
+            }),
+            _ => None,
+        };
+        self.controls.extend(control.map(ControlEvent::now));
+        Ok(answer)
+    }
+
+    /// Ends a worker without notice and records it for the history checker.
+    pub fn kill_worker(&mut self, name: &str) {
+        self.worker(name).kill();
+        self.record(Control::WorkerKilled {
+            worker: WorkerName::new(name),
+        });
+    }
+
+    /// Records an action for the history checker that was not made through this type.
+    pub fn record(&mut self, control: Control) {
+        self.controls.push(ControlEvent::now(control));
+    }
+
+    /// Settings of a load on all daemons, logged for the history checker. Teams are missing.
+    pub fn load_settings(&self) -> LoadSettings {
+        LoadSettings {
+            entries: self.caller_addresses(),
+            log: Some(self.path.join(CALLER_LOG)),
+            ..LoadSettings::default()
+        }
+    }
+
+    /// Reads the logs of workers and callers, and what the test did.
+    pub fn history(&self) -> Result<History, CellError> {
+        let mut history = History {
+            controls: self.controls.clone(),
+            workers: self.worker_events()?,
+            ..History::default()
+        };
+        let callers = self.path.join(CALLER_LOG);
+        if callers.exists() {
+            history.read_callers(&callers)?;
+        }
+        Ok(history)
     }
 
     /// Makes an operator's call to daemon `entry-{number}` and returns the JSON body.
@@ -282,6 +358,7 @@
                 events.extend(read_json_log::<WorkerEvent>(log)?);
             }
         }
+        // Stable: events of one worker keep their order.
         events.sort_by_key(|event| event.at_us);
         Ok(events)
     }
@@ -315,12 +392,42 @@
     }
 
     fn start_daemon(&mut self, settings: DaemonSettings) -> Result<(), CellError> {
-        let daemon = CellDaemon::start(&self.builder.daemon_program, settings, &self.path)?;
+        let daemon = CellDaemon::start(
+            &self.builder.daemon_program,
+            settings,
+            &self.path,
+            self.proxy.clone(),
+        )?;
         self.daemons.push(daemon);
         Ok(())
     }
 
-    fn daemon_settings(&self, index: usize, peer: SocketAddr) -> Result<DaemonSettings, CellError> {
+    async fn peer_settings(&self, index: usize) -> Result<AddressSettings, CellError> {
+        let address = free_address()?;
+        let advertised_address = match &self.proxy {
+            None => None,
+            Some(proxy) => Some(proxy.open(&daemon_name(index), address).await?),
+        };
+        Ok(AddressSettings {
+            address,
+            advertised_address,
+        })
+    }
+
+    /// Leads the traffic of a worker through the proxy, both ways.
+    async fn route_worker(&self, settings: &mut FakeWorkerSettings) -> Result<(), CellError> {
+        let Some(proxy) = &self.proxy else { return Ok(()) };
+        let name = settings.name.as_str();
+        settings.advertised_address = Some(proxy.open(name, settings.address).await?);
+        for daemon in &self.daemons {
+            let address = daemon.caller_address();
+            let front = proxy.open_from(name, &daemon.settings().name, address).await?;
+            settings.routes.insert(address.to_string().into(), front);
+        }
+        Ok(())
+    }
+
+    fn daemon_settings(&self, index: usize, peers: AddressSettings) -> Result<DaemonSettings, CellError> {
         let name = daemon_name(index);
         let is_member = self.members.iter().any(|member| member.name == name);
         let data_folder = self.path.join(format!("{name}.data"));
@@ -349,10 +456,7 @@
                 address: free_address()?,
                 advertised_address: None,
             },
-            peers: AddressSettings {
-                address: peer,
-                advertised_address: None,
-            },
+            peers,
             store: StoreSettings {
                 data_folder: is_member.then_some(data_folder),
                 members: self.members.clone(),
@@ -400,6 +504,21 @@
     }
 }
 
+fn limit_set(spec: &Value) -> Option<Control> {
+    Some(Control::LimitSet {
+        max_running: spec["max_running"].as_u64()?.try_into().ok()?,
+        team: TeamName::new(spec["team"].as_str()?),
+    })
+}
+
+fn work_submitted(name: &str, spec: &Value) -> Option<Control> {
+    Some(Control::WorkSubmitted {
+        idempotent: spec["idempotent"].as_bool()?,
+        tasks: spec["tasks"].as_u64()?.try_into().ok()?,
+        work: WorkName::new(name),
+    })
+}
+
 fn daemon_name(index: usize) -> String {
     format!("entry-{}", index + 1)
 }
