consensus: test the node and the log files under faults

Cause: nothing showed that the node keeps agreement under loss, reordering, crashes without the unsynced tail, cuts and changes of the member list.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -318,7 +318,7 @@
             Role::Leader => {}
             _ => match self.election_due_ms {
                 None => self.reset_election(),
-                Some(due_ms) if self.now_ms >= due_ms && self.is_voter(self.settings.id) => {
+                Some(due_ms) if self.now_ms >= due_ms && self.may_campaign() => {
                     self.start_pre_vote();
                 }
                 Some(_) => {}
@@ -358,6 +358,20 @@
         self.role == Role::Leader || (self.leader.is_some() && self.leader_heard_ms.is_some_and(heard))
     }
 
+    /// Returns whether the member is a voter in the present list, or in the committed one while the
+    /// present list is not committed. A leader that appended its own removal and stepped down may
+    /// be the only member that can complete it.
+    fn may_campaign(&self) -> bool {
+        let own = self.settings.id;
+        let was_voter = || {
+            let committed = self.members_at(self.commit);
+            committed
+                .iter()
+                .any(|member| member.id == own && member.role == MemberRole::Voter)
+        };
+        self.is_voter(own) || (self.members_index > self.commit && was_voter())
+    }
+
     fn start_pre_vote(&mut self) {
         self.role = Role::PreCandidate;
         self.leader = None;
--- /dev/null
+++ b/crates/consensus/tests/network/mod.rs
@@ -0,0 +1,364 @@
+//! Members with fake disks on a network that loses, repeats and reorders messages.
+
+use {
+    fuchsiatack_consensus::{
+        Entry, Envelope, HardState, Member, MemberChange, MemberId, MemberRole, Node, NodeSettings, Payload,
+        Ready, Role, Snapshot, StoredState, Term,
+    },
+    fuchsiatack_model::LogIndex,
+    rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// One member: its node, what is synced, and what is not.
+struct Peer {
+    disk: StoredState,
+    node: Node,
+    /// Digest of the applied commands.
+    state: u64,
+    unsynced: VecDeque<Ready>,
+}
+
+/// The members, the messages on their way and what was observed.
+pub struct Network {
+    /// Chance in thousands that a message is lost.
+    pub loss_millis: u32,
+    committed: BTreeMap<LogIndex, Arc<Entry>>,
+    cut: BTreeSet<MemberId>,
+    leaders: BTreeMap<Term, MemberId>,
+    messages: Vec<Envelope>,
+    now_ms: u64,
+    peers: BTreeMap<MemberId, Peer>,
+    random: StdRng,
+    /// Highest committed index when each confirmation was asked for.
+    reads: BTreeMap<u64, LogIndex>,
+    pub answered_reads: usize,
+    /// Digest of the state at each committed index.
+    states: BTreeMap<LogIndex, u64>,
+}
+
+impl Network {
+    /// Forms a cell of voters with the identities 1 to `voters`, plus members with empty disks.
+    pub fn new(seed: u64, voters: u64, empty: u64) -> Self {
+        let members = (1..=voters).map(|id| Member {
+            role: MemberRole::Voter,
+            ..member(MemberId(id))
+        });
+        let formed = Arc::new(Snapshot {
+            data: Vec::new(),
+            index: LogIndex(0),
+            members: members.collect(),
+            term: Term(0),
+        });
+        let mut random = StdRng::seed_from_u64(seed);
+        let peers = (1..=voters + empty).map(|id| {
+            let disk = StoredState {
+                entries: Vec::new(),
+                hard_state: HardState::default(),
+                identity: MemberId(id),
+                snapshot: (id <= voters).then(|| formed.clone()),
+            };
+            (MemberId(id), start(disk, random.random()))
+        });
+        Self {
+            answered_reads: 0,
+            committed: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            leaders: BTreeMap::new(),
+            loss_millis: 0,
+            messages: Vec::new(),
+            now_ms: 0,
+            peers: peers.collect(),
+            random,
+            reads: BTreeMap::new(),
+            states: BTreeMap::from([(LogIndex(0), 0)]),
+        }
+    }
+
+    /// Takes one random step. Storms have slow disks, long delays, and many crashes and cuts.
+    pub fn step(&mut self, is_storm: bool) {
+        let id = self.random_member();
+        let calm = [100, 550, 240, 50, 20, 10, 20, 4, 2, 4];
+        let storm = [100, 330, 60, 50, 40, 10, 10, 20, 8, 8];
+        let mut left: i32 = self.random.random_range(0..if is_storm { 636 } else { 1_000 });
+        let weights = if is_storm { storm } else { calm };
+        let chosen = weights.iter().position(|weight| {
+            let is_chosen = left < *weight;
+            left -= weight;
+            is_chosen
+        });
+        match chosen {
+            Some(0) => self.pass_time(),
+            Some(1) => self.deliver_some(),
+            Some(2) => self.sync(id, 2),
+            Some(3) => self.propose(id),
+            Some(4) => self.confirm(id),
+            Some(5) => self.compact(id),
+            Some(6) => self.change_members(id),
+            Some(7) => self.crash(id),
+            Some(8) => drop(self.cut.insert(id)),
+            _ => self.cut.clear(),
+        }
+    }
+
+    /// Lets time pass, delivers and syncs everything until the condition holds.
+    pub fn settle(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        self.cut.clear();
+        self.loss_millis = 0;
+        for _ in 0..2_000 {
+            if condition(self) {
+                return;
+            }
+            self.pass_time();
+            for _ in 0..self.messages.len() {
+                self.deliver_some();
+            }
+            let ids: Vec<_> = self.peers.keys().copied().collect();
+            for id in ids {
+                self.sync(id, usize::MAX);
+            }
+        }
+        for (id, peer) in &self.peers {
+            let node = &peer.node;
+            let members = node.members().iter().map(|member| (member.id.0, member.role));
+            println!(
+                "{id:?} {:?} {:?} leader {:?} last {:?} commit {:?} members {:?}",
+                node.role(),
+                node.term(),
+                node.leader(),
+                node.last(),
+                node.commit(),
+                members.collect::<Vec<_>>()
+            );
+        }
+        panic!("no progress: {what}");
+    }
+
+    pub fn leader(&self) -> Option<MemberId> {
+        let leads = |(_, peer): &(&MemberId, &Peer)| peer.node.role() == Role::Leader;
+        let newest = self
+            .peers
+            .iter()
+            .filter(leads)
+            .max_by_key(|(_, peer)| peer.node.term());
+        newest.map(|(id, _)| *id)
+    }
+
+    /// Returns whether every member of the newest list has applied everything that is committed.
+    pub fn agrees(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let last = self.node(leader).last();
+        let members = self.node(leader).members();
+        members.iter().all(|member| {
+            let node = self.node(member.id);
+            node.applied() == last && node.members() == members
+        })
+    }
+
+    pub fn node(&self, id: MemberId) -> &Node {
+        &self.peers[&id].node
+    }
+
+    pub fn node_mut(&mut self, id: MemberId) -> &mut Node {
+        &mut self.peers.get_mut(&id).unwrap().node
+    }
+
+    pub fn cut(&mut self, id: MemberId) {
+        self.cut.insert(id);
+    }
+
+    /// Number of committed entries that were observed.
+    pub fn committed(&self) -> usize {
+        self.committed.len()
+    }
+
+    pub fn pass_time(&mut self) {
+        self.now_ms += self.random.random_range(1..12);
+        let ids: Vec<_> = self.peers.keys().copied().collect();
+        for id in ids {
+            let now_ms = self.now_ms;
+            self.node_mut(id).tick(now_ms);
+            self.run(id);
+        }
+    }
+
+    fn random_member(&mut self) -> MemberId {
+        let ids: Vec<_> = self.peers.keys().copied().collect();
+        *ids.choose(&mut self.random).unwrap()
+    }
+
+    /// Takes a random message off the network and delivers, repeats or loses it.
+    pub fn deliver_some(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let position = self.random.random_range(0..self.messages.len());
+        let message = self.messages.swap_remove(position);
+        let is_cut = self.cut.contains(&message.from) || self.cut.contains(&message.to);
+        if is_cut || self.random.random_range(0..1_000) < self.loss_millis {
+            return;
+        }
+        if self.random.random_range(0..1_000) < self.loss_millis {
+            self.messages.push(message.clone());
+        }
+        let (now_ms, to) = (self.now_ms, message.to);
+        self.node_mut(to).receive(now_ms, message);
+        self.run(to);
+    }
+
+    /// Syncs the oldest unsynced work of a member.
+    fn sync(&mut self, id: MemberId, most: usize) {
+        let peer = self.peers.get_mut(&id).unwrap();
+        let count = peer.unsynced.len().min(most);
+        for ready in peer.unsynced.drain(..count) {
+            store(&mut peer.disk, &ready);
+            peer.node.persisted(ready.mark);
+            self.messages.extend(ready.after_sync);
+        }
+        self.run(id);
+    }
+
+    /// Restarts a member without its unsynced work.
+    pub fn crash(&mut self, id: MemberId) {
+        let seed = self.random.random();
+        let disk = self.peers[&id].disk.clone();
+        self.peers.insert(id, start(disk, seed));
+    }
+
+    pub fn propose(&mut self, id: MemberId) {
+        let command = self.random.random::<u64>().to_le_bytes().to_vec();
+        let _ = self.node_mut(id).propose(command);
+        self.run(id);
+    }
+
+    fn confirm(&mut self, id: MemberId) {
+        let token = self.reads.len() as u64;
+        let committed = self.committed.keys().next_back().copied().unwrap_or_default();
+        self.reads.insert(token, committed);
+        let _ = self.node_mut(id).confirm_leadership(token);
+        self.run(id);
+    }
+
+    fn compact(&mut self, id: MemberId) {
+        let peer = self.peers.get_mut(&id).unwrap();
+        let (applied, data) = (peer.node.applied(), snapshot_data(peer.state));
+        peer.node.compact(applied, data);
+        self.run(id);
+    }
+
+    fn change_members(&mut self, id: MemberId) {
+        let subject = self.random_member();
+        let change = match self.random.random_range(0..3) {
+            0 => {
+                let Member {
+                    address, id, name, ..
+                } = member(subject);
+                MemberChange::Add { address, id, name }
+            }
+            1 => MemberChange::Promote(subject),
+            _ => MemberChange::Remove(subject),
+        };
+        let _ = self.node_mut(id).propose_members(change);
+        self.run(id);
+    }
+
+    /// Carries out a node's work and checks what it shows.
+    pub fn run(&mut self, id: MemberId) {
+        let peer = self.peers.get_mut(&id).unwrap();
+        if peer.node.role() == Role::Leader {
+            let leader = *self.leaders.entry(peer.node.term()).or_insert(id);
+            assert_eq!(leader, id, "two leaders in {:?}", peer.node.term());
+        }
+        let mut ready = peer.node.take_ready();
+        self.messages.append(&mut ready.immediate);
+        if ready.install_snapshot {
+            let snapshot = ready.snapshot.as_ref().unwrap();
+            peer.state = self.states[&snapshot.index];
+            let is_initial = snapshot.index == LogIndex(0) && snapshot.data.is_empty();
+            assert!(is_initial || snapshot.data == snapshot_data(peer.state));
+        }
+        for entry in ready.committed.drain(..) {
+            let known = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+            assert_eq!(*known, entry, "a committed entry changed");
+            peer.state = digest(peer.state, &entry);
+            let state = *self.states.entry(entry.index).or_insert(peer.state);
+            assert_eq!(state, peer.state, "applied prefixes differ");
+        }
+        for token in ready.confirmed.drain(..) {
+            assert!(
+                peer.node.applied() >= self.reads[&token],
+                "a read misses a commit"
+            );
+            self.answered_reads += 1;
+        }
+        if !ready.is_empty() {
+            peer.unsynced.push_back(ready);
+        }
+    }
+}
+
+fn start(disk: StoredState, seed: u64) -> Peer {
+    let settings = NodeSettings {
+        id: disk.identity,
+        max_append_bytes: 40,
+        max_in_flight: 3,
+        max_snapshot_part_bytes: 10,
+        seed,
+        trailing_entries: 3,
+        ..NodeSettings::default()
+    };
+    let data = disk.snapshot.as_ref().map(|snapshot| snapshot.data.clone());
+    let state = data.and_then(|data| data.first_chunk().copied());
+    Peer {
+        node: Node::new(settings, disk.clone()),
+        disk,
+        state: u64::from_le_bytes(state.unwrap_or_default()),
+        unsynced: VecDeque::new(),
+    }
+}
+
+/// Stores a `Ready` the way the log files do.
+fn store(disk: &mut StoredState, ready: &Ready) {
+    if let Some(hard_state) = ready.hard_state {
+        disk.hard_state = hard_state;
+    }
+    if ready.reset_log {
+        disk.entries.clear();
+    }
+    for entry in &ready.entries {
+        disk.entries.retain(|stored| stored.index < entry.index);
+        disk.entries.push(entry.clone());
+    }
+    if let Some(snapshot) = &ready.snapshot {
+        disk.entries.retain(|stored| stored.index > snapshot.index);
+        disk.snapshot = Some(snapshot.clone());
+    }
+}
+
+fn snapshot_data(state: u64) -> Vec<u8> {
+    state.to_le_bytes().repeat(3)
+}
+
+fn digest(state: u64, entry: &Entry) -> u64 {
+    let value = match &entry.payload {
+        Payload::Command(command) => command
+            .first_chunk()
+            .map_or(1, |bytes| u64::from_le_bytes(*bytes)),
+        Payload::Members(members) => members.len() as u64,
+    };
+    (state ^ value).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(7)
+}
+
+fn member(id: MemberId) -> Member {
+    Member {
+        address: ([127, 0, 0, 1], id.0 as u16).into(),
+        id,
+        name: format!("member-{}", id.0).into(),
+        role: MemberRole::Learner,
+    }
+}
