--- a/crates/session/src/directory.rs
+++ b/crates/session/src/directory.rs
@@ -77,11 +77,13 @@
         let mut daemons = HashSet::new();
         let mut records = HashSet::new();
         let mut teams = HashSet::new();
+        let mut workers = HashSet::new();
         for change in &whole {
             match change {
                 Change::DaemonJoined { session, .. } => drop(daemons.insert(*session)),
                 Change::RecordWritten(record) => drop(records.insert((record.kind(), record.name.clone()))),
                 Change::TokensSet { team, .. } => drop(teams.insert(team.clone())),
+                Change::WorkerChanged(entry) => drop(workers.insert(entry.announcement.name.clone())),
                 _ => {}
             }
         }
@@ -99,6 +101,10 @@
             team: team.clone(),
             tokens: 0,
         }));
+        let forgotten = self.workers.keys().filter(|worker| !workers.contains(*worker));
+        changes.extend(forgotten.map(|worker| Change::WorkerForgotten {
+            worker: worker.clone(),
+        }));
         changes.extend(whole);
         changes
     }
@@ -134,6 +140,9 @@
                 self.workers
                     .insert(entry.announcement.name.clone(), (**entry).clone());
             }
+            Change::WorkerForgotten { worker } => {
+                self.workers.remove(worker);
+            }
             Change::TasksAssigned { .. } | Change::WorkCancelled { .. } | Change::WorkerDetached { .. } => {}
         }
     }
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -391,6 +391,8 @@
         let Some(last) = entries.last().map(|entry| entry.index) else {
             return;
         };
+        // A caller that was answered must find its command in the status.
+        self.update_status();
         let mut changes = Vec::new();
         for entry in entries {
             let reply = match &entry.payload {
