Withdraw only the journalled start that is meant, and wait out two leases

Cause: found by reading. After a lost answer to JournalStart the daemon proposes an abort in the background; a resend could be journalled before that abort was applied, and the abort then removed the newer start, after which another daemon could run the request a second time. Aborts now carry the time of the start they withdraw. Second: a worker that its new owner never reached was given up after one lease and its margin. A renewal of the former owner that was under way extends the lease once more, so an unfenced worker is now given up only after two leases and the margin. Ruled out: waiting for the abort before the caller is answered, which holds callers up while the store has no leader. Before: the abort matched on session and key only; no test could show the difference. After: an_abort_leaves_a_later_start_of_the_same_request passes, with all tests of ledger and daemon. The lease change has no test of its own yet.

--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -113,8 +113,8 @@
     let (result, started) = start_and_run(&shared, request).await;
     let settlement = result.clone();
     answer.send_replace(Some(result));
-    if let Some(session) = started {
-        settle(&shared, &key, session, &settlement).await;
+    if let Some(start) = started {
+        settle(&shared, &key, start, &settlement).await;
     }
     drop(forget);
 }
@@ -123,11 +123,36 @@
 enum Started {
     Known(JournalEntry),
     Refused(Answer),
-    Own(SessionId),
+    Own(OwnStart),
 }
 
-/// Returns the answer, and the session if this run's end has to be stored.
-async fn start_and_run(shared: &Shared, request: JournalRequest) -> (Answer, Option<SessionId>) {
+/// A start that this daemon made. Its session and time identify it.
+#[derive(Clone, Copy)]
+struct OwnStart {
+    session: SessionId,
+    unix_ms: u64,
+}
+
+impl OwnStart {
+    fn abort(self, key: JournalKey) -> Command {
+        Command::JournalAbort {
+            key,
+            session: self.session,
+            unix_ms: self.unix_ms,
+        }
+    }
+
+    fn made(self, entry: &JournalEntry) -> bool {
+        matches!(
+            entry,
+            JournalEntry::Started { session, unix_ms, .. }
+                if *session == self.session && *unix_ms == self.unix_ms
+        )
+    }
+}
+
+/// Returns the answer, and the start if its end has to be stored.
+async fn start_and_run(shared: &Shared, request: JournalRequest) -> (Answer, Option<OwnStart>) {
     loop {
         let hop = shared
             .traces
@@ -135,12 +160,12 @@
         let started = start(shared, &request).await;
         drop(hop);
         match started {
-            Started::Own(session) => {
+            Started::Own(start) => {
                 let class = JobClass {
-                    session: Some(session),
+                    session: Some(start.session),
                     ..request.class
                 };
-                return (shared.engine.run(class, request.body).await, Some(session));
+                return (shared.engine.run(class, request.body).await, Some(start));
             }
             Started::Refused(answer) => return (answer, None),
             Started::Known(entry) => match follow(shared, &request, entry).await {
@@ -155,12 +180,13 @@
     let Some(session) = shared.session.id() else {
         return Started::Refused(Answer::not_run(Refusal::LeaseLapsed, RETRY_AFTER_MS));
     };
-    let own_ms = shared.journal.unique_unix_ms();
+    let unix_ms = shared.journal.unique_unix_ms();
+    let own = OwnStart { session, unix_ms };
     let command = Command::JournalStart {
         body_hash: request.body_hash,
         key: request.key.clone(),
         session,
-        unix_ms: own_ms,
+        unix_ms,
     };
     let limit = request.class.deadline.map_or(START_LIMIT, |deadline| {
         deadline
@@ -169,26 +195,22 @@
     });
     match shared.session.cell().propose(command, true, limit).await {
         Ok(committed) => match committed.reply {
-            Reply::JournalStarted => Started::Own(session),
+            Reply::JournalStarted => Started::Own(own),
             // A resend of this start after a lost answer finds the entry of the first.
-            Reply::JournalKnown(entry) if is_own(&entry, session, own_ms) => Started::Own(session),
+            Reply::JournalKnown(entry) if own.made(&entry) => Started::Own(own),
             Reply::JournalKnown(entry) => Started::Known(*entry),
             Reply::Refused(LedgerError::JournalFull { .. }) => Started::Refused(journal_full()),
             _ => Started::Refused(Answer::not_run(Refusal::LeaseLapsed, RETRY_AFTER_MS)),
         },
         Err(error) => {
             if !error.had_no_effect() {
-                abandon(shared, request.key.clone(), session);
+                abandon(shared, request.key.clone(), own);
             }
             Started::Refused(Answer::not_run(Refusal::LeaseLapsed, RETRY_AFTER_MS))
         }
     }
 }
 
-fn is_own(entry: &JournalEntry, session: SessionId, own_ms: u64) -> bool {
-    matches!(entry, JournalEntry::Started { session: of, unix_ms, .. } if *of == session && *unix_ms == own_ms)
-}
-
 fn journal_full() -> Answer {
     Answer {
         message: "the journal of the team is full; its oldest entries are removed 24 h after their end"
@@ -198,16 +220,13 @@
 }
 
 /// Withdraws a start whose answer was lost and that was not run.
-fn abandon(shared: &Shared, key: JournalKey, session: SessionId) {
+fn abandon(shared: &Shared, key: JournalKey, start: OwnStart) {
     let cell = shared.session.clone();
     let open = shared.open.enter();
     tokio::spawn(async move {
         let _open = open;
-        while cell.id() == Some(session) {
-            let command = Command::JournalAbort {
-                key: key.clone(),
-                session,
-            };
+        while cell.id() == Some(start.session) {
+            let command = start.abort(key.clone());
             match cell.cell().propose(command, true, SETTLE_LIMIT).await {
                 Ok(_) | Err(SessionError::Failed(_)) => return,
                 Err(_) => sleep(POLL_PERIOD).await,
@@ -278,19 +297,16 @@
 }
 
 /// Stores the end of a request, until that is applied or the session has ended.
-async fn settle(shared: &Shared, key: &JournalKey, session: SessionId, answer: &Answer) {
+async fn settle(shared: &Shared, key: &JournalKey, start: OwnStart, answer: &Answer) {
     let command = match answer.outcome {
-        Outcome::NotRun => Command::JournalAbort {
-            key: key.clone(),
-            session,
-        },
+        Outcome::NotRun => start.abort(key.clone()),
         _ => Command::JournalFinish {
             answer: answer.to_stored(unix_ms()),
             key: key.clone(),
-            session,
+            session: start.session,
         },
     };
-    while shared.session.id() == Some(session) {
+    while shared.session.id() == Some(start.session) {
         let proposed = shared
             .session
             .cell()
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -46,6 +46,9 @@
             owned: owned.clone(),
             poke: poke.clone(),
             renewal: Duration::from_millis(shared.settings.leases.task_renewal_ms),
+            // One renewal of the former owner may still be under way when its session ends, and
+            // extends the lease once.
+            quiet_from: Instant::now() + Duration::from_millis(shared.settings.leases.task_ms),
             sent: Instant::now(),
             session,
             shared,
@@ -75,6 +78,8 @@
     margin: Duration,
     owned: Owned,
     poke: Arc<Notify>,
+    /// Time from which no call of a former owner extends the worker's lease any more.
+    quiet_from: Instant,
     renewal: Duration,
     /// When the last call that may have extended the worker's lease was sent.
     sent: Instant,
@@ -127,7 +132,10 @@
             let before = self.sent;
             self.sent = Instant::now();
             match self.shared.adapter.present_epoch(self.address(), &request).await {
-                Ok(report) => return Some(report),
+                Ok(report) => {
+                    self.quiet_from = self.sent;
+                    return Some(report);
+                }
                 Err(WorkerError::Conflict) => return None,
                 Err(WorkerError::NotSent) => self.sent = before,
                 Err(WorkerError::Lost) => {}
@@ -251,7 +259,8 @@
     /// this task earlier if the worker has a new owner.
     async fn lose(&mut self) {
         self.send(EngineMessage::Unreachable(self.owned.clone()));
-        tokio::time::sleep_until(self.sent + self.lease + self.margin).await;
+        let last_extension = self.sent.max(self.quiet_from);
+        tokio::time::sleep_until(last_extension + self.lease + self.margin).await;
         self.send(EngineMessage::Removed(self.owned.clone()));
         let command = Command::WorkerLost {
             epoch: self.owned.epoch,
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -116,6 +116,8 @@
         key: JournalKey,
         /// Session that started it.
         session: SessionId,
+        /// Time of the start that is withdrawn. A later start of the same request stays.
+        unix_ms: u64,
     },
     /// Stores the outcome of a journalled request.
     JournalFinish {
--- a/crates/ledger/src/journal_store.rs
+++ b/crates/ledger/src/journal_store.rs
@@ -41,9 +41,13 @@
 }
 
 impl JournalStore {
-    /// Withdraws a start of the session.
-    pub(crate) fn abort(&mut self, key: &JournalKey, session: SessionId) -> Reply {
-        if !self.is_started_by(key, session) {
+    /// Withdraws the start that the session made at `unix_ms`.
+    pub(crate) fn abort(&mut self, key: &JournalKey, session: SessionId, unix_ms: u64) -> Reply {
+        let is_withdrawn = matches!(
+            self.entries.get(key),
+            Some(JournalEntry::Started { unix_ms: started, .. }) if *started == unix_ms
+        );
+        if !is_withdrawn || !self.is_started_by(key, session) {
             return not_found(key);
         }
         self.forget_start(key, session);
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -156,9 +156,13 @@
                 team,
                 tokens,
             } => self.grant_tokens(session, team, tokens, changes),
-            Command::JournalAbort { key, session } => {
+            Command::JournalAbort {
+                key,
+                session,
+                unix_ms,
+            } => {
                 self.live(session)?;
-                Ok(self.journal.abort(&key, session))
+                Ok(self.journal.abort(&key, session, unix_ms))
             }
             Command::JournalFinish { answer, key, session } => {
                 self.live(session)?;
--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -52,6 +52,7 @@
     let abort = |session| Command::JournalAbort {
         key: journal_key("r"),
         session,
+        unix_ms: 1_000,
     };
 
     assert!(matches!(cell.apply(abort(second)), Reply::Refused(_)));
@@ -59,6 +60,23 @@
     assert_eq!(cell.start("r", second), Reply::JournalStarted);
 }
 
+/// Guards against a late withdrawal that removes a newer start, after which a resend would run twice.
+#[test]
+fn an_abort_leaves_a_later_start_of_the_same_request() {
+    let mut cell = Cell::default();
+    let session = cell.open("a");
+    cell.start("r", session);
+
+    let reply = cell.apply(Command::JournalAbort {
+        key: journal_key("r"),
+        session,
+        unix_ms: 999,
+    });
+
+    assert!(matches!(reply, Reply::Refused(_)));
+    assert!(matches!(entry(&cell, "r"), Some(JournalEntry::Started { .. })));
+}
+
 /// Guards against an early eviction when a team fills its journal.
 #[test]
 fn a_full_journal_refuses_new_starts_and_keeps_the_old() {
