kernel: measure decisions and look at fewer lanes for each event

Cause: p99 and cost at the expected size were unknown. Ruled out: a counting allocator for memory, which needs unsafe code; resident memory is read instead. The runs also found a worker's offer that was written to the tree of another speed class (panic).

--- /dev/null
+++ b/crates/kernel/benches/decisions.rs
@@ -0,0 +1,367 @@
+//! Cost of decisions and of memory, at today's size and at the size expected in two years.
+//!
+//! Run with `cargo bench -p fuchsiatack-kernel --bench decisions`. The load is generated
+//! from a seed; times are those of `Kernel::handle` alone, in one thread.
+
+use {
+    fuchsiatack_kernel::{Decision, Event, Kernel, KernelSettings, Submission, TaskEnd},
+    fuchsiatack_model::{Epoch, Policy, Resources, SessionId, TaskClass, TaskId, TeamName, WorkerName},
+    hdrhistogram::Histogram,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        hint::black_box,
+        time::{Duration, Instant},
+    },
+};
+
+const EVENTS: u32 = 400_000;
+/// Entries of each kind for the memory measurement; many, so that pages do not matter.
+const MEMORY_ENTRIES: u32 = 50_000;
+const MICROSECONDS_PER_EVENT: u64 = 238;
+const SEED: u64 = 42;
+const WARM_UP_EVENTS: u32 = 50_000;
+/// Waiting tasks of each team in the full load.
+const WAITING_PER_TEAM: u32 = 100;
+
+struct Size {
+    name: &'static str,
+    running: u32,
+    slots: u32,
+    teams: u32,
+    workers: u32,
+}
+
+const SIZES: [Size; 2] = [
+    Size {
+        name: "small",
+        running: 337,
+        slots: 8,
+        teams: 6,
+        workers: 50,
+    },
+    Size {
+        name: "large",
+        running: 54_000,
+        slots: 20,
+        teams: 410,
+        workers: 3_200,
+    },
+];
+
+struct Outcome {
+    decisions: u64,
+    seconds: f64,
+    times: Histogram<u64>,
+}
+
+impl Outcome {
+    fn new() -> Self {
+        Self {
+            decisions: 0,
+            seconds: 0.0,
+            times: Histogram::new(3).expect("three digits are within the histogram's range"),
+        }
+    }
+
+    fn note(&mut self, elapsed: Duration, decisions: usize) {
+        self.decisions += decisions as u64;
+        self.seconds += elapsed.as_secs_f64();
+        self.times
+            .record(elapsed.as_nanos() as u64)
+            .expect("the histogram resizes itself");
+    }
+}
+
+struct Load {
+    decisions: Vec<Decision>,
+    kernel: Kernel,
+    next_task: u64,
+    now_us: u64,
+    random: StdRng,
+    running: Vec<TaskId>,
+    teams: u32,
+    workers: u32,
+}
+
+impl Load {
+    fn new(size: &Size) -> Self {
+        let mut load = Self {
+            decisions: Vec::new(),
+            kernel: Kernel::new(KernelSettings {
+                seed: SEED,
+                ..KernelSettings::default()
+            }),
+            next_task: 0,
+            now_us: 0,
+            random: StdRng::seed_from_u64(SEED),
+            running: Vec::new(),
+            teams: size.teams,
+            workers: size.workers,
+        };
+        load.handle(Event::LeaseChanged { valid: true });
+        for team in 0..size.teams {
+            load.add_team(team);
+        }
+        for worker in 0..size.workers {
+            load.add_worker(worker, size.slots);
+        }
+        load
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.now_us += MICROSECONDS_PER_EVENT;
+        self.decisions.clear();
+        self.kernel.handle(self.now_us, event, &mut self.decisions);
+        let started = self.decisions.iter().filter_map(|decision| match decision {
+            Decision::Start { task, .. } => Some(*task),
+            _ => None,
+        });
+        self.running.extend(started);
+    }
+
+    fn add_team(&mut self, team: u32) {
+        let limited = team % 2 == 1;
+        self.handle(Event::TeamSet {
+            limited,
+            max_waiting: 1_000,
+            team: team_name(team),
+            weight_millis: 1_000 + 500 * (team % 5),
+        });
+        if limited {
+            self.handle(Event::TokensSet {
+                team: team_name(team),
+                tokens: 100_000,
+            });
+        }
+    }
+
+    fn add_worker(&mut self, worker: u32, slots: u32) {
+        let rack = worker / 8;
+        self.handle(Event::WorkerAttached {
+            capacity: Resources {
+                connections: 64,
+                memory_bytes: 128 << 30,
+                processors_millis: 32_000,
+                slots,
+                ..Resources::NONE
+            },
+            data_center: format!("zone-{}", rack % 6).as_str().into(),
+            epoch: Epoch(u64::from(worker)),
+            rack: format!("rack-{rack}").as_str().into(),
+            running: Vec::new(),
+            speed_millis: 500 + 250 * (worker % 8),
+            worker: worker_name(worker),
+        });
+    }
+
+    fn submission(&mut self) -> Event {
+        self.next_task += 1;
+        let kind = self.random.random_range(0..10);
+        let policy = match kind {
+            0..7 => Policy::Interactive,
+            7..9 => Policy::Service,
+            _ => Policy::Batch,
+        };
+        let shape = self.random.random_range(0..4);
+        Event::Submit(Submission {
+            class: TaskClass {
+                demand: Resources {
+                    connections: 1,
+                    memory_bytes: (1 + shape) << 30,
+                    processors_millis: 250,
+                    slots: 1,
+                    ..Resources::NONE
+                },
+                idempotent: shape > 0,
+                policy,
+            },
+            deadline_us: (kind == 0).then_some(self.now_us + 60_000_000),
+            may_forward: true,
+            tasks: vec![TaskId {
+                session: SessionId(1),
+                sequence: self.next_task,
+            }],
+            team: team_name(self.random.random_range(0..self.teams)),
+        })
+    }
+
+    fn end(&mut self) -> Event {
+        let position = self.random.random_range(0..self.running.len());
+        let task = self.running.swap_remove(position);
+        let end = match self.random.random_range(0..50) {
+            0 => TaskEnd::Failed,
+            _ => TaskEnd::Done,
+        };
+        Event::Ended {
+            end,
+            run_us: self.random.random_range(20_000..200_000),
+            task,
+        }
+    }
+
+    fn upkeep(&mut self) -> Event {
+        match self.random.random_range(0..3) {
+            0 => Event::Tick,
+            1 => Event::FleetUsage {
+                running: self.random.random_range(0..500),
+                team: team_name(self.random.random_range(0..self.teams)),
+            },
+            _ => Event::WorkerReported {
+                running: Vec::new(),
+                worker: worker_name(self.random.random_range(0..self.workers)),
+            },
+        }
+    }
+
+    /// Generates the next event. With a target, that many tasks run; without one, as many
+    /// tasks arrive as end, so that the backlog stays.
+    fn event(&mut self, number: u32, target: Option<usize>) -> Event {
+        let arrives = match target {
+            Some(target) => self.running.len() < target,
+            None => number.is_multiple_of(2),
+        };
+        match number % 20 {
+            0 | 1 => self.upkeep(),
+            _ if arrives => self.submission(),
+            _ => self.end(),
+        }
+    }
+
+    fn fill(&mut self, running: usize) {
+        while self.running.len() < running {
+            let event = self.submission();
+            self.handle(event);
+        }
+    }
+
+    fn add_backlog(&mut self) {
+        for _ in 0..self.teams * WAITING_PER_TEAM {
+            let event = self.submission();
+            self.handle(event);
+        }
+    }
+
+    fn measure(&mut self, target: Option<usize>) -> Outcome {
+        for number in 0..WARM_UP_EVENTS {
+            let event = self.event(number, target);
+            self.handle(event);
+        }
+        let mut outcome = Outcome::new();
+        for number in 0..EVENTS {
+            let event = self.event(number, target);
+            let begin = Instant::now();
+            self.now_us += MICROSECONDS_PER_EVENT;
+            self.decisions.clear();
+            self.kernel.handle(self.now_us, event, &mut self.decisions);
+            outcome.note(begin.elapsed(), self.decisions.len());
+            let started = self.decisions.iter().filter_map(|decision| match decision {
+                Decision::Start { task, .. } => Some(*task),
+                _ => None,
+            });
+            self.running.extend(started);
+        }
+        outcome
+    }
+}
+
+fn team_name(team: u32) -> TeamName {
+    TeamName::new(format!("team-{team}"))
+}
+
+fn worker_name(worker: u32) -> WorkerName {
+    WorkerName::new(format!("worker-{worker}"))
+}
+
+fn report(load: &str, size: &Size, measured: &Load, outcome: &Outcome) -> f64 {
+    let per_event = outcome.seconds / f64::from(EVENTS);
+    println!(
+        "{load} {}: workers {}, slots {}, teams {}, running {}, waiting {}, events {EVENTS}, decisions {}",
+        size.name,
+        size.workers,
+        size.workers * size.slots,
+        size.teams,
+        measured.running.len(),
+        measured.kernel.waiting(),
+        outcome.decisions,
+    );
+    println!(
+        "  per event: mean {:.2} us, median {:.2} us, p99 {:.2} us, maximum {:.0} us; {:.0} decisions/s",
+        per_event * 1e6,
+        outcome.times.value_at_quantile(0.5) as f64 / 1e3,
+        outcome.times.value_at_quantile(0.99) as f64 / 1e3,
+        outcome.times.max() as f64 / 1e3,
+        outcome.decisions as f64 / outcome.seconds,
+    );
+    per_event
+}
+
+/// Resident memory of this process in bytes.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: u64 = status
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse().ok())
+        .unwrap_or(0);
+    pages * 4_096
+}
+
+fn resident_growth(action: impl FnOnce()) -> u64 {
+    let before = resident_bytes();
+    action();
+    resident_bytes().saturating_sub(before)
+}
+
+/// Memory of the large size as a whole, then of teams and workers alone. The rest of the
+/// whole is that of tasks.
+fn report_memory() {
+    let size = &SIZES[1];
+    let mut whole = None;
+    let whole_bytes = resident_growth(|| {
+        let mut load = Load::new(size);
+        load.fill(size.running as usize);
+        whole = Some(load);
+    });
+    let mut load = Load::new(&Size {
+        name: "memory",
+        running: 0,
+        slots: 1,
+        teams: 0,
+        workers: 0,
+    });
+    let team_bytes = resident_growth(|| (0..MEMORY_ENTRIES).for_each(|team| load.add_team(team)));
+    let worker_bytes =
+        resident_growth(|| (0..MEMORY_ENTRIES).for_each(|worker| load.add_worker(worker, size.slots)));
+    black_box((&whole, &load.kernel));
+    let team_bytes = team_bytes / u64::from(MEMORY_ENTRIES);
+    let worker_bytes = worker_bytes / u64::from(MEMORY_ENTRIES);
+    let fleet_bytes = u64::from(size.workers) * worker_bytes + u64::from(size.teams) * team_bytes;
+    let task_bytes = whole_bytes.saturating_sub(fleet_bytes) / u64::from(size.running);
+    println!(
+        "resident memory, large: {:.1} MB in all",
+        whole_bytes as f64 / 1e6
+    );
+    println!("  each: team {team_bytes} bytes, worker {worker_bytes} bytes, running task {task_bytes} bytes");
+}
+
+fn main() {
+    println!("seed {SEED}");
+    report_memory();
+    let mut costs = Vec::new();
+    for size in &SIZES {
+        let mut load = Load::new(size);
+        load.fill(size.running as usize);
+        let outcome = load.measure(Some(size.running as usize));
+        let spare = report("free slots", size, &load, &outcome);
+        load.fill((size.workers * size.slots) as usize);
+        load.add_backlog();
+        let outcome = load.measure(None);
+        let full = report("all slots in use", size, &load, &outcome);
+        costs.push((spare, full));
+    }
+    println!(
+        "ratio of mean cost, large to small: free slots {:.2}, all slots in use {:.2}",
+        costs[1].0 / costs[0].0,
+        costs[1].1 / costs[0].1
+    );
+}
--- a/crates/kernel/src/attachment.rs
+++ b/crates/kernel/src/attachment.rs
@@ -128,8 +128,10 @@
         decisions: &mut Vec<Decision>,
     ) {
         let Some(key) = self.workers.key(name) else { return };
+        let doubtful = self.workers[key].doubtful > 0;
+        let tasks = doubtful.then(|| self.workers[key].tasks.clone());
         let listed = sorted(running.into_iter());
-        for task in self.workers[key].tasks.clone() {
+        for task in tasks.unwrap_or_default() {
             let entry = &self.tasks[task];
             let omitted = listed.binary_search(&entry.id).is_err();
             match entry.stage {
@@ -188,6 +190,7 @@
             capacity: attachment.capacity,
             class: speed_class(slowdown),
             data_center: self.spread.place(&data_center, &RackName::default()),
+            doubtful: 0,
             epoch: attachment.epoch,
             frozen: Vec::new(),
             health: Health::default(),
@@ -214,6 +217,7 @@
         };
         let worker = &mut self.workers[worker_key];
         worker.used = worker.used.plus(&task.demand);
+        worker.doubtful += u32::from(task.is_doubtful());
         worker.tasks.push(key);
     }
 
--- a/crates/kernel/src/capacity_tree.rs
+++ b/crates/kernel/src/capacity_tree.rs
@@ -62,6 +62,13 @@
         Some((worker, position as u32 + 1))
     }
 
+    /// Returns whether enough of each resource is free, though perhaps on different workers.
+    pub(crate) fn may_fit(&self, demand: &Resources) -> bool {
+        self.nodes
+            .get(1)
+            .is_some_and(|root| root.is_some_and(|offer| offer.covers(demand)))
+    }
+
     /// Number of positions in use or free.
     pub(crate) fn positions(&self) -> u32 {
         self.workers.len() as u32
--- a/crates/kernel/src/ending.rs
+++ b/crates/kernel/src/ending.rs
@@ -29,6 +29,7 @@
         match (task.stage, end) {
             (Stage::Running(worker), TaskEnd::Lost) => {
                 self.unlist_victim(key);
+                self.workers[worker].doubtful += u32::from(!self.tasks[key].is_doubtful());
                 self.tasks[key].stage = Stage::Lost(worker);
                 self.measure(key, worker, end, run_us);
                 self.offer_changed(worker);
@@ -85,9 +86,11 @@
         if task.preempted {
             self.stopping -= 1;
         }
+        let doubtful = task.is_doubtful();
         task.stage = Stage::Detached { over: true };
         let team_key = task.team;
         let worker = &mut self.workers[worker_key];
+        worker.doubtful -= u32::from(doubtful);
         worker.used = worker.used.minus(&task.demand);
         worker.tasks.retain(|other| *other != key);
         if task.policy == Policy::Service {
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -9,7 +9,7 @@
         reservation::Reservation,
         spread::Spread,
         task::{Gang, GangKey, Task, TaskKey},
-        team::POLICIES,
+        team::{POLICIES, TeamKey},
         teams::Teams,
         timer::Timer,
         waiting::Waiting,
@@ -39,6 +39,8 @@
     /// Drained workers by name, kept apart since a drain can precede the attachment.
     pub(crate) held: HashSet<WorkerName>,
     pub(crate) lease_valid: bool,
+    /// Teams whose share became lower in the present event.
+    pub(crate) lowered: Vec<TeamKey>,
     pub(crate) next_sequence: u64,
     pub(crate) now_us: u64,
     pub(crate) peers: Peers,
@@ -73,6 +75,7 @@
             gangs: SlotMap::with_key(),
             held: HashSet::new(),
             lease_valid: false,
+            lowered: Vec::new(),
             next_sequence: 0,
             now_us: 0,
             peers: Peers::default(),
@@ -99,6 +102,7 @@
         self.apply(event, decisions);
         self.run_timers(decisions);
         self.place_waiting(decisions);
+        self.rank_lowered();
     }
 
     /// Free amounts on usable workers, added up.
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -19,7 +19,9 @@
             return;
         }
         loop {
-            let next = self.waiting.next();
+            let workers = &self.workers;
+            self.waiting.rest_unfit(|demand| workers.may_fit(demand));
+            let next = self.waiting.next(&self.teams, &self.lowered);
             let policy = next.map(|lane| self.waiting.policy(lane));
             let before_gangs = policy.is_some_and(|policy| policy < Policy::Gang);
             if !before_gangs && self.start_reserved(decisions) {
@@ -43,6 +45,7 @@
         let size = gang.map_or(1, |gang| self.gangs[gang].members.len());
         if (self.teams[team].startable() as usize) < size {
             self.waiting.park(lane);
+            self.teams[team].parked = true;
             return;
         }
         match gang {
@@ -125,6 +128,7 @@
         task.preempted = false;
         let worker = &mut self.workers[worker_key];
         worker.used = worker.used.plus(&task.demand);
+        worker.doubtful += u32::from(task.is_doubtful());
         worker.tasks.push(key);
         if task.policy == Policy::Service {
             self.spread.add(task.team, worker.data_center, worker.rack);
--- a/crates/kernel/src/policy_service.rs
+++ b/crates/kernel/src/policy_service.rs
@@ -9,7 +9,7 @@
 };
 
 /// Workers compared for each task. A sample keeps the cost independent of the fleet's size.
-const CANDIDATES: usize = 16;
+const CANDIDATES: usize = 8;
 
 struct Service;
 
--- a/crates/kernel/src/task.rs
+++ b/crates/kernel/src/task.rs
@@ -30,6 +30,13 @@
     Waiting(LaneKey),
 }
 
+impl Task {
+    /// Returns whether a worker's report tells the end of the task.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.inherited || matches!(self.stage, Stage::Lost(_))
+    }
+}
+
 /// Tasks that start together.
 pub(crate) struct Gang {
     /// Reservations that expired.
--- a/crates/kernel/src/team.rs
+++ b/crates/kernel/src/team.rs
@@ -29,6 +29,8 @@
     pub(crate) fleet_running: u32,
     /// Tokens of ended tasks on workers that are being released.
     pub(crate) frozen: u32,
+    /// Bound of the shares by which its lanes stand in their orders.
+    pub(crate) highest_rank: u64,
     pub(crate) lanes: Vec<(GroupKey, LaneKey)>,
     pub(crate) limited: bool,
     /// Local running tasks when `fleet_running` was reported.
@@ -38,6 +40,8 @@
     pub(crate) mean_run_us: f32,
     pub(crate) name: TeamName,
     /// Whether the team has a record.
+    /// Whether a lane waits for tokens.
+    pub(crate) parked: bool,
     pub(crate) present: bool,
     retry_credit: f32,
     pub(crate) running: u32,
@@ -55,12 +59,14 @@
             backlog_weight: 0,
             fleet_running: 0,
             frozen: 0,
+            highest_rank: 0,
             lanes: Vec::new(),
             limited: false,
             local_at_report: 0,
             max_waiting: u32::MAX,
             mean_run_us: 0.0,
             name,
+            parked: false,
             present: false,
             retry_credit: RETRY_CREDIT_LIMIT,
             running: 0,
--- a/crates/kernel/src/waiting.rs
+++ b/crates/kernel/src/waiting.rs
@@ -1,7 +1,7 @@
 //! Waiting tasks in fair order.
 
 use {
-    crate::{task::TaskKey, team::TeamKey},
+    crate::{task::TaskKey, team::TeamKey, teams::Teams},
     fuchsiatack_model::{Policy, Resources},
     slotmap::{SlotMap, new_key_type},
     std::collections::{BTreeMap, BTreeSet, HashMap},
@@ -22,7 +22,10 @@
     pub(crate) group: GroupKey,
     /// Waits for tokens, so it is not in its group's order.
     pub(crate) parked: bool,
+    /// Share and first task by which it stands in its group's order.
     rank: (u64, u64),
+    /// Whether it stands in its group's order.
+    ranked: bool,
     pub(crate) tasks: BTreeMap<u64, TaskKey>,
     pub(crate) team: TeamKey,
 }
@@ -76,6 +79,7 @@
             group,
             parked: false,
             rank: (0, 0),
+            ranked: false,
             tasks: BTreeMap::new(),
             team,
         });
@@ -111,17 +115,29 @@
         true
     }
 
+    /// Moves a lane to its place for a share that has become lower. A higher share takes
+    /// effect when the lane is next in turn, since that is cheaper.
+    pub(crate) fn rank_if_lower(&mut self, lane: LaneKey, share: u64) {
+        if share < self.lanes[lane].rank.0 {
+            self.rank(lane, share);
+        }
+    }
+
     /// Moves a lane to its place for a share.
-    pub(crate) fn rank(&mut self, lane: LaneKey, share: u64) {
+    fn rank(&mut self, lane: LaneKey, share: u64) {
         let entry = &mut self.lanes[lane];
         let Some(head) = entry.tasks.keys().next() else {
             return;
         };
         let rank = (share, *head);
+        if rank == entry.rank && !entry.parked && entry.ranked {
+            return;
+        }
         let order = &mut self.groups[entry.group].order;
         order.remove(&(entry.rank.0, entry.rank.1, lane));
         entry.rank = rank;
-        if !entry.parked {
+        entry.ranked = !entry.parked;
+        if entry.ranked {
             order.insert((rank.0, rank.1, lane));
         }
     }
@@ -142,6 +158,12 @@
         self.wake(self.lanes[lane].group);
     }
 
+    /// Stops looking at groups whose demand does not fit, without a look at their lanes.
+    pub(crate) fn rest_unfit(&mut self, fits: impl Fn(&Resources) -> bool) {
+        let groups = &self.groups;
+        self.ready.retain(|(_, key)| fits(&groups[*key].demand));
+    }
+
     /// Returns the policy of a lane's tasks.
     pub(crate) fn policy(&self, lane: LaneKey) -> Policy {
         self.groups[self.lanes[lane].group].policy
@@ -186,23 +208,45 @@
     }
 
     /// Returns the lane to serve next: lowest policy, then lowest share, then oldest.
-    pub(crate) fn next(&mut self) -> Option<LaneKey> {
+    /// Lanes of `lowered` teams are compared by their present share.
+    pub(crate) fn next(&mut self, teams: &Teams, lowered: &[TeamKey]) -> Option<LaneKey> {
         while let Some(&(policy, first)) = self.ready.first() {
             let best = self
                 .ready
                 .iter()
                 .take_while(|(other, _)| *other == policy)
-                .filter_map(|(_, group)| self.groups[*group].order.first())
-                .min()
-                .map(|(_, _, lane)| *lane);
-            if best.is_some() {
-                return best;
+                .filter_map(|(_, group)| self.groups[*group].order.first().copied())
+                .chain(self.lowered_lanes(policy, teams, lowered))
+                .min();
+            let Some((_, _, lane)) = best else {
+                self.ready.remove(&(policy, first));
+                continue;
+            };
+            let share = teams[self.lanes[lane].team].share();
+            if share == self.lanes[lane].rank.0 {
+                return Some(lane);
             }
-            self.ready.remove(&(policy, first));
+            self.rank(lane, share);
         }
         None
     }
 
+    /// Returns the lanes of teams whose share became lower, with their present rank.
+    fn lowered_lanes(
+        &self,
+        policy: Policy,
+        teams: &Teams,
+        lowered: &[TeamKey],
+    ) -> impl Iterator<Item = (u64, u64, LaneKey)> {
+        lowered
+            .iter()
+            .filter_map(|key| teams.get(*key))
+            .flat_map(|team| team.lanes.iter().map(|entry| (team.share(), entry)))
+            .filter(move |(_, (group, _))| self.ready.contains(&(policy, *group)))
+            .filter(|(_, (_, lane))| self.lanes[*lane].ranked)
+            .map(|(share, (_, lane))| (share, self.lanes[*lane].rank.1, *lane))
+    }
+
     fn remove_group(&mut self, key: GroupKey) {
         if let Some(group) = self.groups.remove(key) {
             self.by_class.remove(&(group.policy, group.demand, group.size));
@@ -211,7 +255,8 @@
     }
 
     fn unrank(&mut self, lane: LaneKey) {
-        let entry = &self.lanes[lane];
+        let entry = &mut self.lanes[lane];
+        entry.ranked = false;
         let order = &mut self.groups[entry.group].order;
         order.remove(&(entry.rank.0, entry.rank.1, lane));
     }
--- a/crates/kernel/src/worker.rs
+++ b/crates/kernel/src/worker.rs
@@ -19,6 +19,8 @@
     pub(crate) capacity: Resources,
     pub(crate) class: usize,
     pub(crate) data_center: u32,
+    /// Tasks whose end a report tells: lost and inherited ones.
+    pub(crate) doubtful: u32,
     pub(crate) epoch: Epoch,
     /// Tokens of tasks that ended here while the worker was being released.
     pub(crate) frozen: Vec<(TeamKey, u32)>,
@@ -61,6 +63,16 @@
     }
 }
 
+/// Distance from the middle of its class, in classes, at which a worker leaves it. More
+/// than half a class, so that a worker at a border does not change with every task.
+const CLASS_MARGIN: f32 = 0.75;
+
+/// Returns whether a slowdown is still close enough to a class to remain in it.
+pub(crate) fn is_in_class(slowdown: f32, class: usize) -> bool {
+    let middle = (SPEED_CLASSES / 2) as f32;
+    (slowdown.log2() * 2.0 + middle - class as f32).abs() < CLASS_MARGIN
+}
+
 /// Speed class of a slowdown, 0 for the fastest workers.
 pub(crate) fn speed_class(slowdown: f32) -> usize {
     let middle = (SPEED_CLASSES / 2) as f32;
--- a/crates/kernel/src/workers.rs
+++ b/crates/kernel/src/workers.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         capacity_tree::CapacityTree,
-        worker::{SPEED_CLASSES, Worker, WorkerKey, speed_class},
+        worker::{SPEED_CLASSES, Worker, WorkerKey, is_in_class, speed_class},
     },
     fuchsiatack_model::{Resources, WorkerName},
     slotmap::SlotMap,
@@ -82,6 +82,12 @@
         self.capacities.find(0, demand, &|_| true).is_some()
     }
 
+    /// Returns whether some speed class has enough free of each resource, though perhaps on
+    /// different workers.
+    pub(crate) fn may_fit(&self, demand: &Resources) -> bool {
+        self.classes.iter().any(|class| class.may_fit(demand))
+    }
+
     /// Returns what the worker that comes closest to `demand` lacks.
     pub(crate) fn missing(&self, demand: &Resources) -> Resources {
         self.arena
@@ -120,8 +126,8 @@
         let worker = &mut self.arena[key];
         let offer = worker.offer();
         let class = speed_class(worker.slowdown);
-        if class == worker.class {
-            self.classes[class].set(worker.position, offer);
+        if is_in_class(worker.slowdown, worker.class) || class == worker.class {
+            self.classes[worker.class].set(worker.position, offer);
             return;
         }
         self.classes[worker.class].remove(worker.position);
