kernel: order teams instead of lanes and let teams of equal share take turns

Cause: each change of a team's share moved all its lanes, and with one slot a small team waited behind the backlog of a large one, since equal shares were served by arrival. Ruled out: walking the order of teams also for few lanes, which passes all other teams. All tests of the package pass.

--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -9,7 +9,7 @@
         reservation::Reservation,
         spread::Spread,
         task::{Gang, GangKey, Task, TaskKey},
-        team::{POLICIES, TeamKey},
+        team::POLICIES,
         teams::Teams,
         timer::Timer,
         waiting::Waiting,
@@ -39,8 +39,6 @@
     /// Drained workers by name, kept apart since a drain can precede the attachment.
     pub(crate) held: HashSet<WorkerName>,
     pub(crate) lease_valid: bool,
-    /// Teams whose share became lower in the present event.
-    pub(crate) lowered: Vec<TeamKey>,
     pub(crate) next_sequence: u64,
     pub(crate) now_us: u64,
     pub(crate) peers: Peers,
@@ -51,6 +49,8 @@
     pub(crate) reserve_armed: bool,
     pub(crate) settings: KernelSettings,
     pub(crate) spread: Spread,
+    /// Number of starts so far.
+    pub(crate) starts: u64,
     /// Tasks that were stopped to make room and have not ended yet.
     pub(crate) stopping: u32,
     pub(crate) tasks: SlotMap<TaskKey, Task>,
@@ -75,7 +75,6 @@
             gangs: SlotMap::with_key(),
             held: HashSet::new(),
             lease_valid: false,
-            lowered: Vec::new(),
             next_sequence: 0,
             now_us: 0,
             peers: Peers::default(),
@@ -85,6 +84,7 @@
             reserve_armed: false,
             settings,
             spread: Spread::default(),
+            starts: 0,
             stopping: 0,
             tasks: SlotMap::with_key(),
             teams: Teams::default(),
@@ -102,7 +102,6 @@
         self.apply(event, decisions);
         self.run_timers(decisions);
         self.place_waiting(decisions);
-        self.rank_lowered();
     }
 
     /// Free amounts on usable workers, added up.
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -21,7 +21,7 @@
         loop {
             let workers = &self.workers;
             self.waiting.rest_unfit(|demand| workers.may_fit(demand));
-            let next = self.waiting.next(&self.teams, &self.lowered);
+            let next = self.waiting.next(&mut self.teams);
             let policy = next.map(|lane| self.waiting.policy(lane));
             let before_gangs = policy.is_some_and(|policy| policy < Policy::Gang);
             if !before_gangs && self.start_reserved(decisions) {
@@ -44,8 +44,7 @@
         let gang = self.tasks[key].gang;
         let size = gang.map_or(1, |gang| self.gangs[gang].members.len());
         if (self.teams[team].startable() as usize) < size {
-            self.waiting.park(lane);
-            self.teams[team].parked = true;
+            self.waiting.park(lane, &mut self.teams[team]);
             return;
         }
         match gang {
@@ -134,7 +133,9 @@
             self.spread.add(task.team, worker.data_center, worker.rack);
         }
         let team = task.team;
+        self.starts += 1;
         self.teams[team].running += 1;
+        self.teams[team].served = self.starts;
         if task.policy == Policy::Interactive {
             self.flow.running += 1;
         }
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -97,15 +97,12 @@
         let members = self.members(key);
         let team = &mut self.teams[team_key];
         let count = members.len() as u32;
-        let lane = self
-            .waiting
-            .lane(team_key, &mut team.lanes, (policy, demand, count));
+        let lane = self.waiting.lane(team_key, team, (policy, demand, count));
         team.waiting[policy as usize] += count;
         if policy == Policy::Interactive {
             self.flow.arrived(team, count);
         }
-        let share = team.share();
-        self.waiting.push(lane, sequence, key, share);
+        self.waiting.push(lane, sequence, key);
         for member in members {
             self.tasks[member].stage = Stage::Waiting(lane);
         }
@@ -131,10 +128,7 @@
         if task.policy == Policy::Interactive {
             self.flow.left(team, count);
         }
-        let share = team.share();
-        if self.waiting.take(lane, task.sequence, share) {
-            team.lanes.retain(|(_, other)| *other != lane);
-        }
+        self.waiting.take(lane, task.sequence, team);
         if let Some(gang) = task.gang {
             self.gangs.remove(gang);
         }
--- a/crates/kernel/src/team.rs
+++ b/crates/kernel/src/team.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         tokens::TokenPool,
-        waiting::{GroupKey, LaneKey},
+        waiting::{GroupKey, LaneKey, Rank},
     },
     fuchsiatack_model::TeamName,
     slotmap::new_key_type,
@@ -29,8 +29,6 @@
     pub(crate) fleet_running: u32,
     /// Tokens of ended tasks on workers that are being released.
     pub(crate) frozen: u32,
-    /// Bound of the shares by which its lanes stand in their orders.
-    pub(crate) highest_rank: u64,
     pub(crate) lanes: Vec<(GroupKey, LaneKey)>,
     pub(crate) limited: bool,
     /// Local running tasks when `fleet_running` was reported.
@@ -43,8 +41,12 @@
     /// Whether a lane waits for tokens.
     pub(crate) parked: bool,
     pub(crate) present: bool,
+    /// Ranks by which it stands in the orders of the policies.
+    pub(crate) ranks: [Option<Rank>; POLICIES],
     retry_credit: f32,
     pub(crate) running: u32,
+    /// Number of its last start.
+    pub(crate) served: u64,
     /// Tasks known here, also those that only await the end of their call.
     pub(crate) tasks: u32,
     pub(crate) tokens: TokenPool,
@@ -59,7 +61,6 @@
             backlog_weight: 0,
             fleet_running: 0,
             frozen: 0,
-            highest_rank: 0,
             lanes: Vec::new(),
             limited: false,
             local_at_report: 0,
@@ -68,8 +69,10 @@
             name,
             parked: false,
             present: false,
+            ranks: [None; POLICIES],
             retry_credit: RETRY_CREDIT_LIMIT,
             running: 0,
+            served: 0,
             tasks: 0,
             tokens: TokenPool::default(),
             waiting: [0; POLICIES],
@@ -115,6 +118,11 @@
         self.effective_running() * 1_000_000 / u64::from(self.weight_millis.max(1))
     }
 
+    /// Place in the order of teams.
+    pub(crate) fn rank(&self) -> Rank {
+        (self.share(), self.served)
+    }
+
     pub(crate) fn all_waiting(&self) -> u32 {
         self.waiting.iter().sum()
     }
--- a/crates/kernel/src/teams.rs
+++ b/crates/kernel/src/teams.rs
@@ -36,14 +36,6 @@
         key
     }
 
-    pub(crate) fn get(&self, key: TeamKey) -> Option<&Team> {
-        self.arena.get(key)
-    }
-
-    pub(crate) fn get_mut(&mut self, key: TeamKey) -> Option<&mut Team> {
-        self.arena.get_mut(key)
-    }
-
     /// Returns the teams by name.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Team> {
         self.by_name.values().map(|key| &self.arena[*key])
@@ -132,36 +124,9 @@
     /// Moves the team's lanes to their place for its present share and tokens.
     pub(crate) fn team_changed(&mut self, key: TeamKey) {
         let team = &mut self.teams[key];
-        let share = team.share();
-        if share > team.highest_rank {
-            team.highest_rank = share;
-        } else if share < team.highest_rank && !team.lanes.is_empty() && !self.lowered.contains(&key) {
-            self.lowered.push(key);
-        }
-        if !team.parked || team.startable() == 0 {
-            return;
-        }
-        team.parked = false;
-        for (_, lane) in &team.lanes {
-            self.waiting.unpark(*lane, share);
-        }
-    }
-
-    /// Moves the lanes of teams whose share became lower in this event. It is done last,
-    /// since a team whose task ended is often the one whose next task starts.
-    pub(crate) fn rank_lowered(&mut self) {
-        for key in std::mem::take(&mut self.lowered) {
-            let Some(team) = self.teams.get_mut(key) else {
-                continue;
-            };
-            let share = team.share();
-            if share >= team.highest_rank {
-                continue;
-            }
-            team.highest_rank = share;
-            for (_, lane) in &team.lanes {
-                self.waiting.rank_if_lower(*lane, share);
-            }
+        self.waiting.lower_rank(key, team);
+        if team.parked && team.startable() > 0 {
+            self.waiting.unpark(key, team);
         }
     }
 
--- a/crates/kernel/src/waiting.rs
+++ b/crates/kernel/src/waiting.rs
@@ -1,7 +1,11 @@
 //! Waiting tasks in fair order.
 
 use {
-    crate::{task::TaskKey, team::TeamKey, teams::Teams},
+    crate::{
+        task::TaskKey,
+        team::{POLICIES, Team, TeamKey},
+        teams::Teams,
+    },
     fuchsiatack_model::{Policy, Resources},
     slotmap::{SlotMap, new_key_type},
     std::collections::{BTreeMap, BTreeSet, HashMap},
@@ -14,29 +18,37 @@
     pub(crate) struct LaneKey;
 }
 
+/// Number of lanes up to which they are compared one by one. Above it, it is cheaper to
+/// walk the order of teams, since a team with one of the lanes comes early in it.
+const COMPARED_LANES: usize = 16;
+
 /// Policy, demand and number of tasks that start together.
 pub(crate) type Class = (Policy, Resources, u32);
 
+/// Share of a team and the number of its last start, by which teams are ordered. The
+/// second part has teams of equal share take turns.
+pub(crate) type Rank = (u64, u64);
+
 /// Requests of one team with equal policy, demand and size, in order of arrival.
 pub(crate) struct Lane {
     pub(crate) group: GroupKey,
-    /// Waits for tokens, so it is not in its group's order.
+    /// Waits for tokens.
     pub(crate) parked: bool,
-    /// Share and first task by which it stands in its group's order.
-    rank: (u64, u64),
-    /// Whether it stands in its group's order.
-    ranked: bool,
+    /// Position in the group's list.
+    position: usize,
     pub(crate) tasks: BTreeMap<u64, TaskKey>,
     pub(crate) team: TeamKey,
 }
 
-/// Lanes of all teams with equal policy, demand and size. If one of them finds no worker, none does.
+/// Lanes of all teams with equal policy, demand and size. If one of them finds no worker,
+/// none does.
 pub(crate) struct Group {
     /// Whether its waiting tasks were reported as larger than any worker.
     pub(crate) blocked: bool,
     pub(crate) demand: Resources,
-    lanes: u32,
-    order: BTreeSet<(u64, u64, LaneKey)>,
+    lanes: Vec<LaneKey>,
+    /// Lanes that do not wait for tokens.
+    open: usize,
     pub(crate) policy: Policy,
     /// Tasks that start together.
     pub(crate) size: u32,
@@ -49,119 +61,109 @@
     by_class: HashMap<Class, GroupKey>,
     pub(crate) groups: SlotMap<GroupKey, Group>,
     pub(crate) lanes: SlotMap<LaneKey, Lane>,
+    /// Teams with lanes of a policy that do not wait for tokens. A rank here may be lower
+    /// than the present one; it is raised when the team is next in turn.
+    orders: [BTreeSet<(Rank, TeamKey)>; POLICIES],
     ready: BTreeSet<(Policy, GroupKey)>,
 }
 
 impl Waiting {
     /// Returns the team's lane for a class; it is created if there is none.
-    pub(crate) fn lane(
-        &mut self,
-        team: TeamKey,
-        team_lanes: &mut Vec<(GroupKey, LaneKey)>,
-        class: Class,
-    ) -> LaneKey {
+    pub(crate) fn lane(&mut self, key: TeamKey, team: &mut Team, class: Class) -> LaneKey {
         let (policy, demand, size) = class;
         let group = *self.by_class.entry(class).or_insert_with(|| {
             self.groups.insert(Group {
                 blocked: false,
                 demand,
-                lanes: 0,
-                order: BTreeSet::new(),
+                lanes: Vec::new(),
+                open: 0,
                 policy,
                 size,
             })
         });
-        if let Some((_, lane)) = team_lanes.iter().find(|(other, _)| *other == group) {
+        if let Some((_, lane)) = team.lanes.iter().find(|(other, _)| *other == group) {
             return *lane;
         }
-        self.groups[group].lanes += 1;
+        let entry = &mut self.groups[group];
         let lane = self.lanes.insert(Lane {
             group,
             parked: false,
-            rank: (0, 0),
-            ranked: false,
+            position: entry.lanes.len(),
             tasks: BTreeMap::new(),
-            team,
+            team: key,
         });
-        team_lanes.push((group, lane));
-        lane
-    }
-
-    /// Adds a task to a lane of a team with the given share.
-    pub(crate) fn push(&mut self, lane: LaneKey, sequence: u64, task: TaskKey, share: u64) {
-        let group = self.lanes[lane].group;
-        let first_in_group = self.groups[group].order.is_empty();
-        self.lanes[lane].tasks.insert(sequence, task);
-        self.rank(lane, share);
-        if first_in_group {
+        entry.lanes.push(lane);
+        entry.open += 1;
+        let first_open = entry.open == 1;
+        team.lanes.push((group, lane));
+        let rank = team.rank();
+        self.set_rank(key, team, policy, Some(rank));
+        if first_open {
             self.wake(group);
         }
+        lane
     }
 
-    /// Takes a task out of its lane. Returns whether the lane is gone with it.
-    pub(crate) fn take(&mut self, lane: LaneKey, sequence: u64, share: u64) -> bool {
-        self.lanes[lane].tasks.remove(&sequence);
-        if !self.lanes[lane].tasks.is_empty() {
-            self.rank(lane, share);
-            return false;
-        }
-        self.unrank(lane);
-        let group = self.lanes[lane].group;
-        self.lanes.remove(lane);
-        self.groups[group].lanes -= 1;
-        if self.groups[group].lanes == 0 {
-            self.remove_group(group);
-        }
-        true
+    /// Adds a task to a lane.
+    pub(crate) fn push(&mut self, lane: LaneKey, sequence: u64, task: TaskKey) {
+        self.lanes[lane].tasks.insert(sequence, task);
+        self.wake_gang(self.lanes[lane].group);
     }
 
-    /// Moves a lane to its place for a share that has become lower. A higher share takes
-    /// effect when the lane is next in turn, since that is cheaper.
-    pub(crate) fn rank_if_lower(&mut self, lane: LaneKey, share: u64) {
-        if share < self.lanes[lane].rank.0 {
-            self.rank(lane, share);
+    /// Takes a task out of its lane, and the lane away if it is empty then.
+    pub(crate) fn take(&mut self, lane: LaneKey, sequence: u64, team: &mut Team) {
+        let entry = &mut self.lanes[lane];
+        entry.tasks.remove(&sequence);
+        let group = entry.group;
+        match entry.tasks.is_empty() {
+            true => self.remove_lane(lane, team),
+            false => self.wake_gang(group),
         }
     }
 
-    /// Moves a lane to its place for a share.
-    fn rank(&mut self, lane: LaneKey, share: u64) {
+    /// Stops looking at a lane until `unpark`.
+    pub(crate) fn park(&mut self, lane: LaneKey, team: &mut Team) {
         let entry = &mut self.lanes[lane];
-        let Some(head) = entry.tasks.keys().next() else {
-            return;
-        };
-        let rank = (share, *head);
-        if rank == entry.rank && !entry.parked && entry.ranked {
-            return;
-        }
-        let order = &mut self.groups[entry.group].order;
-        order.remove(&(entry.rank.0, entry.rank.1, lane));
-        entry.rank = rank;
-        entry.ranked = !entry.parked;
-        if entry.ranked {
-            order.insert((rank.0, rank.1, lane));
-        }
+        let (group, key) = (entry.group, entry.team);
+        entry.parked = true;
+        team.parked = true;
+        self.groups[group].open -= 1;
+        self.leave_order(key, team, self.groups[group].policy);
     }
 
-    /// Takes a lane out of the order until `unpark`.
-    pub(crate) fn park(&mut self, lane: LaneKey) {
-        self.unrank(lane);
-        self.lanes[lane].parked = true;
+    /// Puts the team's parked lanes back and has their groups looked at.
+    pub(crate) fn unpark(&mut self, key: TeamKey, team: &mut Team) {
+        team.parked = false;
+        let rank = team.rank();
+        for position in 0..team.lanes.len() {
+            let (group, lane) = team.lanes[position];
+            if std::mem::take(&mut self.lanes[lane].parked) {
+                self.groups[group].open += 1;
+                self.set_rank(key, team, self.groups[group].policy, Some(rank));
+                self.wake(group);
+            }
+        }
     }
 
-    /// Puts a parked lane back and has its group looked at.
-    pub(crate) fn unpark(&mut self, lane: LaneKey, share: u64) {
-        if !self.lanes[lane].parked {
-            return;
+    /// Moves a team to its place if its rank has become lower. A higher rank takes effect
+    /// when the team is next in turn.
+    pub(crate) fn lower_rank(&mut self, key: TeamKey, team: &mut Team) {
+        let rank = team.rank();
+        for (order, stored) in self.orders.iter_mut().zip(&mut team.ranks) {
+            if let Some(old) = stored.filter(|old| rank < *old) {
+                order.remove(&(old, key));
+                order.insert((rank, key));
+                *stored = Some(rank);
+            }
         }
-        self.lanes[lane].parked = false;
-        self.rank(lane, share);
-        self.wake(self.lanes[lane].group);
     }
 
     /// Stops looking at groups whose demand does not fit, without a look at their lanes.
+    /// Gangs stay, since one that does not fit asks for a reservation when it is looked at.
     pub(crate) fn rest_unfit(&mut self, fits: impl Fn(&Resources) -> bool) {
         let groups = &self.groups;
-        self.ready.retain(|(_, key)| fits(&groups[*key].demand));
+        self.ready
+            .retain(|(_, key)| groups[*key].size > 1 || fits(&groups[*key].demand));
     }
 
     /// Returns the policy of a lane's tasks.
@@ -207,44 +209,125 @@
         }
     }
 
-    /// Returns the lane to serve next: lowest policy, then lowest share, then oldest.
-    /// Lanes of `lowered` teams are compared by their present share.
-    pub(crate) fn next(&mut self, teams: &Teams, lowered: &[TeamKey]) -> Option<LaneKey> {
-        while let Some(&(policy, first)) = self.ready.first() {
-            let best = self
-                .ready
-                .iter()
-                .take_while(|(other, _)| *other == policy)
-                .filter_map(|(_, group)| self.groups[*group].order.first().copied())
-                .chain(self.lowered_lanes(policy, teams, lowered))
-                .min();
-            let Some((_, _, lane)) = best else {
-                self.ready.remove(&(policy, first));
-                continue;
+    /// Returns the lane to serve next: lowest policy, then the team of the lowest rank, then
+    /// the oldest request.
+    pub(crate) fn next(&mut self, teams: &mut Teams) -> Option<LaneKey> {
+        while let Some((policy, _)) = self.ready.first().copied() {
+            let lane = match self.ready_lanes(policy) {
+                ..=COMPARED_LANES => self.compare_lanes(policy, teams),
+                _ => self.walk_teams(policy, teams),
             };
-            let share = teams[self.lanes[lane].team].share();
-            if share == self.lanes[lane].rank.0 {
-                return Some(lane);
+            if lane.is_some() {
+                return lane;
             }
-            self.rank(lane, share);
+            self.ready.retain(|(other, _)| *other != policy);
         }
         None
     }
 
-    /// Returns the lanes of teams whose share became lower, with their present rank.
-    fn lowered_lanes(
-        &self,
-        policy: Policy,
-        teams: &Teams,
-        lowered: &[TeamKey],
-    ) -> impl Iterator<Item = (u64, u64, LaneKey)> {
-        lowered
+    fn ready_groups(&self, policy: Policy) -> impl Iterator<Item = &Group> {
+        self.ready
             .iter()
-            .filter_map(|key| teams.get(*key))
-            .flat_map(|team| team.lanes.iter().map(|entry| (team.share(), entry)))
-            .filter(move |(_, (group, _))| self.ready.contains(&(policy, *group)))
-            .filter(|(_, (_, lane))| self.lanes[*lane].ranked)
-            .map(|(share, (_, lane))| (share, self.lanes[*lane].rank.1, *lane))
+            .take_while(move |(other, _)| *other == policy)
+            .map(|(_, group)| &self.groups[*group])
+    }
+
+    fn ready_lanes(&self, policy: Policy) -> usize {
+        self.ready_groups(policy).map(|group| group.lanes.len()).sum()
+    }
+
+    fn compare_lanes(&self, policy: Policy, teams: &Teams) -> Option<LaneKey> {
+        self.ready_groups(policy)
+            .flat_map(|group| &group.lanes)
+            .filter(|lane| !self.lanes[**lane].parked)
+            .min_by_key(|lane| (teams[self.lanes[**lane].team].rank(), self.head(**lane)))
+            .copied()
+    }
+
+    fn walk_teams(&mut self, policy: Policy, teams: &mut Teams) -> Option<LaneKey> {
+        loop {
+            let raised = match self.first_team(policy, teams) {
+                Ok(lane) => return lane,
+                Err(team) => team,
+            };
+            let rank = teams[raised].rank();
+            self.set_rank(raised, &mut teams[raised], policy, Some(rank));
+        }
+    }
+
+    /// Returns the lane of the first team in order that has one in a ready group, or the
+    /// team whose rank has to be raised before the order can be told.
+    fn first_team(&self, policy: Policy, teams: &Teams) -> Result<Option<LaneKey>, TeamKey> {
+        for (rank, key) in &self.orders[policy as usize] {
+            let team = &teams[*key];
+            let lane = team
+                .lanes
+                .iter()
+                .filter(|(group, _)| self.ready.contains(&(policy, *group)))
+                .filter(|(_, lane)| !self.lanes[*lane].parked)
+                .min_by_key(|(_, lane)| self.head(*lane));
+            match lane {
+                Some(_) if team.rank() != *rank => return Err(*key),
+                Some((_, lane)) => return Ok(Some(*lane)),
+                None => {}
+            }
+        }
+        Ok(None)
+    }
+
+    /// Arrival number of the oldest request of a lane.
+    fn head(&self, lane: LaneKey) -> Option<u64> {
+        self.lanes[lane].tasks.keys().next().copied()
+    }
+
+    /// Gangs are looked at whenever one arrives or becomes the first of its lane, since only
+    /// then it asks for a reservation.
+    fn wake_gang(&mut self, group: GroupKey) {
+        if self.groups[group].size > 1 {
+            self.wake(group);
+        }
+    }
+
+    fn set_rank(&mut self, key: TeamKey, team: &mut Team, policy: Policy, rank: Option<Rank>) {
+        let order = &mut self.orders[policy as usize];
+        let stored = &mut team.ranks[policy as usize];
+        if *stored == rank {
+            return;
+        }
+        if let Some(old) = stored {
+            order.remove(&(*old, key));
+        }
+        if let Some(new) = rank {
+            order.insert((new, key));
+        }
+        *stored = rank;
+    }
+
+    /// Takes a team out of the order of a policy if no open lane is left.
+    fn leave_order(&mut self, key: TeamKey, team: &mut Team, policy: Policy) {
+        let is_open =
+            |group: GroupKey, lane: LaneKey| self.groups[group].policy == policy && !self.lanes[lane].parked;
+        if !team.lanes.iter().any(|(group, lane)| is_open(*group, *lane)) {
+            self.set_rank(key, team, policy, None);
+        }
+    }
+
+    fn remove_lane(&mut self, lane: LaneKey, team: &mut Team) {
+        team.lanes.retain(|(_, other)| *other != lane);
+        let Some(removed) = self.lanes.remove(lane) else {
+            return;
+        };
+        let group = &mut self.groups[removed.group];
+        let policy = group.policy;
+        group.open -= usize::from(!removed.parked);
+        group.lanes.swap_remove(removed.position);
+        if let Some(moved) = group.lanes.get(removed.position) {
+            self.lanes[*moved].position = removed.position;
+        }
+        if group.lanes.is_empty() {
+            self.remove_group(removed.group);
+        }
+        self.leave_order(removed.team, team, policy);
     }
 
     fn remove_group(&mut self, key: GroupKey) {
@@ -253,11 +336,4 @@
             self.ready.remove(&(group.policy, key));
         }
     }
-
-    fn unrank(&mut self, lane: LaneKey) {
-        let entry = &mut self.lanes[lane];
-        entry.ranked = false;
-        let order = &mut self.groups[entry.group].order;
-        order.remove(&(entry.rank.0, entry.rank.1, lane));
-    }
 }
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -31,18 +31,50 @@
 /// Guards against a small team that waits behind a large team's backlog.
 #[test]
 fn small_team_passes_the_backlog_of_a_large_one() {
-    let mut cell = Cell::new()
-        .team("large", 1_000)
-        .team("small", 1_000)
-        .worker("w", 2);
-    for task in 1..=100 {
-        cell.submit(task, "large", Policy::Interactive);
+    for slots in [1, 2] {
+        let mut cell = Cell::new()
+            .team("large", 1_000)
+            .team("small", 1_000)
+            .worker("w", slots);
+        for task in 1..=100 {
+            cell.submit(task, "large", Policy::Interactive);
+        }
+        cell.submit(200, "small", Policy::Interactive);
+
+        let after_end = cell.end(1, TaskEnd::Done);
+
+        assert_eq!(started_tasks(&after_end), [200], "{slots} slots");
     }
-    cell.submit(200, "small", Policy::Interactive);
+}
 
-    let after_end = cell.end(1, TaskEnd::Done);
+/// Guards against many teams of which one is passed over, in the order of teams as well as
+/// in the comparison of few lanes.
+#[test]
+fn teams_of_equal_share_take_turns() {
+    for teams in [3, 30] {
+        let mut cell = Cell::new().worker("w", 1);
+        for team in 0..teams {
+            cell = cell.team(&format!("team-{team}"), 1_000);
+        }
+        cell.submit(1, "team-0", Policy::Interactive);
+        for round in 0..2 {
+            for team in 0..teams {
+                let task = 100 + 100 * round + team;
+                cell.submit(task, &format!("team-{team}"), Policy::Interactive);
+            }
+        }
+        let mut running = 1;
+        let mut turns = Vec::new();
+        for _ in 0..2 * teams {
+            running = started_tasks(&cell.end(running, TaskEnd::Done))[0];
+            turns.push(running % 100);
+        }
 
-    assert_eq!(started_tasks(&after_end), [200]);
+        turns[..teams as usize].sort_unstable();
+        turns[teams as usize..].sort_unstable();
+        let each: Vec<u64> = (0..teams).chain(0..teams).collect();
+        assert_eq!(turns, each, "{teams} teams");
+    }
 }
 
 /// Guards against local choices that ignore what a team runs elsewhere, and against
