kernel: measure both sizes in alternation

Cause: the ratio between the sizes followed the machine's other load. Ruled out: warm caches alone; the small state fits the second-level cache and the large one does not, while a daemon's caches hold other work between decisions. A phase with swept caches shows both.

--- a/crates/kernel/benches/decisions.rs
+++ b/crates/kernel/benches/decisions.rs
@@ -19,6 +19,8 @@
 /// Entries of each kind for the memory measurement; many, so that pages do not matter.
 const MEMORY_ENTRIES: u32 = 50_000;
 const MICROSECONDS_PER_EVENT: u64 = 238;
+/// Turns of each size in the measurement of a phase.
+const ROUNDS: u32 = 20;
 const SEED: u64 = 42;
 /// Events measured with the processor's caches swept before each.
 const SWEPT_EVENTS: u32 = 20_000;
@@ -68,6 +70,10 @@
         }
     }
 
+    fn seconds_per_event(&self) -> f64 {
+        self.seconds / self.times.len() as f64
+    }
+
     fn note(&mut self, elapsed: Duration, decisions: usize) {
         self.decisions += decisions as u64;
         self.seconds += elapsed.as_secs_f64();
@@ -117,11 +123,7 @@
         self.now_us += MICROSECONDS_PER_EVENT;
         self.decisions.clear();
         self.kernel.handle(self.now_us, event, &mut self.decisions);
-        let started = self.decisions.iter().filter_map(|decision| match decision {
-            Decision::Start { task, .. } => Some(*task),
-            _ => None,
-        });
-        self.running.extend(started);
+        self.note_starts();
     }
 
     fn add_team(&mut self, team: u32) {
@@ -246,13 +248,15 @@
         }
     }
 
-    fn measure(&mut self, target: Option<usize>, events: u32, sweep: bool) -> Outcome {
-        let mut buffer = vec![0; SWEEP_BYTES];
+    fn warm_up(&mut self, target: Option<usize>) {
         for number in 0..WARM_UP_EVENTS {
             let event = self.event(number, target);
             self.handle(event);
         }
-        let mut outcome = Outcome::new();
+    }
+
+    fn measure(&mut self, target: Option<usize>, events: u32, sweep: bool, outcome: &mut Outcome) {
+        let mut buffer = vec![0; SWEEP_BYTES];
         for number in 0..events {
             let event = self.event(number, target);
             if sweep {
@@ -263,13 +267,16 @@
             self.decisions.clear();
             self.kernel.handle(self.now_us, event, &mut self.decisions);
             outcome.note(begin.elapsed(), self.decisions.len());
-            let started = self.decisions.iter().filter_map(|decision| match decision {
-                Decision::Start { task, .. } => Some(*task),
-                _ => None,
-            });
-            self.running.extend(started);
+            self.note_starts();
         }
-        outcome
+    }
+
+    fn note_starts(&mut self) {
+        let started = self.decisions.iter().filter_map(|decision| match decision {
+            Decision::Start { task, .. } => Some(*task),
+            _ => None,
+        });
+        self.running.extend(started);
     }
 }
 
@@ -290,28 +297,27 @@
     WorkerName::new(format!("worker-{worker}"))
 }
 
-fn report(load: &str, size: &Size, measured: &Load, outcome: &Outcome) -> f64 {
-    let events = outcome.times.len();
-    let per_event = outcome.seconds / events as f64;
+fn report(phase: &str, size: &Size, load: &Load, outcome: &Outcome) {
     println!(
-        "{load} {}: workers {}, slots {}, teams {}, running {}, waiting {}, events {events}, decisions {}",
+        "{phase}, {}: workers {}, slots {}, teams {}, running {}, waiting {}, events {}, decisions {}",
         size.name,
         size.workers,
         size.workers * size.slots,
         size.teams,
-        measured.running.len(),
-        measured.kernel.waiting(),
+        load.running.len(),
+        load.kernel.waiting(),
+        outcome.times.len(),
         outcome.decisions,
     );
+    let microseconds = |quantile| outcome.times.value_at_quantile(quantile) as f64 / 1e3;
     println!(
         "  per event: mean {:.2} us, median {:.2} us, p99 {:.2} us, maximum {:.0} us; {:.0} decisions/s",
-        per_event * 1e6,
-        outcome.times.value_at_quantile(0.5) as f64 / 1e3,
-        outcome.times.value_at_quantile(0.99) as f64 / 1e3,
-        outcome.times.max() as f64 / 1e3,
+        outcome.seconds_per_event() * 1e6,
+        microseconds(0.5),
+        microseconds(0.99),
+        microseconds(1.0),
         outcome.decisions as f64 / outcome.seconds,
     );
-    per_event
 }
 
 /// Resident memory of this process in bytes.
@@ -363,6 +369,43 @@
     println!("  each: team {team_bytes} bytes, worker {worker_bytes} bytes, running task {task_bytes} bytes");
 }
 
+/// A load with the outcomes of the three phases.
+struct Run<'a> {
+    load: Load,
+    outcomes: Vec<Outcome>,
+    size: &'a Size,
+}
+
+/// Measures one phase at all sizes in alternation, so that other work on the machine
+/// affects them alike.
+fn measure_phase(runs: &mut [Run<'_>], events: u32, sweep: bool, target: fn(&Size) -> Option<usize>) {
+    for run in runs.iter_mut() {
+        run.load.warm_up(target(run.size));
+        run.outcomes.push(Outcome::new());
+    }
+    for _ in 0..ROUNDS {
+        for run in runs.iter_mut() {
+            let outcome = run.outcomes.last_mut().expect("one was pushed above");
+            run.load
+                .measure(target(run.size), events / ROUNDS, sweep, outcome);
+        }
+    }
+}
+
+fn report_phase(name: &str, runs: &[Run<'_>]) {
+    for run in runs {
+        let outcome = run.outcomes.last().expect("a phase was measured");
+        report(name, run.size, &run.load, outcome);
+    }
+    if let [small, large] = runs {
+        let cost = |run: &Run<'_>| run.outcomes.last().map_or(0.0, Outcome::seconds_per_event);
+        println!(
+            "  ratio of mean cost, large to small: {:.2}",
+            cost(large) / cost(small)
+        );
+    }
+}
+
 fn main() {
     println!("seed {SEED}");
     let wanted = std::env::args()
@@ -371,30 +414,26 @@
     if wanted.is_none() {
         report_memory();
     }
-    let mut costs = Vec::new();
-    for size in SIZES
+    let mut runs: Vec<Run<'_>> = SIZES
         .iter()
         .filter(|size| wanted.as_ref().is_none_or(|name| name == size.name))
-    {
-        let mut load = Load::new(size);
-        load.fill(size.running as usize);
-        let outcome = load.measure(Some(size.running as usize), EVENTS, false);
-        let spare = report("free slots", size, &load, &outcome);
-        load.fill((size.workers * size.slots) as usize);
-        load.add_backlog();
-        let outcome = load.measure(None, EVENTS, false);
-        let full = report("all slots in use", size, &load, &outcome);
-        let swept = load.measure(None, SWEPT_EVENTS, true);
-        let swept = report("all slots in use, swept caches", size, &load, &swept);
-        costs.push([spare, full, swept]);
+        .map(|size| Run {
+            load: Load::new(size),
+            outcomes: Vec::new(),
+            size,
+        })
+        .collect();
+    for run in &mut runs {
+        run.load.fill(run.size.running as usize);
     }
-    if let [small, large] = costs.as_slice() {
-        println!(
-            "ratio of mean cost, large to small: free slots {:.2}, all slots in use {:.2}, \
-             the same with swept caches {:.2}",
-            large[0] / small[0],
-            large[1] / small[1],
-            large[2] / small[2]
-        );
+    measure_phase(&mut runs, EVENTS, false, |size| Some(size.running as usize));
+    report_phase("free slots", &runs);
+    for run in &mut runs {
+        run.load.fill((run.size.workers * run.size.slots) as usize);
+        run.load.add_backlog();
     }
+    measure_phase(&mut runs, EVENTS, false, |_| None);
+    report_phase("all slots in use", &runs);
+    measure_phase(&mut runs, SWEPT_EVENTS, true, |_| None);
+    report_phase("all slots in use, caches swept", &runs);
 }
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -185,6 +185,25 @@
     assert_eq!(starts[..3], [101, 102, 103]);
 }
 
+/// Guards against a gang that starves because its team's small tasks take every token.
+#[test]
+fn gang_gets_the_tokens_of_its_team_after_a_while() {
+    let mut cell = Cell::new().limited_team("a", 2).worker("w", 8);
+    for task in 1..=10 {
+        cell.submit(task, "a", Policy::Batch);
+    }
+    cell.step(Event::Submit(submission(&[101, 102], "a", Policy::Gang)));
+
+    let early = started_tasks(&cell.end(1, TaskEnd::Done));
+    cell.after_ms(61_000);
+    let late = started_tasks(&cell.end(2, TaskEnd::Done));
+    let complete = started_tasks(&cell.end(3, TaskEnd::Done));
+
+    assert_eq!(early, [3]);
+    assert_eq!(late, []);
+    assert_eq!(complete, [101, 102]);
+}
+
 /// Guards against room that stays empty for a gang which cannot be completed.
 #[test]
 fn reservation_expires() {
