--- a/crates/kernel/src/attachment.rs
+++ b/crates/kernel/src/attachment.rs
@@ -242,7 +242,7 @@
             started: true,
             team,
         });
-        self.by_id.entry(running.task).or_insert(key);
+        self.by_id.insert(running.task, key);
         self.teams[team].tasks += 1;
         self.occupy(key, worker);
     }
--- a/crates/kernel/src/ending.rs
+++ b/crates/kernel/src/ending.rs
@@ -21,7 +21,7 @@
 impl Kernel {
     /// Reacts to the end of a call to a worker.
     pub(crate) fn ended(&mut self, id: TaskId, end: TaskEnd, run_us: u64, decisions: &mut Vec<Decision>) {
-        let Some(key) = self.by_id.get(&id).copied() else {
+        let Some(key) = self.by_id.get(&id) else {
             return;
         };
         let task = &self.tasks[key];
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -9,16 +9,17 @@
         reservation::Reservation,
         spread::Spread,
         task::{Gang, GangKey, Task, TaskKey},
+        task_index::TaskIndex,
         team::POLICIES,
         teams::Teams,
         timer::Timer,
         waiting::Waiting,
         workers::Workers,
     },
-    fuchsiatack_model::{Policy, Resources, TaskId, TeamName, WorkerName},
+    fuchsiatack_model::{Policy, Resources, TeamName, WorkerName},
     rand::{SeedableRng, rngs::StdRng},
     slotmap::SlotMap,
-    std::collections::{BTreeSet, HashMap, HashSet, VecDeque},
+    std::collections::{BTreeSet, HashSet, VecDeque},
 };
 
 /// Policies in order of precedence, which is the order of their values.
@@ -26,7 +27,7 @@
 
 /// Placement state of one entry daemon.
 pub struct Kernel {
-    pub(crate) by_id: HashMap<TaskId, TaskKey>,
+    pub(crate) by_id: TaskIndex,
     /// Deadlines of waiting tasks.
     pub(crate) deadlines: BTreeSet<(u64, TaskKey)>,
     /// Workers out of service because of their failures.
@@ -68,7 +69,7 @@
     /// Creates a kernel without workers, teams or lease.
     pub fn new(settings: KernelSettings) -> Self {
         Self {
-            by_id: HashMap::new(),
+            by_id: TaskIndex::new(),
             deadlines: BTreeSet::new(),
             ejected: 0,
             fleet_failure_rate: 0.0,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -25,6 +25,7 @@
 mod spread;
 mod submission;
 mod task;
+mod task_index;
 mod team;
 mod teams;
 mod timer;
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -11,9 +11,11 @@
 };
 
 impl Kernel {
-    /// Takes in a request or gang: starts it, forwards it, lets it wait or refuses it.
+    /// Takes in a request or gang: starts it, forwards it, lets it wait or refuses it. A
+    /// task that is known already has no effect, since it may be running.
     pub(crate) fn submit(&mut self, submission: Submission, decisions: &mut Vec<Decision>) {
-        if submission.tasks.is_empty() {
+        let known = |task| self.by_id.get(task).is_some();
+        if submission.tasks.is_empty() || submission.tasks.iter().any(known) {
             return;
         }
         if let Some(reason) = self.refusal_at_arrival(&submission) {
@@ -36,7 +38,7 @@
 
     /// Cancels a waiting task or stops a running one. A waiting gang is cancelled whole.
     pub(crate) fn cancel(&mut self, id: TaskId, decisions: &mut Vec<Decision>) {
-        let Some(key) = self.by_id.get(&id).copied() else {
+        let Some(key) = self.by_id.get(&id) else {
             return;
         };
         let task = &mut self.tasks[key];
@@ -156,9 +158,7 @@
         let Some(task) = self.tasks.remove(key) else {
             return;
         };
-        if self.by_id.get(&task.id) == Some(&key) {
-            self.by_id.remove(&task.id);
-        }
+        self.by_id.remove(&task.id, key);
         self.teams[task.team].tasks -= 1;
         self.teams.remove_unused(task.team);
     }
@@ -177,9 +177,6 @@
         let waiting = submission.class.policy as usize;
         match team.filter(|team| team.present) {
             _ if interactive && !self.lease_valid => Some(Refusal::LeaseLapsed),
-            _ if submission.tasks.iter().any(|task| self.by_id.contains_key(task)) => {
-                Some(Refusal::Cancelled)
-            }
             None => Some(Refusal::Cancelled),
             Some(_)
                 if submission
