--- /dev/null
+++ b/crates/daemon/src/settings_error.rs
@@ -0,0 +1,72 @@
+//! Errors of the settings file.
+
+use {
+    crate::locate::key_at,
+    displaydoc::Display,
+    std::path::{Path, PathBuf},
+};
+
+/// Beginning of the place that the YAML library appends to its messages.
+const PLACE: &str = " at line ";
+
+/// What is wrong with the settings.
+#[derive(Debug, Display)]
+pub enum SettingsError {
+    /// {file}:{line}: {key}: {message}
+    Invalid {
+        /// Settings file.
+        file: String,
+        /// Path of the key, with dots.
+        key: String,
+        /// Line in the file, from 1.
+        line: u64,
+        /// What is wrong.
+        message: String,
+    },
+    /// {file}:{line}: {message}
+    Parse {
+        /// Settings file.
+        file: String,
+        /// Line in the file, from 1.
+        line: u64,
+        /// What is wrong, with the key.
+        message: String,
+    },
+    /// cannot read settings file {file}: {message}
+    Unreadable {
+        /// Settings file.
+        file: String,
+        /// Error of the operating system.
+        message: String,
+    },
+}
+
+impl SettingsError {
+    pub(crate) fn parse(file: &Path, text: &str, error: &serde_saphyr::Error) -> Self {
+        let file = file.display().to_string();
+        let line = error.location().map_or(1, |location| location.line());
+        let shown = error.without_snippet().to_string();
+        let message = match shown.rsplit_once(PLACE) {
+            Some((message, _)) => message.to_owned(),
+            None => shown,
+        };
+        match error.location().and_then(|place| key_at(text, &place)) {
+            Some(key) => Self::Invalid {
+                file,
+                key,
+                line,
+                message,
+            },
+            None => Self::Parse { file, line, message },
+        }
+    }
+
+    pub(crate) fn unreadable(file: &Path, error: &std::io::Error) -> Self {
+        Self::Unreadable {
+            file: PathBuf::from(file).display().to_string(),
+            message: error.to_string(),
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
