--- a/crates/kernel/src/ending.rs
+++ b/crates/kernel/src/ending.rs
@@ -21,7 +21,7 @@
 impl Kernel {
     /// Reacts to the end of a call to a worker.
     pub(crate) fn ended(&mut self, id: TaskId, end: TaskEnd, run_us: u64, decisions: &mut Vec<Decision>) {
-        let Some(key) = self.by_id.get(&id).copied() else {
+        let Some(key) = self.by_id.get(&id) else {
             return;
         };
         let task = &self.tasks[key];
@@ -29,6 +29,7 @@
         match (task.stage, end) {
             (Stage::Running(worker), TaskEnd::Lost) => {
                 self.unlist_victim(key);
+                self.workers[worker].doubtful += u32::from(!self.tasks[key].is_doubtful());
                 self.tasks[key].stage = Stage::Lost(worker);
                 self.measure(key, worker, end, run_us);
                 self.offer_changed(worker);
@@ -85,9 +86,11 @@
         if task.preempted {
             self.stopping -= 1;
         }
+        let doubtful = task.is_doubtful();
         task.stage = Stage::Detached { over: true };
         let team_key = task.team;
         let worker = &mut self.workers[worker_key];
+        worker.doubtful -= u32::from(doubtful);
         worker.used = worker.used.minus(&task.demand);
         worker.tasks.retain(|other| *other != key);
         if task.policy == Policy::Service {
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -9,16 +9,17 @@
         reservation::Reservation,
         spread::Spread,
         task::{Gang, GangKey, Task, TaskKey},
+        task_index::TaskIndex,
         team::POLICIES,
         teams::Teams,
         timer::Timer,
         waiting::Waiting,
         workers::Workers,
     },
-    fuchsiatack_model::{Policy, Resources, TaskId, TeamName, WorkerName},
+    fuchsiatack_model::{Policy, Resources, TeamName, WorkerName},
     rand::{SeedableRng, rngs::StdRng},
     slotmap::SlotMap,
-    std::collections::{BTreeSet, HashMap, HashSet, VecDeque},
+    std::collections::{BTreeSet, HashSet, VecDeque},
 };
 
 /// Policies in order of precedence, which is the order of their values.
@@ -26,7 +27,7 @@
 
 /// Placement state of one entry daemon.
 pub struct Kernel {
-    pub(crate) by_id: HashMap<TaskId, TaskKey>,
+    pub(crate) by_id: TaskIndex,
     /// Deadlines of waiting tasks.
     pub(crate) deadlines: BTreeSet<(u64, TaskKey)>,
     /// Workers out of service because of their failures.
@@ -41,6 +42,8 @@
     pub(crate) lease_valid: bool,
     pub(crate) next_sequence: u64,
     pub(crate) now_us: u64,
+    /// Interactive tasks that wait close to their start bound or beyond it.
+    pub(crate) overdue: VecDeque<TaskKey>,
     pub(crate) peers: Peers,
     pub(crate) policies: [&'static dyn PlacementPolicy; POLICIES],
     pub(crate) random: StdRng,
@@ -49,6 +52,8 @@
     pub(crate) reserve_armed: bool,
     pub(crate) settings: KernelSettings,
     pub(crate) spread: Spread,
+    /// Number of starts so far.
+    pub(crate) starts: u64,
     /// Tasks that were stopped to make room and have not ended yet.
     pub(crate) stopping: u32,
     pub(crate) tasks: SlotMap<TaskKey, Task>,
@@ -64,7 +69,7 @@
     /// Creates a kernel without workers, teams or lease.
     pub fn new(settings: KernelSettings) -> Self {
         Self {
-            by_id: HashMap::new(),
+            by_id: TaskIndex::new(),
             deadlines: BTreeSet::new(),
             ejected: 0,
             fleet_failure_rate: 0.0,
@@ -75,6 +80,7 @@
             lease_valid: false,
             next_sequence: 0,
             now_us: 0,
+            overdue: VecDeque::new(),
             peers: Peers::default(),
             policies: PRECEDENCE.map(registered),
             random: StdRng::seed_from_u64(settings.seed),
@@ -82,6 +88,7 @@
             reserve_armed: false,
             settings,
             spread: Spread::default(),
+            starts: 0,
             stopping: 0,
             tasks: SlotMap::with_key(),
             teams: Teams::default(),
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -4,6 +4,7 @@
     crate::{
         Decision, Kernel,
         policy::PlacementView,
+        reservation::FIRM_AFTER_US,
         task::{Stage, TaskKey},
         waiting::LaneKey,
         worker::WorkerKey,
@@ -19,7 +20,9 @@
             return;
         }
         loop {
-            let next = self.waiting.next();
+            let workers = &self.workers;
+            self.waiting.rest_unfit(|demand| workers.may_fit(demand));
+            let next = self.waiting.next(&mut self.teams);
             let policy = next.map(|lane| self.waiting.policy(lane));
             let before_gangs = policy.is_some_and(|policy| policy < Policy::Gang);
             if !before_gangs && self.start_reserved(decisions) {
@@ -41,8 +44,8 @@
         let (group, team) = (entry.group, entry.team);
         let gang = self.tasks[key].gang;
         let size = gang.map_or(1, |gang| self.gangs[gang].members.len());
-        if (self.teams[team].startable() as usize) < size {
-            self.waiting.park(lane);
+        if (self.teams[team].startable() as usize) < size || self.leaves_tokens_to_gang(key) {
+            self.waiting.park(lane, &mut self.teams[team]);
             return;
         }
         match gang {
@@ -63,6 +66,16 @@
         }
     }
 
+    /// Returns whether a batch task has to leave its team's tokens to a gang that has waited
+    /// long; without it the small tasks of a team could keep its gang from ever having enough.
+    fn leaves_tokens_to_gang(&self, key: TaskKey) -> bool {
+        let task = &self.tasks[key];
+        let team = &self.teams[task.team];
+        let gang_waits = team.limited && team.waiting[Policy::Gang as usize] > 0;
+        let oldest_us = team.gang_since_us;
+        gang_waits && task.policy == Policy::Batch && self.now_us >= oldest_us + FIRM_AFTER_US
+    }
+
     fn choose_worker(&mut self, key: TaskKey) -> Option<WorkerKey> {
         let salt = self.random.random();
         let task = &self.tasks[key];
@@ -125,12 +138,15 @@
         task.preempted = false;
         let worker = &mut self.workers[worker_key];
         worker.used = worker.used.plus(&task.demand);
+        worker.doubtful += u32::from(task.is_doubtful());
         worker.tasks.push(key);
         if task.policy == Policy::Service {
             self.spread.add(task.team, worker.data_center, worker.rack);
         }
         let team = task.team;
+        self.starts += 1;
         self.teams[team].running += 1;
+        self.teams[team].served = self.starts;
         if task.policy == Policy::Interactive {
             self.flow.running += 1;
         }
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -11,9 +11,11 @@
 };
 
 impl Kernel {
-    /// Takes in a request or gang: starts it, forwards it, lets it wait or refuses it.
+    /// Takes in a request or gang: starts it, forwards it, lets it wait or refuses it. A
+    /// task that is known already has no effect, since it may be running.
     pub(crate) fn submit(&mut self, submission: Submission, decisions: &mut Vec<Decision>) {
-        if submission.tasks.is_empty() {
+        let known = |task| self.by_id.get(task).is_some();
+        if submission.tasks.is_empty() || submission.tasks.iter().any(known) {
             return;
         }
         if let Some(reason) = self.refusal_at_arrival(&submission) {
@@ -36,7 +38,7 @@
 
     /// Cancels a waiting task or stops a running one. A waiting gang is cancelled whole.
     pub(crate) fn cancel(&mut self, id: TaskId, decisions: &mut Vec<Decision>) {
-        let Some(key) = self.by_id.get(&id).copied() else {
+        let Some(key) = self.by_id.get(&id) else {
             return;
         };
         let task = &mut self.tasks[key];
@@ -97,15 +99,15 @@
         let members = self.members(key);
         let team = &mut self.teams[team_key];
         let count = members.len() as u32;
-        let lane = self
-            .waiting
-            .lane(team_key, &mut team.lanes, (policy, demand, count));
+        let lane = self.waiting.lane(team_key, team, (policy, demand, count));
+        if policy == Policy::Gang && team.waiting[policy as usize] == 0 {
+            team.gang_since_us = self.now_us;
+        }
         team.waiting[policy as usize] += count;
         if policy == Policy::Interactive {
             self.flow.arrived(team, count);
         }
-        let share = team.share();
-        self.waiting.push(lane, sequence, key, share);
+        self.waiting.push(lane, sequence, key);
         for member in members {
             self.tasks[member].stage = Stage::Waiting(lane);
         }
@@ -128,13 +130,13 @@
         let team = &mut self.teams[task.team];
         let count = members.len() as u32;
         team.waiting[task.policy as usize] -= count;
+        if task.policy == Policy::Gang {
+            team.gang_since_us = self.now_us;
+        }
         if task.policy == Policy::Interactive {
             self.flow.left(team, count);
         }
-        let share = team.share();
-        if self.waiting.take(lane, task.sequence, share) {
-            team.lanes.retain(|(_, other)| *other != lane);
-        }
+        self.waiting.take(lane, task.sequence, team);
         if let Some(gang) = task.gang {
             self.gangs.remove(gang);
         }
@@ -156,9 +158,7 @@
         let Some(task) = self.tasks.remove(key) else {
             return;
         };
-        if self.by_id.get(&task.id) == Some(&key) {
-            self.by_id.remove(&task.id);
-        }
+        self.by_id.remove(&task.id, key);
         self.teams[task.team].tasks -= 1;
         self.teams.remove_unused(task.team);
     }
@@ -177,9 +177,6 @@
         let waiting = submission.class.policy as usize;
         match team.filter(|team| team.present) {
             _ if interactive && !self.lease_valid => Some(Refusal::LeaseLapsed),
-            _ if submission.tasks.iter().any(|task| self.by_id.contains_key(task)) => {
-                Some(Refusal::Cancelled)
-            }
             None => Some(Refusal::Cancelled),
             Some(_)
                 if submission
--- a/crates/kernel/src/team.rs
+++ b/crates/kernel/src/team.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         tokens::TokenPool,
-        waiting::{GroupKey, LaneKey},
+        waiting::{GroupKey, LaneKey, Rank},
     },
     fuchsiatack_model::TeamName,
     slotmap::new_key_type,
@@ -27,6 +27,8 @@
     pub(crate) backlog_weight: u64,
     /// Running tasks over the fleet at the last report.
     pub(crate) fleet_running: u32,
+    /// Arrival of the first gang since none waited, in microseconds.
+    pub(crate) gang_since_us: u64,
     /// Tokens of ended tasks on workers that are being released.
     pub(crate) frozen: u32,
     pub(crate) lanes: Vec<(GroupKey, LaneKey)>,
@@ -38,9 +40,15 @@
     pub(crate) mean_run_us: f32,
     pub(crate) name: TeamName,
     /// Whether the team has a record.
+    /// Whether a lane waits for tokens.
+    pub(crate) parked: bool,
     pub(crate) present: bool,
+    /// Ranks by which it stands in the orders of the policies.
+    pub(crate) ranks: [Option<Rank>; POLICIES],
     retry_credit: f32,
     pub(crate) running: u32,
+    /// Number of its last start.
+    pub(crate) served: u64,
     /// Tasks known here, also those that only await the end of their call.
     pub(crate) tasks: u32,
     pub(crate) tokens: TokenPool,
@@ -54,6 +62,7 @@
         Self {
             backlog_weight: 0,
             fleet_running: 0,
+            gang_since_us: 0,
             frozen: 0,
             lanes: Vec::new(),
             limited: false,
@@ -61,9 +70,12 @@
             max_waiting: u32::MAX,
             mean_run_us: 0.0,
             name,
+            parked: false,
             present: false,
+            ranks: [None; POLICIES],
             retry_credit: RETRY_CREDIT_LIMIT,
             running: 0,
+            served: 0,
             tasks: 0,
             tokens: TokenPool::default(),
             waiting: [0; POLICIES],
@@ -109,6 +121,11 @@
         self.effective_running() * 1_000_000 / u64::from(self.weight_millis.max(1))
     }
 
+    /// Place in the order of teams.
+    pub(crate) fn rank(&self) -> Rank {
+        (self.share(), self.served)
+    }
+
     pub(crate) fn all_waiting(&self) -> u32 {
         self.waiting.iter().sum()
     }
--- a/crates/kernel/src/teams.rs
+++ b/crates/kernel/src/teams.rs
@@ -123,14 +123,10 @@
 
     /// Moves the team's lanes to their place for its present share and tokens.
     pub(crate) fn team_changed(&mut self, key: TeamKey) {
-        let team = &self.teams[key];
-        let share = team.share();
-        let may_start = team.startable() > 0;
-        for (_, lane) in &team.lanes {
-            if may_start {
-                self.waiting.unpark(*lane, share);
-            }
-            self.waiting.rank(*lane, share);
+        let team = &mut self.teams[key];
+        self.waiting.lower_rank(key, team);
+        if team.parked && team.startable() > 0 {
+            self.waiting.unpark(key, team);
         }
     }
 
