--- /dev/null
+++ b/crates/testkit/src/caller.rs
@@ -0,0 +1,139 @@
+//! A caller with a team's key.
+
+use {
+    crate::{CellError, Seen},
+    bytes::Bytes,
+    serde_json::Value,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest wait for an answer beyond the deadline.
+const WAIT_MARGIN: Duration = Duration::from_secs(5);
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Body, for example of `TaskBody::to_json`.
+    pub body: Bytes,
+    /// Deadline.
+    pub deadline: Duration,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Queue.
+    pub queue: String,
+    /// Request identifier; the same for a resend.
+    pub request: String,
+}
+
+/// Answer to a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallerAnswer {
+    /// Body, complete.
+    pub body: Bytes,
+    /// Log index that the answer reflects.
+    pub index: Option<u64>,
+    /// Outcome from the header.
+    pub seen: Seen,
+    /// HTTP status.
+    pub status: u16,
+}
+
+/// Sends requests and queued work to entry VMs.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: reqwest::Client,
+    key: Option<String>,
+}
+
+impl Caller {
+    /// Creates a caller; without a key it can use open queues only.
+    pub fn new(key: Option<&str>) -> Self {
+        Self {
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("a client without TLS needs no system support"),
+            key: key.map(str::to_owned),
+        }
+    }
+
+    /// Sends a request once and waits for its answer.
+    pub async fn send(&self, entry: SocketAddr, request: &CallerRequest) -> Result<CallerAnswer, CellError> {
+        let url = format!("http://{entry}/v1/queues/{}/requests", request.queue);
+        let call = self
+            .client
+            .post(&url)
+            .header("fuchsiatack-request-id", &request.request)
+            .header("fuchsiatack-deadline-ms", request.deadline.as_millis() as u64)
+            .header("fuchsiatack-idempotent", request.idempotent.to_string())
+            .timeout(request.deadline + WAIT_MARGIN)
+            .body(request.body.clone());
+        let answer = self
+            .keyed(call)
+            .send()
+            .await
+            .map_err(|error| failed(&url, &error))?;
+        let header = |name: &str| {
+            let value = answer.headers().get(name);
+            value.and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        Ok(CallerAnswer {
+            index: header("fuchsiatack-index").and_then(|index| index.parse().ok()),
+            seen: Seen::from_header(&header("fuchsiatack-outcome").unwrap_or_default()),
+            status: answer.status().as_u16(),
+            body: answer.bytes().await.map_err(|error| failed(&url, &error))?,
+        })
+    }
+
+    /// Submits queued work: a record of kind `work` as JSON. A resend has the same operation id.
+    pub async fn submit(
+        &self,
+        entry: SocketAddr,
+        operation: &str,
+        record: &Value,
+    ) -> Result<Value, CellError> {
+        let url = format!("http://{entry}/v1/work");
+        let call = self.client.post(&url).json(record);
+        self.work_call(&url, call.header("fuchsiatack-operation-id", operation))
+            .await
+    }
+
+    /// Reads the record and status of a work.
+    pub async fn read(&self, entry: SocketAddr, name: &str) -> Result<Value, CellError> {
+        let url = format!("http://{entry}/v1/work/{name}");
+        self.work_call(&url, self.client.get(&url)).await
+    }
+
+    /// Cancels a work.
+    pub async fn cancel(&self, entry: SocketAddr, operation: &str, name: &str) -> Result<Value, CellError> {
+        let url = format!("http://{entry}/v1/work/{name}");
+        let call = self.client.delete(&url);
+        self.work_call(&url, call.header("fuchsiatack-operation-id", operation))
+            .await
+    }
+
+    async fn work_call(&self, url: &str, call: reqwest::RequestBuilder) -> Result<Value, CellError> {
+        let call = self.keyed(call).timeout(WAIT_MARGIN);
+        let answer = call.send().await.map_err(|error| failed(url, &error))?;
+        let status = answer.status();
+        let text = answer.text().await.map_err(|error| failed(url, &error))?;
+        match status.is_success() {
+            true => serde_json::from_str(&text).map_err(|error| failed(url, &error)),
+            false => Err(failed(url, &format!("{status} {text}"))),
+        }
+    }
+
+    fn keyed(&self, call: reqwest::RequestBuilder) -> reqwest::RequestBuilder {
+        match &self.key {
+            Some(key) => call.bearer_auth(key),
+            None => call,
+        }
+    }
+}
+
+fn failed(call: &str, cause: &dyn std::fmt::Display) -> CellError {
+    CellError::Call {
+        call: call.to_owned(),
+        cause: cause.to_string(),
+    }
+}
--- a/crates/testkit/src/cell.rs
+++ b/crates/testkit/src/cell.rs
@@ -8,6 +8,7 @@
         free_address, read_json_log,
     },
     fuchsiatack_model::{KeyName, TeamName, WorkName, WorkerName},
+    futures_util::future::try_join_all,
     serde_json::Value,
     std::{
         collections::BTreeMap,
@@ -250,7 +251,7 @@
                 worker: WorkerName::new(text("name")),
             }),
             "limit" => limit_set(&record["spec"]),
-            "work" => work_submitted(&text("name"), &record["spec"]),
+            "work" => work_submitted(record),
             _ => None,
         };
         self.controls.extend(control.map(ControlEvent::now));
@@ -295,6 +296,20 @@
         self.controls.push(ControlEvent::now(control));
     }
 
+    /// Records that a work, given as a record of schema version 2, was accepted.
+    pub fn record_work(&mut self, record: &Value) {
+        self.controls
+            .extend(work_submitted(record).map(ControlEvent::now));
+    }
+
+    /// Records the status of a work at the end of a test, as `GET /v1/work/{name}` returns it.
+    pub fn record_work_end(&mut self, name: &str, status: &Value) -> Result<(), CellError> {
+        let outcomes = serde_json::from_value(status["outcomes"].clone()).map_err(std::io::Error::other)?;
+        let work = WorkName::new(name);
+        self.record(Control::WorkEnded { outcomes, work });
+        Ok(())
+    }
+
     /// Settings of a load on all daemons, logged for the history checker. Teams are missing.
     pub fn load_settings(&self) -> LoadSettings {
         LoadSettings {
@@ -365,9 +380,8 @@
 
     /// Stops workers, then daemons, gracefully. Returns an error unless all end with exit code 0.
     pub async fn stop(mut self) -> Result<(), CellError> {
-        for worker in self.workers.values_mut() {
-            worker.stop(WAIT_LIMIT).await?;
-        }
+        let stops = self.workers.values_mut().map(|worker| worker.stop(WAIT_LIMIT));
+        try_join_all(stops).await?;
         for daemon in &mut self.daemons {
             if !daemon.process().is_running() {
                 continue;
@@ -511,11 +525,12 @@
     })
 }
 
-fn work_submitted(name: &str, spec: &Value) -> Option<Control> {
+fn work_submitted(record: &Value) -> Option<Control> {
+    let spec = &record["spec"];
     Some(Control::WorkSubmitted {
         idempotent: spec["idempotent"].as_bool()?,
         tasks: spec["tasks"].as_u64()?.try_into().ok()?,
-        work: WorkName::new(name),
+        work: WorkName::new(record["name"].as_str()?),
     })
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Support for tests and measurements: stand-in workers, cells of real processes, faults, load.
 
 mod answer;
+mod caller;
 mod caller_event;
 mod cell;
 mod cell_builder;
@@ -32,6 +33,7 @@
 
 pub use self::{
     answer::{answer_to, is_answer_to, is_whole},
+    caller::{Caller, CallerAnswer, CallerRequest},
     caller_event::{CallerEvent, Seen},
     cell::{Cell, WAIT_LIMIT},
     cell_builder::CellBuilder,
