store: replace members by their records and refuse dropped followers

The leader now adds the new identity as a learner, removes the member of the same name once the learner is caught up, and makes the learner a voter. The other order was ruled out: with the old disk lost, a quorum of four needs all three others. A renewal of a dropped follower fails, which makes a session follow again. Answers are sent after the status is set.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -16,6 +16,9 @@
     },
 };
 
+/// Entries that a learner may lack when it becomes a voter. Under load it never has all of them.
+const CAUGHT_UP_ENTRIES: u64 = 256;
+
 /// What a member does at present.
 #[key]
 pub enum Role {
@@ -173,6 +176,16 @@
         Ok(())
     }
 
+    /// Returns whether a follower answers and lacks few entries. Known on the leader only.
+    pub fn is_caught_up(&self, member: MemberId) -> bool {
+        let limit_ms = self.settings.election_maximum_ms;
+        self.progress.get(&member).is_some_and(|progress| {
+            progress.matching > LogIndex(0)
+                && progress.matching.0 + CAUGHT_UP_ENTRIES >= self.commit.0
+                && self.now_ms < progress.heard_ms + limit_ms
+        })
+    }
+
     /// Returns whether the member has a member list.
     pub fn is_formed(&self) -> bool {
         !self.members.is_empty()
@@ -947,7 +960,7 @@
             },
             MemberChange::Promote(id) => {
                 let found = position(id)?;
-                if self.matching(id).unwrap_or_default() < self.commit {
+                if !self.is_caught_up(id) {
                     return Err(ChangeError::NotCaughtUp(id));
                 }
                 members[found].role = MemberRole::Voter;
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -10,6 +10,9 @@
     tokio::sync::oneshot,
 };
 
+/// A response that is ready to be sent.
+pub(crate) type Answer = (oneshot::Sender<Response>, Response);
+
 /// A call that is answered after a leadership confirmation.
 pub(crate) struct WaitingRead {
     pub(crate) caller: Caller,
@@ -42,16 +45,14 @@
         self.new_reads.push(read);
     }
 
-    /// Answers the proposal at an applied index.
-    pub(crate) fn applied(&mut self, index: LogIndex, term: Term, reply: Reply) {
-        let Some(proposal) = self.proposals.remove(&index) else {
-            return;
-        };
+    /// Returns the answer to the proposal at an applied index.
+    pub(crate) fn applied(&mut self, index: LogIndex, term: Term, reply: Reply) -> Option<Answer> {
+        let proposal = self.proposals.remove(&index)?;
         let response = match proposal.term == term {
             true => Response::Proposed { index, reply },
             false => failed("another leader replaced the command"),
         };
-        let _ = proposal.reply.send(response);
+        Some((proposal.reply, response))
     }
 
     /// Takes the reads that a confirmation answers.
--- a/crates/store/src/followers.rs
+++ b/crates/store/src/followers.rs
@@ -4,7 +4,7 @@
     fuchsiatack_ledger::{Addressed, Audience, Change, Ledger},
     fuchsiatack_model::{LogIndex, SessionId},
     fuchsiatack_wire::{Caller, Frame},
-    std::collections::HashMap,
+    std::collections::{HashMap, HashSet},
     tokio::sync::mpsc,
 };
 
@@ -31,10 +31,11 @@
     }
 }
 
-/// The followers of this leader, by session. One whose queue is full is dropped; it must follow
-/// again once it sees that its index falls behind.
+/// The followers of this leader, by session. One whose queue is full is dropped, and its next
+/// renewal is refused, so that it follows again.
 #[derive(Default)]
 pub(crate) struct Followers {
+    dropped: HashSet<SessionId>,
     followers: HashMap<SessionId, Follower>,
 }
 
@@ -55,24 +56,31 @@
         };
         let is_sent = follower.push(now_ms, ledger.directory(session), index, true);
         if is_sent {
+            self.dropped.remove(&session);
             self.followers.insert(session, follower);
         }
         is_sent
     }
 
     pub(crate) fn clear(&mut self) {
+        self.dropped.clear();
         self.followers.clear();
     }
 
+    /// Returns whether the session followed and was dropped, and forgets it.
+    pub(crate) fn take_dropped(&mut self, session: SessionId) -> bool {
+        self.dropped.remove(&session)
+    }
+
     /// Sends each follower the changes that are for it.
     pub(crate) fn push(&mut self, now_ms: u64, changes: &[Addressed], index: LogIndex) {
         if changes.is_empty() {
             return;
         }
-        self.followers.retain(|session, follower| {
+        self.retain(|session, follower| {
             let own: Vec<_> = changes
                 .iter()
-                .filter(|change| is_for(change.audience, *session))
+                .filter(|change| is_for(change.audience, session))
                 .map(|change| change.change.clone())
                 .collect();
             own.is_empty() || follower.push(now_ms, own, index, false)
@@ -81,7 +89,7 @@
 
     /// Sends the index to followers that have not got one for a while.
     pub(crate) fn push_idle(&mut self, now_ms: u64, index: LogIndex) {
-        self.followers.retain(|_, follower| {
+        self.retain(|_, follower| {
             let is_due = now_ms >= follower.pushed_ms + IDLE_PUSH_MS;
             follower.index >= index || !is_due || follower.push(now_ms, Vec::new(), index, false)
         });
@@ -89,13 +97,21 @@
 
     /// Sends the index to one session if it has not got it. Its lease depends on it.
     pub(crate) fn push_index(&mut self, now_ms: u64, session: SessionId, index: LogIndex) {
-        let keeps_up = match self.followers.get_mut(&session) {
-            Some(follower) if follower.index < index => follower.push(now_ms, Vec::new(), index, false),
-            _ => true,
-        };
-        if !keeps_up {
-            self.followers.remove(&session);
-        }
+        self.retain(|other, follower| {
+            let is_due = other == session && follower.index < index;
+            !is_due || follower.push(now_ms, Vec::new(), index, false)
+        });
+    }
+
+    fn retain(&mut self, mut keeps_up: impl FnMut(SessionId, &mut Follower) -> bool) {
+        let dropped = &mut self.dropped;
+        self.followers.retain(|session, follower| {
+            let is_kept = keeps_up(*session, follower);
+            if !is_kept {
+                dropped.insert(*session);
+            }
+            is_kept
+        });
     }
 }
 
--- a/crates/store/src/formation.rs
+++ b/crates/store/src/formation.rs
@@ -50,9 +50,9 @@
 
 /// Decides whether the cell can be formed.
 ///
-/// A member with an empty disk joins a formed cell only if the cell's member list contains its
+/// A member with an empty disk joins a formed cell only if it is a voter of the cell by its
 /// identity: then it was reachable when the others formed the cell and has not voted yet. With
-/// another identity its disk was lost, and it waits for an operator.
+/// another identity its disk was lost, and it waits for an operator and the leader's snapshot.
 pub(crate) fn decide(
     settings: &StoreSettings,
     own: MemberId,
@@ -63,7 +63,8 @@
         .filter_map(|(_, answer)| answer.as_ref())
         .find(|answer| answer.formed);
     if let Some(formed) = formed {
-        return match formed.members.iter().any(|member| member.id == own) {
+        let is_own = |member: &Member| member.id == own && member.role == MemberRole::Voter;
+        return match formed.members.iter().any(is_own) {
             true => Verdict::Form(formed.members.clone()),
             false => Verdict::Wait,
         };
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -3,18 +3,20 @@
 use {
     crate::{
         StoreError, StoreSettings, StoreStatus,
-        calls::{Calls, WaitingRead, failed},
+        calls::{Answer, Calls, WaitingRead, failed},
         event::{Event, Input},
         followers::Followers,
         formation::{self, Verdict},
+        membership,
         peers::Peers,
         writer::{Job, Writer},
     },
     fuchsiatack_consensus::{
         Entry, Envelope, MemberId, Node, NodeSettings, Payload, Ready, Role, Snapshot, StoredState, Term,
     },
-    fuchsiatack_ledger::{Addressed, Allocator, Command, Ledger, Renewal, Reply, TeamUsage},
-    fuchsiatack_model::{LogIndex, SessionId},
+    fuchsiatack_ledger::{Addressed, Allocator, Command, Ledger, Query, QueryReply, Renewal, Reply},
+    fuchsiatack_model::{LogIndex, SessionId, TeamName},
+    fuchsiatack_records::Kind,
     fuchsiatack_wire::{Formation, NotLeader, Request, Response},
     std::{
         collections::HashMap,
@@ -31,23 +33,51 @@
 
 /// Most inputs that are taken before the node's work is carried out.
 const MAX_INPUTS_PER_TURN: usize = 512;
+/// Interval of checks of the `store_member` records in milliseconds.
+const MEMBERS_INTERVAL_MS: u64 = 100;
+/// Shortest time between two plans in milliseconds, so that many renewals share one.
+const MINIMUM_PLAN_INTERVAL_MS: u64 = 20;
 /// Interval of the allocator's plans in milliseconds.
 const PLAN_INTERVAL_MS: u64 = 100;
 /// Ticks of the node in each heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 4;
 
+/// What a new plan depends on in a renewal.
+#[derive(PartialEq)]
+struct Demand {
+    stopping: bool,
+    waiting: Vec<(TeamName, u32)>,
+}
+
+impl Demand {
+    fn of(renewal: &Renewal) -> Self {
+        let waiting = renewal
+            .usage
+            .iter()
+            .map(|usage| (usage.team.clone(), usage.waiting));
+        Self {
+            stopping: renewal.stopping,
+            waiting: waiting.collect(),
+        }
+    }
+}
+
 /// State of a member that leads.
 struct Leadership {
     allocator: Option<Allocator>,
-    /// Waiting tasks that each session reported last.
-    demand: HashMap<SessionId, Vec<TeamUsage>>,
+    /// What each session reported last.
+    demand: HashMap<SessionId, Demand>,
+    members_due_ms: u64,
     plan_due_ms: u64,
+    planned_ms: u64,
     /// No plan is made before this index is applied.
     planned: LogIndex,
     term: Term,
 }
 
 pub(crate) struct Runtime {
+    /// Answers that are sent once the status shows what they report.
+    answers: Vec<Answer>,
     calls: Calls,
     events: mpsc::UnboundedSender<Event>,
     failure: Option<String>,
@@ -91,6 +121,7 @@
             term: node.term(),
         };
         let mut runtime = Self {
+            answers: Vec::new(),
             calls: Calls::default(),
             events,
             failure: None,
@@ -175,9 +206,9 @@
         let now_ms = self.now_ms();
         self.node.tick(now_ms);
         self.followers.push_idle(now_ms, self.node.applied());
-        let is_due = |leadership: &Leadership| now_ms >= leadership.plan_due_ms;
-        if self.leadership.as_ref().is_some_and(is_due) {
+        if self.leadership.is_some() {
             self.plan();
+            self.change_members();
         }
     }
 
@@ -335,6 +366,9 @@
             formation.abort();
         }
         self.update_status();
+        for (reply, response) in self.answers.drain(..) {
+            let _ = reply.send(response);
+        }
     }
 
     fn confirm_reads(&mut self) {
@@ -397,7 +431,8 @@
                 Payload::Command(command) => self.apply_command(&entry, command, &mut changes),
                 Payload::Members(_) => Reply::Applied,
             };
-            self.calls.applied(entry.index, entry.term, reply);
+            let answer = self.calls.applied(entry.index, entry.term, reply);
+            self.answers.extend(answer);
         }
         let now_ms = self.now_ms();
         self.followers.push(now_ms, &changes, last);
@@ -451,7 +486,7 @@
             Request::Renew(renewal) => self.renew(&renewal, index),
             _ => failed("the store does not answer such calls"),
         };
-        let _ = read.reply.send(response);
+        self.answers.push((read.reply, response));
     }
 
     fn follow(&mut self, caller: fuchsiatack_wire::Caller, session: SessionId, index: LogIndex) -> Response {
@@ -463,6 +498,9 @@
     }
 
     fn renew(&mut self, renewal: &Renewal, index: LogIndex) -> Response {
+        if self.followers.take_dropped(renewal.session) {
+            return failed("the follower did not keep up and must follow again");
+        }
         let now_ms = self.now_ms();
         let Some(leadership) = &mut self.leadership else {
             return self.not_leader();
@@ -472,11 +510,12 @@
         };
         let mut advice = allocator.renewed(now_ms, renewal, &self.ledger);
         advice.commit = index;
-        let changed = leadership.demand.get(&renewal.session) != Some(&renewal.usage);
-        if changed {
-            leadership.demand.insert(renewal.session, renewal.usage.clone());
-            self.plan();
+        let demand = Demand::of(renewal);
+        if leadership.demand.get(&renewal.session) != Some(&demand) {
+            leadership.demand.insert(renewal.session, demand);
+            leadership.plan_due_ms = leadership.planned_ms + MINIMUM_PLAN_INTERVAL_MS;
         }
+        self.plan();
         self.followers.push_index(now_ms, renewal.session, index);
         Response::Renewed(advice)
     }
@@ -499,8 +538,10 @@
             self.leadership = Some(Leadership {
                 allocator: allocator.map(|settings| Allocator::new(settings, now_ms)),
                 demand: HashMap::new(),
+                members_due_ms: now_ms,
                 plan_due_ms: now_ms,
                 planned: self.node.last(),
+                planned_ms: 0,
                 term,
             });
         }
@@ -513,16 +554,17 @@
         self.calls.lost_leadership(&not_leader);
     }
 
-    /// Proposes the allocator's commands, unless former ones are not applied yet.
+    /// Proposes the allocator's commands if a plan is due and former ones are applied.
     fn plan(&mut self) {
         let now_ms = self.now_ms();
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        if self.node.applied() < leadership.planned {
+        if now_ms < leadership.plan_due_ms || self.node.applied() < leadership.planned {
             return;
         }
         leadership.plan_due_ms = now_ms + PLAN_INTERVAL_MS;
+        leadership.planned_ms = now_ms;
         let Some(allocator) = &mut leadership.allocator else {
             return;
         };
@@ -538,6 +580,27 @@
         }
     }
 
+    /// Proposes the next change of the member list that the records ask for. It is tried again
+    /// later if an earlier change is not committed yet.
+    fn change_members(&mut self) {
+        let now_ms = self.now_ms();
+        match &mut self.leadership {
+            Some(leadership) if now_ms >= leadership.members_due_ms => {
+                leadership.members_due_ms = now_ms + MEMBERS_INTERVAL_MS;
+            }
+            _ => return,
+        }
+        let QueryReply::Records(records) = self.ledger.query(&Query::Records(Kind::StoreMember)) else {
+            return;
+        };
+        let is_caught_up = |member| self.node.is_caught_up(member);
+        let change = membership::next_change(&records, self.node.members(), is_caught_up);
+        if let Some(change) = change {
+            let _ = self.node.propose_members(change);
+            self.peers.learn_all(self.node.members());
+        }
+    }
+
     fn update_status(&self) {
         let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
         status.applied = self.node.applied();
--- a/crates/store/tests/cell.rs
+++ b/crates/store/tests/cell.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use {
-    common::{Cell, caller},
-    fuchsiatack_consensus::disk::DiskFaults,
+    common::{Cell, caller, wait_for},
+    fuchsiatack_consensus::{MemberRole, Role, disk::DiskFaults},
     fuchsiatack_ledger::Command,
     fuchsiatack_wire::{Request, Response},
+    std::time::Duration,
 };
 
 /// Guards against a single member that waits for others.
@@ -46,10 +47,78 @@
     let address = cell.store(leader).status().leader;
 
     let request = Request::Propose(Box::new(Command::Noop));
-    let response = cell.store(follower).call(caller().0, request).await;
+    let response = cell.store(follower).call(caller(1).0, request).await;
 
     match response {
         Response::NotLeader(answer) => assert_eq!(answer.leader, address),
         other => panic!("a follower answered {other:?}"),
     }
 }
+
+/// Guards against a member with a lost disk that votes under its old name, and against a
+/// replacement that does not count in the quorum. The snapshot threshold of the cell is passed, so
+/// the new disk starts from a snapshot.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_disk_does_not_vote_until_it_is_replaced() {
+    let mut cell = Cell::start(3).await;
+    for _ in 0..120 {
+        cell.propose().await;
+    }
+    let leader = cell.leader().await;
+    let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let identity = cell.store(lost).status().identity;
+
+    cell.stop(lost).await;
+    std::fs::remove_dir_all(cell.data_folder(lost)).unwrap();
+    cell.restart(lost, DiskFaults::default()).await;
+    cell.stop(other).await;
+    // The condition is that nothing happens, so a fixed time of several elections has to pass.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let waiting = cell.store(lost).status();
+    let remaining = cell.store(leader).status();
+    cell.restart(other, DiskFaults::default()).await;
+    cell.replace(lost).await;
+    let new = cell.store(lost).status().identity;
+    wait_for("the new disk to count", || {
+        let members = cell.store(lost).status().members;
+        let is_new = members
+            .iter()
+            .any(|member| member.id == new && member.role == MemberRole::Voter);
+        (is_new && members.iter().all(|member| member.id != identity)).then_some(())
+    })
+    .await;
+    cell.stop(other).await;
+    let index = cell.propose().await;
+
+    assert!(!waiting.formed);
+    assert_ne!(remaining.role, Role::Leader);
+    cell.applied_everywhere(index).await;
+}
+
+/// Guards against a member that acknowledges entries after its disk failed, and against a disk
+/// failure that stops the others or stays unseen.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_disk_stops_only_its_member() {
+    let mut cell = Cell::start(3).await;
+    let before = cell.propose().await;
+    let leader = cell.leader().await;
+    let full = (leader + 1) % 3;
+    cell.stop(full).await;
+    let faults = DiskFaults {
+        no_space_after_bytes: Some(2_000),
+        ..DiskFaults::default()
+    };
+    cell.restart(full, faults).await;
+    cell.applied_everywhere(before).await;
+
+    for _ in 0..100 {
+        cell.propose().await;
+    }
+    let failure = wait_for("the failure", || cell.store(full).status().disk_failure).await;
+    let stopped = cell.store(full).status().applied;
+    let after = cell.propose().await;
+
+    assert!(failure.contains("cannot write"), "{failure}");
+    assert!(after > stopped);
+    assert_eq!(cell.store(full).status().applied, stopped);
+}
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -1,9 +1,13 @@
 //! Builder of store cells on loopback.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use {
     fuchsiatack_consensus::{Envelope, Role, disk::DiskFaults},
-    fuchsiatack_ledger::Command,
+    fuchsiatack_ledger::{Command, OperationId, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::LogIndex,
+    fuchsiatack_records::{Record, Spec, StoreMemberSpec},
     fuchsiatack_store::{InitialMember, Store, StoreSettings},
     fuchsiatack_wire::{Caller, CellSecret, Frame, Handler, PeerServer, Request, Response},
     std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
@@ -74,7 +78,6 @@
             self.listed.clone(),
             secret(),
         );
-        settings.allocator = None;
         settings.log_store.faults = faults;
         settings.snapshot_entries = 50;
         let store = Store::start(settings).unwrap();
@@ -125,17 +128,42 @@
 
     /// Proposes a no-op through whoever leads until one is applied.
     pub async fn propose(&self) -> LogIndex {
+        self.propose_command(Command::Noop).await.0
+    }
+
+    /// Proposes a command through whoever leads until it is applied.
+    pub async fn propose_command(&self, command: Command) -> (LogIndex, Reply) {
         let started = Instant::now();
         loop {
-            let leader = self.leader().await;
-            let request = Request::Propose(Box::new(Command::Noop));
-            match self.store(leader).call(caller().0, request).await {
-                Response::Proposed { index, .. } => return index,
+            let request = Request::Propose(Box::new(command.clone()));
+            match self.call(request).await {
+                Response::Proposed { index, reply } => return (index, reply),
                 other => assert!(started.elapsed() < PATIENCE, "not applied: {other:?}"),
             }
         }
     }
 
+    /// Makes a call to whoever leads.
+    pub async fn call(&self, request: Request) -> Response {
+        let leader = self.leader().await;
+        self.store(leader).call(caller(16).0, request).await
+    }
+
+    /// Writes the `store_member` record that names the disk a member has now.
+    pub async fn replace(&self, member: usize) {
+        let spec = StoreMemberSpec {
+            address: self.listed[member].address,
+            identity: self.store(member).status().identity.0,
+        };
+        let record = Record {
+            name: name(member).into(),
+            spec: Spec::StoreMember(spec),
+            version: 0,
+        };
+        let (_, reply) = self.propose_command(write(record, 1)).await;
+        assert_eq!(reply, Reply::Written { version: 1 });
+    }
+
     /// Waits until all running members have applied an index.
     pub async fn applied_everywhere(&self, index: LogIndex) {
         wait_for("all members to apply", || {
@@ -148,9 +176,18 @@
     }
 }
 
+/// Returns the command that writes a record.
+pub fn write(record: Record, operation: u128) -> Command {
+    Command::WriteRecord(RecordWrite {
+        action: RecordAction::Put(Box::new(record)),
+        author: "test".into(),
+        operation: OperationId(operation),
+    })
+}
+
 /// Returns a caller with the frames that are sent back to it.
-pub fn caller() -> (Caller, mpsc::Receiver<Frame>) {
-    let (pushes, frames) = mpsc::channel(16);
+pub fn caller(queue: usize) -> (Caller, mpsc::Receiver<Frame>) {
+    let (pushes, frames) = mpsc::channel(queue);
     (Caller { pushes }, frames)
 }
 
