--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -83,6 +83,7 @@
     pub fn open_with(folder: &Path, settings: LogStoreSettings) -> Result<(Self, StoredState), DiskError> {
         fs::create_dir_all(folder).map_err(failure("create", folder))?;
         let lock = lock(folder)?;
+        remove_temporary_files(folder)?;
         let mut output = Output::default();
         let identity = load_identity(folder, &mut output)?;
         let snapshot = load_snapshot(folder)?;
@@ -478,6 +479,17 @@
     }
 }
 
+/// Removes what a process left that ended while it wrote a file.
+fn remove_temporary_files(folder: &Path) -> Result<(), DiskError> {
+    for entry in fs::read_dir(folder).map_err(failure("list", folder))? {
+        let path = entry.map_err(failure("list", folder))?.path();
+        if path.to_string_lossy().ends_with(TEMPORARY_SUFFIX) {
+            remove(&path)?;
+        }
+    }
+    Ok(())
+}
+
 /// Lists the files `PREFIX-NUMBER` in the order of their numbers.
 fn numbered_files(folder: &Path, prefix: &str) -> Result<Vec<(u64, PathBuf)>, DiskError> {
     let mut files = Vec::new();
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -65,6 +65,18 @@
         self.base_term = term;
     }
 
+    /// Returns the index after which the entries up to `end` have at most `size_bytes`.
+    pub(crate) fn start_of_tail(&self, end: LogIndex, size_bytes: usize) -> LogIndex {
+        let mut left_bytes = size_bytes;
+        let entries = self.range(LogIndex(self.base.0 + 1), end).iter().rev();
+        let kept = entries.take_while(|entry| {
+            let fits = entry.payload.size_bytes() < left_bytes;
+            left_bytes = left_bytes.saturating_sub(entry.payload.size_bytes() + 1);
+            fits
+        });
+        LogIndex(end.0 - kept.count() as u64)
+    }
+
     /// Returns the first index of the run of entries with the term at `index`.
     pub(crate) fn first_of_term(&self, index: LogIndex) -> LogIndex {
         let term = self.term_at(index);
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -160,8 +160,8 @@
             term,
         }));
         self.snapshot_changed = true;
-        let keep_from = up_to.0.saturating_sub(self.settings.trailing_entries);
-        self.log.compact(LogIndex(keep_from));
+        let kept_after = self.log.start_of_tail(up_to, self.settings.trailing_bytes);
+        self.log.compact(kept_after);
     }
 
     /// Asks for a confirmation that this member still leads. `Ready::confirmed` carries the token
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -21,9 +21,9 @@
     pub max_snapshot_part_bytes: usize,
     /// Seed of the election timeouts.
     pub seed: u64,
-    /// Entries kept in memory behind a snapshot, so that a follower that is slightly behind
-    /// needs no snapshot.
-    pub trailing_entries: u64,
+    /// Most payload bytes kept in memory behind a snapshot, so that a follower that is slightly
+    /// behind needs no snapshot.
+    pub trailing_bytes: usize,
 }
 
 impl Default for NodeSettings {
@@ -37,7 +37,7 @@
             max_in_flight: 16,
             max_snapshot_part_bytes: 1 << 20,
             seed: 0,
-            trailing_entries: 1_000,
+            trailing_bytes: 1 << 20,
         }
     }
 }
--- a/crates/consensus/tests/network/mod.rs
+++ b/crates/consensus/tests/network/mod.rs
@@ -309,7 +309,7 @@
         max_in_flight: 3,
         max_snapshot_part_bytes: 10,
         seed,
-        trailing_entries: 3,
+        trailing_bytes: 30,
         ..NodeSettings::default()
     };
     let data = disk.snapshot.as_ref().map(|snapshot| snapshot.data.clone());
--- a/crates/store/src/peers.rs
+++ b/crates/store/src/peers.rs
@@ -3,16 +3,23 @@
 use {
     fuchsiatack_consensus::{Envelope, Member, MemberId},
     fuchsiatack_wire::{CellSecret, Frame, PeerClient, PeerClientSettings},
-    std::{collections::HashMap, net::SocketAddr},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::sync::mpsc,
 };
 
 /// Messages that wait for one member. More are dropped, which consensus tolerates.
 const QUEUE_MESSAGES: usize = 1_024;
+/// Age at which a waiting message is dropped. While a member cannot be reached, each attempt to
+/// connect holds up the queue, and its content would be of no use later.
+const MESSAGE_LIFETIME: Duration = Duration::from_secs(1);
 
 struct Link {
     address: SocketAddr,
-    queue: mpsc::Sender<Envelope>,
+    queue: mpsc::Sender<(Instant, Envelope)>,
 }
 
 /// Sends messages to members without waiting for them.
@@ -60,16 +67,18 @@
             self.links.insert(message.to, link);
         }
         if let Some(link) = self.links.get(&message.to) {
-            let _ = link.queue.try_send(message);
+            let _ = link.queue.try_send((Instant::now(), message));
         }
     }
 
     fn connect(&self, address: SocketAddr) -> Link {
         let client = PeerClient::new(address, self.secret.clone(), self.settings.clone(), None);
-        let (queue, mut messages) = mpsc::channel(QUEUE_MESSAGES);
+        let (queue, mut messages) = mpsc::channel::<(Instant, Envelope)>(QUEUE_MESSAGES);
         tokio::spawn(async move {
-            while let Some(message) = messages.recv().await {
-                client.send(Frame::Consensus(Box::new(message))).await;
+            while let Some((queued, message)) = messages.recv().await {
+                if queued.elapsed() < MESSAGE_LIFETIME {
+                    client.send(Frame::Consensus(Box::new(message))).await;
+                }
             }
         });
         Link { address, queue }
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -92,6 +92,8 @@
     settings: StoreSettings,
     /// Index of the last snapshot that was taken or is being encoded.
     snapshot: LogIndex,
+    /// Bytes of commands that were applied since then.
+    snapshot_lag_bytes: u64,
     snapshot_running: bool,
     started: Instant,
     status: Arc<Mutex<StoreStatus>>,
@@ -135,6 +137,7 @@
             node,
             settings,
             snapshot: snapshot.unwrap_or_default(),
+            snapshot_lag_bytes: 0,
             snapshot_running: false,
             started: Instant::now(),
             status: Arc::new(Mutex::new(status)),
@@ -442,6 +445,7 @@
         if command.is_empty() {
             return Reply::Applied;
         }
+        self.snapshot_lag_bytes += command.len() as u64;
         match postcard::from_bytes(command) {
             Ok(Command::Noop) => Reply::Applied,
             Ok(command) => {
@@ -459,11 +463,13 @@
 
     fn take_snapshot(&mut self) {
         let applied = self.node.applied();
-        let is_due = applied.0 >= self.snapshot.0 + self.settings.snapshot_entries;
+        let is_due = applied.0 >= self.snapshot.0 + self.settings.snapshot_entries
+            || self.snapshot_lag_bytes >= self.settings.snapshot_bytes;
         if !is_due || self.snapshot_running {
             return;
         }
         self.snapshot = applied;
+        self.snapshot_lag_bytes = 0;
         self.snapshot_running = true;
         let ledger = self.ledger.clone();
         let events = self.events.clone();
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -40,6 +40,8 @@
     pub peer: PeerClientSettings,
     /// Secret of the cell.
     pub secret: CellSecret,
+    /// Bytes of applied commands after which a snapshot is taken.
+    pub snapshot_bytes: u64,
     /// Applied entries after which a snapshot is taken.
     pub snapshot_entries: u64,
 }
@@ -63,6 +65,7 @@
             name: name.into(),
             peer: PeerClientSettings::default(),
             secret,
+            snapshot_bytes: 8 << 20,
             snapshot_entries: 10_000,
         }
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -7,7 +7,7 @@
         runtime::Runtime,
         writer::Writer,
     },
-    fuchsiatack_consensus::{Envelope, disk::LogStore},
+    fuchsiatack_consensus::{Envelope, Role, disk::LogStore},
     fuchsiatack_wire::{Caller, Request, Response},
     smol_str::SmolStr,
     std::sync::{Arc, Mutex, PoisonError},
@@ -79,13 +79,15 @@
         let _ = self.shared.inputs.try_send(Input::Consensus(envelope));
     }
 
-    /// Returns the latest state.
+    /// Returns the latest state. After the runtime has ended the member counts as a follower.
     pub fn status(&self) -> StoreStatus {
-        self.shared
-            .status
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        let status = self.shared.status.lock();
+        let mut status = status.unwrap_or_else(PoisonError::into_inner).clone();
+        if self.shared.inputs.is_closed() {
+            status.leader = None;
+            status.role = Role::Follower;
+        }
+        status
     }
 
     /// Stops the runtime and waits until queued writes are done and the folder is released.
