--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -11,13 +11,19 @@
 
 use {
     crate::{
-        Entry, HardState, Member, MemberId, Ready, Snapshot, StoredState, Term,
+        HardState, Member, MemberId, Ready, Snapshot, StoredState, Term,
+        files::{
+            damage, failure, numbered_files, remove, remove_temporary_files, replace_file, sync_folder,
+            with_checksum, without_checksum,
+        },
         frames::{self, Record},
+        output::Output,
+        scan::{ClosedSegment, Scan},
     },
     fuchsiatack_model::LogIndex,
     std::{
         fs::{self, File, OpenOptions, TryLockError},
-        io::{self, Write},
+        io,
         path::{Path, PathBuf},
         sync::Arc,
     },
@@ -27,7 +33,6 @@
 const LOCK_FILE: &str = "lock";
 const SEGMENT_PREFIX: &str = "log-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
-const TEMPORARY_SUFFIX: &str = ".tmp";
 
 /// Settings of a `LogStore`.
 #[derive(Clone, Debug)]
@@ -47,13 +52,6 @@
     }
 }
 
-/// A segment that gets no more frames.
-struct ClosedSegment {
-    /// Highest index of an entry in it.
-    last: LogIndex,
-    path: PathBuf,
-}
-
 /// The open folder. All methods block.
 pub struct LogStore {
     closed: Vec<ClosedSegment>,
@@ -286,146 +284,6 @@
     }
 }
 
-/// What the segments contain.
-#[derive(Default)]
-struct Scan {
-    closed: Vec<ClosedSegment>,
-    entries: Vec<Arc<Entry>>,
-    hard_state: HardState,
-    sequence: u64,
-}
-
-impl Scan {
-    fn read_segment(&mut self, path: &Path, is_last: bool, output: &mut Output) -> Result<(), DiskError> {
-        let file = fs::read(path).map_err(failure("read", path))?;
-        let mut offset = 0;
-        let mut last = LogIndex(0);
-        while offset < file.len() {
-            let Some(frame) = frames::decode(&file, offset) else {
-                if is_last && !frames::has_frame_after(&file, offset) {
-                    break;
-                }
-                return Err(damage(path, offset as u64, "checksum or length is wrong"));
-            };
-            if self.sequence != 0 && frame.sequence != self.sequence + 1 {
-                return Err(damage(path, offset as u64, "a frame before this one is missing"));
-            }
-            self.sequence = frame.sequence;
-            for record in frame.records {
-                if let Record::Entry(entry) = &record {
-                    last = last.max(entry.index);
-                }
-                let is_continuous = self.replay(record);
-                if !is_continuous {
-                    return Err(damage(path, offset as u64, "an entry before this one is missing"));
-                }
-            }
-            offset = frame.end;
-        }
-        // What was read may be in the page cache only, and a failed sync may have marked it clean.
-        // Writing it again is the only way to be sure that it is on the disk.
-        if is_last {
-            replace_file(path, &file[..offset], output)?;
-        }
-        self.closed.push(ClosedSegment {
-            last,
-            path: path.to_owned(),
-        });
-        Ok(())
-    }
-
-    /// Returns whether the record continues the ones before it.
-    fn replay(&mut self, record: Record) -> bool {
-        match record {
-            Record::Entry(entry) => {
-                let first = self.entries.first().map_or(entry.index, |first| first.index);
-                let Some(kept) = entry.index.0.checked_sub(first.0) else {
-                    return false;
-                };
-                if kept as usize > self.entries.len() {
-                    return false;
-                }
-                self.entries.truncate(kept as usize);
-                self.entries.push(entry);
-            }
-            Record::HardState(hard_state) => self.hard_state = hard_state,
-            Record::Reset(_) => self.entries.clear(),
-        }
-        true
-    }
-
-    /// Drops the entries that the snapshot covers. Returns whether the rest had to be discarded
-    /// because it does not continue the snapshot, which happens when the process ended between
-    /// the installation of a snapshot and the start of its segment.
-    fn fit_snapshot(&mut self, snapshot: Option<&Snapshot>, first_path: &Path) -> Result<bool, DiskError> {
-        let Some(first) = self.entries.first().map(|entry| entry.index) else {
-            return Ok(false);
-        };
-        let Some(snapshot) = snapshot else {
-            return Err(damage(first_path, 0, "there are entries but no snapshot"));
-        };
-        if first.0 > snapshot.index.0 + 1 {
-            return Err(damage(first_path, 0, "entries after the snapshot are missing"));
-        }
-        let covered = (snapshot.index.0 + 1 - first.0) as usize;
-        let continues = match covered.checked_sub(1) {
-            None => true,
-            Some(position) => self
-                .entries
-                .get(position)
-                .is_some_and(|entry| entry.term == snapshot.term),
-        };
-        match continues {
-            true => drop(self.entries.drain(..covered)),
-            false => self.entries.clear(),
-        }
-        Ok(!continues)
-    }
-}
-
-/// Writes and syncs, with the faults that a test asks for.
-#[derive(Default)]
-struct Output {
-    bytes: u64,
-    faults: DiskFaults,
-    syncs: u64,
-    writes: u64,
-}
-
-impl Output {
-    fn new(faults: DiskFaults) -> Self {
-        Self {
-            faults,
-            ..Self::default()
-        }
-    }
-
-    fn write(&mut self, file: &mut File, path: &Path, data: &[u8]) -> Result<(), DiskError> {
-        self.writes += 1;
-        let room = self.faults.no_space_after_bytes.map(|limit| limit - self.bytes);
-        let (allowed, error) = match room {
-            _ if self.faults.fail_write == Some(self.writes) => (0, Some(io::ErrorKind::Other)),
-            _ if self.faults.short_write == Some(self.writes) => (data.len() / 2, Some(io::ErrorKind::Other)),
-            Some(room) if room < data.len() as u64 => (room as usize, Some(io::ErrorKind::StorageFull)),
-            _ => (data.len(), None),
-        };
-        file.write_all(&data[..allowed]).map_err(failure("write", path))?;
-        self.bytes += allowed as u64;
-        match error {
-            Some(kind) => Err(failure("write", path)(io::Error::from(kind))),
-            None => Ok(()),
-        }
-    }
-
-    fn sync(&mut self, file: &File, path: &Path) -> Result<(), DiskError> {
-        self.syncs += 1;
-        if self.faults.fail_sync == Some(self.syncs) {
-            return Err(failure("sync", path)(io::Error::from(io::ErrorKind::Other)));
-        }
-        file.sync_data().map_err(failure("sync", path))
-    }
-}
-
 fn lock(folder: &Path) -> Result<File, DiskError> {
     let path = folder.join(LOCK_FILE);
     let file = OpenOptions::new()
@@ -479,35 +337,6 @@
     }
 }
 
-/// Removes what a process left that ended while it wrote a file.
-fn remove_temporary_files(folder: &Path) -> Result<(), DiskError> {
-    for entry in fs::read_dir(folder).map_err(failure("list", folder))? {
-        let path = entry.map_err(failure("list", folder))?.path();
-        if path.to_string_lossy().ends_with(TEMPORARY_SUFFIX) {
-            remove(&path)?;
-        }
-    }
-    Ok(())
-}
-
-/// Lists the files `PREFIX-NUMBER` in the order of their numbers.
-fn numbered_files(folder: &Path, prefix: &str) -> Result<Vec<(u64, PathBuf)>, DiskError> {
-    let mut files = Vec::new();
-    for entry in fs::read_dir(folder).map_err(failure("list", folder))? {
-        let path = entry.map_err(failure("list", folder))?.path();
-        let number = path
-            .file_name()
-            .and_then(|name| name.to_str())
-            .and_then(|name| name.strip_prefix(prefix))
-            .and_then(|number| number.parse().ok());
-        if let Some(number) = number {
-            files.push((number, path));
-        }
-    }
-    files.sort_unstable();
-    Ok(files)
-}
-
 fn segment_path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{SEGMENT_PREFIX}{number:020}"))
 }
@@ -515,48 +344,3 @@
 fn snapshot_path(folder: &Path, index: LogIndex) -> PathBuf {
     folder.join(format!("{SNAPSHOT_PREFIX}{:020}", index.0))
 }
-
-/// Writes a temporary file, syncs it, renames it to `path` and syncs the folder.
-fn replace_file(path: &Path, content: &[u8], output: &mut Output) -> Result<(), DiskError> {
-    let mut temporary = path.as_os_str().to_owned();
-    temporary.push(TEMPORARY_SUFFIX);
-    let temporary = PathBuf::from(temporary);
-    let mut file = File::create(&temporary).map_err(failure("create", &temporary))?;
-    output.write(&mut file, &temporary, content)?;
-    output.sync(&file, &temporary)?;
-    fs::rename(&temporary, path).map_err(failure("rename", &temporary))?;
-    sync_folder(output, path.parent().unwrap_or(path))
-}
-
-fn sync_folder(output: &mut Output, folder: &Path) -> Result<(), DiskError> {
-    let file = File::open(folder).map_err(failure("open", folder))?;
-    output.sync(&file, folder)
-}
-
-fn remove(path: &Path) -> Result<(), DiskError> {
-    fs::remove_file(path).map_err(failure("remove", path))
-}
-
-fn with_checksum(body: &[u8]) -> Vec<u8> {
-    let mut file = crc32fast::hash(body).to_le_bytes().to_vec();
-    file.extend_from_slice(body);
-    file
-}
-
-fn without_checksum(file: &[u8]) -> Option<&[u8]> {
-    let (checksum, body) = file.split_first_chunk::<4>()?;
-    (crc32fast::hash(body) == u32::from_le_bytes(*checksum)).then_some(body)
-}
-
-fn damage(file: &Path, offset: u64, reason: &'static str) -> DiskError {
-    DiskError::Damaged {
-        file: file.to_owned(),
-        offset,
-        reason,
-    }
-}
-
-fn failure(action: &'static str, file: &Path) -> impl FnOnce(io::Error) -> DiskError {
-    let file = file.to_owned();
-    move |source| DiskError::File { action, file, source }
-}
--- a/crates/consensus/tests/network/mod.rs
+++ b/crates/consensus/tests/network/mod.rs
@@ -116,35 +116,22 @@
             for _ in 0..self.messages.len() {
                 self.deliver_some();
             }
-            let ids: Vec<_> = self.peers.keys().copied().collect();
-            for id in ids {
+            for id in self.ids() {
                 self.sync(id, usize::MAX);
             }
         }
-        for (id, peer) in &self.peers {
-            let node = &peer.node;
-            let members = node.members().iter().map(|member| (member.id.0, member.role));
-            println!(
-                "{id:?} {:?} {:?} leader {:?} last {:?} commit {:?} members {:?}",
-                node.role(),
-                node.term(),
-                node.leader(),
-                node.last(),
-                node.commit(),
-                members.collect::<Vec<_>>()
-            );
+        for (id, Peer { node, .. }) in &self.peers {
+            println!("{id:?} {:?} {:?} {:?}", node.role(), node.term(), node.members());
         }
         panic!("no progress: {what}");
     }
 
     pub fn leader(&self) -> Option<MemberId> {
-        let leads = |(_, peer): &(&MemberId, &Peer)| peer.node.role() == Role::Leader;
-        let newest = self
-            .peers
-            .iter()
-            .filter(leads)
-            .max_by_key(|(_, peer)| peer.node.term());
-        newest.map(|(id, _)| *id)
+        let leaders = self
+            .ids()
+            .into_iter()
+            .filter(|id| self.node(*id).role() == Role::Leader);
+        leaders.max_by_key(|id| self.node(*id).term())
     }
 
     /// Returns whether every member of the newest list has applied everything that is committed.
@@ -179,17 +166,19 @@
 
     pub fn pass_time(&mut self) {
         self.now_ms += self.random.random_range(1..12);
-        let ids: Vec<_> = self.peers.keys().copied().collect();
-        for id in ids {
+        for id in self.ids() {
             let now_ms = self.now_ms;
             self.node_mut(id).tick(now_ms);
             self.run(id);
         }
     }
 
+    fn ids(&self) -> Vec<MemberId> {
+        self.peers.keys().copied().collect()
+    }
+
     fn random_member(&mut self) -> MemberId {
-        let ids: Vec<_> = self.peers.keys().copied().collect();
-        *ids.choose(&mut self.random).unwrap()
+        *self.ids().choose(&mut self.random).unwrap()
     }
 
     /// Takes a random message off the network and delivers, repeats or loses it.
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -12,19 +12,22 @@
 const OWN: MemberId = MemberId(1);
 const OTHER: MemberId = MemberId(2);
 
-/// Returns a member of three whose disk holds one entry of term 1, elected in term 4.
-fn leader() -> Node {
+fn entry(index: u64, term: Term) -> Arc<Entry> {
+    Arc::new(Entry {
+        index: LogIndex(index),
+        payload: Payload::Command(vec![1]),
+        term,
+    })
+}
+
+/// Returns a member of three whose disk holds one entry of term 1.
+fn follower() -> Node {
     let member = |id| Member {
         address: ([127, 0, 0, 1], id as u16).into(),
         id: MemberId(id),
         name: "member".into(),
         role: MemberRole::Voter,
     };
-    let entry = Entry {
-        index: LogIndex(1),
-        payload: Payload::Command(vec![1]),
-        term: Term(1),
-    };
     let snapshot = Snapshot {
         data: Vec::new(),
         index: LogIndex(0),
@@ -32,7 +35,7 @@
         term: Term(0),
     };
     let stored = StoredState {
-        entries: vec![Arc::new(entry)],
+        entries: vec![entry(1, Term(1))],
         hard_state: HardState {
             term: Term(3),
             vote: None,
@@ -44,7 +47,12 @@
         id: OWN,
         ..NodeSettings::default()
     };
-    let mut node = Node::new(settings, stored);
+    Node::new(settings, stored)
+}
+
+/// Returns the member after its election in term 4.
+fn leader() -> Node {
+    let mut node = follower();
     node.tick(0);
     node.tick(1_000);
     let granted = true;
@@ -134,3 +142,33 @@
     assert!(early.is_empty());
     assert_eq!(confirmed, [7]);
 }
+
+/// Guards against acknowledged entries that are lost to a late snapshot of the log before them.
+#[test]
+fn late_snapshot_keeps_the_entries_behind_it() {
+    let mut node = follower();
+    let append = Body::Append {
+        commit: LogIndex(0),
+        entries: vec![entry(2, Term(4))],
+        previous: LogIndex(1),
+        previous_term: Term(1),
+        term: Term(4),
+    };
+    let part = Body::SnapshotPart {
+        data: vec![1],
+        index: LogIndex(1),
+        members: node.members().to_vec(),
+        offset: 0,
+        snapshot_term: Term(1),
+        term: Term(4),
+        total: 1,
+    };
+
+    receive(&mut node, append);
+    sync(&mut node);
+    receive(&mut node, part);
+    let ready = sync(&mut node);
+
+    assert!(ready.install_snapshot && !ready.reset_log);
+    assert_eq!((node.commit(), node.last()), (LogIndex(1), LogIndex(2)));
+}
--- /dev/null
+++ b/crates/store/src/leadership.rs
@@ -0,0 +1,41 @@
+//! State that a store member has only while it leads.
+
+use {
+    fuchsiatack_consensus::Term,
+    fuchsiatack_ledger::{Allocator, Renewal},
+    fuchsiatack_model::{LogIndex, SessionId, TeamName},
+    std::collections::HashMap,
+};
+
+/// What a new plan depends on in a renewal.
+#[derive(PartialEq)]
+pub(crate) struct Demand {
+    stopping: bool,
+    waiting: Vec<(TeamName, u32)>,
+}
+
+impl Demand {
+    pub(crate) fn of(renewal: &Renewal) -> Self {
+        let waiting = renewal
+            .usage
+            .iter()
+            .map(|usage| (usage.team.clone(), usage.waiting));
+        Self {
+            stopping: renewal.stopping,
+            waiting: waiting.collect(),
+        }
+    }
+}
+
+/// State of a member that leads.
+pub(crate) struct Leadership {
+    pub(crate) allocator: Option<Allocator>,
+    /// What each session reported last.
+    pub(crate) demand: HashMap<SessionId, Demand>,
+    pub(crate) members_due_ms: u64,
+    pub(crate) plan_due_ms: u64,
+    pub(crate) planned_ms: u64,
+    /// No plan is made before this index is applied.
+    pub(crate) planned: LogIndex,
+    pub(crate) term: Term,
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 mod event;
 mod followers;
 mod formation;
+mod leadership;
 mod membership;
 mod peers;
 mod runtime;
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -7,15 +7,16 @@
         event::{Event, Input},
         followers::Followers,
         formation::{self, Verdict},
+        leadership::{Demand, Leadership},
         membership,
         peers::Peers,
         writer::{Job, Writer},
     },
     fuchsiatack_consensus::{
-        Entry, Envelope, MemberId, Node, NodeSettings, Payload, Ready, Role, Snapshot, StoredState, Term,
+        Entry, Envelope, MemberId, Node, NodeSettings, Payload, Ready, Role, Snapshot, StoredState,
     },
     fuchsiatack_ledger::{Addressed, Allocator, Command, Ledger, Query, QueryReply, Renewal, Reply},
-    fuchsiatack_model::{LogIndex, SessionId, TeamName},
+    fuchsiatack_model::{LogIndex, SessionId},
     fuchsiatack_records::Kind,
     fuchsiatack_wire::{Formation, NotLeader, Request, Response},
     std::{
@@ -42,39 +43,6 @@
 /// Ticks of the node in each heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 4;
 
-/// What a new plan depends on in a renewal.
-#[derive(PartialEq)]
-struct Demand {
-    stopping: bool,
-    waiting: Vec<(TeamName, u32)>,
-}
-
-impl Demand {
-    fn of(renewal: &Renewal) -> Self {
-        let waiting = renewal
-            .usage
-            .iter()
-            .map(|usage| (usage.team.clone(), usage.waiting));
-        Self {
-            stopping: renewal.stopping,
-            waiting: waiting.collect(),
-        }
-    }
-}
-
-/// State of a member that leads.
-struct Leadership {
-    allocator: Option<Allocator>,
-    /// What each session reported last.
-    demand: HashMap<SessionId, Demand>,
-    members_due_ms: u64,
-    plan_due_ms: u64,
-    planned_ms: u64,
-    /// No plan is made before this index is applied.
-    planned: LogIndex,
-    term: Term,
-}
-
 pub(crate) struct Runtime {
     /// Answers that are sent once the status shows what they report.
     answers: Vec<Answer>,
@@ -430,6 +398,9 @@
         };
         let mut changes = Vec::new();
         for entry in entries {
+            if self.failure.is_some() {
+                return;
+            }
             let reply = match &entry.payload {
                 Payload::Command(command) => self.apply_command(&entry, command, &mut changes),
                 Payload::Members(_) => Reply::Applied,
