store: hand the leadership over in a planned stop

Cause: a stopping leader failed the proposals it had accepted, with an unknown effect, and the cell had no leader for an election timeout. A planned stop must interrupt no request.

A stopping leader takes no more calls, answers the accepted ones and asks a voter that has the whole log to start an election, for at most 2 s. Ruled out: waiting for the election timeout of the others, which takes 150 ms or more and leaves calls without an answer. Calls that reach a stopped store get NotLeader, since they had no effect.

The tests crash members by dropping the store, as a stop would hand over.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -12,7 +12,14 @@
     pub(crate) fn check_term(&mut self, from: MemberId, body: &Body) -> bool {
         let term = body.term();
         let is_election = matches!(body, Body::PreVote { .. } | Body::Vote { .. });
-        if is_election && self.has_live_leader() {
+        let is_transferred = matches!(
+            body,
+            Body::Vote {
+                transferred: true,
+                ..
+            }
+        );
+        if is_election && !is_transferred && self.has_live_leader() {
             return false;
         }
         match body {
@@ -66,7 +73,7 @@
         self.count_votes();
     }
 
-    pub(crate) fn start_election(&mut self) {
+    pub(crate) fn start_election(&mut self, transferred: bool) {
         self.role = Role::Candidate;
         self.leader = None;
         self.term = self.term.next();
@@ -79,6 +86,7 @@
             last: self.log.last(),
             last_term: self.log.last_term(),
             term: self.term,
+            transferred,
         };
         self.send_to_voters(&body, true);
     }
@@ -87,7 +95,7 @@
         let votes = &self.votes;
         match self.role {
             _ if !self.is_quorum(|member| votes.contains(&member)) => {}
-            Role::PreCandidate => self.start_election(),
+            Role::PreCandidate => self.start_election(false),
             Role::Candidate => self.become_leader(),
             Role::Follower | Role::Leader => {}
         }
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -41,6 +41,12 @@
         /// Sender's term.
         term: Term,
     },
+    /// The leader hands its leadership over: the receiver, which has the whole log, starts an
+    /// election at once.
+    Campaign {
+        /// Leader's term.
+        term: Term,
+    },
     /// Sign of life of the leader.
     Heartbeat {
         /// Commit index, at most what the receiver has acknowledged.
@@ -123,6 +129,8 @@
         last_term: Term,
         /// Term of the election.
         term: Term,
+        /// Whether the present leader asked for the election.
+        transferred: bool,
     },
     /// Answer to `Vote`.
     VoteReply {
@@ -139,6 +147,7 @@
         match self {
             Self::Append { term, .. }
             | Self::Appended { term, .. }
+            | Self::Campaign { term }
             | Self::Heartbeat { term, .. }
             | Self::HeartbeatReply { term, .. }
             | Self::Obsolete { term }
@@ -156,7 +165,7 @@
     pub(crate) fn is_from_leader(&self) -> bool {
         matches!(
             self,
-            Self::Append { .. } | Self::Heartbeat { .. } | Self::SnapshotPart { .. }
+            Self::Append { .. } | Self::Campaign { .. } | Self::Heartbeat { .. } | Self::SnapshotPart { .. }
         )
     }
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -314,6 +314,20 @@
         self.term
     }
 
+    /// Asks a voter that has the whole log to take over. It may be repeated until the role changes.
+    pub fn transfer_leadership(&mut self) -> Result<(), NotLeader> {
+        self.require_leader()?;
+        let own = self.settings.id;
+        let (last, term) = (self.log.last(), self.term);
+        let successor = self
+            .voters()
+            .find(|voter| *voter != own && self.is_caught_up(*voter) && self.matching(*voter) == Some(last));
+        if let Some(successor) = successor {
+            self.send(successor, Body::Campaign { term });
+        }
+        Ok(())
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
@@ -345,6 +359,9 @@
             Body::Appended { matching, .. } if self.role == Role::Leader => {
                 self.handle_appended(from, matching);
             }
+            Body::Campaign { .. } if self.role == Role::Follower && self.may_campaign() => {
+                self.start_election(true);
+            }
             Body::Heartbeat { commit, round, .. } if self.role == Role::Follower => {
                 self.advance_follower_commit(commit);
                 let term = self.term;
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -158,32 +158,18 @@
 /// was acknowledged before must be found by the next process.
 #[test]
 fn first_failure_is_final() {
-    let fault = |faults: DiskFaults| LogStoreSettings {
-        faults,
-        ..LogStoreSettings::default()
-    };
-    let second = Some(2);
-    let cases = [
-        DiskFaults {
-            fail_sync: second,
-            ..DiskFaults::default()
-        },
-        DiskFaults {
-            fail_write: second,
-            ..DiskFaults::default()
-        },
-        DiskFaults {
-            short_write: second,
-            ..DiskFaults::default()
-        },
-        DiskFaults {
-            no_space_after_bytes: Some(900),
-            ..DiskFaults::default()
-        },
+    let cases: [fn(&mut DiskFaults); 4] = [
+        |faults| faults.fail_sync = Some(2),
+        |faults| faults.fail_write = Some(2),
+        |faults| faults.short_write = Some(2),
+        |faults| faults.no_space_after_bytes = Some(900),
     ];
-    for faults in cases {
+    for set_fault in cases {
         let (folder, _) = filled();
-        let (mut store, _) = LogStore::open_with(folder.path(), fault(faults.clone())).unwrap();
+        let mut settings = LogStoreSettings::default();
+        set_fault(&mut settings.faults);
+        let faults = settings.faults.clone();
+        let (mut store, _) = LogStore::open_with(folder.path(), settings).unwrap();
 
         store.persist(&append(31, 40, 2)).unwrap();
         let failed = store.persist(&append(41, 50, 2));
--- a/crates/consensus/tests/network/mod.rs
+++ b/crates/consensus/tests/network/mod.rs
@@ -83,7 +83,7 @@
         let id = self.random_member();
         let calm = [100, 550, 240, 50, 20, 10, 20, 4, 2, 4];
         let storm = [100, 330, 60, 50, 40, 10, 10, 20, 8, 8];
-        let mut left: i32 = self.random.random_range(0..if is_storm { 636 } else { 1_000 });
+        let mut left: i32 = self.random.random_range(0..if is_storm { 638 } else { 1_002 });
         let weights = if is_storm { storm } else { calm };
         let chosen = weights.iter().position(|weight| {
             let is_chosen = left < *weight;
@@ -100,7 +100,8 @@
             Some(6) => self.change_members(id),
             Some(7) => self.crash(id),
             Some(8) => drop(self.cut.insert(id)),
-            _ => self.cut.clear(),
+            Some(9) => self.cut.clear(),
+            _ => drop(self.node_mut(id).transfer_leadership()),
         }
     }
 
--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -60,6 +60,11 @@
         self.reads.remove(&token).unwrap_or_default()
     }
 
+    /// Returns whether no call waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.new_reads.is_empty() && self.proposals.is_empty() && self.reads.is_empty()
+    }
+
     /// Gives the new reads a token for a shared confirmation.
     pub(crate) fn next_token(&mut self) -> Option<u64> {
         if self.new_reads.is_empty() {
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -40,6 +40,8 @@
 const MINIMUM_PLAN_INTERVAL_MS: u64 = 20;
 /// Interval of the allocator's plans in milliseconds.
 const PLAN_INTERVAL_MS: u64 = 100;
+/// Longest time in milliseconds that a planned stop waits for a successor.
+const STOP_LIMIT_MS: u64 = 2_000;
 /// Ticks of the node in each heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 4;
 
@@ -64,6 +66,8 @@
     snapshot_lag_bytes: u64,
     snapshot_running: bool,
     started: Instant,
+    /// Time at which a planned stop no longer waits for a successor.
+    stop_due_ms: Option<u64>,
     status: Arc<Mutex<StoreStatus>>,
     writer: Writer,
 }
@@ -108,6 +112,7 @@
             snapshot_lag_bytes: 0,
             snapshot_running: false,
             started: Instant::now(),
+            stop_due_ms: None,
             status: Arc::new(Mutex::new(status)),
             writer,
         };
@@ -145,19 +150,24 @@
             while let Ok(event) = events.try_recv() {
                 self.handle_event(event);
             }
-            let stops = waiting.iter().any(|input| matches!(input, Input::Stop));
             for input in waiting.drain(..) {
                 self.handle_input(input);
             }
             self.advance();
-            if stops {
+            if self.may_stop() {
                 break;
             }
         }
-        self.finish().await;
+        self.finish(inputs).await;
     }
 
-    async fn finish(mut self) {
+    async fn finish(mut self, mut inputs: mpsc::Receiver<Input>) {
+        inputs.close();
+        while let Ok(input) = inputs.try_recv() {
+            if let Input::Call { reply, .. } = input {
+                let _ = reply.send(self.not_leader());
+            }
+        }
         if let Some(formation) = self.formation.take() {
             formation.abort();
         }
@@ -177,12 +187,33 @@
         let now_ms = self.now_ms();
         self.node.tick(now_ms);
         self.followers.push_idle(now_ms, self.node.applied());
-        if self.leadership.is_some() {
-            self.plan();
-            self.change_members();
+        match self.leadership {
+            Some(_) if self.stop_due_ms.is_some() => self.hand_over(),
+            Some(_) => {
+                self.plan();
+                self.change_members();
+            }
+            None => {}
+        }
+    }
+
+    /// Gives the leadership to another member once all accepted calls are answered.
+    fn hand_over(&mut self) {
+        if self.calls.is_empty() {
+            let _ = self.node.transfer_leadership();
         }
     }
 
+    /// Returns whether a planned stop was asked for and another member leads or none can.
+    fn may_stop(&self) -> bool {
+        let Some(due_ms) = self.stop_due_ms else {
+            return false;
+        };
+        let is_alone = self.node.members().len() <= 1 && self.calls.is_empty();
+        let is_replaced = self.node.role() != Role::Leader && self.node.leader().is_some();
+        self.failure.is_some() || is_alone || is_replaced || self.now_ms() >= due_ms
+    }
+
     // Inputs.
 
     fn handle_input(&mut self, input: Input) {
@@ -199,12 +230,14 @@
             Input::Consensus(envelope) if self.failure.is_none() && !self.forming => {
                 self.node.receive(self.now_ms(), envelope);
             }
-            Input::Consensus(_) | Input::Stop => {}
+            Input::Consensus(_) => {}
+            Input::Stop => self.stop_due_ms = Some(self.now_ms() + STOP_LIMIT_MS),
         }
     }
 
     fn handle_call(&mut self, call: WaitingRead) {
-        let is_leader = self.failure.is_none() && self.node.role() == Role::Leader;
+        let accepts = self.failure.is_none() && self.stop_due_ms.is_none();
+        let is_leader = accepts && self.node.role() == Role::Leader;
         match call.request {
             Request::Form(_) => {
                 let _ = call.reply.send(Response::Formation(self.own_formation()));
@@ -537,6 +570,9 @@
         let Some(leadership) = &mut self.leadership else {
             return;
         };
+        if self.stop_due_ms.is_some() {
+            return;
+        }
         if now_ms < leadership.plan_due_ms || self.node.applied() < leadership.planned {
             return;
         }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,13 +3,13 @@
 use {
     crate::{
         StoreError, StoreSettings, StoreStatus,
+        calls::failed,
         event::{Event, Input},
         runtime::Runtime,
         writer::Writer,
     },
     fuchsiatack_consensus::{Envelope, Role, disk::LogStore},
-    fuchsiatack_wire::{Caller, Request, Response},
-    smol_str::SmolStr,
+    fuchsiatack_wire::{Caller, Handler, NotLeader, Request, Response},
     std::sync::{Arc, Mutex, PoisonError},
     tokio::{
         sync::{mpsc, oneshot},
@@ -33,6 +33,16 @@
     shared: Arc<Shared>,
 }
 
+impl Handler for Store {
+    async fn call(&self, caller: Caller, request: Request) -> Response {
+        Self::call(self, caller, request).await
+    }
+
+    fn consensus(&self, envelope: Envelope) {
+        Self::consensus(self, envelope);
+    }
+}
+
 impl Store {
     /// Opens the data folder and starts the runtime. Must be called in a tokio runtime; it reads
     /// the log before it returns.
@@ -64,12 +74,10 @@
             reply,
             request,
         };
-        let stopped = || Response::Failed {
-            message: SmolStr::new_static("the store has stopped"),
-        };
         match self.shared.inputs.send(input).await {
-            Ok(()) => response.await.unwrap_or_else(|_| stopped()),
-            Err(_) => stopped(),
+            Ok(()) => response.await.unwrap_or_else(|_| failed("the store has stopped")),
+            // The call did not reach the runtime, so it had no effect.
+            Err(_) => Response::NotLeader(NotLeader { leader: None }),
         }
     }
 
@@ -91,6 +99,9 @@
     }
 
     /// Stops the runtime and waits until queued writes are done and the folder is released.
+    ///
+    /// A leader first answers the calls it has accepted and hands its leadership over. Messages of
+    /// other members must reach `consensus` until this returns.
     pub async fn stop(self) {
         let _ = self.shared.inputs.send(Input::Stop).await;
         let task = self
--- a/crates/store/tests/cell.rs
+++ b/crates/store/tests/cell.rs
@@ -28,7 +28,7 @@
     let before = cell.propose().await;
     let leader = cell.leader().await;
 
-    cell.stop(leader).await;
+    cell.crash(leader).await;
     let after = cell.propose().await;
     cell.restart(leader, DiskFaults::default()).await;
 
@@ -36,6 +36,35 @@
     cell.applied_everywhere(after).await;
 }
 
+/// Guards against a planned stop that leaves calls in doubt or the cell without a leader: every
+/// proposal made meanwhile must be applied or certainly not, and a successor must lead at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_hands_the_leadership_over() {
+    let cell = Cell::start(3).await;
+    let index = cell.propose().await;
+    cell.applied_everywhere(index).await;
+    let leader = cell.leader().await;
+    let store = cell.store(leader).clone();
+    let term = store.status().term;
+
+    let proposals = (0..50).map(|_| {
+        let store = store.clone();
+        let request = Request::Propose(Box::new(Command::Noop));
+        tokio::spawn(async move { store.call(caller(1).0, request).await })
+    });
+    let proposals: Vec<_> = proposals.collect();
+    store.clone().stop().await;
+    let successor = cell.leader().await;
+
+    assert_ne!(successor, leader);
+    assert_eq!(cell.store(successor).status().term, term.next());
+    for proposal in proposals {
+        let response = proposal.await.unwrap();
+        let is_certain = matches!(response, Response::Proposed { .. } | Response::NotLeader(_));
+        assert!(is_certain, "{response:?}");
+    }
+}
+
 /// Guards against callers that cannot find the leader through another member.
 #[tokio::test(flavor = "multi_thread")]
 async fn followers_name_the_leader() {
@@ -68,10 +97,10 @@
     let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
     let identity = cell.store(lost).status().identity;
 
-    cell.stop(lost).await;
+    cell.crash(lost).await;
     std::fs::remove_dir_all(cell.data_folder(lost)).unwrap();
     cell.restart(lost, DiskFaults::default()).await;
-    cell.stop(other).await;
+    cell.crash(other).await;
     // The condition is that nothing happens, so a fixed time of several elections has to pass.
     tokio::time::sleep(Duration::from_secs(2)).await;
     let waiting = cell.store(lost).status();
@@ -87,7 +116,7 @@
         (is_new && members.iter().all(|member| member.id != identity)).then_some(())
     })
     .await;
-    cell.stop(other).await;
+    cell.crash(other).await;
     let index = cell.propose().await;
 
     assert!(!waiting.formed);
@@ -103,7 +132,7 @@
     let before = cell.propose().await;
     let leader = cell.leader().await;
     let full = (leader + 1) % 3;
-    cell.stop(full).await;
+    cell.crash(full).await;
     let faults = DiskFaults {
         no_space_after_bytes: Some(2_000),
         ..DiskFaults::default()
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -4,13 +4,13 @@
 #![allow(dead_code)]
 
 use {
-    fuchsiatack_consensus::{Envelope, Role, disk::DiskFaults},
+    fuchsiatack_consensus::{Role, disk::DiskFaults},
     fuchsiatack_ledger::{Command, OperationId, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::LogIndex,
     fuchsiatack_records::{Record, Spec, StoreMemberSpec},
     fuchsiatack_store::{InitialMember, Store, StoreSettings},
-    fuchsiatack_wire::{Caller, CellSecret, Frame, Handler, PeerServer, Request, Response},
-    std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
+    fuchsiatack_wire::{Caller, CellSecret, Frame, PeerServer, Request, Response},
+    std::{fs::File, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
     tempfile::TempDir,
     tokio::{
         sync::mpsc,
@@ -22,18 +22,6 @@
 /// Longest wait for a condition.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-struct StoreHandler(Store);
-
-impl Handler for StoreHandler {
-    async fn call(&self, caller: Caller, request: Request) -> Response {
-        self.0.call(caller, request).await
-    }
-
-    fn consensus(&self, envelope: Envelope) {
-        self.0.consensus(envelope);
-    }
-}
-
 /// One running member.
 pub struct Running {
     server: JoinHandle<()>,
@@ -72,34 +60,29 @@
     }
 
     fn run(&self, member: usize, server: PeerServer, faults: DiskFaults) -> Running {
-        let mut settings = StoreSettings::new(
-            name(member),
-            self.data_folder(member),
-            self.listed.clone(),
-            secret(),
-        );
+        let (folder, listed) = (self.data_folder(member), self.listed.clone());
+        let mut settings = StoreSettings::new(name(member), folder, listed, secret());
         settings.log_store.faults = faults;
         settings.snapshot_entries = 50;
         let store = Store::start(settings).unwrap();
-        let handler = Arc::new(StoreHandler(store.clone()));
-        Running {
-            server: tokio::spawn(server.serve(handler)),
-            store,
-        }
+        let server = tokio::spawn(server.serve(Arc::new(store.clone())));
+        Running { server, store }
     }
 
     pub fn data_folder(&self, member: usize) -> PathBuf {
         self.folder.path().join(name(member))
     }
 
-    /// Stops a member and closes its connections.
-    pub async fn stop(&mut self, member: usize) {
+    /// Ends a member without a planned stop and waits until its folder is released.
+    pub async fn crash(&mut self, member: usize) {
         let running = self.members[member].take().unwrap();
         running.server.abort();
-        running.store.stop().await;
+        drop(running);
+        let lock = File::open(self.data_folder(member).join("lock")).unwrap();
+        wait_for("the lock", || lock.try_lock().ok()).await;
     }
 
-    /// Starts a stopped member again on its address.
+    /// Starts an ended member again on its address.
     pub async fn restart(&mut self, member: usize, faults: DiskFaults) {
         let address = self.listed[member].address;
         let started = Instant::now();
--- a/crates/store/tests/follow.rs
+++ b/crates/store/tests/follow.rs
@@ -139,7 +139,7 @@
     };
     wait_for("a snapshot", || has_snapshot().then_some(())).await;
 
-    cell.stop(0).await;
+    cell.crash(0).await;
     cell.restart(0, Default::default()).await;
     let response = cell.call(Request::Query(Query::Records(Kind::Team))).await;
 
