--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use {
-    fuchsiatack_ledger::{Change, Command, EndReason, JournalEntry, LedgerError, Query, QueryReply, Reply},
-    support::{Cell, journal_key},
+    fuchsiatack_ledger::{Change, Command, JournalEntry, LedgerError, Query, QueryReply, Reply},
+    support::{Cell, end, journal_key},
 };
 
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -52,6 +52,7 @@
     let abort = |session| Command::JournalAbort {
         key: journal_key("r"),
         session,
+        unix_ms: 1_000,
     };
 
     assert!(matches!(cell.apply(abort(second)), Reply::Refused(_)));
@@ -59,6 +60,23 @@
     assert_eq!(cell.start("r", second), Reply::JournalStarted);
 }
 
+/// Guards against a late withdrawal that removes a newer start, after which a resend would run twice.
+#[test]
+fn an_abort_leaves_a_later_start_of_the_same_request() {
+    let mut cell = Cell::default();
+    let session = cell.open("a");
+    cell.start("r", session);
+
+    let reply = cell.apply(Command::JournalAbort {
+        key: journal_key("r"),
+        session,
+        unix_ms: 999,
+    });
+
+    assert!(matches!(reply, Reply::Refused(_)));
+    assert!(matches!(entry(&cell, "r"), Some(JournalEntry::Started { .. })));
+}
+
 /// Guards against an early eviction when a team fills its journal.
 #[test]
 fn a_full_journal_refuses_new_starts_and_keeps_the_old() {
@@ -103,8 +121,7 @@
     let mut cell = Cell::default();
     let (old, new) = (cell.open("a"), cell.open("b"));
     cell.start("r", old);
-    let reason = EndReason::Expired;
-    cell.apply(Command::EndSession { reason, session: old });
+    cell.apply(end(old));
 
     let directory = cell.ledger.directory(new);
     let has_old = directory
