--- a/crates/consensus/tests/network/mod.rs
+++ b/crates/consensus/tests/network/mod.rs
@@ -83,7 +83,7 @@
         let id = self.random_member();
         let calm = [100, 550, 240, 50, 20, 10, 20, 4, 2, 4];
         let storm = [100, 330, 60, 50, 40, 10, 10, 20, 8, 8];
-        let mut left: i32 = self.random.random_range(0..if is_storm { 636 } else { 1_000 });
+        let mut left: i32 = self.random.random_range(0..if is_storm { 638 } else { 1_002 });
         let weights = if is_storm { storm } else { calm };
         let chosen = weights.iter().position(|weight| {
             let is_chosen = left < *weight;
@@ -100,7 +100,8 @@
             Some(6) => self.change_members(id),
             Some(7) => self.crash(id),
             Some(8) => drop(self.cut.insert(id)),
-            _ => self.cut.clear(),
+            Some(9) => self.cut.clear(),
+            _ => drop(self.node_mut(id).transfer_leadership()),
         }
     }
 
@@ -116,35 +117,22 @@
             for _ in 0..self.messages.len() {
                 self.deliver_some();
             }
-            let ids: Vec<_> = self.peers.keys().copied().collect();
-            for id in ids {
+            for id in self.ids() {
                 self.sync(id, usize::MAX);
             }
         }
-        for (id, peer) in &self.peers {
-            let node = &peer.node;
-            let members = node.members().iter().map(|member| (member.id.0, member.role));
-            println!(
-                "{id:?} {:?} {:?} leader {:?} last {:?} commit {:?} members {:?}",
-                node.role(),
-                node.term(),
-                node.leader(),
-                node.last(),
-                node.commit(),
-                members.collect::<Vec<_>>()
-            );
+        for (id, Peer { node, .. }) in &self.peers {
+            println!("{id:?} {:?} {:?} {:?}", node.role(), node.term(), node.members());
         }
         panic!("no progress: {what}");
     }
 
     pub fn leader(&self) -> Option<MemberId> {
-        let leads = |(_, peer): &(&MemberId, &Peer)| peer.node.role() == Role::Leader;
-        let newest = self
-            .peers
-            .iter()
-            .filter(leads)
-            .max_by_key(|(_, peer)| peer.node.term());
-        newest.map(|(id, _)| *id)
+        let leaders = self
+            .ids()
+            .into_iter()
+            .filter(|id| self.node(*id).role() == Role::Leader);
+        leaders.max_by_key(|id| self.node(*id).term())
     }
 
     /// Returns whether every member of the newest list has applied everything that is committed.
@@ -179,17 +167,19 @@
 
     pub fn pass_time(&mut self) {
         self.now_ms += self.random.random_range(1..12);
-        let ids: Vec<_> = self.peers.keys().copied().collect();
-        for id in ids {
+        for id in self.ids() {
             let now_ms = self.now_ms;
             self.node_mut(id).tick(now_ms);
             self.run(id);
         }
     }
 
+    fn ids(&self) -> Vec<MemberId> {
+        self.peers.keys().copied().collect()
+    }
+
     fn random_member(&mut self) -> MemberId {
-        let ids: Vec<_> = self.peers.keys().copied().collect();
-        *ids.choose(&mut self.random).unwrap()
+        *self.ids().choose(&mut self.random).unwrap()
     }
 
     /// Takes a random message off the network and delivers, repeats or loses it.
@@ -309,7 +299,7 @@
         max_in_flight: 3,
         max_snapshot_part_bytes: 10,
         seed,
-        trailing_entries: 3,
+        trailing_bytes: 30,
         ..NodeSettings::default()
     };
     let data = disk.snapshot.as_ref().map(|snapshot| snapshot.data.clone());
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -3,18 +3,21 @@
 use {
     crate::{
         StoreError, StoreSettings, StoreStatus,
-        calls::{Calls, WaitingRead, failed},
+        calls::{Answer, Calls, WaitingRead, failed},
         event::{Event, Input},
         followers::Followers,
         formation::{self, Verdict},
+        leadership::{Demand, Leadership},
+        membership,
         peers::Peers,
         writer::{Job, Writer},
     },
     fuchsiatack_consensus::{
-        Entry, Envelope, MemberId, Node, NodeSettings, Payload, Ready, Role, Snapshot, StoredState, Term,
+        Entry, Envelope, MemberId, Node, NodeSettings, Payload, Ready, Role, Snapshot, StoredState,
     },
-    fuchsiatack_ledger::{Addressed, Allocator, Command, Ledger, Renewal, Reply, TeamUsage},
+    fuchsiatack_ledger::{Addressed, Allocator, Command, Ledger, Query, QueryReply, Renewal, Reply},
     fuchsiatack_model::{LogIndex, SessionId},
+    fuchsiatack_records::Kind,
     fuchsiatack_wire::{Formation, NotLeader, Request, Response},
     std::{
         collections::HashMap,
@@ -31,23 +34,20 @@
 
 /// Most inputs that are taken before the node's work is carried out.
 const MAX_INPUTS_PER_TURN: usize = 512;
+/// Interval of checks of the `store_member` records in milliseconds.
+const MEMBERS_INTERVAL_MS: u64 = 100;
+/// Shortest time between two plans in milliseconds, so that many renewals share one.
+const MINIMUM_PLAN_INTERVAL_MS: u64 = 20;
 /// Interval of the allocator's plans in milliseconds.
 const PLAN_INTERVAL_MS: u64 = 100;
+/// Longest time in milliseconds that a planned stop waits for a successor.
+const STOP_LIMIT_MS: u64 = 2_000;
 /// Ticks of the node in each heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 4;
 
-/// State of a member that leads.
-struct Leadership {
-    allocator: Option<Allocator>,
-    /// Waiting tasks that each session reported last.
-    demand: HashMap<SessionId, Vec<TeamUsage>>,
-    plan_due_ms: u64,
-    /// No plan is made before this index is applied.
-    planned: LogIndex,
-    term: Term,
-}
-
 pub(crate) struct Runtime {
+    /// Answers that are sent once the status shows what they report.
+    answers: Vec<Answer>,
     calls: Calls,
     events: mpsc::UnboundedSender<Event>,
     failure: Option<String>,
@@ -62,8 +62,12 @@
     settings: StoreSettings,
     /// Index of the last snapshot that was taken or is being encoded.
     snapshot: LogIndex,
+    /// Bytes of commands that were applied since then.
+    snapshot_lag_bytes: u64,
     snapshot_running: bool,
     started: Instant,
+    /// Time at which a planned stop no longer waits for a successor.
+    stop_due_ms: Option<u64>,
     status: Arc<Mutex<StoreStatus>>,
     writer: Writer,
 }
@@ -91,6 +95,7 @@
             term: node.term(),
         };
         let mut runtime = Self {
+            answers: Vec::new(),
             calls: Calls::default(),
             events,
             failure: None,
@@ -104,8 +109,10 @@
             node,
             settings,
             snapshot: snapshot.unwrap_or_default(),
+            snapshot_lag_bytes: 0,
             snapshot_running: false,
             started: Instant::now(),
+            stop_due_ms: None,
             status: Arc::new(Mutex::new(status)),
             writer,
         };
@@ -143,19 +150,24 @@
             while let Ok(event) = events.try_recv() {
                 self.handle_event(event);
             }
-            let stops = waiting.iter().any(|input| matches!(input, Input::Stop));
             for input in waiting.drain(..) {
                 self.handle_input(input);
             }
             self.advance();
-            if stops {
+            if self.may_stop() {
                 break;
             }
         }
-        self.finish().await;
+        self.finish(inputs).await;
     }
 
-    async fn finish(mut self) {
+    async fn finish(mut self, mut inputs: mpsc::Receiver<Input>) {
+        inputs.close();
+        while let Ok(input) = inputs.try_recv() {
+            if let Input::Call { reply, .. } = input {
+                let _ = reply.send(self.not_leader());
+            }
+        }
         if let Some(formation) = self.formation.take() {
             formation.abort();
         }
@@ -175,12 +187,33 @@
         let now_ms = self.now_ms();
         self.node.tick(now_ms);
         self.followers.push_idle(now_ms, self.node.applied());
-        let is_due = |leadership: &Leadership| now_ms >= leadership.plan_due_ms;
-        if self.leadership.as_ref().is_some_and(is_due) {
-            self.plan();
+        match self.leadership {
+            Some(_) if self.stop_due_ms.is_some() => self.hand_over(),
+            Some(_) => {
+                self.plan();
+                self.change_members();
+            }
+            None => {}
         }
     }
 
+    /// Gives the leadership to another member once all accepted calls are answered.
+    fn hand_over(&mut self) {
+        if self.calls.is_empty() {
+            let _ = self.node.transfer_leadership();
+        }
+    }
+
+    /// Returns whether a planned stop was asked for and another member leads or none can.
+    fn may_stop(&self) -> bool {
+        let Some(due_ms) = self.stop_due_ms else {
+            return false;
+        };
+        let is_alone = self.node.members().len() <= 1 && self.calls.is_empty();
+        let is_replaced = self.node.role() != Role::Leader && self.node.leader().is_some();
+        self.failure.is_some() || is_alone || is_replaced || self.now_ms() >= due_ms
+    }
+
     // Inputs.
 
     fn handle_input(&mut self, input: Input) {
@@ -197,12 +230,14 @@
             Input::Consensus(envelope) if self.failure.is_none() && !self.forming => {
                 self.node.receive(self.now_ms(), envelope);
             }
-            Input::Consensus(_) | Input::Stop => {}
+            Input::Consensus(_) => {}
+            Input::Stop => self.stop_due_ms = Some(self.now_ms() + STOP_LIMIT_MS),
         }
     }
 
     fn handle_call(&mut self, call: WaitingRead) {
-        let is_leader = self.failure.is_none() && self.node.role() == Role::Leader;
+        let accepts = self.failure.is_none() && self.stop_due_ms.is_none();
+        let is_leader = accepts && self.node.role() == Role::Leader;
         match call.request {
             Request::Form(_) => {
                 let _ = call.reply.send(Response::Formation(self.own_formation()));
@@ -335,6 +370,9 @@
             formation.abort();
         }
         self.update_status();
+        for (reply, response) in self.answers.drain(..) {
+            let _ = reply.send(response);
+        }
     }
 
     fn confirm_reads(&mut self) {
@@ -395,11 +433,15 @@
         self.update_status();
         let mut changes = Vec::new();
         for entry in entries {
+            if self.failure.is_some() {
+                return;
+            }
             let reply = match &entry.payload {
                 Payload::Command(command) => self.apply_command(&entry, command, &mut changes),
                 Payload::Members(_) => Reply::Applied,
             };
-            self.calls.applied(entry.index, entry.term, reply);
+            let answer = self.calls.applied(entry.index, entry.term, reply);
+            self.answers.extend(answer);
         }
         let now_ms = self.now_ms();
         self.followers.push(now_ms, &changes, last);
@@ -409,6 +451,7 @@
         if command.is_empty() {
             return Reply::Applied;
         }
+        self.snapshot_lag_bytes += command.len() as u64;
         match postcard::from_bytes(command) {
             Ok(Command::Noop) => Reply::Applied,
             Ok(command) => {
@@ -426,11 +469,13 @@
 
     fn take_snapshot(&mut self) {
         let applied = self.node.applied();
-        let is_due = applied.0 >= self.snapshot.0 + self.settings.snapshot_entries;
+        let is_due = applied.0 >= self.snapshot.0 + self.settings.snapshot_entries
+            || self.snapshot_lag_bytes >= self.settings.snapshot_bytes;
         if !is_due || self.snapshot_running {
             return;
         }
         self.snapshot = applied;
+        self.snapshot_lag_bytes = 0;
         self.snapshot_running = true;
         let ledger = self.ledger.clone();
         let events = self.events.clone();
@@ -453,7 +498,7 @@
             Request::Renew(renewal) => self.renew(&renewal, index),
             _ => failed("the store does not answer such calls"),
         };
-        let _ = read.reply.send(response);
+        self.answers.push((read.reply, response));
     }
 
     fn follow(&mut self, caller: fuchsiatack_wire::Caller, session: SessionId, index: LogIndex) -> Response {
@@ -465,6 +510,9 @@
     }
 
     fn renew(&mut self, renewal: &Renewal, index: LogIndex) -> Response {
+        if self.followers.take_dropped(renewal.session) {
+            return failed("the follower did not keep up and must follow again");
+        }
         let now_ms = self.now_ms();
         let Some(leadership) = &mut self.leadership else {
             return self.not_leader();
@@ -474,11 +522,12 @@
         };
         let mut advice = allocator.renewed(now_ms, renewal, &self.ledger);
         advice.commit = index;
-        let changed = leadership.demand.get(&renewal.session) != Some(&renewal.usage);
-        if changed {
-            leadership.demand.insert(renewal.session, renewal.usage.clone());
-            self.plan();
+        let demand = Demand::of(renewal);
+        if leadership.demand.get(&renewal.session) != Some(&demand) {
+            leadership.demand.insert(renewal.session, demand);
+            leadership.plan_due_ms = leadership.planned_ms + MINIMUM_PLAN_INTERVAL_MS;
         }
+        self.plan();
         self.followers.push_index(now_ms, renewal.session, index);
         Response::Renewed(advice)
     }
@@ -501,8 +550,10 @@
             self.leadership = Some(Leadership {
                 allocator: allocator.map(|settings| Allocator::new(settings, now_ms)),
                 demand: HashMap::new(),
+                members_due_ms: now_ms,
                 plan_due_ms: now_ms,
                 planned: self.node.last(),
+                planned_ms: 0,
                 term,
             });
         }
@@ -515,16 +566,20 @@
         self.calls.lost_leadership(&not_leader);
     }
 
-    /// Proposes the allocator's commands, unless former ones are not applied yet.
+    /// Proposes the allocator's commands if a plan is due and former ones are applied.
     fn plan(&mut self) {
         let now_ms = self.now_ms();
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        if self.node.applied() < leadership.planned {
+        if self.stop_due_ms.is_some() {
+            return;
+        }
+        if now_ms < leadership.plan_due_ms || self.node.applied() < leadership.planned {
             return;
         }
         leadership.plan_due_ms = now_ms + PLAN_INTERVAL_MS;
+        leadership.planned_ms = now_ms;
         let Some(allocator) = &mut leadership.allocator else {
             return;
         };
@@ -540,6 +595,27 @@
         }
     }
 
+    /// Proposes the next change of the member list that the records ask for. It is tried again
+    /// later if an earlier change is not committed yet.
+    fn change_members(&mut self) {
+        let now_ms = self.now_ms();
+        match &mut self.leadership {
+            Some(leadership) if now_ms >= leadership.members_due_ms => {
+                leadership.members_due_ms = now_ms + MEMBERS_INTERVAL_MS;
+            }
+            _ => return,
+        }
+        let QueryReply::Records(records) = self.ledger.query(&Query::Records(Kind::StoreMember)) else {
+            return;
+        };
+        let is_caught_up = |member| self.node.is_caught_up(member);
+        let change = membership::next_change(&records, self.node.members(), is_caught_up);
+        if let Some(change) = change {
+            let _ = self.node.propose_members(change);
+            self.peers.learn_all(self.node.members());
+        }
+    }
+
     fn update_status(&self) {
         let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
         status.applied = self.node.applied();
--- a/crates/store/tests/cell.rs
+++ b/crates/store/tests/cell.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use {
-    common::{Cell, caller},
-    fuchsiatack_consensus::disk::DiskFaults,
+    common::{Cell, caller, wait_for},
+    fuchsiatack_consensus::{MemberRole, Role, disk::DiskFaults},
     fuchsiatack_ledger::Command,
     fuchsiatack_wire::{Request, Response},
+    std::time::Duration,
 };
 
 /// Guards against a single member that waits for others.
@@ -27,7 +28,7 @@
     let before = cell.propose().await;
     let leader = cell.leader().await;
 
-    cell.stop(leader).await;
+    cell.crash(leader).await;
     let after = cell.propose().await;
     cell.restart(leader, DiskFaults::default()).await;
 
@@ -35,6 +36,35 @@
     cell.applied_everywhere(after).await;
 }
 
+/// Guards against a planned stop that leaves calls in doubt or the cell without a leader: every
+/// proposal made meanwhile must be applied or certainly not, and a successor must lead at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_hands_the_leadership_over() {
+    let cell = Cell::start(3).await;
+    let index = cell.propose().await;
+    cell.applied_everywhere(index).await;
+    let leader = cell.leader().await;
+    let store = cell.store(leader).clone();
+    let term = store.status().term;
+
+    let proposals = (0..50).map(|_| {
+        let store = store.clone();
+        let request = Request::Propose(Box::new(Command::Noop));
+        tokio::spawn(async move { store.call(caller(1).0, request).await })
+    });
+    let proposals: Vec<_> = proposals.collect();
+    store.clone().stop().await;
+    let successor = cell.leader().await;
+
+    assert_ne!(successor, leader);
+    assert_eq!(cell.store(successor).status().term, term.next());
+    for proposal in proposals {
+        let response = proposal.await.unwrap();
+        let is_certain = matches!(response, Response::Proposed { .. } | Response::NotLeader(_));
+        assert!(is_certain, "{response:?}");
+    }
+}
+
 /// Guards against callers that cannot find the leader through another member.
 #[tokio::test(flavor = "multi_thread")]
 async fn followers_name_the_leader() {
@@ -46,10 +76,78 @@
     let address = cell.store(leader).status().leader;
 
     let request = Request::Propose(Box::new(Command::Noop));
-    let response = cell.store(follower).call(caller().0, request).await;
+    let response = cell.store(follower).call(caller(1).0, request).await;
 
     match response {
         Response::NotLeader(answer) => assert_eq!(answer.leader, address),
         other => panic!("a follower answered {other:?}"),
     }
 }
+
+/// Guards against a member with a lost disk that votes under its old name, and against a
+/// replacement that does not count in the quorum. The snapshot threshold of the cell is passed, so
+/// the new disk starts from a snapshot.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_disk_does_not_vote_until_it_is_replaced() {
+    let mut cell = Cell::start(3).await;
+    for _ in 0..120 {
+        cell.propose().await;
+    }
+    let leader = cell.leader().await;
+    let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let identity = cell.store(lost).status().identity;
+
+    cell.crash(lost).await;
+    std::fs::remove_dir_all(cell.data_folder(lost)).unwrap();
+    cell.restart(lost, DiskFaults::default()).await;
+    cell.crash(other).await;
+    // The condition is that nothing happens, so a fixed time of several elections has to pass.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let waiting = cell.store(lost).status();
+    let remaining = cell.store(leader).status();
+    cell.restart(other, DiskFaults::default()).await;
+    cell.replace(lost).await;
+    let new = cell.store(lost).status().identity;
+    wait_for("the new disk to count", || {
+        let members = cell.store(lost).status().members;
+        let is_new = members
+            .iter()
+            .any(|member| member.id == new && member.role == MemberRole::Voter);
+        (is_new && members.iter().all(|member| member.id != identity)).then_some(())
+    })
+    .await;
+    cell.crash(other).await;
+    let index = cell.propose().await;
+
+    assert!(!waiting.formed);
+    assert_ne!(remaining.role, Role::Leader);
+    cell.applied_everywhere(index).await;
+}
+
+/// Guards against a member that acknowledges entries after its disk failed, and against a disk
+/// failure that stops the others or stays unseen.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_disk_stops_only_its_member() {
+    let mut cell = Cell::start(3).await;
+    let before = cell.propose().await;
+    let leader = cell.leader().await;
+    let full = (leader + 1) % 3;
+    cell.crash(full).await;
+    let faults = DiskFaults {
+        no_space_after_bytes: Some(2_000),
+        ..DiskFaults::default()
+    };
+    cell.restart(full, faults).await;
+    cell.applied_everywhere(before).await;
+
+    for _ in 0..100 {
+        cell.propose().await;
+    }
+    let failure = wait_for("the failure", || cell.store(full).status().disk_failure).await;
+    let stopped = cell.store(full).status().applied;
+    let after = cell.propose().await;
+
+    assert!(failure.contains("cannot write"), "{failure}");
+    assert!(after > stopped);
+    assert_eq!(cell.store(full).status().applied, stopped);
+}
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -1,12 +1,16 @@
 //! Builder of store cells on loopback.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use {
-    fuchsiatack_consensus::{Envelope, Role, disk::DiskFaults},
-    fuchsiatack_ledger::Command,
+    fuchsiatack_consensus::{Role, disk::DiskFaults},
+    fuchsiatack_ledger::{Command, OperationId, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::LogIndex,
+    fuchsiatack_records::{Record, Spec, StoreMemberSpec},
     fuchsiatack_store::{InitialMember, Store, StoreSettings},
-    fuchsiatack_wire::{Caller, CellSecret, Frame, Handler, PeerServer, Request, Response},
-    std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
+    fuchsiatack_wire::{Caller, CellSecret, Frame, PeerServer, Request, Response},
+    std::{fs::File, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
     tempfile::TempDir,
     tokio::{
         sync::mpsc,
@@ -18,18 +22,6 @@
 /// Longest wait for a condition.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-struct StoreHandler(Store);
-
-impl Handler for StoreHandler {
-    async fn call(&self, caller: Caller, request: Request) -> Response {
-        self.0.call(caller, request).await
-    }
-
-    fn consensus(&self, envelope: Envelope) {
-        self.0.consensus(envelope);
-    }
-}
-
 /// One running member.
 pub struct Running {
     server: JoinHandle<()>,
@@ -68,35 +60,29 @@
     }
 
     fn run(&self, member: usize, server: PeerServer, faults: DiskFaults) -> Running {
-        let mut settings = StoreSettings::new(
-            name(member),
-            self.data_folder(member),
-            self.listed.clone(),
-            secret(),
-        );
-        settings.allocator = None;
+        let (folder, listed) = (self.data_folder(member), self.listed.clone());
+        let mut settings = StoreSettings::new(name(member), folder, listed, secret());
         settings.log_store.faults = faults;
         settings.snapshot_entries = 50;
         let store = Store::start(settings).unwrap();
-        let handler = Arc::new(StoreHandler(store.clone()));
-        Running {
-            server: tokio::spawn(server.serve(handler)),
-            store,
-        }
+        let server = tokio::spawn(server.serve(Arc::new(store.clone())));
+        Running { server, store }
     }
 
     pub fn data_folder(&self, member: usize) -> PathBuf {
         self.folder.path().join(name(member))
     }
 
-    /// Stops a member and closes its connections.
-    pub async fn stop(&mut self, member: usize) {
+    /// Ends a member without a planned stop and waits until its folder is released.
+    pub async fn crash(&mut self, member: usize) {
         let running = self.members[member].take().unwrap();
         running.server.abort();
-        running.store.stop().await;
+        drop(running);
+        let lock = File::open(self.data_folder(member).join("lock")).unwrap();
+        wait_for("the lock", || lock.try_lock().ok()).await;
     }
 
-    /// Starts a stopped member again on its address.
+    /// Starts an ended member again on its address.
     pub async fn restart(&mut self, member: usize, faults: DiskFaults) {
         let address = self.listed[member].address;
         let started = Instant::now();
@@ -125,17 +111,42 @@
 
     /// Proposes a no-op through whoever leads until one is applied.
     pub async fn propose(&self) -> LogIndex {
+        self.propose_command(Command::Noop).await.0
+    }
+
+    /// Proposes a command through whoever leads until it is applied.
+    pub async fn propose_command(&self, command: Command) -> (LogIndex, Reply) {
         let started = Instant::now();
         loop {
-            let leader = self.leader().await;
-            let request = Request::Propose(Box::new(Command::Noop));
-            match self.store(leader).call(caller().0, request).await {
-                Response::Proposed { index, .. } => return index,
+            let request = Request::Propose(Box::new(command.clone()));
+            match self.call(request).await {
+                Response::Proposed { index, reply } => return (index, reply),
                 other => assert!(started.elapsed() < PATIENCE, "not applied: {other:?}"),
             }
         }
     }
 
+    /// Makes a call to whoever leads.
+    pub async fn call(&self, request: Request) -> Response {
+        let leader = self.leader().await;
+        self.store(leader).call(caller(16).0, request).await
+    }
+
+    /// Writes the `store_member` record that names the disk a member has now.
+    pub async fn replace(&self, member: usize) {
+        let spec = StoreMemberSpec {
+            address: self.listed[member].address,
+            identity: self.store(member).status().identity.0,
+        };
+        let record = Record {
+            name: name(member).into(),
+            spec: Spec::StoreMember(spec),
+            version: 0,
+        };
+        let (_, reply) = self.propose_command(write(record, 1)).await;
+        assert_eq!(reply, Reply::Written { version: 1 });
+    }
+
     /// Waits until all running members have applied an index.
     pub async fn applied_everywhere(&self, index: LogIndex) {
         wait_for("all members to apply", || {
@@ -148,9 +159,18 @@
     }
 }
 
+/// Returns the command that writes a record.
+pub fn write(record: Record, operation: u128) -> Command {
+    Command::WriteRecord(RecordWrite {
+        action: RecordAction::Put(Box::new(record)),
+        author: "test".into(),
+        operation: OperationId(operation),
+    })
+}
+
 /// Returns a caller with the frames that are sent back to it.
-pub fn caller() -> (Caller, mpsc::Receiver<Frame>) {
-    let (pushes, frames) = mpsc::channel(16);
+pub fn caller(queue: usize) -> (Caller, mpsc::Receiver<Frame>) {
+    let (pushes, frames) = mpsc::channel(queue);
     (Caller { pushes }, frames)
 }
 
