kernel: forward waiting requests when a peer shows room

A request that arrived before the first hint of a peer, at a daemon without workers, waited for ever, since forwarding was decided at arrival only. Seen in a cell of three daemons with two workers: requests to the third timed out after 60 s in two of six tests. Each hint now has waiting requests looked at again.

--- a/crates/kernel/src/attachment.rs
+++ b/crates/kernel/src/attachment.rs
@@ -229,6 +229,7 @@
             id: running.task,
             idempotent: false,
             inherited: true,
+            may_forward: false,
             policy: Policy::Batch,
             preempted: false,
             sequence: self.next_sequence,
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -138,7 +138,11 @@
             Event::Ended { end, run_us, task } => self.ended(task, end, run_us, decisions),
             Event::FleetUsage { running, team } => self.fleet_usage(&team, running),
             Event::LeaseChanged { valid } => self.lease_changed(valid, decisions),
-            Event::PeerSeen(load) => self.peers.seen(self.now_us, load),
+            Event::PeerSeen(load) => {
+                self.peers.seen(self.now_us, load);
+                self.place_waiting(decisions);
+                self.forward_waiting(decisions);
+            }
             Event::PeerLeft { daemon } => self.peers.left(&daemon),
             Event::Submit(submission) => self.submit(submission, decisions),
             Event::TeamSet {
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -226,6 +226,7 @@
             id,
             idempotent: submission.class.idempotent,
             inherited: false,
+            may_forward: submission.may_forward,
             policy: submission.class.policy,
             preempted: false,
             sequence: self.next_sequence,
@@ -325,7 +326,7 @@
             .is_some_and(|task| matches!(task.stage, Stage::Waiting(_)))
     }
 
-    fn waiting_interactive(&self) -> Vec<TaskKey> {
+    pub(crate) fn waiting_interactive(&self) -> Vec<TaskKey> {
         self.waiting
             .lanes
             .values()
--- a/crates/kernel/src/task.rs
+++ b/crates/kernel/src/task.rs
@@ -58,6 +58,8 @@
     pub(crate) idempotent: bool,
     /// Started by a former owner of the worker.
     pub(crate) inherited: bool,
+    /// Whether it may be sent to a peer.
+    pub(crate) may_forward: bool,
     pub(crate) policy: Policy,
     /// Order of arrival.
     pub(crate) sequence: u64,
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Cell, id, inherited, slots_only, started, started_tasks, stopped_tasks, submission},
-    fuchsiatack_kernel::{Decision, Event, TaskEnd},
+    fuchsiatack_kernel::{Decision, Event, PeerLoad, TaskEnd},
     fuchsiatack_model::{Policy, Refusal},
 };
 
@@ -302,3 +302,25 @@
 
     assert_eq!(racks, ["r1", "r2", "r3"]);
 }
+
+/// Guards against a request that waits for ever at a daemon without workers, since it arrived
+/// before the first hint of a peer.
+#[test]
+fn a_waiting_request_is_forwarded_when_a_peer_shows_room() {
+    let mut cell = Cell::new().team("anfa", 1_000);
+    assert_eq!(cell.submit(1, "anfa", Policy::Interactive), []);
+
+    let decisions = cell.step(Event::PeerSeen(PeerLoad {
+        daemon: "entry-2".into(),
+        free_slots: 1,
+        token_teams: Vec::new(),
+        waiting: 0,
+    }));
+
+    let forward = Decision::Forward {
+        daemon: "entry-2".into(),
+        task: id(1),
+    };
+    assert_eq!(decisions, [forward]);
+    assert_eq!(cell.kernel.waiting(), 0);
+}
