--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -13,7 +13,7 @@
         request_head::{REQUEST_HEADER, RequestHead, bearer, missing_key, wrong_key},
         shared::Shared,
     },
-    fuchsiatack_ledger::{Command, JournalKey, Query, QueryReply, RecordAction, RecordWrite},
+    fuchsiatack_ledger::{Command, JournalKey, Query, QueryReply, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::{
         AnnounceReply, LogIndex, QueueName, Refusal, TaskClass, TeamName, WorkName, WorkStatus,
         WorkerAnnouncement,
@@ -215,6 +215,10 @@
             .propose(command, true, STORE_LIMIT)
             .await;
         let committed = proposed.map_err(|error| HttpError::unavailable(&error))?;
+        if let Reply::Refused(error) = &committed.reply {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(HttpError::new(status, "refused", error.to_string()));
+        }
         self.shared.session.wait_for(committed.index, STORE_LIMIT).await;
         Ok(())
     }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -197,11 +197,16 @@
         let class = &new.class;
         let is_other = class.session.is_some_and(|session| Some(session) != self.session);
         let is_work = new.jobs.iter().any(|job| matches!(job.reply, ReplyTo::Work(_)));
+        let is_cancelled = new
+            .jobs
+            .iter()
+            .any(|job| matches!(&job.reply, ReplyTo::Work(task) if self.book.is_cancelled(task)));
         let is_full = class
             .queue
             .as_ref()
             .is_some_and(|(queue, most)| self.entries.queued(queue, &class.team) >= *most);
         match () {
+            () if is_cancelled => Some(Refusal::Cancelled),
             () if self.handing_over.is_some() => Some(Refusal::Stopping),
             () if is_other || self.session.is_none() => Some(Refusal::LeaseLapsed),
             // Queued work waits for the lease, since its assignment is the ledger's.
--- a/crates/daemon/src/engine_directory.rs
+++ b/crates/daemon/src/engine_directory.rs
@@ -118,9 +118,8 @@
             Change::TokensSet { team, tokens } => self.feed(Event::TokensSet { team, tokens }),
             Change::WorkCancelled { work } => self.on_work_cancelled(&work),
             Change::WorkerChanged(entry) => self.on_worker_changed(*entry),
+            Change::WorkerForgotten { worker } => drop(self.keepers.remove(&worker)),
             Change::WorkerDetached { moved, worker } => self.on_worker_detached(worker, moved),
-            // Nothing runs on a worker that the store forgets, so no tokens move with it.
-            Change::WorkerForgotten { worker } => self.on_worker_detached(worker, Vec::new()),
         }
     }
 
--- a/crates/daemon/src/engine_work.rs
+++ b/crates/daemon/src/engine_work.rs
@@ -73,6 +73,7 @@
     }
 
     pub(crate) fn on_work_cancelled(&mut self, work: &WorkName) {
+        self.book.cancel(work);
         for ticket in self.book.tickets(work) {
             self.shared.engine.send(EngineMessage::Cancel(ticket));
         }
@@ -86,10 +87,13 @@
         let (Some(spec), Some(session)) = (self.book.spec(&task), self.session) else {
             return;
         };
+        let is_cancelled = self.book.is_cancelled(&task);
         let outcome = match (answer.outcome, answer.refusal) {
-            (Outcome::Done | Outcome::Failed, _) if spec.policy == Policy::Service => {
+            (Outcome::Done | Outcome::Failed, _) if spec.policy == Policy::Service && !is_cancelled => {
                 return self.restart_service(spec, task);
             }
+            (Outcome::NotRun, _) if is_cancelled => TaskOutcome::Cancelled,
+            (Outcome::Unknown, _) if is_cancelled => TaskOutcome::Cancelled,
             (Outcome::Done, _) => TaskOutcome::Done,
             (Outcome::Failed, _) => TaskOutcome::Failed,
             (Outcome::NotRun, Some(Refusal::Cancelled)) => TaskOutcome::Cancelled,
@@ -152,6 +156,9 @@
     pub(crate) fn end_adopted(&mut self, worker: &WorkerName, running: &[TaskId]) {
         for end in self.book.end_adopted(worker, running) {
             match end.spec.idempotent {
+                true if self.book.is_cancelled(&end.task) => {
+                    self.on_work_ended(end.task, &Answer::not_run(Refusal::Cancelled, 0));
+                }
                 true => self.submit_work(&end.spec, vec![end.task]),
                 false => self.on_work_ended(end.task, &Answer::unknown("a former owner ran the task")),
             }
--- a/crates/daemon/src/work_book.rs
+++ b/crates/daemon/src/work_book.rs
@@ -23,10 +23,22 @@
 }
 
 struct Entry {
+    /// Whether its work was cancelled.
+    cancelled: bool,
     spec: Option<Arc<WorkSpec>>,
     state: WorkState,
 }
 
+impl Entry {
+    fn new(spec: Option<Arc<WorkSpec>>, state: WorkState) -> Self {
+        Self {
+            cancelled: false,
+            spec,
+            state,
+        }
+    }
+}
+
 /// An adopted task that is over.
 pub(crate) struct AdoptedEnd {
     pub(crate) spec: Arc<WorkSpec>,
@@ -52,17 +64,14 @@
         match self.entries.get_mut(&work) {
             Some(entry) if entry.state == WorkState::Expected => entry.state = state,
             Some(_) => {}
-            None => drop(self.entries.insert(work, Entry { spec: None, state })),
+            None => drop(self.entries.insert(work, Entry::new(None, state))),
         }
     }
 
     /// Notes assigned tasks that a fenced worker already runs. They are not submitted.
     pub(crate) fn expect(&mut self, spec: &Arc<WorkSpec>, work: &WorkName, tasks: Vec<u32>) {
         for task in self.assign(spec, work, tasks) {
-            let entry = Entry {
-                spec: Some(spec.clone()),
-                state: WorkState::Expected,
-            };
+            let entry = Entry::new(Some(spec.clone()), WorkState::Expected);
             self.entries.insert(task, entry);
         }
     }
@@ -85,10 +94,8 @@
 
     /// Notes that a task was submitted.
     pub(crate) fn submitted(&mut self, task: WorkTask, spec: Arc<WorkSpec>, ticket: Ticket) {
-        let entry = Entry {
-            spec: Some(spec),
-            state: WorkState::Submitted(ticket),
-        };
+        let mut entry = Entry::new(Some(spec), WorkState::Submitted(ticket));
+        entry.cancelled = self.is_cancelled(&task);
         self.entries.insert(task, entry);
     }
 
@@ -117,6 +124,19 @@
             .retain(|_, entry| !matches!(entry.state, WorkState::Settled(at) if at <= index));
     }
 
+    /// Notes that a work was cancelled.
+    pub(crate) fn cancel(&mut self, work: &WorkName) {
+        self.entries
+            .iter_mut()
+            .filter(|(task, _)| task.work == *work)
+            .for_each(|(_, entry)| entry.cancelled = true);
+    }
+
+    /// Returns whether the work of a task was cancelled.
+    pub(crate) fn is_cancelled(&self, task: &WorkTask) -> bool {
+        self.entries.get(task).is_some_and(|entry| entry.cancelled)
+    }
+
     /// Tickets of a work's tasks that wait or run here.
     pub(crate) fn tickets(&self, work: &WorkName) -> Vec<Ticket> {
         self.entries
