ledger: plan only changed teams and scan fewer works

Ruled out: counting changes by a sum of the pool, which misses tokens that move between sessions; each pool now carries the number of its last change.

Also: a resend of a stored answer is accepted, and the command's comments say what a resend gets.

--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -73,7 +73,7 @@
         /// The work.
         work: WorkName,
     },
-    /// Makes a session the owner of a worker. The command's log index is the new epoch.
+    /// Makes a session the owner of a worker that has none; refused as stale if it has one. The command's log index is the new epoch.
     AssignWorker {
         /// New owner.
         session: SessionId,
@@ -92,7 +92,8 @@
         /// Milliseconds since the Unix epoch, by the leader's clock.
         before_unix_ms: u64,
     },
-    /// Records the end of one task of a work. Ignored unless the session holds the task.
+    /// Records the end of one task of a work. Refused as not found, with no effect, unless the
+    /// session holds the task or relays its call; the sender need not try again.
     FinishTask {
         /// How it ended.
         outcome: TaskOutcome,
@@ -127,6 +128,11 @@
         session: SessionId,
     },
     /// Starts a non-idempotent request unless the journal knows it.
+    ///
+    /// A daemon that proposes a start twice gets `JournalKnown` with its own session and
+    /// `unix_ms`. It must send at most one start of a key at a time, so that it can tell this
+    /// from a second request. A start whose session is not in the directory at the reply's
+    /// index has ended, and its outcome is unknown.
     JournalStart {
         /// Hash of the body, to detect another request under the same identifier.
         body_hash: u64,
@@ -150,7 +156,7 @@
         /// The worker.
         worker: WorkerName,
     },
-    /// Gives task assignments back unstarted.
+    /// Gives back tasks that have not run, or idempotent ones that are known to be over.
     ReturnTasks {
         /// Session that held them.
         session: SessionId,
@@ -168,7 +174,7 @@
         /// Number of tokens.
         tokens: u32,
     },
-    /// Reports that the owner fenced a worker and what it found running.
+    /// Reports that the owner fenced a worker and what it found running. A resend has no effect.
     WorkerFenced {
         /// Epoch that the worker accepted.
         epoch: Epoch,
@@ -179,7 +185,8 @@
         /// Running tasks of queued works.
         work_tasks: Vec<WorkTask>,
     },
-    /// Reports that the leases of a worker's tasks have certainly ended.
+    /// Reports that the leases of a worker's tasks have certainly ended. The worker has no owner
+    /// until it announces itself again and is assigned under a new epoch.
     WorkerLost {
         /// Epoch of the ownership under which it could not be reached.
         epoch: Epoch,
--- a/crates/ledger/src/journal_store.rs
+++ b/crates/ledger/src/journal_store.rs
@@ -75,20 +75,23 @@
         }
     }
 
-    /// Stores the answer of a start of the session.
+    /// Stores the answer of a start of the session. A resend of the stored answer is accepted.
     pub(crate) fn finish(&mut self, key: JournalKey, session: SessionId, mut answer: StoredAnswer) -> Reply {
+        if answer.body.len() > MAX_ANSWER_BYTES {
+            answer.body = Vec::new();
+            answer.truncated = true;
+        }
         let body_hash = match self.entries.get(&key) {
             Some(JournalEntry::Started {
                 body_hash,
                 session: holder,
                 ..
             }) if *holder == session => *body_hash,
+            Some(JournalEntry::Finished { answer: stored, .. }) if *stored == answer => {
+                return Reply::Applied;
+            }
             _ => return not_found(&key),
         };
-        if answer.body.len() > MAX_ANSWER_BYTES {
-            answer.body = Vec::new();
-            answer.truncated = true;
-        }
         self.forget_start(&key, session);
         self.keep_body(&key, answer.body.len() as u64);
         self.ended.insert((answer.unix_ms, key.clone()));
--- a/crates/ledger/src/token_planner.rs
+++ b/crates/ledger/src/token_planner.rs
@@ -4,6 +4,7 @@
     crate::{
         Command, Ledger, TokenTarget,
         demand::{Demand, Usage},
+        token_pools::TeamPool,
     },
     fuchsiatack_model::{SessionId, TeamName},
     std::collections::{BTreeMap, BTreeSet},
@@ -61,6 +62,8 @@
     pending: BTreeMap<TeamName, Pending>,
     returns: BTreeMap<SessionId, BTreeMap<TeamName, u32>>,
     seen: Option<(u64, u64)>,
+    /// Limit and pool revision of each team when it was last noted as open.
+    seen_teams: BTreeMap<TeamName, (u32, u64)>,
 }
 
 impl TokenPlanner {
@@ -68,8 +71,8 @@
     pub(crate) fn plan(&mut self, now_ms: u64, ledger: &Ledger, demand: &mut Demand, out: &mut Vec<Command>) {
         let seen = Some((ledger.revisions.tokens, demand.revision));
         if self.seen != seen {
-            self.open_teams
-                .extend(ledger.records.limits().map(|(team, _)| team.clone()));
+            let is_same = self.seen.is_some_and(|before| before.1 == demand.revision);
+            self.open_changed_teams(ledger, !is_same);
             self.forget_returns(ledger);
         }
         self.seen = seen;
@@ -89,6 +92,20 @@
         self.open_teams = later;
     }
 
+    /// Notes the teams whose limit or pool changed, or all teams, for the next plan.
+    fn open_changed_teams(&mut self, ledger: &Ledger, is_all: bool) {
+        let is_limited = |team: &TeamName, _: &mut (u32, u64)| ledger.records.limit(team).is_some();
+        self.seen_teams.retain(is_limited);
+        for (team, limit) in ledger.records.limits() {
+            let revision = ledger.tokens.pool(team).map_or(0, TeamPool::revision);
+            let seen = (limit, revision);
+            if is_all || self.seen_teams.get(team) != Some(&seen) {
+                self.seen_teams.insert(team.clone(), seen);
+                self.open_teams.insert(team.clone());
+            }
+        }
+    }
+
     /// Returns the pools that a session should reduce.
     pub(crate) fn returns(&self, session: SessionId, ledger: &Ledger) -> Vec<TokenTarget> {
         let targets = self.returns.get(&session).into_iter().flatten();
--- a/crates/ledger/src/token_pools.rs
+++ b/crates/ledger/src/token_pools.rs
@@ -11,6 +11,8 @@
 #[message]
 pub(crate) struct TeamPool {
     by_session: BTreeMap<SessionId, u32>,
+    /// Number of the pool's last change among those of all pools.
+    revision: u64,
     total: u32,
 }
 
@@ -20,6 +22,11 @@
         self.by_session.get(&session).copied().unwrap_or(0)
     }
 
+    /// Returns a number that differs after every change.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the sessions with tokens, in order.
     pub(crate) fn sessions(&self) -> impl Iterator<Item = (SessionId, u32)> + '_ {
         self.by_session
@@ -46,6 +53,7 @@
 #[message]
 pub(crate) struct TokenPools {
     by_team: BTreeMap<TeamName, TeamPool>,
+    changes: u64,
 }
 
 impl TokenPools {
@@ -68,6 +76,11 @@
         moved
     }
 
+    /// Returns the pool of a team that has tokens.
+    pub(crate) fn pool(&self, team: &TeamName) -> Option<&TeamPool> {
+        self.by_team.get(team)
+    }
+
     /// Returns the teams with tokens, in order.
     pub(crate) fn teams(&self) -> impl Iterator<Item = (&TeamName, &TeamPool)> {
         self.by_team.iter()
@@ -75,7 +88,9 @@
 
     /// Removes all tokens of a session.
     pub(crate) fn remove_session(&mut self, session: SessionId) {
-        for pool in self.by_team.values_mut() {
+        for pool in self.by_team.values_mut().filter(|pool| pool.held(session) > 0) {
+            self.changes += 1;
+            pool.revision = self.changes;
             pool.set(session, 0);
         }
         self.by_team.retain(|_, pool| pool.total > 0);
@@ -98,7 +113,9 @@
         if tokens == self.held(team, session) {
             return;
         }
+        self.changes += 1;
         let pool = self.by_team.entry(team.clone()).or_default();
+        pool.revision = self.changes;
         pool.set(session, tokens);
         if pool.total == 0 {
             self.by_team.remove(team);
--- a/crates/ledger/src/work_planner.rs
+++ b/crates/ledger/src/work_planner.rs
@@ -14,7 +14,7 @@
 
 /// Works of one team that are looked at in one plan. A work that does not fit anywhere
 /// holds back only works behind this number.
-const MAX_SCANNED_WORKS: usize = 16;
+const MAX_SCANNED_WORKS: usize = 4;
 
 /// Waiting tasks of a team at a session above which it gets no more, unless it runs as many.
 const MAX_BACKLOG: u32 = 16;
@@ -111,6 +111,7 @@
         candidate: &Candidate<'_>,
         free: &mut BTreeMap<SessionId, Resources>,
     ) -> Option<(Command, u64)> {
+        let sessions = sessions_without_backlog(free, demand, candidate.team);
         for (_, name) in candidate.works.iter().take(MAX_SCANNED_WORKS) {
             let work = ledger.works.get(name)?;
             let size = &work.spec().demand;
@@ -125,7 +126,7 @@
             if waiting == 0 {
                 continue;
             }
-            match self.roomiest(free, demand, candidate.team, name, size) {
+            match self.roomiest(free, &sessions, name, size) {
                 Some((session, fits)) if fits >= least => {
                     let count = waiting.min(fits).min(most);
                     let tasks = self.next_tasks(work, name, count);
@@ -162,20 +163,18 @@
     fn roomiest(
         &self,
         free: &BTreeMap<SessionId, Resources>,
-        demand: &Demand,
-        team: &TeamName,
+        sessions: &[SessionId],
         work: &WorkName,
         size: &Resources,
     ) -> Option<(SessionId, u32)> {
-        let is_open = |session: SessionId| {
-            let usage = demand.usage(team, session);
-            let is_kept = |kept: &Reservation| kept.session == session && kept.work != *work;
-            usage.waiting < usage.running.max(MAX_BACKLOG) && !self.reserved.as_ref().is_some_and(is_kept)
+        let is_kept = |session: SessionId| {
+            let kept = self.reserved.as_ref();
+            kept.is_some_and(|kept| kept.session == session && kept.work != *work)
         };
-        free.iter()
-            .filter(|(session, _)| is_open(**session))
-            .map(|(session, free)| (*session, times(free, size)))
-            .filter(|(_, fits)| *fits > 0)
+        sessions
+            .iter()
+            .filter(|session| free[*session].covers(size) && !is_kept(**session))
+            .map(|session| (*session, times(&free[session], size)))
             .max_by_key(|(session, fits)| (*fits, std::cmp::Reverse(*session)))
     }
 
@@ -294,6 +293,20 @@
     }
 }
 
+/// Returns the sessions where the team does not already have many waiting tasks.
+fn sessions_without_backlog(
+    free: &BTreeMap<SessionId, Resources>,
+    demand: &Demand,
+    team: &TeamName,
+) -> Vec<SessionId> {
+    let has_backlog = |session: SessionId| {
+        let usage = demand.usage(team, session);
+        usage.waiting >= usage.running.max(MAX_BACKLOG)
+    };
+    let sessions = free.keys().copied();
+    sessions.filter(|session| !has_backlog(*session)).collect()
+}
+
 fn scaled(size: &Resources, count: u32) -> Resources {
     Resources {
         accelerators: size.accelerators.saturating_mul(count),
--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -39,6 +39,7 @@
         if matches!(*entry, JournalEntry::Started { body_hash: 7, session, .. } if session == first)));
     assert!(matches!(cell.finish("r", second, 1), Reply::Refused(_)));
     assert_eq!(cell.finish("r", first, 1), Reply::Applied);
+    assert_eq!(cell.finish("r", first, 1), Reply::Applied);
     assert!(matches!(cell.finish("r", first, 2), Reply::Refused(_)));
     assert!(matches!(cell.start("r", first), Reply::JournalKnown(_)));
 }
