model, ledger: say what is missing for work that never fits

Cause: the design promises that blocked work names what is missing, but `WorkStatus` had no place for it. Adds `WorkStatus::missing`.

Ruled out: storing it with the work. It follows from the fleet, so it is computed when the status is read and changes with the fleet by itself.

--- a/crates/ledger/src/apply_work.rs
+++ b/crates/ledger/src/apply_work.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         Change, Ledger, LedgerError, RecordAction, RecordWrite, Reply, changes::Changes, session::Session,
-        work_store::Work,
     },
     fuchsiatack_model::{
         LogIndex, Policy, Refusal, Resources, SessionId, TaskOutcome, WorkName, WorkSpec, WorkStatus,
@@ -73,8 +72,13 @@
     /// Returns the record and the progress of a work.
     pub(crate) fn work_status(&self, work: &WorkName) -> Option<(Record, WorkStatus)> {
         let work = self.works.get(work)?;
+        let missing = match work.waiting() {
+            0 => None,
+            _ => self.missing(work.spec()),
+        };
         let status = WorkStatus {
-            blocked: self.blocked(work),
+            blocked: missing.map(|_| Refusal::NeverFits),
+            missing,
             outcomes: work.outcomes(),
             phase: work.phase(),
         };
@@ -97,27 +101,35 @@
         reply
     }
 
-    fn blocked(&self, work: &Work) -> Option<Refusal> {
-        let is_waiting = work.waiting() > 0;
-        (is_waiting && !self.can_ever_run(work.spec())).then_some(Refusal::NeverFits)
-    }
-
-    fn can_ever_run(&self, spec: &WorkSpec) -> bool {
+    /// Returns what the fleet lacks for a work, or `None` if the work can run at some time.
+    fn missing(&self, spec: &WorkSpec) -> Option<Resources> {
         let needed = match spec.policy {
             Policy::Gang => spec.tasks,
             Policy::Batch | Policy::Interactive | Policy::Service => 1,
         };
         let limit = self.records.limit(&spec.team).unwrap_or(u32::MAX);
-        limit >= needed
-            && match needed {
-                1 => self
-                    .workers
-                    .keys()
-                    .any(|worker| self.places(worker, &spec.demand) > 0),
-                _ => self
-                    .largest_owner(&spec.demand)
-                    .is_some_and(|(_, places)| places >= needed),
-            }
+        let places = match needed {
+            1 => u32::from(self.lacking(&spec.demand) == Resources::NONE),
+            _ => self.largest_owner(&spec.demand).map_or(0, |(_, places)| places),
+        };
+        match (limit < needed, places < needed) {
+            (false, false) => None,
+            (true, false) => Some(Resources::NONE),
+            (_, true) if needed == 1 => Some(self.lacking(&spec.demand)),
+            (_, true) => Some(scaled(&spec.demand, needed - places)),
+        }
+    }
+
+    /// Returns what the usable worker that comes closest lacks for one task.
+    fn lacking(&self, demand: &Resources) -> Resources {
+        let capacities = self
+            .workers
+            .keys()
+            .filter_map(|worker| self.usable_capacity(worker));
+        capacities
+            .map(|capacity| demand.minus(capacity))
+            .min_by_key(|lacking| (kinds(lacking), *lacking))
+            .unwrap_or(*demand)
     }
 
     /// Returns the live session on whose workers most tasks of a size fit, and how many.
@@ -208,3 +220,26 @@
     let least = fits.into_iter().fold(u64::MAX, u64::min);
     u32::try_from(least).unwrap_or(u32::MAX)
 }
+
+/// Returns the amounts that several tasks of a size need together.
+pub(crate) fn scaled(size: &Resources, count: u32) -> Resources {
+    Resources {
+        accelerators: size.accelerators.saturating_mul(count),
+        connections: size.connections.saturating_mul(count),
+        memory_bytes: size.memory_bytes.saturating_mul(count.into()),
+        processors_millis: size.processors_millis.saturating_mul(count),
+        slots: size.slots.saturating_mul(count),
+    }
+}
+
+/// Returns the number of resources of which there is some.
+fn kinds(amount: &Resources) -> usize {
+    let is_some = [
+        amount.accelerators > 0,
+        amount.connections > 0,
+        amount.memory_bytes > 0,
+        amount.processors_millis > 0,
+        amount.slots > 0,
+    ];
+    is_some.into_iter().filter(|is_some| *is_some).count()
+}
--- a/crates/ledger/src/work_planner.rs
+++ b/crates/ledger/src/work_planner.rs
@@ -1,7 +1,12 @@
 //! Assignment of waiting tasks to sessions.
 
 use {
-    crate::{Command, Ledger, apply_work::times, demand::Demand, work_store::Work},
+    crate::{
+        Command, Ledger,
+        apply_work::{scaled, times},
+        demand::Demand,
+        work_store::Work,
+    },
     fuchsiatack_model::{LogIndex, Policy, Resources, SessionId, TeamName, WorkName},
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -306,13 +311,3 @@
     let sessions = free.keys().copied();
     sessions.filter(|session| !has_backlog(*session)).collect()
 }
-
-fn scaled(size: &Resources, count: u32) -> Resources {
-    Resources {
-        accelerators: size.accelerators.saturating_mul(count),
-        connections: size.connections.saturating_mul(count),
-        memory_bytes: size.memory_bytes.saturating_mul(count.into()),
-        processors_millis: size.processors_millis.saturating_mul(count),
-        slots: size.slots.saturating_mul(count),
-    }
-}
--- a/crates/ledger/tests/work.rs
+++ b/crates/ledger/tests/work.rs
@@ -4,7 +4,7 @@
 
 use {
     fuchsiatack_ledger::{Change, LedgerError, Reply},
-    fuchsiatack_model::{Policy, Refusal, SessionId, TaskOutcome, WorkPhase},
+    fuchsiatack_model::{Policy, Refusal, Resources, SessionId, TaskOutcome, WorkPhase, WorkSpec},
     fuchsiatack_records::{DrainSpec, Kind, Spec},
     support::{Cell, assign_tasks, end, finish_task, lost, release, return_tasks, task, work},
 };
@@ -140,7 +140,9 @@
     let session = cell.open("a");
     cell.put("w", 0, work("red", Policy::Gang, 9, true));
     cell.own("small", session);
-    assert_eq!(cell.work("w").blocked, Some(Refusal::NeverFits));
+    let status = cell.work("w");
+    assert_eq!(status.blocked, Some(Refusal::NeverFits));
+    assert_eq!(status.missing, Some(Resources::default()));
 
     cell.own("more", session);
 
@@ -155,6 +157,28 @@
     assert_eq!(cell.work("w").blocked, Some(Refusal::NeverFits));
 }
 
+/// Guards against a submitter who does not learn which resource is too small everywhere.
+#[test]
+fn a_task_that_fits_no_worker_names_what_is_missing() {
+    let mut cell = Cell::default();
+    cell.register("worker");
+    let demand = Resources {
+        accelerators: 2,
+        slots: 8,
+        ..Resources::NONE
+    };
+    let Spec::Work(spec) = work("red", Policy::Batch, 5, true) else {
+        panic!()
+    };
+    cell.put("w", 0, Spec::Work(WorkSpec { demand, ..spec }));
+
+    let missing = Resources {
+        accelerators: 2,
+        ..Resources::NONE
+    };
+    assert_eq!(cell.work("w").missing, Some(missing));
+}
+
 /// Guards against a daemon that reconnects and starts running tasks a second time.
 #[test]
 fn the_directory_marks_running_and_cancelled_tasks() {
--- a/crates/model/src/work.rs
+++ b/crates/model/src/work.rs
@@ -56,6 +56,10 @@
 pub struct WorkStatus {
     /// Why tasks cannot be placed at present.
     pub blocked: Option<Refusal>,
+    /// What the fleet lacks if the work never fits: for one task on the worker that comes
+    /// closest, or for the rest of a gang on the daemon with the largest workers. It is nothing
+    /// if the team's limit is too low for the gang.
+    pub missing: Option<Resources>,
     /// Outcome of each task that has ended, by task number.
     pub outcomes: Vec<Option<TaskOutcome>>,
     /// Stage of the work.
