store: let renewals share the heartbeats

Cause: each renewal that came alone started a round of heartbeats of its own. Renewals alone now ask for a confirmation at most once in a heartbeat interval. Ruled out: the same for queries and follows, whose callers wait for the answer. The traffic itself was not measured.

Calls that were accepted in a leadership shorter than one turn of the runtime are answered instead of kept.

--- a/crates/store/src/calls.rs
+++ b/crates/store/src/calls.rs
@@ -60,6 +60,12 @@
         self.reads.remove(&token).unwrap_or_default()
     }
 
+    /// Returns whether a call other than a renewal waits for a confirmation to be asked for.
+    pub(crate) fn has_urgent_reads(&self) -> bool {
+        let is_urgent = |read: &WaitingRead| !matches!(read.request, Request::Renew(_));
+        self.new_reads.iter().any(is_urgent)
+    }
+
     /// Returns whether no call waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.new_reads.is_empty() && self.proposals.is_empty() && self.reads.is_empty()
--- a/crates/store/src/leadership.rs
+++ b/crates/store/src/leadership.rs
@@ -32,6 +32,8 @@
     pub(crate) allocator: Option<Allocator>,
     /// What each session reported last.
     pub(crate) demand: HashMap<SessionId, Demand>,
+    /// When renewals that wait alone ask for a confirmation.
+    pub(crate) confirmation_due_ms: u64,
     pub(crate) members_due_ms: u64,
     pub(crate) plan_due_ms: u64,
     pub(crate) planned_ms: u64,
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -370,17 +370,28 @@
             formation.abort();
         }
         self.update_status();
+        // A caller that was answered must find its command in the status.
         for (reply, response) in self.answers.drain(..) {
             let _ = reply.send(response);
         }
     }
 
+    /// Asks for a confirmation for the reads that came since the last one.
+    ///
+    /// Renewals alone ask at most once in each heartbeat interval. Each confirmation is a round of
+    /// heartbeats, so they cost no messages beyond those of an idle leader.
     fn confirm_reads(&mut self) {
-        if self.node.role() != Role::Leader {
+        let now_ms = self.now_ms();
+        let is_urgent = self.calls.has_urgent_reads() || self.stop_due_ms.is_some();
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if !is_urgent && now_ms < leadership.confirmation_due_ms {
             return;
         }
         if let Some(token) = self.calls.next_token() {
-            // The role was checked above, so this cannot fail.
+            leadership.confirmation_due_ms = now_ms + self.settings.heartbeat_ms;
+            // `leadership` follows the role of the node, so this cannot fail.
             let _ = self.node.confirm_leadership(token);
         }
     }
@@ -429,8 +440,6 @@
         let Some(last) = entries.last().map(|entry| entry.index) else {
             return;
         };
-        // A caller that was answered must find its command in the status.
-        self.update_status();
         let mut changes = Vec::new();
         for entry in entries {
             if self.failure.is_some() {
@@ -538,10 +547,12 @@
     fn follow_role(&mut self) {
         let led = self.leadership.as_ref().map(|leadership| leadership.term);
         let leads = (self.node.role() == Role::Leader).then(|| self.node.term());
-        if led == leads {
+        // Calls may have been accepted in a leadership that lasted for less than a turn.
+        let has_orphans = leads.is_none() && !self.calls.is_empty();
+        if led == leads && !has_orphans {
             return;
         }
-        if led.is_some() {
+        if led.is_some() || has_orphans {
             self.resign();
         }
         if let Some(term) = leads {
@@ -550,6 +561,7 @@
             self.leadership = Some(Leadership {
                 allocator: allocator.map(|settings| Allocator::new(settings, now_ms)),
                 demand: HashMap::new(),
+                confirmation_due_ms: now_ms,
                 members_due_ms: now_ms,
                 plan_due_ms: now_ms,
                 planned: self.node.last(),
