cli: follow the daemon's status and record list, test apply and check

Cause: the status holds each daemon's own store role and a list is an object with records, which differs from what was assumed before the daemon existed. The daemon keeps the retry budget, so a second one in the kernel refused retries twice. Ruled out: taking the new disk's identity from any server; only its own daemon knows it. Before: get KIND printed nothing against the real form; apply and check were not run. Conclusion: no daemon acts on store_member records yet, so replace-member has only been run against scripted answers.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -114,6 +114,24 @@
         })
     }
 
+    /// Reads a path from every server that can be reached.
+    pub(crate) async fn get_from_all(&self, path: &str) -> Result<Vec<Answer>, CliError> {
+        let mut answers = Vec::new();
+        let mut attempts = Vec::new();
+        for server in &self.servers {
+            match self.attempt(server, &Call::get(path.to_owned())).await? {
+                Ok(answer) => answers.push(answer),
+                Err(reason) => attempts.push(format!("{server}: {reason}")),
+            }
+        }
+        match answers.is_empty() {
+            true => Err(CliError::Unreachable {
+                attempts: attempts.join("; "),
+            }),
+            false => Ok(answers),
+        }
+    }
+
     /// Sends a call to one server. The inner error tells why another server is to be tried.
     async fn attempt(&self, server: &str, call: &Call<'_>) -> Result<Result<Answer, String>, CliError> {
         let mut request = self
--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -14,6 +14,8 @@
 
 pub(crate) const EXAMPLE: &str = "fuchsiatack drain worker-17 --reason 'new memory'";
 
+const DEFAULT_REASON: &str = "drained by an operator";
+
 /// Options of `drain`.
 #[derive(Debug, Options)]
 pub(crate) struct DrainOptions {
@@ -63,7 +65,7 @@
             "kind": record_file::kind_name(Kind::Drain),
             "name": worker,
             "version": record_file::version(present)?,
-            "spec": {"reason": self.reason.as_deref().unwrap_or_default()},
+            "spec": {"reason": self.reason.as_deref().unwrap_or(DEFAULT_REASON)},
         });
         let answer = client.send(Call::put(path.to_owned(), &body)).await?;
         match answer.found {
--- a/crates/cli/src/get.rs
+++ b/crates/cli/src/get.rs
@@ -36,7 +36,7 @@
         let kind = record_file::kind_name(record_file::kind(kind)?);
         let path = format!("/v1/records/{kind}?schema={schema}");
         let answer = client.send(Call::get(path)).await?;
-        let records = answer.body.as_array().cloned().unwrap_or_default();
+        let records = answer.body["records"].as_array().cloned().unwrap_or_default();
         let lines: Vec<String> = records.iter().map(line).collect();
         format.print(&Value::Array(records), &lines.join("\n"));
         Ok(())
--- a/crates/cli/src/replace_member.rs
+++ b/crates/cli/src/replace_member.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        client::{Call, Client},
+        client::{Answer, Call, Client},
         error::CliError,
         output::Format,
         record_file, status,
@@ -14,7 +14,8 @@
     tokio::time::Instant,
 };
 
-pub(crate) const EXAMPLE: &str = "fuchsiatack replace-member entry-3";
+pub(crate) const EXAMPLE: &str =
+    "fuchsiatack replace-member entry-3 --server 10.0.0.1:8081 --server 10.0.2.1:8081";
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -40,27 +41,28 @@
 
 impl ReplaceMemberOptions {
     /// Writes the `store_member` record with the new disk's identity and returns once the
-    /// new member votes.
+    /// new member votes. Nothing is written if it votes already.
     pub(crate) async fn run(&self, client: &Client, format: Format) -> Result<(), CliError> {
         let [name] = self.free.as_slice() else {
             return Err(CliError::usage("replace-member needs NAME"));
         };
-        let member = member(client, name).await?;
+        let statuses = client.get_from_all(status::PATH).await?;
         let identity = self
             .identity
-            .or(member["waiting_identity"].as_u64())
+            .or_else(|| disk_identity(&statuses, name))
             .ok_or_else(|| {
                 CliError::usage(format!(
-                    "{name} reports no new disk; start it with an empty data folder first"
+                    "{name} does not report its disk; give its operator address by --server, or --identity"
                 ))
             })?;
-        let address = self
-            .address
-            .as_deref()
-            .or(member["address"].as_str())
-            .ok_or_else(|| CliError::usage(format!("the status has no address of {name}; give --address")))?;
-        write(client, name, identity, address).await?;
-        self.wait_until_voting(client, name, identity).await?;
+        if !votes(&statuses, name, identity) {
+            let address = self.address.clone().or_else(|| address(&statuses, name));
+            let address = address.ok_or_else(|| {
+                CliError::usage(format!("no server knows the address of {name}; give --address"))
+            })?;
+            write(client, name, identity, &address).await?;
+            self.wait_until_voting(client, name, identity).await?;
+        }
         format.print(
             &json!({"member": name, "identity": identity, "voting": true}),
             &format!("{name} is replaced and counts in the quorum"),
@@ -71,13 +73,10 @@
     async fn wait_until_voting(&self, client: &Client, name: &str, identity: u64) -> Result<(), CliError> {
         let end = Instant::now() + Duration::from_secs(self.timeout_s);
         loop {
-            let counts = match member(client, name).await {
-                Ok(member) => member["identity"] == json!(identity) && member["voting"] == json!(true),
-                Err(CliError::Unreachable { .. }) => false,
+            match client.get_from_all(status::PATH).await {
+                Ok(statuses) if votes(&statuses, name, identity) => return Ok(()),
+                Ok(_) | Err(CliError::Unreachable { .. }) => {}
                 Err(error) => return Err(error),
-            };
-            if counts {
-                return Ok(());
             }
             if Instant::now() >= end {
                 return Err(CliError::Unreachable {
@@ -92,14 +91,34 @@
     }
 }
 
-/// Entry of the member in the cell's status, or null.
-async fn member(client: &Client, name: &str) -> Result<Value, CliError> {
-    let answer = client.send(Call::get(status::PATH.to_owned())).await?;
-    let members = answer.body["members"].as_array().cloned().unwrap_or_default();
-    Ok(members
-        .into_iter()
+/// Identity of the disk that the member's own daemon reports.
+fn disk_identity(statuses: &[Answer], name: &str) -> Option<u64> {
+    statuses
+        .iter()
+        .find(|status| status.body["daemon"] == json!(name))
+        .and_then(|status| status.body["store"]["identity"].as_u64())
+}
+
+fn address(statuses: &[Answer], name: &str) -> Option<String> {
+    members(statuses)
         .find(|member| member["name"] == json!(name))
-        .unwrap_or_default())
+        .and_then(|member| member["address"].as_str())
+        .map(str::to_owned)
+}
+
+/// Returns whether the member with this disk counts in the quorum.
+fn votes(statuses: &[Answer], name: &str, identity: u64) -> bool {
+    members(statuses)
+        .filter(|member| member["name"] == json!(name) && member["id"] == json!(identity))
+        .any(|member| member["role"] == json!("Voter"))
+}
+
+/// Entries of all member lists.
+fn members(statuses: &[Answer]) -> impl Iterator<Item = &Value> {
+    statuses
+        .iter()
+        .filter_map(|status| status.body["store"]["members"].as_array())
+        .flatten()
 }
 
 async fn write(client: &Client, name: &str, identity: u64, address: &str) -> Result<(), CliError> {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -2,10 +2,23 @@
 
 mod common;
 
-use common::{FakeServer, KEY, closed_address, code, run, standard_error, standard_output};
+use common::{FakeServer, KEY, closed_address, code, file, run, standard_error, standard_output};
 
 const RECORD: &str = r#"{"schema":2,"kind":"drain","name":"w-1","version":3,"spec":{"reason":""}}"#;
 
+const RECORDS: &str = "
+schema: 2
+kind: team
+name: red
+spec: {title: Red team}
+---
+schema: 2
+kind: drain
+name: w-1
+version: 3
+spec: {reason: memory}
+";
+
 /// Guards against help without example and against help that needs a server.
 #[test]
 fn help_of_each_command_shows_an_example() {
@@ -163,30 +176,97 @@
     assert_eq!(standard_output(&ended), "w-1 is in service\n");
 }
 
-/// Guards against a return before the new member counts in the quorum.
+/// Guards against a return before the new member counts in the quorum, and against a write
+/// with the identity of another disk.
 #[test]
 fn replace_member_waits_until_the_member_votes() {
-    let member = |identity: u64, voting: bool| {
+    let status = |daemon: &str, role: &str| {
         format!(
-            r#"{{"members":[{{"name":"entry-1","address":"127.0.0.1:8082","identity":{identity},
-            "voting":{voting},"waiting_identity":9}}]}}"#
+            r#"{{"daemon":"{daemon}","store":{{"identity":9,"members":[
+            {{"name":"entry-1","address":"127.0.0.1:8082","id":7,"role":"Voter"}},
+            {{"name":"entry-1","address":"127.0.0.1:8082","id":9,"role":"{role}"}}]}}}}"#
         )
     };
-    let server = FakeServer::start(&[
-        (200, &member(7, true)),
+    let other = r#"{"daemon":"entry-2","store":{"identity":5,"members":[]}}"#;
+    let first = FakeServer::start(&[
+        (200, other),
         (200, r#"{"version":2}"#),
         (200, r#"{"version":3}"#),
-        (200, &member(7, true)),
-        (200, &member(9, false)),
-        (200, &member(9, true)),
+        (200, other),
+        (200, other),
+    ]);
+    let second = FakeServer::start(&[
+        (200, &status("entry-1", "Learner")),
+        (200, &status("entry-1", "Learner")),
+        (200, &status("entry-1", "Voter")),
     ]);
 
-    let output = run(&[&server.address], &["replace-member", "entry-1"]);
+    let output = run(&[&first.address, &second.address], &["replace-member", "entry-1"]);
 
-    let requests = server.received();
+    let requests = first.received();
     let written: serde_json::Value = serde_json::from_str(&requests[2].body).unwrap();
     assert_eq!(code(&output), 0, "{}", standard_error(&output));
-    assert_eq!(requests.len(), 6);
     assert_eq!(written["spec"]["identity"], 9);
     assert_eq!(written["version"], 2);
+    assert_eq!(second.received().len(), 3);
+}
+
+/// Guards against a list that is printed empty.
+#[test]
+fn get_lists_names_and_versions() {
+    let server = FakeServer::start(&[(200, &format!(r#"{{"records":[{RECORD}]}}"#))]);
+
+    let output = run(&[&server.address], &["get", "drain"]);
+
+    assert_eq!(standard_output(&output), "w-1 version 3\n");
+}
+
+/// Guards against a check that needs a server, and an error without its place.
+#[test]
+fn check_validates_files_without_a_server() {
+    let valid = file("valid.yaml", RECORDS);
+    let invalid = file(
+        "invalid.yaml",
+        &RECORDS.replace("reason: memory", "reason: memory, raeson: x"),
+    );
+
+    let accepted = run(&[], &["check", "-f", valid.to_str().unwrap(), "--output", "json"]);
+    let refused = run(&[], &["check", "-f", invalid.to_str().unwrap()]);
+
+    let message = standard_error(&refused);
+    assert_eq!(code(&accepted), 0, "{}", standard_error(&accepted));
+    assert!(standard_output(&accepted).contains("\"records\": 2"));
+    assert_eq!(code(&refused), 2);
+    assert!(
+        message.contains("document 2") && message.contains("raeson"),
+        "{message}"
+    );
+}
+
+/// Guards against records that are written out of order or after one was rejected.
+#[test]
+fn apply_writes_in_order_and_stops_at_a_rejection() {
+    let path = file("apply.yaml", RECORDS);
+    let path = path.to_str().unwrap();
+    let accepting = FakeServer::start(&[(200, r#"{"version":1}"#), (200, r#"{"version":4}"#)]);
+    let rejecting = FakeServer::start(&[(409, r#"{"message":"the record has version 4 now"}"#)]);
+
+    let applied = run(&[&accepting.address], &["apply", "-f", path]);
+    let rejected = run(&[&rejecting.address], &["apply", "-f", path]);
+
+    let lines: Vec<String> = accepting
+        .received()
+        .iter()
+        .map(|request| request.line.clone())
+        .collect();
+    let second: serde_json::Value = serde_json::from_str(&accepting.received()[1].body).unwrap();
+    assert_eq!(code(&applied), 0, "{}", standard_error(&applied));
+    assert_eq!(
+        standard_output(&applied),
+        "team red has version 1\ndrain w-1 has version 4\n"
+    );
+    assert!(lines[0].starts_with("PUT /v1/records/team/red "), "{lines:?}");
+    assert_eq!(second["version"], 3);
+    assert_eq!(code(&rejected), 3);
+    assert_eq!(rejecting.received().len(), 1);
 }
--- a/crates/kernel/src/ending.rs
+++ b/crates/kernel/src/ending.rs
@@ -54,11 +54,7 @@
     /// Ends an attempt whose connection was lost and that certainly no longer runs.
     pub(crate) fn lost_attempt_over(&mut self, key: TaskKey, decisions: &mut Vec<Decision>) {
         let task = &self.tasks[key];
-        let retry = match task.policy {
-            Policy::Interactive if task.idempotent => self.teams[task.team].spend_retry(),
-            _ => task.idempotent,
-        };
-        match retry {
+        match task.idempotent {
             true => self.wait_again(key, true, decisions),
             false => self.abandon(key, decisions),
         }
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -202,7 +202,6 @@
             .map(|id| self.insert_task(*id, submission, team))
             .collect();
         let leader = keys[0];
-        self.teams[team].earn_retry();
         if keys.len() > 1 {
             let gang = self.gangs.insert(Gang::new(keys.clone()));
             for key in keys {
--- a/crates/kernel/src/team.rs
+++ b/crates/kernel/src/team.rs
@@ -14,10 +14,6 @@
     pub(crate) struct TeamKey;
 }
 
-/// Retries of lost requests as a part of all requests.
-const RETRY_PART: f32 = 0.1;
-/// Retries that a team may save up.
-const RETRY_CREDIT_LIMIT: f32 = 10.0;
 /// Number of policies, which bounds the counters kept for each.
 pub(crate) const POLICIES: usize = 4;
 
@@ -45,7 +41,6 @@
     pub(crate) present: bool,
     /// Ranks by which it stands in the orders of the policies.
     pub(crate) ranks: [Option<Rank>; POLICIES],
-    retry_credit: f32,
     pub(crate) running: u32,
     /// Number of its last start.
     pub(crate) served: u64,
@@ -73,7 +68,6 @@
             parked: false,
             present: false,
             ranks: [None; POLICIES],
-            retry_credit: RETRY_CREDIT_LIMIT,
             running: 0,
             served: 0,
             tasks: 0,
@@ -83,20 +77,6 @@
         }
     }
 
-    /// Adds a request to the retry budget.
-    pub(crate) fn earn_retry(&mut self) {
-        self.retry_credit = (self.retry_credit + RETRY_PART).min(RETRY_CREDIT_LIMIT);
-    }
-
-    /// Takes one retry from the budget, if there is one.
-    pub(crate) fn spend_retry(&mut self) -> bool {
-        let allowed = self.retry_credit >= 1.0;
-        if allowed {
-            self.retry_credit -= 1.0;
-        }
-        allowed
-    }
-
     /// Tokens that running tasks or frozen ones take up.
     pub(crate) fn used_tokens(&self) -> u32 {
         self.running + self.frozen
