kernel: forward waiting requests when a hint shows room

Cause: a request that found no room anywhere when it came waited here although a peer became free a moment later. Ruled out: filling all of the peer's free slots, since every daemon sees the same hint; each takes a part of them by the number of peers. Before: only arriving requests were forwarded. Conclusion: the newest requests go, since the oldest start here first.

--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -33,6 +33,8 @@
     /// Workers out of service because of their failures.
     pub(crate) ejected: usize,
     pub(crate) fleet_failure_rate: f32,
+    /// Waiting requests that may be forwarded, by arrival.
+    pub(crate) forwardable: BTreeSet<(u64, TaskKey)>,
     pub(crate) flow: Flow,
     /// First tasks of gangs that wait for their turn to reserve room.
     pub(crate) gang_queue: VecDeque<TaskKey>,
@@ -73,6 +75,7 @@
             deadlines: BTreeSet::new(),
             ejected: 0,
             fleet_failure_rate: 0.0,
+            forwardable: BTreeSet::new(),
             flow: Flow::default(),
             gang_queue: VecDeque::new(),
             gangs: SlotMap::with_key(),
@@ -145,7 +148,7 @@
             Event::Ended { end, run_us, task } => self.ended(task, end, run_us, decisions),
             Event::FleetUsage { running, team } => self.fleet_usage(&team, running),
             Event::LeaseChanged { valid } => self.lease_changed(valid, decisions),
-            Event::PeerSeen(load) => self.peers.seen(self.now_us, load),
+            Event::PeerSeen(load) => self.peer_seen(load, decisions),
             Event::PeerLeft { daemon } => self.peers.left(&daemon),
             Event::Submit(submission) => self.submit(submission, decisions),
             Event::TeamSet {
--- a/crates/kernel/src/peers.rs
+++ b/crates/kernel/src/peers.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Number of known peers other than `daemon`.
+    pub(crate) fn len_without(&self, daemon: &DaemonName) -> usize {
+        self.peers.len() - usize::from(self.position(daemon).is_ok())
+    }
+
     pub(crate) fn left(&mut self, daemon: &DaemonName) {
         if let Ok(position) = self.position(daemon) {
             self.peers.remove(position);
--- a/crates/kernel/src/submission.rs
+++ b/crates/kernel/src/submission.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Decision, Kernel, Submission,
+        forwarding::is_forwardable,
         task::{Gang, Stage, Task, TaskKey},
         team::TeamKey,
         waiting::GroupKey,
@@ -127,6 +128,7 @@
         if let Some(deadline_us) = task.deadline_us {
             self.deadlines.remove(&(deadline_us, leader));
         }
+        self.forwardable.remove(&(task.sequence, leader));
         let team = &mut self.teams[task.team];
         let count = members.len() as u32;
         team.waiting[task.policy as usize] -= count;
@@ -239,12 +241,12 @@
     /// Decides about work that found no place at once.
     fn settle_waiting(&mut self, key: TaskKey, submission: &Submission, decisions: &mut Vec<Decision>) {
         if let Some(daemon) = self.forward_target(submission) {
-            let task = self.tasks[key].id;
-            self.leave_lane(key);
-            self.forget(key);
-            decisions.push(Decision::Forward { daemon, task });
+            self.forward_waiting(key, daemon, decisions);
             return;
         }
+        if is_forwardable(submission) {
+            self.forwardable.insert((self.tasks[key].sequence, key));
+        }
         let interactive = submission.class.policy == Policy::Interactive;
         match self.missing_room(&submission.class.demand, submission.tasks.len()) {
             Some(_) if interactive => self.drop_waiting(key, Refusal::NeverFits, decisions),
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -325,6 +325,31 @@
     assert_eq!(kept, []);
 }
 
+/// Guards against requests that wait here after a peer has got room, and against a peer that
+/// gets more of them than its part.
+#[test]
+fn waiting_requests_follow_new_hints() {
+    let mut cell = Cell::new().team("a", 1_000).limited_team("b", 0);
+    cell = cell.peer("q", 0, &[]);
+    for task in 1..=4 {
+        cell.submit(task, "a", Policy::Interactive);
+    }
+    cell.submit(5, "b", Policy::Interactive);
+
+    let decisions = cell.step(Event::PeerSeen(fuchsiatack_kernel::PeerLoad {
+        daemon: "p".into(),
+        free_slots: 4,
+        token_teams: Vec::new(),
+        waiting: 0,
+    }));
+
+    let forward = |task| Decision::Forward {
+        daemon: "p".into(),
+        task: id(task),
+    };
+    assert_eq!(decisions, [forward(4), forward(3)]);
+}
+
 /// Guards against service tasks that share a rack while another is free.
 #[test]
 fn service_tasks_spread_over_racks() {
--- a/crates/kernel/tests/rules.rs
+++ b/crates/kernel/tests/rules.rs
@@ -42,12 +42,14 @@
 #[derive(Clone, Default)]
 struct ModelTask {
     awaits_end: bool,
+    deadline_us: Option<u64>,
     demand: u32,
     finished: bool,
     gang: Vec<u64>,
     idempotent: bool,
     inherited: bool,
     lost: bool,
+    may_forward: bool,
     may_start: bool,
     on: Option<u8>,
     out_of_sight: bool,
@@ -160,12 +162,13 @@
             Decision::Start { epoch, task, worker } => self.check_start(*epoch, *task, worker, started),
             Decision::Refuse { task, .. } | Decision::Forward { task, .. } => {
                 let task = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
-                let valid = task.may_start && !task.ran;
+                let may_leave = task.may_forward || matches!(decision, Decision::Refuse { .. });
+                let valid = task.may_start && !task.ran && may_leave;
                 task.may_start = false;
                 task.finished = true;
                 valid
                     .then_some(())
-                    .ok_or("refused or forwarded a task that was started")
+                    .ok_or("refused a task that was started, or forwarded one twice")
             }
             Decision::Abandon { task } => {
                 let task = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
@@ -214,7 +217,14 @@
         if !entry.may_start || entry.on.is_some() {
             return Err("started twice");
         }
+        if entry
+            .deadline_us
+            .is_some_and(|deadline_us| deadline_us <= self.now_us)
+        {
+            return Err("started after its deadline");
+        }
         entry.may_start = false;
+        entry.may_forward = false;
         entry.on = Some(place);
         let team = entry.team;
         started.push(task.sequence);
@@ -320,26 +330,32 @@
         let tasks: Vec<u64> = (1..=size).map(|offset| self.next + offset).collect();
         self.next += size;
         let idempotent = step.pick % 8 > 1;
+        let deadline_us = step
+            .pick
+            .is_multiple_of(3)
+            .then_some(self.now_us + u64::from(step.amount) * 20_000);
+        let may_forward = step.pick.is_multiple_of(5);
         for task in &tasks {
             let entry = ModelTask {
+                deadline_us,
                 demand,
                 gang: tasks.clone(),
                 idempotent,
+                may_forward,
                 may_start: true,
                 team,
                 ..ModelTask::default()
             };
             self.tasks.insert(*task, entry);
         }
-        let deadline = (step.pick.is_multiple_of(3)).then_some(self.now_us + u64::from(step.amount) * 20_000);
         self.send(Event::Submit(Submission {
             class: TaskClass {
                 demand: slots_only(demand),
                 idempotent,
                 policy,
             },
-            deadline_us: deadline,
-            may_forward: step.pick.is_multiple_of(5),
+            deadline_us,
+            may_forward,
             tasks: tasks.into_iter().map(id).collect(),
             team: team_name(team),
         }))
