kernel: keep reserved room even from urgent work after ten minutes

Cause: while callers alone kept the fleet full, their tasks came close to their start bound and took the room that was kept for a gang, so the gang never started. Ruled out: keeping room from urgent work at once, which breaks its start bound each time a gang waits for a minute. Before: without the new strength the overload test fails (run with it disabled). After: it passes, with the gang started within 1,000 s of simulated time. A test for the limit of ejections was added, since removing the limit had gone unnoticed. Conclusion: urgent work may miss its bound on the slots of one gang that waited for ten minutes.

--- a/crates/kernel/src/reservation.rs
+++ b/crates/kernel/src/reservation.rs
@@ -10,6 +10,9 @@
     fuchsiatack_model::{Policy, Resources},
 };
 
+/// Waiting time after which room is kept from urgent work as well, so that a gang starts
+/// even while callers alone keep the fleet full.
+const ABSOLUTE_AFTER_US: u64 = 600_000_000;
 /// Waiting time after which room is also kept from callers and made by stopping batch work.
 pub(crate) const FIRM_AFTER_US: u64 = 60_000_000;
 /// Time between attempts to place gangs that hold no reservation.
@@ -20,15 +23,37 @@
 /// Doublings of the term, so that a gang that needs much room gets it at last.
 const TERM_DOUBLINGS: u32 = 8;
 
+/// Whom reserved room is kept from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Strength {
+    /// From batch work and other gangs.
+    Soft,
+    /// From services and from callers whose start bound is not close, too.
+    Firm,
+    /// From all other work.
+    Absolute,
+}
+
+impl Strength {
+    /// Strength for a gang that has waited for a time.
+    fn after(waited_us: u64) -> Self {
+        match waited_us {
+            ABSOLUTE_AFTER_US.. => Self::Absolute,
+            FIRM_AFTER_US.. => Self::Firm,
+            _ => Self::Soft,
+        }
+    }
+}
+
 /// The reservation of one gang. Only one gang reserves at a time, so that two never keep
 /// room from each other.
 pub(crate) struct Reservation {
     demand: Resources,
-    firm: bool,
     held: u32,
     holds: Vec<(WorkerKey, u32)>,
     pub(crate) leader: TaskKey,
     size: u32,
+    strength: Strength,
 }
 
 impl Kernel {
@@ -153,13 +178,13 @@
             return true;
         }
         let task = &self.tasks[key];
-        let firm = self
+        let strength = self
             .reservation
             .as_ref()
-            .is_some_and(|reservation| reservation.firm);
+            .map_or(Strength::Soft, |reservation| reservation.strength);
         match task.policy {
-            Policy::Interactive if !firm || self.is_urgent(key) => true,
-            Policy::Service if !firm => true,
+            Policy::Interactive | Policy::Service if strength == Strength::Soft => true,
+            Policy::Interactive if strength == Strength::Firm && self.is_urgent(key) => true,
             _ => entry.free().minus(&entry.reserved).covers(&task.demand),
         }
     }
@@ -169,22 +194,22 @@
             return;
         };
         let task = &self.tasks[leader];
-        let firm = self.now_us >= task.submitted_us + FIRM_AFTER_US;
+        let strength = Strength::after(self.now_us - task.submitted_us);
         let demand = task.demand;
         let size = self.gangs[gang].members.len() as u32;
         self.reservation = Some(Reservation {
             demand,
-            firm,
             held: 0,
             holds: Vec::new(),
             leader,
             size,
+            strength,
         });
         self.collect_room(&demand, size);
         let term_us = self.term_us(gang);
         self.timers
             .insert((self.now_us + term_us, Timer::ReservationEnd(leader)));
-        if firm {
+        if strength >= Strength::Firm {
             let missing = self
                 .reservation
                 .as_ref()
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -185,6 +185,42 @@
     assert_eq!(starts[..3], [101, 102, 103]);
 }
 
+/// Guards against a gang that never starts because callers alone keep the fleet full.
+#[test]
+fn gang_starts_under_lasting_overload_by_callers() {
+    let mut cell = Cell::new().team("a", 1_000).team("b", 1_000).worker("w", 2);
+    let mut next = 1;
+    let mut running = Vec::new();
+    let mut gang_started = None;
+    cell.step(Event::Submit(submission(&[1_000_001], "b", Policy::Interactive)));
+    running.push(1_000_001);
+    cell.step(Event::Submit(submission(
+        &[2_000_001, 2_000_002],
+        "a",
+        Policy::Gang,
+    )));
+
+    for second in 0..1_500 {
+        for _ in 0..3 {
+            running.extend(started_tasks(&cell.submit(next, "b", Policy::Interactive)));
+            next += 1;
+        }
+        running.extend(started_tasks(&cell.after_ms(1_000)));
+        if let Some(task) = running.pop() {
+            running.extend(started_tasks(&cell.end(task, TaskEnd::Done)));
+        }
+        if running.contains(&2_000_001) && running.contains(&2_000_002) {
+            gang_started = Some(second);
+            break;
+        }
+    }
+
+    assert!(
+        gang_started.is_some_and(|second| second < 1_000),
+        "{gang_started:?}"
+    );
+}
+
 /// Guards against a gang that starves because its team's small tasks take every token.
 #[test]
 fn gang_gets_the_tokens_of_its_team_after_a_while() {
@@ -277,6 +313,30 @@
     );
 }
 
+/// Guards against so many ejections that the rest of the fleet is overloaded.
+#[test]
+fn only_a_part_of_the_fleet_is_taken_out() {
+    let mut cell = Cell::new().team("a", 1_000);
+    for (name, speed_millis) in [
+        ("bad-1", 8_000),
+        ("bad-2", 4_000),
+        ("v", 1_000),
+        ("w", 1_000),
+        ("x", 1_000),
+    ] {
+        cell.attach(name, 8, speed_millis, Vec::new());
+    }
+
+    let mut chosen = Vec::new();
+    for task in 1..=12 {
+        chosen.extend(started(&cell.submit(task, "a", Policy::Interactive)));
+        cell.end(task, TaskEnd::Failed);
+    }
+
+    let on = |name: &str| chosen.iter().filter(|(_, worker)| *worker == name.into()).count();
+    assert_eq!((on("bad-1"), on("bad-2")), (5, 7));
+}
+
 /// Guards against work that goes to slow workers although faster ones are free.
 #[test]
 fn interactive_work_goes_to_the_worker_measured_as_fastest() {
