--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -67,6 +67,13 @@
     pub(crate) workers: Workers,
 }
 
+impl Default for Kernel {
+    /// Creates a kernel with the default settings.
+    fn default() -> Self {
+        Self::new(KernelSettings::default())
+    }
+}
+
 impl Kernel {
     /// Creates a kernel without workers, teams or lease.
     pub fn new(settings: KernelSettings) -> Self {
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use {
-    fuchsiatack_kernel::{Decision, Event, Kernel, KernelSettings, PeerLoad, Submission, TaskEnd},
+    fuchsiatack_kernel::{Decision, Event, Kernel, PeerLoad, Submission, TaskEnd},
     fuchsiatack_model::{
         Epoch, Policy, Resources, RunningTask, SessionId, TaskClass, TaskId, TeamName, WorkerName,
     },
@@ -18,7 +18,7 @@
 impl Cell {
     pub fn new() -> Self {
         let mut cell = Self {
-            kernel: Kernel::new(KernelSettings::default()),
+            kernel: Kernel::default(),
             now_us: 1_000_000,
             epoch: 0,
         };
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -415,19 +415,15 @@
 fn service_tasks_spread_over_racks() {
     let mut cell = Cell::new().team("a", 1_000);
     for (number, rack) in [(1, "r1"), (2, "r1"), (3, "r2"), (4, "r3")] {
-        let mut event = Event::WorkerAttached {
+        cell.step(Event::WorkerAttached {
             capacity: slots_only(4),
             data_center: "zone".into(),
             epoch: fuchsiatack_model::Epoch(number),
             rack: rack.into(),
-            running: Vec::new(),
+            running: vec![inherited(500 + number, "a")],
             speed_millis: 1_000,
             worker: format!("{rack}-{number}").as_str().into(),
-        };
-        if let Event::WorkerAttached { running, .. } = &mut event {
-            running.push(inherited(500 + number, "a"));
-        }
-        cell.step(event);
+        });
     }
 
     let mut racks: Vec<String> = (1..=3)
--- a/crates/kernel/tests/rules.rs
+++ b/crates/kernel/tests/rules.rs
@@ -76,6 +76,7 @@
     tokens: u32,
 }
 
+#[derive(Default)]
 struct Model {
     epoch: u64,
     held: HashSet<u8>,
@@ -102,19 +103,13 @@
 
 impl Model {
     fn new(seed: u64) -> Self {
+        let settings = KernelSettings {
+            seed,
+            ..KernelSettings::default()
+        };
         Self {
-            epoch: 0,
-            held: HashSet::new(),
-            kernel: Kernel::new(KernelSettings {
-                seed,
-                ..KernelSettings::default()
-            }),
-            lease: false,
-            next: 0,
-            now_us: 0,
-            tasks: BTreeMap::new(),
-            teams: HashMap::new(),
-            workers: BTreeMap::new(),
+            kernel: Kernel::new(settings),
+            ..Self::default()
         }
     }
 
@@ -240,11 +235,8 @@
     fn compare_usage(&self) -> Result<(), String> {
         for (team, running, _) in self.kernel.usage() {
             let place = number(team.as_str());
-            let expected = self
-                .tasks
-                .values()
-                .filter(|task| task.on.is_some() && task.team == place);
-            let expected = expected.count() as u32;
+            let runs = |task: &&ModelTask| task.on.is_some() && task.team == place;
+            let expected = self.tasks.values().filter(runs).count() as u32;
             if running != expected {
                 return Err(format!("{team} runs {expected}, the kernel counts {running}"));
             }
@@ -509,15 +501,12 @@
     /// The ledger has applied all returns and then makes the pool `amount`.
     fn set_tokens(&mut self, team: u8, amount: u8) -> Result<(), String> {
         let pool = self.teams.entry(team).or_default();
-        let applied = pool.tokens - pool.returned;
-        *pool = ModelTeam {
-            returned: 0,
-            tokens: applied,
-            ..std::mem::take(pool)
-        };
+        pool.tokens -= std::mem::take(&mut pool.returned);
+        let applied = pool.tokens;
         self.send_tokens(team, applied)?;
-        self.teams.get_mut(&team).unwrap().tokens = u32::from(amount % 12);
-        self.teams.get_mut(&team).unwrap().returned = 0;
+        let pool = self.teams.get_mut(&team).unwrap();
+        pool.tokens = u32::from(amount % 12);
+        pool.returned = 0;
         self.send_tokens(team, u32::from(amount % 12))
     }
 
@@ -535,10 +524,12 @@
         })
     }
 
+    fn change(&mut self, worker: u8, change: impl Fn(&mut ModelWorker)) {
+        self.workers.get_mut(&worker).into_iter().for_each(change);
+    }
+
     fn release(&mut self, worker: u8) -> Result<(), String> {
-        if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.releasing = true;
-        }
+        self.change(worker, |worker| worker.releasing = true);
         self.send(Event::WorkerReleasing {
             worker: worker_name(worker),
         })
@@ -549,9 +540,7 @@
             true => self.held.insert(worker),
             false => self.held.remove(&worker),
         };
-        if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.held = held;
-        }
+        self.change(worker, |worker| worker.held = held);
         self.send(Event::WorkerHeld {
             held,
             worker: worker_name(worker),
@@ -559,9 +548,7 @@
     }
 
     fn unreachable(&mut self, worker: u8) -> Result<(), String> {
-        if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.unreachable = true;
-        }
+        self.change(worker, |worker| worker.unreachable = true);
         self.send(Event::WorkerUnreachable {
             worker: worker_name(worker),
         })
