testkit: give out each test address once

A run of all tests failed once: a cell could not start since its address was in use. Tests of one executable share a loopback address, and the system chose a port again that one thread had released for a process not yet started. The same run took 32 s instead of 2 s in that file, which fits daemons of two cells on one address, but this was not shown.

The process now keeps the addresses it gave out, and the proxy sends datagrams from 127.0.0.1. Ruled out: outgoing connections on those ports, which leave from 127.0.0.1.

--- a/crates/testkit/src/ports.rs
+++ b/crates/testkit/src/ports.rs
@@ -1,13 +1,19 @@
 //! Free addresses for the processes of a test.
 
 use std::{
+    collections::HashSet,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    sync::{LazyLock, Mutex, PoisonError},
 };
 
 /// Attempts to find a port that is free for TCP and UDP.
 const ATTEMPTS: usize = 50;
 
+/// Addresses that were given out. The system may choose a port again once it is released, while a
+/// test on another thread still starts the process that it is meant for.
+static GIVEN_OUT: LazyLock<Mutex<HashSet<SocketAddr>>> = LazyLock::new(Mutex::default);
+
 /// Loopback address of this test process. Tests in parallel use different ones, and connections
 /// leave from 127.0.0.1, so a released port is not taken before the daemon binds it.
 pub fn test_ip() -> Ipv4Addr {
@@ -16,13 +22,16 @@
 }
 
 /// Lets the system choose a port that is free for TCP and UDP, and releases it.
+/// Each address is given out once in a process.
 pub fn free_address() -> io::Result<SocketAddr> {
+    let mut given_out = GIVEN_OUT.lock().unwrap_or_else(PoisonError::into_inner);
     let mut last = io::Error::other("no attempt was made");
     for _ in 0..ATTEMPTS {
         let listener = TcpListener::bind((test_ip(), 0))?;
         let address = listener.local_addr()?;
         match UdpSocket::bind(address) {
-            Ok(_) => return Ok(address),
+            Ok(_) if given_out.insert(address) => return Ok(address),
+            Ok(_) => {}
             Err(error) => last = error,
         }
     }
--- a/crates/testkit/src/proxy_udp.rs
+++ b/crates/testkit/src/proxy_udp.rs
@@ -6,7 +6,7 @@
     smol_str::SmolStr,
     std::{
         collections::HashMap,
-        net::SocketAddr,
+        net::{Ipv4Addr, SocketAddr},
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
@@ -78,7 +78,7 @@
     tasks: &mut JoinSet<()>,
 ) -> Option<Arc<Direction>> {
     let from = route.sender(Protocol::Udp, sender).await;
-    let socket = UdpSocket::bind((front.local_addr().ok()?.ip(), 0)).await.ok()?;
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.ok()?;
     socket.connect(route.target).await.ok()?;
     let socket = Arc::new(socket);
     let (forward, sending) = Direction::new(&from, &route.to, route, &socket, None);
