testkit: let an isolated party reach itself

In a trial with the daemon behind the proxy, an entry daemon reached its own store role through its advertised address. Isolating it cut that path too, which no partition of a network does, and would have hidden faults of a leader that is cut off from all others.

--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -50,6 +50,8 @@
 }
 
 impl Rules {
+    /// A party always reaches itself: a daemon cut off from all others still talks to its own
+    /// store role.
     pub(crate) fn faults(&self, from: &str, to: &str) -> LinkFaults {
         matching(&self.faults, from, to).fold(LinkFaults::default(), |sum, faults| sum.and(faults))
     }
@@ -67,6 +69,7 @@
     let matches = |rule: &str, party: &str| rule == ANY || rule == party;
     rules
         .iter()
+        .filter(move |_| from != to)
         .filter(move |((rule_from, rule_to), _)| matches(rule_from, from) && matches(rule_to, to))
         .map(|(_, value)| value)
 }
--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -95,6 +95,20 @@
     assert_eq!(end.expect("a clean end"), 0);
 }
 
+/// Guards against a partition that also separates a daemon from its own store role.
+#[tokio::test]
+async fn an_isolated_party_reaches_itself() {
+    let proxy = Proxy::new(1);
+    let front = proxy.open_from("a", "a", echo().await).await.expect("an address");
+    let mut stream = TcpStream::connect(front).await.expect("a connection");
+
+    proxy.isolate("a");
+    proxy.reset("a", fuchsiatack_testkit::ANY);
+
+    stream.write_all(b"x").await.expect("written");
+    assert_eq!(read(&mut stream, 1).await, b"x");
+}
+
 /// Guards against resets that look like a clean end or hit other parties.
 #[tokio::test]
 async fn a_reset_breaks_only_its_connections() {
