daemon: answer connections over the limit before they are closed

The server stopped accepting at the limit, so that callers waited without a word. Up to 64 connections over it get a 503 with a retry hint now, further ones are closed.

--- /dev/null
+++ b/crates/daemon/src/connection_gate.rs
@@ -0,0 +1,94 @@
+//! Limit of open connections.
+
+use {
+    salvo::{
+        conn::ConnCtrl,
+        fuse::{ArcConnObserver, ConnObserver, FuseAction, FuseConfig, FuseInfo, FusePolicy},
+    },
+    std::{
+        collections::HashSet,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+};
+
+/// Connections over the limit that are kept for one answer that says so. Further ones are closed.
+const SPARE_CONNECTIONS: usize = 64;
+
+#[derive(Default)]
+struct Counts {
+    open: AtomicUsize,
+    over: Mutex<HashSet<SocketAddr>>,
+}
+
+/// Counts connections and tells which came while the limit was reached. Clones share the count.
+#[derive(Clone)]
+pub(crate) struct ConnectionGate {
+    config: FuseConfig,
+    counts: Arc<Counts>,
+    limit: usize,
+}
+
+impl ConnectionGate {
+    pub(crate) fn new(limit: usize, config: FuseConfig) -> Self {
+        Self {
+            config,
+            counts: Arc::default(),
+            limit,
+        }
+    }
+
+    /// Returns whether a connection came while the limit was reached.
+    pub(crate) fn is_over(&self, remote: Option<SocketAddr>) -> bool {
+        remote.is_some_and(|remote| self.counts.over().contains(&remote))
+    }
+}
+
+impl Counts {
+    fn over(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+        self.over.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[salvo::async_trait]
+impl FusePolicy for ConnectionGate {
+    async fn decide(&self, _info: &FuseInfo) -> FuseAction {
+        match self.counts.open.load(Ordering::Acquire) >= self.limit + SPARE_CONNECTIONS {
+            true => FuseAction::Reject,
+            false => FuseAction::Accept(self.config),
+        }
+    }
+
+    fn observe(&self, info: &FuseInfo, _control: &ConnCtrl) -> Option<ArcConnObserver> {
+        let before = self.counts.open.fetch_add(1, Ordering::AcqRel);
+        let remote = info.remote_addr.clone().into_std();
+        let over = remote.filter(|_| before >= self.limit);
+        if let Some(remote) = over {
+            self.counts.over().insert(remote);
+        }
+        Some(Arc::new(OpenConnection {
+            counts: self.counts.clone(),
+            over,
+        }))
+    }
+}
+
+/// An open connection. It is counted until this is dropped.
+struct OpenConnection {
+    counts: Arc<Counts>,
+    over: Option<SocketAddr>,
+}
+
+impl ConnObserver for OpenConnection {}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.counts.open.fetch_sub(1, Ordering::AcqRel);
+        if let Some(remote) = self.over {
+            self.counts.over().remove(&remote);
+        }
+    }
+}
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -4,6 +4,7 @@
     crate::{
         DaemonError,
         answer::Answer,
+        connection_gate::ConnectionGate,
         http_error::{HttpError, reason_of},
         shared::Shared,
     },
@@ -28,6 +29,8 @@
 const MAX_HEADERS: usize = 64;
 /// Longest request head in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
+/// When a request on a connection over the limit may be sent again, in milliseconds.
+const CONNECTION_RETRY_MS: u32 = 1_000;
 /// Longest pause between two parts of a request body.
 const BODY_PAUSE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -50,16 +53,19 @@
             message: error.to_string(),
         })?;
         let fuse = salvo::fuse::FuseConfig::default().with_request_body_timeout(BODY_PAUSE_LIMIT);
-        let mut server = Server::new(acceptor)
-            .max_connections(max_connections)
-            .fuse_config(fuse);
+        let gate = ConnectionGate::new(max_connections, fuse);
+        let mut server = Server::new(acceptor).fuse_policy(gate.clone());
         server
             .http1_mut()
             .max_headers(MAX_HEADERS)
             .max_buf_size(MAX_HEAD_BYTES);
         let handle = server.handle();
-        let service =
-            Service::new(router).catcher(salvo::catcher::Catcher::default().hoop(NotFound(shared.clone())));
+        let service = Service::new(router)
+            .hoop(Limit {
+                gate,
+                shared: shared.clone(),
+            })
+            .catcher(salvo::catcher::Catcher::default().hoop(NotFound(shared.clone())));
         let task = tokio::spawn(async move {
             let _ = server.try_serve(service).await;
         });
@@ -73,6 +79,39 @@
     }
 }
 
+/// Refuses requests on connections over the limit, and has them closed.
+struct Limit {
+    gate: ConnectionGate,
+    shared: Arc<Shared>,
+}
+
+#[salvo::async_trait]
+impl salvo::Handler for Limit {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut salvo::Depot,
+        response: &mut Response,
+        flow: &mut salvo::FlowCtrl,
+    ) {
+        if !self.gate.is_over(request.remote_addr().clone().into_std()) {
+            return;
+        }
+        set_header(response, header::CONNECTION.as_str(), "close");
+        let error = HttpError {
+            retry_after_ms: CONNECTION_RETRY_MS,
+            ..HttpError::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "too-many-connections",
+                "the daemon has too many open connections; retry later or on another daemon",
+            )
+        };
+        render_error(response, &error);
+        set_index(response, applied(&self.shared));
+        flow.skip_rest();
+    }
+}
+
 /// Answers paths and methods that do not exist, as JSON.
 struct NotFound(Arc<Shared>);
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod arguments;
 mod caller_api;
+mod connection_gate;
 mod daemon;
 mod engine;
 mod engine_decisions;
--- a/crates/daemon/tests/http_input.rs
+++ b/crates/daemon/tests/http_input.rs
@@ -8,6 +8,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        time::sleep,
     },
 };
 
@@ -279,3 +280,26 @@
 
     cell.stop().await.expect("exit code 0");
 }
+
+/// Guards against connections without limit, and against a limit that closes without a word.
+#[tokio::test]
+async fn refuses_connections_over_the_limit() {
+    let cell = CellBuilder::new(env!("CARGO_BIN_EXE_fuchsiatackd"))
+        .adjust_daemon(|daemon| daemon.callers.max_connections = 2)
+        .records(RECORDS)
+        .start()
+        .await
+        .expect("the cell starts");
+    let address = cell.caller_addresses()[0];
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        held.push(TcpStream::connect(address).await.expect("a connection"));
+    }
+
+    assert_refused(request(&cell), 503, "too-many-connections", "connections").await;
+    drop(held);
+    sleep(Duration::from_millis(500)).await;
+    assert_refused(request(&cell), 400, "missing-request-id", "header").await;
+
+    cell.stop().await.expect("exit code 0");
+}
