kernel: alternate between equal workers for interactive tasks

Cause: the interactive policy took the first worker of the fastest class that had room, so under a light load one worker ran everything and an equal one nothing. Ruled out: a lost undrain; the kept logs show both workers attached and idle slots on both. Before: the new kernel test sees one worker used. After: it sees both, and all kernel tests pass.

--- a/crates/kernel/src/policy_interactive.rs
+++ b/crates/kernel/src/policy_interactive.rs
@@ -1,4 +1,7 @@
-//! Policy of interactive tasks: the fastest worker with room, so the caller waits least.
+//! Policy of interactive tasks: a worker of the fastest class with room, so the caller waits least.
+//!
+//! Callers alternate between the workers of a class. Always taking the first one left equal
+//! workers idle while one ran all requests of a light load.
 
 use {
     crate::{
@@ -12,7 +15,8 @@
 
 impl PlacementPolicy for Interactive {
     fn choose(&self, view: &PlacementView<'_>) -> Option<WorkerKey> {
-        view.workers.fastest(view.demand, view.accept)
+        let sample = view.workers.sample(view.demand, view.salt, 1, view.accept);
+        sample.first().copied()
     }
 }
 
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -456,3 +456,20 @@
     assert_eq!(decisions, [forward]);
     assert_eq!(cell.kernel.waiting(), 0);
 }
+
+/// Guards against a light load that always goes to the first of several equal workers.
+#[test]
+fn equal_workers_take_turns_under_a_light_load() {
+    let mut cell = Cell::new().team("a", 1_000).worker("v", 8).worker("w", 8);
+
+    let used: std::collections::BTreeSet<_> = (1..=40)
+        .flat_map(|task| {
+            let decisions = cell.submit(task, "a", Policy::Interactive);
+            cell.end(task, TaskEnd::Done);
+            started(&decisions)
+        })
+        .map(|(_, worker)| worker.to_string())
+        .collect();
+
+    assert_eq!(used.len(), 2, "{used:?}");
+}
