Return tokens exactly once, and free them only when the smaller pool was seen

Cause: found by reading. A return of tokens could not be repeated after a lost answer, as a second one would have returned as many again; and the kernel took any decrease of its pool as the confirmation of a return. After a lost answer, or when a grant and a return reached it as one number, tokens would stay unusable for the rest of the session (by reasoning; the old code was not run against the new test, which uses the new event). Returns now carry a sequence number that the ledger checks, they are repeated until they are applied, and the kernel gets an event of its own once it has followed that index. Ruled out: absolute pool sizes in the return, since a grant under way would be undone. After: pool_is_whole_again_after_a_return_that_was_not_seen passes, with the tests of ledger and kernel.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -153,7 +153,12 @@
             EngineMessage::RunEnded { end, ran, task } => self.on_run_ended(task, end, ran),
             EngineMessage::Stopped(task) => self.on_stopped(task),
             EngineMessage::Submit(new) => self.submit(*new),
-            EngineMessage::TokensReturned(team) => self.on_tokens_returned(team),
+            EngineMessage::TokensReturned { applied, session } => {
+                if self.session == Some(session) {
+                    self.returns.applied(applied);
+                    self.end_returns();
+                }
+            }
             EngineMessage::Unreachable(owned) => {
                 if self.owns(&owned) {
                     self.feed(Event::WorkerUnreachable { worker: owned.worker });
--- a/crates/daemon/src/engine_decisions.rs
+++ b/crates/daemon/src/engine_decisions.rs
@@ -8,6 +8,7 @@
         entry::{Entry, EntryState, RunningAt},
         job::ReplyTo,
         peers::Peers,
+        token_returns::AppliedReturn,
         worker_adapter::RunCall,
     },
     fuchsiatack_kernel::{Decision, Event, TaskEnd},
@@ -176,21 +177,29 @@
         }
     }
 
-    pub(crate) fn on_tokens_returned(&mut self, team: TeamName) {
-        if let Some(tokens) = self.returns.end(&team) {
-            self.propose_return(team, tokens);
+    /// Tells the kernel of applied returns once it has seen the smaller pools.
+    pub(crate) fn end_returns(&mut self) {
+        for AppliedReturn { team, tokens, .. } in self.returns.take_over() {
+            self.feed(Event::TokensReturned {
+                team: team.clone(),
+                tokens,
+            });
+            if let Some(tokens) = self.returns.end(&team) {
+                self.propose_return(team, tokens);
+            }
         }
     }
 
-    /// Proposes to return tokens. The command is not repeated after a lost answer, since a second
-    /// one would return as many again; the kernel then follows the next `TokensSet`.
-    fn propose_return(&self, team: TeamName, tokens: u32) {
+    /// Proposes to return tokens until that is applied: until then they count at no daemon.
+    fn propose_return(&mut self, team: TeamName, tokens: u32) {
         let Some(session) = self.session else {
             return;
         };
+        let sequence = self.returns.next_sequence();
         let shared = self.shared.clone();
         tokio::spawn(async move {
             let command = Command::ReturnTokens {
+                sequence,
                 session,
                 team: team.clone(),
                 tokens,
@@ -199,14 +208,21 @@
                 let proposed = shared
                     .session
                     .cell()
-                    .propose(command.clone(), false, PROPOSE_LIMIT)
+                    .propose(command.clone(), true, PROPOSE_LIMIT)
                     .await;
-                match proposed {
-                    Err(error) if error.had_no_effect() => sleep(RETRY_DELAY).await,
-                    _ => break,
-                }
+                let Ok(committed) = proposed else {
+                    sleep(RETRY_DELAY).await;
+                    continue;
+                };
+                let applied = AppliedReturn {
+                    index: committed.index,
+                    team,
+                    tokens,
+                };
+                return shared
+                    .engine
+                    .send(EngineMessage::TokensReturned { applied, session });
             }
-            shared.engine.send(EngineMessage::TokensReturned(team));
         });
     }
 }
--- a/crates/daemon/src/engine_directory.rs
+++ b/crates/daemon/src/engine_directory.rs
@@ -87,6 +87,8 @@
         if teams_changed {
             self.follow_teams();
         }
+        self.returns.followed(index);
+        self.end_returns();
         self.shared.metrics.index.set(index.0 as i64);
         self.shared.peers.retain(&self.shared.session.directory());
         self.check_lease();
--- a/crates/daemon/src/engine_message.rs
+++ b/crates/daemon/src/engine_message.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         job::{NewJobs, Ticket},
+        token_returns::AppliedReturn,
         worker_adapter::RunEnd,
     },
     fuchsiatack_ledger::WorkerEntry,
-    fuchsiatack_model::{Epoch, LogIndex, TaskId, TeamName, WorkTask, WorkerName, WorkerReport},
+    fuchsiatack_model::{Epoch, LogIndex, SessionId, TaskId, WorkTask, WorkerName, WorkerReport},
     fuchsiatack_wire::{ForwardedAnswer, LoadHint, WireError},
     std::time::Duration,
     tokio::{sync::oneshot, time::Instant},
@@ -58,8 +59,11 @@
     Stopped(TaskId),
     /// New jobs.
     Submit(Box<NewJobs>),
-    /// A proposal to return tokens is over.
-    TokensReturned(TeamName),
+    /// The ledger applied a return of tokens.
+    TokensReturned {
+        applied: AppliedReturn,
+        session: SessionId,
+    },
     /// A worker does not answer.
     Unreachable(Owned),
     /// The end of a task of a queued work was applied at an index.
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -113,6 +113,13 @@
         /// The team.
         team: TeamName,
     },
+    /// The ledger applied a return of tokens, and `TokensSet` with the lower number came before.
+    TokensReturned {
+        /// The team.
+        team: TeamName,
+        /// Number of tokens.
+        tokens: u32,
+    },
     /// The pool of a team, as an absolute number, after the ledger changed it.
     TokensSet {
         /// The team.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -167,6 +167,7 @@
             Event::TeamRemoved { team } => self.team_removed(&team, decisions),
             Event::Tick => {}
             Event::TokensAdvised { target, team } => self.tokens_advised(&team, target, decisions),
+            Event::TokensReturned { team, tokens } => self.tokens_returned(&team, tokens, decisions),
             Event::TokensSet { team, tokens } => self.tokens_set(team, tokens, decisions),
             Event::WorkerAttached {
                 capacity,
--- a/crates/kernel/src/teams.rs
+++ b/crates/kernel/src/teams.rs
@@ -95,6 +95,12 @@
         self.team_changed(key);
     }
 
+    pub(crate) fn tokens_returned(&mut self, name: &TeamName, tokens: u32, decisions: &mut Vec<Decision>) {
+        let Some(key) = self.teams.key(name) else { return };
+        self.teams[key].tokens.returned(tokens);
+        self.tokens_changed(key, decisions);
+    }
+
     pub(crate) fn tokens_set(&mut self, name: TeamName, tokens: u32, decisions: &mut Vec<Decision>) {
         let key = self.teams.key_or_insert(&name);
         self.teams[key].tokens.set(tokens);
--- a/crates/kernel/src/tokens.rs
+++ b/crates/kernel/src/tokens.rs
@@ -5,7 +5,7 @@
 pub(crate) struct TokenPool {
     /// Tokens that the ledger says this daemon holds.
     held: u32,
-    /// Tokens given back that the ledger has not yet taken off `held`.
+    /// Tokens given back whose return is not yet known to be taken off `held`.
     returning: u32,
     /// Pool size that the leader asked for, until it is reached.
     target: Option<u32>,
@@ -17,14 +17,17 @@
         self.held.saturating_sub(self.returning)
     }
 
-    /// Takes over the ledger's number. A decrease confirms tokens on their way back, so a
-    /// grant that was committed before a return does not make the returned tokens usable.
+    /// Takes over the ledger's number. It may or may not include returns that are under way,
+    /// so these stay unusable until `returned`.
     pub(crate) fn set(&mut self, tokens: u32) {
-        let decrease = self.held.saturating_sub(tokens);
-        self.returning = self.returning.saturating_sub(decrease);
         self.held = tokens;
     }
 
+    /// Notes that the ledger has applied a return.
+    pub(crate) fn returned(&mut self, tokens: u32) {
+        self.returning = self.returning.saturating_sub(tokens);
+    }
+
     /// Takes off tokens that moved to another daemon together with a worker.
     pub(crate) fn moved(&mut self, tokens: u32) {
         self.held = self.held.saturating_sub(tokens);
--- a/crates/kernel/tests/lifecycle.rs
+++ b/crates/kernel/tests/lifecycle.rs
@@ -143,3 +143,25 @@
     assert_eq!(started_tasks(&third), []);
     assert_eq!(started_tasks(&fourth), []);
 }
+
+/// Guards against a pool that stays too small after a grant and a return that the ledger applied
+/// while the daemon was not following, and which it sees as one number.
+#[test]
+fn pool_is_whole_again_after_a_return_that_was_not_seen() {
+    let mut cell = Cell::new().limited_team("a", 4).worker("w", 8);
+    cell.step(Event::TokensAdvised {
+        target: 2,
+        team: "a".into(),
+    });
+
+    cell.step(tokens_set("a", 5));
+    cell.step(Event::TokensReturned {
+        team: "a".into(),
+        tokens: 2,
+    });
+    let started: Vec<_> = (1..=6)
+        .flat_map(|task| started_tasks(&cell.submit(task, "a", Policy::Interactive)))
+        .collect();
+
+    assert_eq!(started, [1, 2, 3, 4, 5]);
+}
--- a/crates/kernel/tests/rules.rs
+++ b/crates/kernel/tests/rules.rs
@@ -501,9 +501,14 @@
     /// The ledger has applied all returns and then makes the pool `amount`.
     fn set_tokens(&mut self, team: u8, amount: u8) -> Result<(), String> {
         let pool = self.teams.entry(team).or_default();
-        pool.tokens -= std::mem::take(&mut pool.returned);
+        let returned = std::mem::take(&mut pool.returned);
+        pool.tokens -= returned;
         let applied = pool.tokens;
         self.send_tokens(team, applied)?;
+        self.send(Event::TokensReturned {
+            team: team_name(team),
+            tokens: returned,
+        })?;
         let pool = self.teams.get_mut(&team).unwrap();
         pool.tokens = u32::from(amount % 12);
         pool.returned = 0;
--- a/crates/ledger/src/apply_tokens.rs
+++ b/crates/ledger/src/apply_tokens.rs
@@ -24,12 +24,17 @@
     /// Takes tokens out of a session's pool.
     pub(crate) fn return_tokens(
         &mut self,
+        sequence: u64,
         session: SessionId,
         team: TeamName,
         tokens: u32,
         changes: &mut Changes,
     ) -> Result<Reply, LedgerError> {
-        self.live(session)?;
+        let last = self.live(session)?.returns.entry(team.clone()).or_default();
+        if sequence <= *last {
+            return Ok(Reply::Counted(0));
+        }
+        *last = sequence;
         let returned = self.tokens.take(&team, session, tokens);
         self.note_tokens(returned, session, &team, changes);
         Ok(Reply::Counted(returned))
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -169,6 +169,9 @@
     },
     /// Takes tokens out of a session's pool.
     ReturnTokens {
+        /// Number of the return among those of the session and team, from 1. One that is not
+        /// higher than the last applied one is a resend and changes nothing.
+        sequence: u64,
         /// Session that returns them.
         session: SessionId,
         /// The team.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -183,10 +183,11 @@
             Command::ReleaseWorker { session, worker } => self.release_worker(session, &worker, changes),
             Command::ReturnTasks { session, tasks, work } => self.return_tasks(session, &work, &tasks),
             Command::ReturnTokens {
+                sequence,
                 session,
                 team,
                 tokens,
-            } => self.return_tokens(session, team, tokens, changes),
+            } => self.return_tokens(sequence, session, team, tokens, changes),
             Command::WorkerFenced {
                 epoch,
                 running,
--- a/crates/ledger/src/session.rs
+++ b/crates/ledger/src/session.rs
@@ -1,8 +1,10 @@
 //! Sessions as the ledger keeps them.
 
 use {
-    crate::DaemonInfo, fuchsiatack_derives::message, fuchsiatack_model::WorkerName,
-    std::collections::BTreeSet,
+    crate::DaemonInfo,
+    fuchsiatack_derives::message,
+    fuchsiatack_model::{TeamName, WorkerName},
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// A session that is live, or has ended and still has workers to be counted.
@@ -17,6 +19,8 @@
     pub(crate) ended: bool,
     /// Workers that it owns at present.
     pub(crate) owned: BTreeSet<WorkerName>,
+    /// Number of the last return of tokens of each team.
+    pub(crate) returns: BTreeMap<TeamName, u64>,
 }
 
 impl Session {
@@ -27,6 +31,7 @@
             daemon,
             ended: false,
             owned: BTreeSet::new(),
+            returns: BTreeMap::new(),
         }
     }
 }
--- a/crates/ledger/tests/ownership.rs
+++ b/crates/ledger/tests/ownership.rs
@@ -161,7 +161,9 @@
 
     assert_eq!(cell.tokens(session, "red"), 10);
     assert_eq!(cell.grant(session, "red", 1), Reply::Counted(0));
-    cell.apply(return_tokens(session, "red", 8));
+    let command = return_tokens(session, "red", 8);
+    cell.apply(command.clone());
+    cell.apply(command);
     assert_eq!(cell.grant(session, "red", 9), Reply::Counted(2));
 }
 
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use {
     fuchsiatack_ledger::{
         Addressed, Applied, Audience, Change, Command, DaemonInfo, EndReason, JournalKey, Ledger,
@@ -236,8 +238,11 @@
     Command::ReturnTasks { session, tasks, work }
 }
 
+/// Every call makes a return of its own, as opposed to a resend.
 pub fn return_tokens(session: SessionId, team: &str, tokens: u32) -> Command {
+    static LAST_SEQUENCE: AtomicU64 = AtomicU64::new(0);
     Command::ReturnTokens {
+        sequence: LAST_SEQUENCE.fetch_add(1, Ordering::Relaxed) + 1,
         session,
         team: team.into(),
         tokens,
