daemon: bound the wait of a planned stop for commits

A stop waited without limit for ends that could not be committed while the store had no quorum. It waits 10 s for them now; requests are still waited for without limit.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -46,6 +46,9 @@
 /// Longest wait of a planned stop for tasks of queued works. After it their workers' new owners
 /// see their end, but not their answer.
 const WORK_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait of a planned stop for ends that are not committed yet. It is only reached while
+/// the store cannot be reached; the requests are unknown then.
+const SETTLE_LIMIT: Duration = Duration::from_secs(10);
 /// Longest wait until answers are sent and connections are closed.
 const SERVER_STOP_LIMIT: Duration = Duration::from_secs(2);
 /// Period in which counters of the peer port are read.
@@ -101,6 +104,7 @@
             session,
             stopping: Stopping::default(),
             store,
+            unsettled: Open::default(),
             traces: Traces::new(&settings.traces, &settings.name)?,
             settings,
         });
@@ -142,10 +146,14 @@
         while shared.open.count() > 0 {
             sleep(OPEN_POLL_PERIOD).await;
         }
+        let answered = Instant::now();
+        while shared.unsettled.count() > 0 && answered.elapsed() < SETTLE_LIMIT {
+            sleep(OPEN_POLL_PERIOD).await;
+        }
+        self.background.shutdown().await;
         if let Err(error) = shared.session.end(END_LIMIT).await {
             spdlog::warn!("cannot end the session; it will expire", kv: { error = error.to_string() });
         }
-        self.background.shutdown().await;
         tokio::join!(
             self.callers.stop(SERVER_STOP_LIMIT),
             self.operators.stop(SERVER_STOP_LIMIT)
--- a/crates/daemon/src/engine_work.rs
+++ b/crates/daemon/src/engine_work.rs
@@ -143,9 +143,9 @@
         };
         self.book.ending(&task);
         let shared = self.shared.clone();
-        let open = shared.open.enter();
+        let unsettled = shared.unsettled.enter();
         tokio::spawn(async move {
-            let _open = open;
+            let _unsettled = unsettled;
             sleep(delay).await;
             while shared.session.id() == Some(session) {
                 match shared
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -104,13 +104,15 @@
 }
 
 async fn run_first(shared: Arc<Shared>, request: JournalRequest, answer: watch::Sender<Option<Answer>>) {
-    let _open = shared.open.enter();
+    let open = shared.open.enter();
     let forget = ForgetOnDrop {
         journal: &shared.journal,
         key: request.key.clone(),
     };
     let key = request.key.clone();
     let (result, started) = start_and_run(&shared, request).await;
+    let _unsettled = shared.unsettled.enter();
+    drop(open);
     let settlement = result.clone();
     answer.send_replace(Some(result));
     if let Some(start) = started {
@@ -222,9 +224,9 @@
 /// Withdraws a start whose answer was lost and that was not run.
 fn abandon(shared: &Shared, key: JournalKey, start: OwnStart) {
     let cell = shared.session.clone();
-    let open = shared.open.enter();
+    let unsettled = shared.unsettled.enter();
     tokio::spawn(async move {
-        let _open = open;
+        let _unsettled = unsettled;
         while cell.id() == Some(start.session) {
             let command = start.abort(key.clone());
             match cell.cell().propose(command, true, SETTLE_LIMIT).await {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -30,6 +30,8 @@
     pub(crate) stopping: Stopping,
     pub(crate) store: StoreRole,
     pub(crate) traces: Traces,
+    /// Ends that are known but not committed yet.
+    pub(crate) unsettled: Open,
 }
 
 /// Progress of a planned stop.
--- a/crates/daemon/tests/cell.rs
+++ b/crates/daemon/tests/cell.rs
@@ -335,3 +335,43 @@
     assert_eq!(count(&cell, WorkerEventKind::Started), 15);
     assert_eq!(count(&cell, WorkerEventKind::Stopped), 0);
 }
+
+/// Guards against requests that run without the store, stay refused after it is back, or keep a
+/// daemon from stopping.
+#[tokio::test]
+async fn without_a_quorum_nothing_runs() {
+    let mut cell = builder(3, 2).start().await.expect("the cell starts");
+    wait_owned(&mut cell, 2).await;
+    let to = cell.caller_addresses()[0];
+    cell.daemon(2).kill();
+    cell.daemon(3).kill();
+    cell.wait_until("the lease is lost", async |cell| Ok(!cell.is_ready(1).await))
+        .await
+        .expect("the end of the lease");
+
+    for (request, idempotent) in [("request-1", true), ("request-2", false)] {
+        let response = send(to, request, idempotent, &TaskBody::run(10))
+            .await
+            .expect("an answer");
+        assert_eq!(outcome(&response), (503, "not-run"));
+        assert!(response.headers().contains_key("retry-after"));
+    }
+    assert_eq!(count(&cell, WorkerEventKind::Started), 0);
+    cell.daemon(2).restart().expect("the daemon starts");
+    cell.daemon(3).restart().expect("the daemon starts");
+    cell.wait_ready().await.expect("ready again");
+    for (request, idempotent) in [("request-1", true), ("request-2", false)] {
+        let response = send(to, request, idempotent, &TaskBody::run(10))
+            .await
+            .expect("an answer");
+        assert_eq!(outcome(&response), (200, "done"));
+    }
+    cell.daemon(2).kill();
+    cell.daemon(3).kill();
+    let status = cell
+        .daemon(1)
+        .stop(Duration::from_secs(60))
+        .await
+        .expect("an end");
+    assert_eq!(status.code(), Some(0));
+}
