--- a/crates/kernel/tests/rules.rs
+++ b/crates/kernel/tests/rules.rs
@@ -42,12 +42,14 @@
 #[derive(Clone, Default)]
 struct ModelTask {
     awaits_end: bool,
+    deadline_us: Option<u64>,
     demand: u32,
     finished: bool,
     gang: Vec<u64>,
     idempotent: bool,
     inherited: bool,
     lost: bool,
+    may_forward: bool,
     may_start: bool,
     on: Option<u8>,
     out_of_sight: bool,
@@ -74,6 +76,7 @@
     tokens: u32,
 }
 
+#[derive(Default)]
 struct Model {
     epoch: u64,
     held: HashSet<u8>,
@@ -100,19 +103,13 @@
 
 impl Model {
     fn new(seed: u64) -> Self {
+        let settings = KernelSettings {
+            seed,
+            ..KernelSettings::default()
+        };
         Self {
-            epoch: 0,
-            held: HashSet::new(),
-            kernel: Kernel::new(KernelSettings {
-                seed,
-                ..KernelSettings::default()
-            }),
-            lease: false,
-            next: 0,
-            now_us: 0,
-            tasks: BTreeMap::new(),
-            teams: HashMap::new(),
-            workers: BTreeMap::new(),
+            kernel: Kernel::new(settings),
+            ..Self::default()
         }
     }
 
@@ -160,12 +157,13 @@
             Decision::Start { epoch, task, worker } => self.check_start(*epoch, *task, worker, started),
             Decision::Refuse { task, .. } | Decision::Forward { task, .. } => {
                 let task = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
-                let valid = task.may_start && !task.ran;
+                let may_leave = task.may_forward || matches!(decision, Decision::Refuse { .. });
+                let valid = task.may_start && !task.ran && may_leave;
                 task.may_start = false;
                 task.finished = true;
                 valid
                     .then_some(())
-                    .ok_or("refused or forwarded a task that was started")
+                    .ok_or("refused a task that was started, or forwarded one twice")
             }
             Decision::Abandon { task } => {
                 let task = self.tasks.get_mut(&task.sequence).ok_or("unknown task")?;
@@ -214,7 +212,14 @@
         if !entry.may_start || entry.on.is_some() {
             return Err("started twice");
         }
+        if entry
+            .deadline_us
+            .is_some_and(|deadline_us| deadline_us <= self.now_us)
+        {
+            return Err("started after its deadline");
+        }
         entry.may_start = false;
+        entry.may_forward = false;
         entry.on = Some(place);
         let team = entry.team;
         started.push(task.sequence);
@@ -230,11 +235,8 @@
     fn compare_usage(&self) -> Result<(), String> {
         for (team, running, _) in self.kernel.usage() {
             let place = number(team.as_str());
-            let expected = self
-                .tasks
-                .values()
-                .filter(|task| task.on.is_some() && task.team == place);
-            let expected = expected.count() as u32;
+            let runs = |task: &&ModelTask| task.on.is_some() && task.team == place;
+            let expected = self.tasks.values().filter(runs).count() as u32;
             if running != expected {
                 return Err(format!("{team} runs {expected}, the kernel counts {running}"));
             }
@@ -320,26 +322,32 @@
         let tasks: Vec<u64> = (1..=size).map(|offset| self.next + offset).collect();
         self.next += size;
         let idempotent = step.pick % 8 > 1;
+        let deadline_us = step
+            .pick
+            .is_multiple_of(3)
+            .then_some(self.now_us + u64::from(step.amount) * 20_000);
+        let may_forward = step.pick.is_multiple_of(5);
         for task in &tasks {
             let entry = ModelTask {
+                deadline_us,
                 demand,
                 gang: tasks.clone(),
                 idempotent,
+                may_forward,
                 may_start: true,
                 team,
                 ..ModelTask::default()
             };
             self.tasks.insert(*task, entry);
         }
-        let deadline = (step.pick.is_multiple_of(3)).then_some(self.now_us + u64::from(step.amount) * 20_000);
         self.send(Event::Submit(Submission {
             class: TaskClass {
                 demand: slots_only(demand),
                 idempotent,
                 policy,
             },
-            deadline_us: deadline,
-            may_forward: step.pick.is_multiple_of(5),
+            deadline_us,
+            may_forward,
             tasks: tasks.into_iter().map(id).collect(),
             team: team_name(team),
         }))
@@ -493,15 +501,12 @@
     /// The ledger has applied all returns and then makes the pool `amount`.
     fn set_tokens(&mut self, team: u8, amount: u8) -> Result<(), String> {
         let pool = self.teams.entry(team).or_default();
-        let applied = pool.tokens - pool.returned;
-        *pool = ModelTeam {
-            returned: 0,
-            tokens: applied,
-            ..std::mem::take(pool)
-        };
+        pool.tokens -= std::mem::take(&mut pool.returned);
+        let applied = pool.tokens;
         self.send_tokens(team, applied)?;
-        self.teams.get_mut(&team).unwrap().tokens = u32::from(amount % 12);
-        self.teams.get_mut(&team).unwrap().returned = 0;
+        let pool = self.teams.get_mut(&team).unwrap();
+        pool.tokens = u32::from(amount % 12);
+        pool.returned = 0;
         self.send_tokens(team, u32::from(amount % 12))
     }
 
@@ -519,10 +524,12 @@
         })
     }
 
+    fn change(&mut self, worker: u8, change: impl Fn(&mut ModelWorker)) {
+        self.workers.get_mut(&worker).into_iter().for_each(change);
+    }
+
     fn release(&mut self, worker: u8) -> Result<(), String> {
-        if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.releasing = true;
-        }
+        self.change(worker, |worker| worker.releasing = true);
         self.send(Event::WorkerReleasing {
             worker: worker_name(worker),
         })
@@ -533,9 +540,7 @@
             true => self.held.insert(worker),
             false => self.held.remove(&worker),
         };
-        if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.held = held;
-        }
+        self.change(worker, |worker| worker.held = held);
         self.send(Event::WorkerHeld {
             held,
             worker: worker_name(worker),
@@ -543,9 +548,7 @@
     }
 
     fn unreachable(&mut self, worker: u8) -> Result<(), String> {
-        if let Some(worker) = self.workers.get_mut(&worker) {
-            worker.unreachable = true;
-        }
+        self.change(worker, |worker| worker.unreachable = true);
         self.send(Event::WorkerUnreachable {
             worker: worker_name(worker),
         })
