daemon: take up a worker again whose fencing was not attached

One of nine runs of the cell tests had a worker that was not fenced within 60 s of the start of its cell; its daemon logged nothing of it. Ruled out by the log: a refused proposal, a proposal without answer and a lost worker, which are all logged. Not ruled out: a worker process that did not start, since its log was not kept. A fenced message that came under a past ownership was dropped without a word; it is logged now, and the next change of the worker starts anew, as does an owned worker that has no keeper.

--- a/crates/daemon/src/engine_directory.rs
+++ b/crates/daemon/src/engine_directory.rs
@@ -158,7 +158,12 @@
         let kept = self.keepers.get(&worker).map(|keeper| keeper.owned.epoch);
         match (self.session, entry.owner) {
             (Some(session), Some(owner)) if session == owner => {
-                if !entry.fenced && kept.is_none_or(|epoch| epoch < entry.epoch) {
+                // A fenced worker without keeper is presented the same epoch again.
+                if kept.is_none_or(|epoch| epoch < entry.epoch) {
+                    spdlog::info!("worker assigned", kv: {
+                        worker = worker.to_string(),
+                        epoch = entry.epoch.0,
+                    });
                     let keeper = Keeper::start(self.shared.clone(), entry, session);
                     self.keepers.insert(worker.clone(), keeper);
                 }
@@ -183,7 +188,12 @@
             .directory()
             .worker(&worker)
             .is_some_and(|present| present.epoch == owned.epoch && present.owner == self.session);
-        if !self.owns(owned) || !is_present {
+        if !self.owns(owned) {
+            return;
+        }
+        if !is_present {
+            spdlog::warn!("a worker was fenced under a past ownership", kv: { worker = worker.to_string() });
+            drop(self.keepers.remove(&worker));
             return;
         }
         spdlog::info!("worker attached", kv: { worker = worker.to_string(), epoch = owned.epoch.0 });
