daemon: answer a record write once this daemon shows it

A caller's request right after a write could be refused, since the directory had not applied the write yet; seen as one cell test in 40 that never started its task.

--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -17,12 +17,14 @@
     },
     serde_json::{Value, json},
     smol_str::SmolStr,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Longest record body in bytes.
 const MAX_RECORD_BYTES: usize = 1 << 20;
 const OPERATOR: &str = "operator";
+/// Longest wait until the directory of this daemon shows a committed write.
+const FOLLOW_LIMIT: Duration = Duration::from_secs(1);
 
 /// Calls of the operator address.
 #[derive(Clone, Copy, PartialEq)]
@@ -288,6 +290,8 @@
     let command = Command::WriteRecord(write);
     let proposed = shared.session.cell().propose(command, true, STORE_LIMIT).await;
     let committed = proposed.map_err(|error| HttpError::unavailable(&error))?;
+    // The writer's next call to this daemon finds the record.
+    shared.session.wait_for(committed.index, FOLLOW_LIMIT).await;
     set_index(response, committed.index);
     match committed.reply {
         Reply::Written { version } => {
