--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -31,7 +31,7 @@
     tokio::{
         sync::{mpsc, oneshot},
         task::{JoinHandle, JoinSet},
-        time::sleep,
+        time::{Instant, sleep},
     },
 };
 
@@ -43,6 +43,12 @@
 const OPEN_POLL_PERIOD: Duration = Duration::from_millis(20);
 /// Most connections of operators.
 const OPERATOR_CONNECTIONS: usize = 256;
+/// Longest wait of a planned stop for tasks of queued works. After it their workers' new owners
+/// see their end, but not their answer.
+const WORK_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait of a planned stop for ends that are not committed yet. It is only reached while
+/// the store cannot be reached; the requests are unknown then.
+const SETTLE_LIMIT: Duration = Duration::from_secs(10);
 /// Longest wait until answers are sent and connections are closed.
 const SERVER_STOP_LIMIT: Duration = Duration::from_secs(2);
 /// Period in which counters of the peer port are read.
@@ -92,11 +98,13 @@
             journal: Journal::default(),
             metrics: Metrics::new(),
             open: Open::default(),
+            open_work: Open::default(),
             operator_key: *operator_key.as_bytes(),
             peers: Peers::new(secret),
             session,
             stopping: Stopping::default(),
             store,
+            unsettled: Open::default(),
             traces: Traces::new(&settings.traces, &settings.name)?,
             settings,
         });
@@ -131,13 +139,21 @@
         sleep(Duration::from_millis(shared.settings.stop.grace_ms)).await;
         shared.stopping.set_refusing();
         hand_over(&shared).await;
+        let handed_over = Instant::now();
+        while shared.open_work.count() > 0 && handed_over.elapsed() < WORK_LIMIT {
+            sleep(OPEN_POLL_PERIOD).await;
+        }
         while shared.open.count() > 0 {
             sleep(OPEN_POLL_PERIOD).await;
         }
+        let answered = Instant::now();
+        while shared.unsettled.count() > 0 && answered.elapsed() < SETTLE_LIMIT {
+            sleep(OPEN_POLL_PERIOD).await;
+        }
+        self.background.shutdown().await;
         if let Err(error) = shared.session.end(END_LIMIT).await {
             spdlog::warn!("cannot end the session; it will expire", kv: { error = error.to_string() });
         }
-        self.background.shutdown().await;
         tokio::join!(
             self.callers.stop(SERVER_STOP_LIMIT),
             self.operators.stop(SERVER_STOP_LIMIT)
