testkit: probe no port while a process is started

A process that is being started holds copies of all open sockets until it executes its program, so a port that another thread was probing at that moment stayed bound after it was released. Ruled out: connections that take the port, as they leave from 127.0.0.1; another test process, as each has its own loopback address by process id.

--- a/crates/testkit/src/child_process.rs
+++ b/crates/testkit/src/child_process.rs
@@ -1,6 +1,7 @@
 //! A process that a test starts and ends.
 
 use {
+    crate::ports,
     rustix::process::{Pid, Signal, kill_process},
     std::{
         ffi::OsString,
@@ -43,6 +44,7 @@
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
         let output = OpenOptions::new().append(true).create(true).open(&self.output)?;
+        let probing = ports::hold();
         let child = Command::new(&self.program)
             .args(&self.arguments)
             .stdin(Stdio::null())
@@ -55,6 +57,7 @@
                     format!("cannot start {}: {error}", self.program.display()),
                 )
             })?;
+        drop(probing);
         self.child = Some(child);
         Ok(())
     }
--- a/crates/testkit/src/ports.rs
+++ b/crates/testkit/src/ports.rs
@@ -4,7 +4,7 @@
     collections::HashSet,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    sync::{LazyLock, Mutex, PoisonError},
+    sync::{LazyLock, Mutex, MutexGuard, PoisonError},
 };
 
 /// Attempts to find a port that is free for TCP and UDP.
@@ -21,10 +21,18 @@
     Ipv4Addr::new(127, 64 + high % 64, middle, low.clamp(1, 254))
 }
 
+/// Keeps other threads from probing ports while a process is started.
+///
+/// A new process holds copies of all open sockets until it executes its program. A probe that
+/// is copied so keeps its port bound after it was released, and the port's daemon cannot listen.
+pub(crate) fn hold() -> MutexGuard<'static, HashSet<SocketAddr>> {
+    GIVEN_OUT.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Lets the system choose a port that is free for TCP and UDP, and releases it.
 /// Each address is given out once in a process.
 pub fn free_address() -> io::Result<SocketAddr> {
-    let mut given_out = GIVEN_OUT.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut given_out = hold();
     let mut last = io::Error::other("no attempt was made");
     for _ in 0..ATTEMPTS {
         let listener = TcpListener::bind((test_ip(), 0))?;
