--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -16,7 +16,7 @@
         http::{HeaderMap, StatusCode},
     },
     serde_json::{Value, json},
-    smol_str::SmolStr,
+    smol_str::{SmolStr, format_smolstr},
     std::sync::Arc,
 };
 
@@ -158,7 +158,7 @@
         }
         let write = RecordWrite {
             action: RecordAction::Put(Box::new(record)),
-            author: OPERATOR.into(),
+            author: author(request.headers())?,
             operation,
         };
         render_written(&self.shared, write, response).await
@@ -178,7 +178,7 @@
                 name: name_of(request),
                 version,
             },
-            author: OPERATOR.into(),
+            author: author(request.headers())?,
             operation,
         };
         render_written(&self.shared, write, response).await
@@ -326,6 +326,15 @@
     Ok(OperationId(u128::from_be_bytes(prefix)))
 }
 
+/// Author of a write as a conflict names it. All operators share one key, so the operation id tells
+/// them apart.
+fn author(headers: &HeaderMap) -> Result<SmolStr, HttpError> {
+    Ok(match id(headers, OPERATION_HEADER)? {
+        Some(operation) => format_smolstr!("{OPERATOR}, operation {operation}"),
+        None => SmolStr::new(OPERATOR),
+    })
+}
+
 fn kind_of(request: &Request) -> Result<Kind, HttpError> {
     let text = request.param::<String>("kind").unwrap_or_default();
     serde_json::from_value(Value::String(text.clone()))
