Count the cost of control and measure it

The capacity page needs measured slopes, and the daemon showed neither its peer traffic nor its own processor time and memory.

The wire package counts frames and bytes by direction and kind with relaxed atomics of the process. Handles passed through every client were ruled out: a client is opened for each subscription and all share one peer port. The daemon shows them as fuchsiatack_peer_bytes_total and fuchsiatack_peer_frames_total, with its processor time, resident memory and the bodies of announcements, epochs and leases (worker_bytes).

--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -12,6 +12,7 @@
         operator_api::{operation_id, render_written},
         request_head::{REQUEST_HEADER, RequestHead, bearer, missing_key, wrong_key},
         shared::Shared,
+        worker_traffic::WorkerCall,
     },
     fuchsiatack_ledger::{Command, JournalKey, Query, QueryReply, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::{
@@ -19,6 +20,7 @@
         WorkerAnnouncement,
     },
     fuchsiatack_records::{Access, Kind, QueueSpec, Record, Schema, Spec},
+    fuchsiatack_wire::TrafficDirection,
     opentelemetry::trace::SpanKind,
     salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, http::StatusCode},
     serde_json::{Value, json},
@@ -187,6 +189,8 @@
         let announcement: WorkerAnnouncement = serde_json::from_slice(&body)
             .map_err(|error| HttpError::bad_request("bad-announcement", error.to_string()))?;
         check_announcement(&announcement)?;
+        let traffic = &self.shared.metrics.worker_traffic;
+        traffic.add(TrafficDirection::Received, WorkerCall::Announce, body.len());
         if announcement.leaving {
             let worker = announcement.name.clone();
             self.shared.engine.send(EngineMessage::Leaving(worker));
@@ -202,6 +206,11 @@
         }
         let reply = self.announce_reply(&announcement);
         let body = serde_json::to_value(&reply).unwrap_or_default();
+        traffic.add(
+            TrafficDirection::Sent,
+            WorkerCall::Announce,
+            body.to_string().len(),
+        );
         render_json(response, StatusCode::OK, &body);
         Ok(())
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -85,12 +85,13 @@
         let peer_server = tokio::spawn(bound.peers.serve(handler));
         let (session, events) = start_session(&settings, daemon.clone(), secret.clone());
         let (engine, messages) = EngineHandle::new();
+        let metrics = Metrics::new();
         let shared = Arc::new(Shared {
-            adapter: Arc::new(HttpAdapter::new()?),
+            adapter: Arc::new(HttpAdapter::new(metrics.worker_traffic.clone())?),
             daemon,
             engine,
             journal: Journal::default(),
-            metrics: Metrics::new(),
+            metrics,
             open: Open::default(),
             operator_key: *operator_key.as_bytes(),
             peers: Peers::new(secret),
--- a/crates/daemon/src/http_adapter.rs
+++ b/crates/daemon/src/http_adapter.rs
@@ -4,9 +4,11 @@
     crate::{
         DaemonError,
         worker_adapter::{RunCall, RunEnd, WorkerAdapter, WorkerAnswer, WorkerError},
+        worker_traffic::{WorkerCall, WorkerTraffic},
     },
     async_trait::async_trait,
     fuchsiatack_model::{Epoch, EpochRequest, LeaseRequest, TaskCommand, TaskId, WorkerReport},
+    fuchsiatack_wire::TrafficDirection,
     reqwest::{Client, RequestBuilder, Response, StatusCode, header, redirect::Policy},
     serde::Serialize,
     smol_str::SmolStr,
@@ -21,6 +23,8 @@
 const DEMAND_HEADER: &str = "fuchsiatack-demand";
 /// Header with the ownership epoch.
 const EPOCH_HEADER: &str = "fuchsiatack-epoch";
+/// Media type of the bodies.
+const JSON: &str = "application/json";
 /// Header with the team that a task counts for.
 const TEAM_HEADER: &str = "fuchsiatack-team";
 /// Header with the W3C trace context.
@@ -33,10 +37,11 @@
 /// Client of HTTP workers with pooled connections.
 pub(crate) struct HttpAdapter {
     client: Client,
+    traffic: WorkerTraffic,
 }
 
 impl HttpAdapter {
-    pub(crate) fn new() -> Result<Self, DaemonError> {
+    pub(crate) fn new(traffic: WorkerTraffic) -> Result<Self, DaemonError> {
         let client = Client::builder()
             .connect_timeout(CONNECT_LIMIT)
             .no_proxy()
@@ -45,22 +50,27 @@
             .tcp_nodelay(true)
             .build()
             .map_err(|error| DaemonError::HttpClient(error.to_string()))?;
-        Ok(Self { client })
+        Ok(Self { client, traffic })
     }
 
     async fn report(
         &self,
         address: &str,
-        path: &str,
+        call: WorkerCall,
         body: &impl Serialize,
     ) -> Result<WorkerReport, WorkerError> {
+        let body = json(body);
+        self.traffic.add(TrafficDirection::Sent, call, body.len());
         let request = self
             .client
-            .post(format!("http://{address}/v1/{path}"))
+            .post(format!("http://{address}/v1/{}", call.as_str()))
             .timeout(CALL_LIMIT)
-            .json(body);
-        let response = checked(request).await?;
-        response.json().await.map_err(|_| WorkerError::Lost)
+            .header(header::CONTENT_TYPE, JSON)
+            .body(body);
+        let answer = checked(request).await?.bytes().await;
+        let answer = answer.map_err(|_| WorkerError::Lost)?;
+        self.traffic.add(TrafficDirection::Received, call, answer.len());
+        serde_json::from_slice(&answer).map_err(|_| WorkerError::Lost)
     }
 
     fn run_request(&self, address: &str, call: RunCall) -> RequestBuilder {
@@ -92,11 +102,11 @@
         address: &str,
         request: &EpochRequest,
     ) -> Result<WorkerReport, WorkerError> {
-        self.report(address, "epoch", request).await
+        self.report(address, WorkerCall::Epoch, request).await
     }
 
     async fn renew(&self, address: &str, request: &LeaseRequest) -> Result<WorkerReport, WorkerError> {
-        self.report(address, "lease", request).await
+        self.report(address, WorkerCall::Lease, request).await
     }
 
     async fn run(&self, address: &str, call: RunCall) -> RunEnd {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod operator_api;
 mod peer_handler;
 mod peers;
+mod process_collector;
 mod request_head;
 mod retry_budget;
 mod settings;
@@ -40,6 +41,7 @@
 mod traces;
 mod work_book;
 mod worker_adapter;
+mod worker_traffic;
 
 pub use self::{
     arguments::Arguments,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use {
+    crate::{process_collector::ProcessCollector, worker_traffic::WorkerTraffic},
     fuchsiatack_model::{Outcome, TeamName},
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
@@ -48,6 +49,7 @@
     pub(crate) lease_valid: Gauge,
     pub(crate) retries: Counter,
     pub(crate) store_role: Gauge,
+    pub(crate) worker_traffic: WorkerTraffic,
     outcomes: Family<OutcomeLabel, Counter>,
     registry: Registry,
     run_seconds: Histogram,
@@ -76,6 +78,7 @@
             teams: Mutex::default(),
             wait_seconds: time_histogram(),
             waiting: Family::default(),
+            worker_traffic: WorkerTraffic::default(),
         };
         metrics.register();
         metrics
@@ -173,6 +176,7 @@
             self.retries.clone(),
         );
         registry.register("run_seconds", "Time that tasks ran", self.run_seconds.clone());
+        registry.register_collector(Box::new(ProcessCollector));
         registry.register("running", "Running tasks by team", self.running.clone());
         registry.register(
             "store_role",
@@ -185,6 +189,11 @@
             self.wait_seconds.clone(),
         );
         registry.register("waiting", "Waiting tasks by team", self.waiting.clone());
+        registry.register(
+            "worker_bytes",
+            "Bytes of the bodies of announcements, epochs and leases by direction and kind",
+            self.worker_traffic.bytes.clone(),
+        );
     }
 }
 
--- a/crates/daemon/tests/observability.rs
+++ b/crates/daemon/tests/observability.rs
@@ -23,6 +23,54 @@
     CellBuilder::new(env!("CARGO_BIN_EXE_fuchsiatackd")).records(RECORDS)
 }
 
+/// Guards against peer traffic, worker traffic, processor time or memory that is not counted: the
+/// capacity page is derived from these metrics.
+#[tokio::test]
+async fn the_cost_of_control_is_counted() {
+    let mut cell = builder()
+        .daemons(2)
+        .store_members(1)
+        .workers(1)
+        .start()
+        .await
+        .expect("the cell starts");
+    let counters = [
+        "fuchsiatack_peer_bytes_total{direction=\"sent\",kind=\"renewal\"}",
+        "fuchsiatack_peer_bytes_total{direction=\"received\",kind=\"renewal\"}",
+        "fuchsiatack_peer_bytes_total{direction=\"sent\",kind=\"hint\"}",
+        "fuchsiatack_peer_bytes_total{direction=\"received\",kind=\"hint\"}",
+        "fuchsiatack_peer_bytes_total{direction=\"received\",kind=\"push\"}",
+        "fuchsiatack_peer_frames_total{direction=\"sent\",kind=\"proposal\"}",
+        "fuchsiatack_process_cpu_seconds_total",
+        "fuchsiatack_process_resident_memory_bytes",
+    ];
+
+    cell.wait_until("the costs of an entry daemon are counted", async |cell| {
+        let metrics = cell.metrics(2).await?;
+        let is_positive = |name: &&str| value_of(&metrics, name).is_some_and(|value| value > 0.0);
+        Ok(counters.iter().all(is_positive))
+    })
+    .await
+    .expect("all counters rise");
+    cell.wait_until("a worker's announcements are counted", async |cell| {
+        let mut sum = 0.0;
+        for number in 1..=2 {
+            let metrics = cell.metrics(number).await?;
+            let name = "fuchsiatack_worker_bytes_total{direction=\"received\",kind=\"announce\"}";
+            sum += value_of(&metrics, name).unwrap_or_default();
+        }
+        Ok(sum > 0.0)
+    })
+    .await
+    .expect("the counter rises");
+    cell.stop().await.expect("exit code 0");
+}
+
+fn value_of(metrics: &str, name: &str) -> Option<f64> {
+    let line = metrics.lines().find(|line| line.starts_with(name))?;
+    line.rsplit_once(' ')?.1.parse().ok()
+}
+
 async fn send(cell: &Cell, request: &str) -> Response {
     let address = cell.caller_addresses()[0];
     Client::builder()
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,13 +1,18 @@
 //! Framing: a big-endian length, a postcard body and a keyed tag.
 
 use {
-    crate::{CellSecret, Frame, WireError, cell_secret::TAG_BYTES},
+    crate::{
+        CellSecret, Frame, PeerTraffic, TrafficDirection, TrafficKind, WireError, cell_secret::TAG_BYTES,
+    },
     tokio::io::{AsyncRead, AsyncReadExt},
 };
 
 /// Longest frame body in bytes. Snapshots are sent in smaller parts.
 pub(crate) const MAX_FRAME_BYTES: usize = 8 << 20;
 
+/// Length of the prefix of a frame in bytes.
+const PREFIX_BYTES: usize = 4;
+
 /// Encodes and tags the frames of one direction of a connection.
 pub(crate) struct Sealer {
     key: CellSecret,
@@ -29,6 +34,7 @@
         output.extend_from_slice(&body);
         output.extend_from_slice(&self.key.tag(self.sequence, &body));
         self.sequence += 1;
+        count(TrafficDirection::Sent, frame, body.len());
         Ok(())
     }
 }
@@ -57,6 +63,13 @@
             return Err(WireError::Authentication);
         }
         self.sequence += 1;
-        Ok(postcard::from_bytes(body)?)
+        let frame = postcard::from_bytes(body)?;
+        count(TrafficDirection::Received, &frame, body_bytes);
+        Ok(frame)
     }
 }
+
+fn count(direction: TrafficDirection, frame: &Frame, body_bytes: usize) {
+    let bytes = PREFIX_BYTES + body_bytes + TAG_BYTES;
+    PeerTraffic::of_process().add(direction, TrafficKind::of(frame), bytes);
+}
--- a/crates/wire/src/hints.rs
+++ b/crates/wire/src/hints.rs
@@ -1,7 +1,9 @@
 //! Datagrams with load hints.
 
 use {
-    crate::{CellSecret, LoadHint, WireError, cell_secret::TAG_BYTES},
+    crate::{
+        CellSecret, LoadHint, PeerTraffic, TrafficDirection, TrafficKind, WireError, cell_secret::TAG_BYTES,
+    },
     std::{
         net::SocketAddr,
         sync::atomic::{AtomicU64, Ordering},
@@ -47,7 +49,10 @@
         loop {
             let (length, _) = self.socket.recv_from(&mut buffer).await?;
             match self.decode(&buffer[..length]) {
-                Some(hint) => return Ok(hint),
+                Some(hint) => {
+                    count(TrafficDirection::Received, length);
+                    return Ok(hint);
+                }
                 None => self.dropped_datagrams.fetch_add(1, Ordering::Relaxed),
             };
         }
@@ -58,7 +63,9 @@
         let mut datagram = postcard::to_stdvec(hint)?;
         let tag = self.key.tag(0, &datagram);
         datagram.extend_from_slice(&tag);
-        let _ = self.socket.send_to(&datagram, peer).await;
+        if let Ok(length) = self.socket.send_to(&datagram, peer).await {
+            count(TrafficDirection::Sent, length);
+        }
         Ok(())
     }
 
@@ -70,3 +77,7 @@
         }
     }
 }
+
+fn count(direction: TrafficDirection, bytes: usize) {
+    PeerTraffic::of_process().add(direction, TrafficKind::Hint, bytes);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod handler;
 mod hints;
 mod load_hint;
+mod peer_traffic;
 mod request;
 mod response;
 mod server;
@@ -23,6 +24,7 @@
     handler::{Caller, Handler},
     hints::HintSocket,
     load_hint::LoadHint,
+    peer_traffic::{PeerTraffic, TrafficDirection, TrafficKind},
     request::{Formation, Request},
     response::{NotLeader, Response},
     server::{PeerServer, ServerCounters},
