measure-control: write the records of each team as a text of its own

A size of 410 teams failed: the YAML reader accepts 1,024 documents in a text, and three records for each team exceed it. Raising the reader's limit was ruled out, since it guards the daemon's other users of the reader.

--- a/crates/testkit/examples/measure_control.rs
+++ b/crates/testkit/examples/measure_control.rs
@@ -311,8 +311,11 @@
 ) -> Outcome<Measured> {
     let mut builder = CellBuilder::new(program)
         .daemons(size.daemons)
-        .workers(size.workers)
-        .records(records(size.teams));
+        .workers(size.workers);
+    // A text for each team, since the reader limits the documents of one text.
+    for text in records(size.teams) {
+        builder = builder.records(text);
+    }
     if let Some(times) = times {
         builder = builder.adjust_daemon(move |daemon| {
             daemon.election = ElectionSettings {
@@ -363,22 +366,22 @@
     Ok(samples)
 }
 
-fn records(teams: usize) -> String {
-    let mut text = format!(
+fn records(teams: usize) -> Vec<String> {
+    let mut texts = vec![format!(
         "{{schema: 2, kind: queue, name: {QUEUE}, version: 0, spec: {{access: keyed, policy: interactive, \
          max_waiting: 100, demand: {{slots: 1, connections: 1}}}}}}\n"
-    );
-    for team in 1..=teams {
-        let _ = write!(
-            text,
-            "---\n{{schema: 2, kind: team, name: team-{team}, version: 0, spec: {{title: Team {team}}}}}\n\
+    )];
+    let of_team = |team| {
+        format!(
+            "{{schema: 2, kind: team, name: team-{team}, version: 0, spec: {{title: Team {team}}}}}\n\
              ---\n{{schema: 1, kind: key, name: team-{team}, version: 0, spec: {{team: team-{team}, \
              secret: key-of-team-{team}}}}}\n\
              ---\n{{schema: 2, kind: limit, name: team-{team}, version: 0, spec: {{team: team-{team}, \
              max_running: 100}}}}\n"
-        );
-    }
-    text
+        )
+    };
+    texts.extend((1..=teams).map(of_team));
+    texts
 }
 
 async fn load(cell: &Cell, duration: Duration, seed: u64) -> Outcome<()> {
