daemon: send at most 7 load hints a second

Each daemon sent a hint to every peer each second, so the cost grew with the cell. Peers beyond 7 now take turns; with 13 peers each gets a hint every 2 s, and the kernel keeps a peer's load for 5 s, so that one lost datagram does not hide a peer. A longer period for all cells was ruled out: small cells are within the budget and forward better with fresh hints.

Cells of up to 8 daemons are unchanged.

--- a/crates/daemon/src/hints.rs
+++ b/crates/daemon/src/hints.rs
@@ -13,8 +13,12 @@
     tokio::time::{MissedTickBehavior, interval, sleep},
 };
 
-/// Time between two hints to a peer.
+/// Time between two rounds of hints.
 const HINT_PERIOD: Duration = Duration::from_secs(1);
+/// Most hints of one round. More peers take turns, so that hints stay within the control budget.
+/// With the 13 peers of the largest cell each gets one every 2 s; the kernel ignores a peer's load
+/// after 5 s, so one lost datagram does not matter.
+const MAX_HINTS_PER_ROUND: usize = 7;
 /// Pause after a failed receive, so that a broken socket does not spin.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -67,7 +71,10 @@
             token_teams: load.token_teams,
             waiting: load.waiting,
         };
-        for peer in peers(shared, session) {
+        let peers = peers(shared, session);
+        let turns = peers.len().div_ceil(MAX_HINTS_PER_ROUND).max(1);
+        let turn = sequence as usize % turns;
+        for peer in peers.into_iter().skip(turn).step_by(turns) {
             let _ = socket.send(peer, &hint).await;
         }
     }
