Lengthen heartbeats, election timeouts and the renewal interval

The heartbeat of 50 ms was the largest part of the control traffic and of the processor time of an idle store member. The defaults are now a heartbeat of 150 ms, election timeouts of 450 to 900 ms and a renewal every 750 ms. The lease of 3 s, which carries the bounds for withdrawn keys and for the configuration, is unchanged. A renewal interval and two longest election timeouts take 2.55 s of it. Renewing every second was ruled out, since it leaves no time for a second election round.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -103,7 +103,7 @@
         Self {
             margin_ms: 1_000,
             session_ms: 3_000,
-            session_renewal_ms: 500,
+            session_renewal_ms: 750,
             task_ms: 10_000,
             task_renewal_ms: 3_000,
         }
@@ -125,9 +125,9 @@
 impl Default for ElectionSettings {
     fn default() -> Self {
         Self {
-            heartbeat_ms: 50,
-            maximum_ms: 300,
-            minimum_ms: 150,
+            heartbeat_ms: 150,
+            maximum_ms: 900,
+            minimum_ms: 450,
         }
     }
 }
--- a/crates/session/src/settings.rs
+++ b/crates/session/src/settings.rs
@@ -31,8 +31,9 @@
 impl SessionSettings {
     /// Lease that keeps a withdrawn key below its bound of 5 s.
     pub const DEFAULT_LEASE: Duration = Duration::from_secs(3);
-    /// Six renewals in a lease, so that a leader election costs no lease.
-    pub const DEFAULT_RENEWAL: Duration = Duration::from_millis(500);
+    /// Four renewals in a lease. After a renewal, 2.25 s of the lease are left for two election
+    /// timeouts of at most 900 ms, so that a leader election costs no lease.
+    pub const DEFAULT_RENEWAL: Duration = Duration::from_millis(750);
 
     /// Creates settings with the default times.
     pub fn new(daemon: DaemonInfo) -> Self {
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -57,9 +57,9 @@
         Self {
             allocator: Some(AllocatorSettings::default()),
             data_folder: data_folder.into(),
-            election_maximum_ms: 300,
-            election_minimum_ms: 150,
-            heartbeat_ms: 50,
+            election_maximum_ms: 900,
+            election_minimum_ms: 450,
+            heartbeat_ms: 150,
             log_store: LogStoreSettings::default(),
             members,
             name: name.into(),
--- a/crates/testkit/src/daemon_settings.rs
+++ b/crates/testkit/src/daemon_settings.rs
@@ -100,7 +100,7 @@
     fn default() -> Self {
         Self {
             session_ms: 3_000,
-            session_renewal_ms: 500,
+            session_renewal_ms: 750,
             task_ms: 10_000,
             task_renewal_ms: 3_000,
             margin_ms: 1_000,
@@ -122,9 +122,9 @@
 impl Default for ElectionSettings {
     fn default() -> Self {
         Self {
-            minimum_ms: 150,
-            maximum_ms: 300,
-            heartbeat_ms: 50,
+            minimum_ms: 450,
+            maximum_ms: 900,
+            heartbeat_ms: 150,
         }
     }
 }
