--- a/crates/ledger/tests/allocator.rs
+++ b/crates/ledger/tests/allocator.rs
@@ -8,7 +8,7 @@
     },
     fuchsiatack_model::{LogIndex, Policy, Resources, SessionId, TeamName},
     std::collections::{BTreeMap, BTreeSet},
-    support::{Cell, announcement, daemon, end, release, return_tokens, team, work},
+    support::{Cell, announcement, daemon, end, release, team, work},
 };
 
 const STEP_MS: u64 = 250;
@@ -153,7 +153,8 @@
             let held = self.cell.tokens(session, team);
             let running = self.daemons[&session].usage.get(team).map_or(0, |usage| usage.0);
             let tokens = held.saturating_sub(target.target.max(running));
-            self.cell.apply(return_tokens(session, team, tokens));
+            let command = self.cell.return_tokens(session, team, tokens);
+            self.cell.apply(command);
         }
     }
 
--- a/crates/ledger/tests/ownership.rs
+++ b/crates/ledger/tests/ownership.rs
@@ -4,7 +4,7 @@
 
 use {
     fuchsiatack_ledger::{Change, Command, LedgerError, Reply},
-    support::{Cell, end, lost, release, return_tokens},
+    support::{Cell, end, lost, release},
 };
 
 /// Guards against a former owner that keeps using tokens which its tasks took along.
@@ -161,7 +161,7 @@
 
     assert_eq!(cell.tokens(session, "red"), 10);
     assert_eq!(cell.grant(session, "red", 1), Reply::Counted(0));
-    let command = return_tokens(session, "red", 8);
+    let command = cell.return_tokens(session, "red", 8);
     cell.apply(command.clone());
     cell.apply(command);
     assert_eq!(cell.grant(session, "red", 9), Reply::Counted(2));
--- a/crates/ledger/tests/properties.rs
+++ b/crates/ledger/tests/properties.rs
@@ -11,8 +11,8 @@
     quickcheck::{Gen, QuickCheck, Testable},
     std::collections::{BTreeMap, BTreeSet},
     support::{
-        Byte, Cell, announcement, assign_tasks, daemon, end, finish_task, lost, release, return_tasks,
-        return_tokens, task, work,
+        Byte, Cell, announcement, assign_tasks, daemon, end, finish_task, lost, release, return_tasks, task,
+        work,
     },
 };
 
@@ -49,7 +49,7 @@
         10 => lost(worker, epoch),
         11 => release(worker, session),
         12 | 13 => return cell.grant(session, name, count),
-        14 => return_tokens(session, name, count),
+        14 => cell.return_tokens(session, name, count),
         15 | 16 => assign_tasks(session, name, &tasks),
         17 => finish_task(session, name, count % 4, TaskOutcome::Done),
         18 => return_tasks(session, name, &tasks),
--- a/crates/ledger/tests/running.rs
+++ b/crates/ledger/tests/running.rs
@@ -7,7 +7,7 @@
     fuchsiatack_model::{Epoch, SessionId},
     quickcheck::{Gen, QuickCheck},
     std::collections::BTreeMap,
-    support::{Byte, Cell, end, lost, release, return_tokens},
+    support::{Byte, Cell, end, lost, release},
 };
 
 const LIMIT: u32 = 10;
@@ -128,7 +128,8 @@
             (9, _) => {
                 let tokens = self.idle_tokens(session).min(second.into());
                 self.daemons.get_mut(&session).unwrap().tokens -= tokens;
-                self.apply(return_tokens(session, "red", tokens));
+                let command = self.cell.return_tokens(session, "red", tokens);
+                self.apply(command);
             }
             (10..=29, None) => {
                 self.cell.register(worker);
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -2,8 +2,6 @@
 
 #![allow(dead_code)]
 
-use std::sync::atomic::{AtomicU64, Ordering};
-
 use {
     fuchsiatack_ledger::{
         Addressed, Applied, Audience, Change, Command, DaemonInfo, EndReason, JournalKey, Ledger,
@@ -156,6 +154,16 @@
         })
     }
 
+    /// Makes a return of its own, as opposed to a resend: no other command has its number.
+    pub fn return_tokens(&self, session: SessionId, team: &str, tokens: u32) -> Command {
+        Command::ReturnTokens {
+            sequence: self.index + 1,
+            session,
+            team: team.into(),
+            tokens,
+        }
+    }
+
     pub fn finish(&mut self, request: &str, session: SessionId, body_bytes: usize) -> Reply {
         self.apply(Command::JournalFinish {
             answer: answer(body_bytes, 2_000),
@@ -238,17 +246,6 @@
     Command::ReturnTasks { session, tasks, work }
 }
 
-/// Every call makes a return of its own, as opposed to a resend.
-pub fn return_tokens(session: SessionId, team: &str, tokens: u32) -> Command {
-    static LAST_SEQUENCE: AtomicU64 = AtomicU64::new(0);
-    Command::ReturnTokens {
-        sequence: LAST_SEQUENCE.fetch_add(1, Ordering::Relaxed) + 1,
-        session,
-        team: team.into(),
-        tokens,
-    }
-}
-
 pub fn announcement(name: &str, data_center: &str, rack: &str) -> WorkerAnnouncement {
     WorkerAnnouncement {
         address: "127.0.0.1:9000".into(),
