testkit: measure the latency that an idle cell adds

The design page asks for low control overhead, but no command showed what a call through the cell costs. bin/measure-latency alternates calls of a worker with calls through the cell, idempotent and journalled, by the store's leader and by another daemon, and times a bare sync on the same disk, so that all see the same machine.

No change follows yet. The run does not separate the second HTTP hop from the work in the daemon.

--- a/crates/testkit/src/cell.rs
+++ b/crates/testkit/src/cell.rs
@@ -227,6 +227,23 @@
         answer.text().await.map_err(failed)
     }
 
+    /// Waits until the daemons together report this number of free slots.
+    pub async fn wait_free_slots(&mut self, slots: u64) -> Result<(), CellError> {
+        self.wait_until("all workers have an owner", async |cell| {
+            let mut free = 0.0;
+            for index in 0..cell.daemons.len() {
+                let metrics = cell.metrics(index + 1).await?;
+                let values = metrics.lines().filter_map(|line| line.rsplit_once(' '));
+                free += values
+                    .filter(|(name, _)| name.ends_with("free_slots"))
+                    .filter_map(|(_, value)| value.parse::<f64>().ok())
+                    .sum::<f64>();
+            }
+            Ok(free as u64 == slots)
+        })
+        .await
+    }
+
     /// Writes all records of a YAML text through the first daemon that accepts each.
     pub async fn apply(&mut self, yaml: &str) -> Result<(), CellError> {
         let records: Vec<Value> =
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 mod cell_worker;
 mod child_process;
 mod control_event;
+mod cpu_meter;
 mod daemon_settings;
 mod fake_worker;
 mod fake_worker_settings;
@@ -42,6 +43,7 @@
     cell_worker::{CellWorker, WorkerMode, example_program},
     child_process::ChildProcess,
     control_event::{Control, ControlEvent},
+    cpu_meter::CpuMeter,
     daemon_settings::{
         AddressSettings, CallerSettings, DaemonSettings, ElectionSettings, LeaseSettings, LogSettings,
         MemberSettings, StoreSettings, TraceSettings,
