kernel: compare rules of placement by waiting time

The design gives waiting time the highest weight for the Atelier, but nothing compared the policies with simpler rules. The setting placement_rule selects least-loaded, random or two-choices for interactive and batch tasks; the default stays the policy. The load generator gains Poisson arrivals, since evenly spaced ones hide queues.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -16,7 +16,7 @@
         work_book::WorkBook,
         worker_adapter::RunEnd,
     },
-    fuchsiatack_kernel::{Event, Kernel, KernelSettings, PeerLoad, Submission, TaskEnd},
+    fuchsiatack_kernel::{Event, Kernel, KernelSettings, PeerLoad, PlacementRule, Submission, TaskEnd},
     fuchsiatack_ledger::{TeamUsage, WorkerEntry},
     fuchsiatack_model::{Outcome, Refusal, SessionId, TaskId, TeamName, WorkerName, WorkerReport},
     fuchsiatack_session::{Load, SessionEvent},
@@ -84,7 +84,7 @@
             handing_over: None,
             held: HashSet::new(),
             keepers: HashMap::new(),
-            kernel: new_kernel(),
+            kernel: new_kernel(shared.settings.placement_rule),
             load,
             releasing: HashSet::new(),
             returns: TokenReturns::default(),
@@ -521,8 +521,9 @@
 }
 
 /// Creates a kernel with a seed of its own, so that daemons do not make the same choices.
-pub(crate) fn new_kernel() -> Kernel {
+pub(crate) fn new_kernel(placement_rule: PlacementRule) -> Kernel {
     Kernel::new(KernelSettings {
+        placement_rule,
         seed: rand::random(),
         ..KernelSettings::default()
     })
--- a/crates/daemon/src/engine_directory.rs
+++ b/crates/daemon/src/engine_directory.rs
@@ -48,7 +48,7 @@
         self.releasing.clear();
         self.returns.clear();
         self.teams.clear();
-        self.kernel = new_kernel();
+        self.kernel = new_kernel(self.shared.settings.placement_rule);
         for task in self.entries.tasks_where(|entry| entry.is_waiting()) {
             self.finish(task, Answer::not_run(Refusal::LeaseLapsed, LEASE_RETRY_MS));
         }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::SettingsError,
+    fuchsiatack_kernel::PlacementRule,
     serde::Deserialize,
     std::{
         net::SocketAddr,
@@ -202,6 +203,8 @@
     pub operators: OperatorSettings,
     /// Port for other daemons.
     pub peers: PeerSettings,
+    /// Choice of workers. Rules other than `policy` are for measurements.
+    pub placement_rule: PlacementRule,
     /// What the daemon does.
     pub roles: Vec<Role>,
     /// Planned stop.
@@ -227,6 +230,7 @@
             operator_key_file: PathBuf::new(),
             operators: OperatorSettings::default(),
             peers: PeerSettings::default(),
+            placement_rule: PlacementRule::default(),
             roles: vec![Role::Entry],
             stop: StopSettings::default(),
             store: StoreSettings::default(),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -14,6 +14,7 @@
 mod kernel;
 mod peers;
 mod placement;
+mod placement_rule;
 mod policy;
 mod policy_batch;
 mod policy_gang;
@@ -39,5 +40,6 @@
     decision::Decision,
     event::{Event, PeerLoad, Submission, TaskEnd},
     kernel::Kernel,
+    placement_rule::PlacementRule,
     settings::KernelSettings,
 };
--- a/crates/kernel/src/placement.rs
+++ b/crates/kernel/src/placement.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Decision, Kernel,
+        Decision, Kernel, PlacementRule,
         policy::PlacementView,
         reservation::FIRM_AFTER_US,
         task::{Stage, TaskKey},
@@ -87,7 +87,12 @@
             team: task.team,
             workers: &self.workers,
         };
-        self.policies[task.policy as usize].choose(&view)
+        match (self.settings.placement_rule, task.policy) {
+            (PlacementRule::Policy, _) | (_, Policy::Gang | Policy::Service) => {
+                self.policies[task.policy as usize].choose(&view)
+            }
+            (rule, Policy::Batch | Policy::Interactive) => rule.choose(&view),
+        }
     }
 
     /// Finds a worker for each member of a gang, or for none.
--- a/crates/kernel/src/workers.rs
+++ b/crates/kernel/src/workers.rs
@@ -160,6 +160,16 @@
             .map(|(worker, _)| worker)
     }
 
+    /// Returns all accepted workers with room for `demand`. Looks at every worker.
+    pub(crate) fn fitting(&self, demand: &Resources, accept: &dyn Fn(WorkerKey) -> bool) -> Vec<WorkerKey> {
+        self.arena
+            .iter()
+            .filter(|(_, worker)| worker.offer().is_some_and(|offer| offer.covers(demand)))
+            .map(|(key, _)| key)
+            .filter(|key| accept(*key))
+            .collect()
+    }
+
     /// Returns up to `count` accepted workers with room for `demand`, from a point in each
     /// class that `salt` chooses, so that repeated calls see different workers.
     pub(crate) fn sample(
--- a/crates/testkit/src/cell.rs
+++ b/crates/testkit/src/cell.rs
@@ -488,6 +488,7 @@
                 advertised_address: None,
             },
             peers,
+            placement_rule: None,
             store: StoreSettings {
                 data_folder: is_member.then_some(data_folder),
                 members: self.members.clone(),
--- a/crates/testkit/src/daemon_settings.rs
+++ b/crates/testkit/src/daemon_settings.rs
@@ -26,6 +26,9 @@
     pub operators: AddressSettings,
     /// Address for other daemons, TCP and UDP.
     pub peers: AddressSettings,
+    /// Choice of workers: `policy` if absent, `least-loaded`, `random` or `two-choices`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub placement_rule: Option<String>,
     /// Store settings.
     pub store: StoreSettings,
     /// Lease times.
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -67,7 +67,7 @@
     });
     match run.settings.pace {
         Pace::Closed => closed_loop(&run).await,
-        Pace::Open { per_second } => open_loop(&run, per_second).await,
+        Pace::Open { .. } | Pace::Poisson { .. } => open_loop(&run).await,
     }
     let report = run.report.lock().unwrap_or_else(PoisonError::into_inner);
     Ok(report.clone())
@@ -90,12 +90,22 @@
     tasks.join_all().await;
 }
 
-async fn open_loop(run: &Arc<Run>, per_second: f64) {
+async fn open_loop(run: &Arc<Run>) {
+    let mut gaps = StdRng::seed_from_u64(run.settings.seed);
+    let mut due_after = Duration::ZERO;
     let start = Instant::now();
     let slots = Arc::new(Semaphore::new(run.settings.callers));
     let mut tasks = JoinSet::new();
     for number in 0..run.settings.max_requests {
-        let due_after = Duration::from_secs_f64(number as f64 / per_second);
+        due_after = match run.settings.pace {
+            Pace::Closed => break,
+            Pace::Open { per_second } => Duration::from_secs_f64(number as f64 / per_second),
+            Pace::Poisson { per_second } => {
+                // The inverse of the exponential distribution at a random point in (0, 1].
+                let point = 1.0 - gaps.random::<f64>();
+                due_after + Duration::from_secs_f64(-point.ln() / per_second)
+            }
+        };
         if due_after >= run.settings.duration {
             break;
         }
--- a/crates/testkit/src/load_settings.rs
+++ b/crates/testkit/src/load_settings.rs
@@ -15,6 +15,11 @@
         /// Requests a second, above 0.
         per_second: f64,
     },
+    /// As `Open`, with random times between starts as of many independent callers.
+    Poisson {
+        /// Mean number of requests a second, above 0.
+        per_second: f64,
+    },
 }
 
 /// A team whose callers send requests.
