--- a/crates/daemon/tests/invariants/requests.rs
+++ b/crates/daemon/tests/invariants/requests.rs
@@ -37,7 +37,14 @@
     let mut cell = start(builder(4), 4).await;
     let leader = leader(&mut cell).await;
     let daemon = if of_leader { leader } else { leader % 3 + 1 };
-    let running = spawn_load(load(&cell, seed, 14));
+    // Long tasks, so that the crash meets some; the pause outlasts them, since a resent idempotent
+    // request is a new task while the first may still run.
+    let running = spawn_load(LoadSettings {
+        callers: 32,
+        resend_pause: Duration::from_millis(500),
+        run_ms: 100..300,
+        ..load(&cell, seed, 14)
+    });
     wait_starts(&mut cell, 200).await;
 
     cell.daemon(daemon).kill();
@@ -72,6 +79,8 @@
         late.len()
     );
     assert_eq!(count_seen(&cut_ends, Seen::Lost), 0);
+    // Without one, the crash met no running non-idempotent request and the journal was not needed.
+    assert!(count_seen(&cut_ends, Seen::Unknown) > 0);
     let idempotent_unknown = events
         .iter()
         .filter(|event| event.idempotent && event.seen == Seen::Unknown);
