wire: cancel a call at its receiver when its caller is gone

Cause: a request that was forwarded to a peer was not cancelled there when its caller went away. Since waiting requests are forwarded on load hints, a wave of cancelled requests left all 32 slots with tasks that nobody waited for. Ruled out: a cancel that the workers ignore; their logs show 109 cancels and exactly 32 tasks that got none, on workers of peers. Conclusion: a frame Cancel is sent when a pending call is dropped.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -118,9 +118,9 @@
         let call = link.calls.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         lock(&link.pending).insert(call, sender);
-        let _forget = ForgetOnDrop {
+        let _cancel = CancelOnDrop {
             call,
-            pending: link.pending.clone(),
+            link: link.clone(),
         };
         let sent = link.frames.send(Frame::Call { call, request });
         match tokio::time::timeout_at(deadline, sent).await {
@@ -192,15 +192,19 @@
     }
 }
 
-/// Removes a call that is no longer waited for.
-struct ForgetOnDrop {
+/// Cancels a call that is no longer waited for, so that the receiver does not run a request whose
+/// caller went away.
+struct CancelOnDrop {
     call: u64,
-    pending: Pending,
+    link: Link,
 }
 
-impl Drop for ForgetOnDrop {
+impl Drop for CancelOnDrop {
     fn drop(&mut self) {
-        lock(&self.pending).remove(&self.call);
+        let is_open = lock(&self.link.pending).remove(&self.call).is_some();
+        if is_open {
+            let _ = self.link.frames.try_send(Frame::Cancel { call: self.call });
+        }
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -18,6 +18,11 @@
         /// The call.
         request: Request,
     },
+    /// The sender no longer waits for a call. The receiver stops to work on it.
+    Cancel {
+        /// Number of the call.
+        call: u64,
+    },
     /// A message of the replicated log; it has no answer.
     Consensus(Box<Envelope>),
     /// Changes for a follower.
--- a/crates/wire/src/peer_traffic.rs
+++ b/crates/wire/src/peer_traffic.rs
@@ -90,6 +90,8 @@
     pub(crate) fn of(frame: &Frame) -> Self {
         match frame {
             Frame::Call { request, .. } => Self::of_request(request),
+            // Only forwarded requests run long enough to be cancelled as a rule.
+            Frame::Cancel { .. } => Self::Forward,
             Frame::Consensus(_) => Self::Consensus,
             Frame::Push { .. } => Self::Push,
             Frame::Reply { response, .. } => Self::of_response(response),
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -3,6 +3,7 @@
 use {
     crate::{Caller, CellSecret, Frame, Handler, Request, Response, WireError, connection},
     std::{
+        collections::HashMap,
         net::SocketAddr,
         sync::{
             Arc,
@@ -13,7 +14,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{Semaphore, mpsc},
-        task::JoinSet,
+        task::{AbortHandle, JoinSet},
     },
 };
 
@@ -99,11 +100,22 @@
     let mut tasks = JoinSet::new();
     tasks.spawn(async move {
         let _ = writer.run(frames).await;
+        None
     });
+    let mut open: HashMap<u64, AbortHandle> = HashMap::new();
     let permits = Arc::new(Semaphore::new(MAX_CALLS_PER_CONNECTION));
     loop {
-        while tasks.try_join_next().is_some() {}
+        while let Some(ended) = tasks.try_join_next() {
+            if let Ok(Some(call)) = ended {
+                open.remove(&call);
+            }
+        }
         match reader.next().await {
+            Ok(Frame::Cancel { call }) => {
+                if let Some(task) = open.remove(&call) {
+                    task.abort();
+                }
+            }
             Ok(Frame::Call {
                 call,
                 request: Request::Ping,
@@ -123,12 +135,14 @@
                     pushes: pushes.clone(),
                 };
                 let handler = handler.clone();
-                tasks.spawn(async move {
+                let task = tasks.spawn(async move {
                     let pushes = caller.pushes.clone();
                     let response = handler.call(caller, request).await;
                     let _ = pushes.send(Frame::Reply { call, response }).await;
                     drop(permit);
+                    Some(call)
                 });
+                open.insert(call, task);
             }
             Ok(Frame::Consensus(envelope)) => handler.consensus(*envelope),
             Ok(Frame::Push { .. } | Frame::Reply { .. }) => return WireError::Authentication,
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -10,7 +10,10 @@
     },
     std::{
         net::SocketAddr,
-        sync::{Arc, atomic::Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::{io::AsyncWriteExt, net::TcpStream, sync::mpsc, task::JoinHandle},
@@ -19,7 +22,19 @@
 const GENEROUS: Duration = Duration::from_secs(10);
 
 /// Answers `Follow` with two pushes, `Renew` with its session, and `Query` never.
-struct FakeStore;
+#[derive(Default)]
+struct FakeStore {
+    /// Number of calls that ended without an answer.
+    cancelled: Arc<AtomicU64>,
+}
+
+struct CountOnDrop(Arc<AtomicU64>);
+
+impl Drop for CountOnDrop {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
 
 impl Handler for FakeStore {
     async fn call(&self, caller: Caller, request: Request) -> Response {
@@ -35,7 +50,10 @@
                 }
                 Response::Following
             }
-            Request::Query(_) => std::future::pending().await,
+            Request::Query(_) => {
+                let _count = CountOnDrop(self.cancelled.clone());
+                std::future::pending().await
+            }
             Request::Renew(renewal) => {
                 // Later sessions answer earlier, so that answers come out of order.
                 tokio::time::sleep(Duration::from_millis(64 - renewal.session.0)).await;
@@ -54,6 +72,7 @@
 
 struct Server {
     address: SocketAddr,
+    cancelled: Arc<AtomicU64>,
     counters: Arc<ServerCounters>,
     task: JoinHandle<()>,
 }
@@ -64,9 +83,12 @@
         .expect("loopback binds");
     let address = server.local_address().expect("socket is bound");
     let counters = server.counters();
-    let task = tokio::spawn(server.serve(Arc::new(FakeStore)));
+    let store = FakeStore::default();
+    let cancelled = store.cancelled.clone();
+    let task = tokio::spawn(server.serve(Arc::new(store)));
     Server {
         address,
+        cancelled,
         counters,
         task,
     }
@@ -222,6 +244,20 @@
     assert!(!error.had_no_effect(), "{error:?}");
 }
 
+/// Guards against a forwarded request that runs on after its caller went away.
+#[tokio::test]
+async fn dropped_call_is_cancelled_at_the_receiver() {
+    let server = server("a shared secret").await;
+    let client = client(server.address, "a shared secret", None);
+
+    let query = Request::Query(Query::Status);
+    let dropped = tokio::time::timeout(Duration::from_millis(100), client.call(query, GENEROUS)).await;
+
+    assert!(dropped.is_err());
+    until(|| server.cancelled.load(Ordering::Relaxed) == 1).await;
+    assert_eq!(client.connections(), 1);
+}
+
 /// Guards against a call that is reported in doubt although nothing listened.
 #[tokio::test]
 async fn closed_port_has_no_effect() {
