--- a/crates/ledger/src/journal_store.rs
+++ b/crates/ledger/src/journal_store.rs
@@ -61,6 +61,14 @@
         self.abandoned.extend(keys);
     }
 
+    /// Returns the time before which entries may be removed at `now_unix_ms`, if one may be.
+    pub(crate) fn expiry(&self, now_unix_ms: u64) -> Option<u64> {
+        let before_unix_ms = now_unix_ms.checked_sub(RETENTION_MS)?;
+        let is_overdue = |(ended_unix_ms, _): &(u64, JournalKey)| *ended_unix_ms < before_unix_ms;
+        let is_due = !self.abandoned.is_empty() || self.ended.first().is_some_and(is_overdue);
+        is_due.then_some(before_unix_ms)
+    }
+
     /// Removes entries that ended before a time.
     ///
     /// The ledger has no clock, so the end of an abandoned entry is taken from the first
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -88,6 +88,13 @@
             .collect()
     }
 
+    /// Returns the command that removes journal entries whose retention is over, if there are any.
+    /// `now_unix_ms` is the leader's clock, in milliseconds since the Unix epoch.
+    pub fn journal_expiry(&self, now_unix_ms: u64) -> Option<Command> {
+        let before_unix_ms = self.journal.expiry(now_unix_ms)?;
+        Some(Command::ExpireJournal { before_unix_ms })
+    }
+
     /// Answers a read.
     pub fn query(&self, query: &Query) -> QueryReply {
         match query {
--- a/crates/ledger/tests/journal.rs
+++ b/crates/ledger/tests/journal.rs
@@ -27,6 +27,24 @@
     }
 }
 
+/// Guards against a journal that fills up for ever, as no leader removes what has ended.
+#[test]
+fn ended_entries_expire_after_a_day() {
+    let mut cell = Cell::default();
+    let session = cell.open("a");
+    cell.start("r", session);
+    cell.finish("r", session, 1);
+    let ended_unix_ms = 2_000;
+
+    let early = cell.ledger.journal_expiry(ended_unix_ms + DAY_MS);
+    let due = cell.ledger.journal_expiry(ended_unix_ms + DAY_MS + 1);
+
+    assert_eq!(early, None);
+    cell.apply(due.expect("an expiry"));
+    assert_eq!(entry(&cell, "r"), None);
+    assert_eq!(cell.ledger.journal_expiry(u64::MAX), None);
+}
+
 /// Guards against a second run of a request that is sent again.
 #[test]
 fn a_known_request_is_answered_with_its_entry() {
--- a/crates/store/src/leadership.rs
+++ b/crates/store/src/leadership.rs
@@ -34,6 +34,8 @@
     pub(crate) demand: HashMap<SessionId, Demand>,
     /// When renewals that wait alone ask for a confirmation.
     pub(crate) confirmation_due_ms: u64,
+    /// When expired journal entries are looked for next.
+    pub(crate) expiry_due_ms: u64,
     pub(crate) members_due_ms: u64,
     pub(crate) plan_due_ms: u64,
     pub(crate) planned_ms: u64,
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -23,7 +23,7 @@
         collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     tokio::{
         sync::{mpsc, oneshot},
@@ -34,6 +34,8 @@
 
 /// Most inputs that are taken before the node's work is carried out.
 const MAX_INPUTS_PER_TURN: usize = 512;
+/// Interval of checks for journal entries whose retention is over, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 60_000;
 /// Interval of checks of the `store_member` records in milliseconds.
 const MEMBERS_INTERVAL_MS: u64 = 100;
 /// Shortest time between two plans in milliseconds, so that many renewals share one.
@@ -562,6 +564,7 @@
                 allocator: allocator.map(|settings| Allocator::new(settings, now_ms)),
                 demand: HashMap::new(),
                 confirmation_due_ms: now_ms,
+                expiry_due_ms: now_ms,
                 members_due_ms: now_ms,
                 plan_due_ms: now_ms,
                 planned: self.node.last(),
@@ -595,7 +598,11 @@
         let Some(allocator) = &mut leadership.allocator else {
             return;
         };
-        let commands = allocator.plan(now_ms, &self.ledger);
+        let mut commands = allocator.plan(now_ms, &self.ledger);
+        if now_ms >= leadership.expiry_due_ms {
+            leadership.expiry_due_ms = now_ms + EXPIRY_INTERVAL_MS;
+            commands.extend(self.ledger.journal_expiry(unix_ms()));
+        }
         if commands.is_empty() {
             return;
         }
@@ -646,6 +653,12 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
 fn node_settings(settings: &StoreSettings, id: MemberId) -> NodeSettings {
     NodeSettings {
         election_maximum_ms: settings.election_maximum_ms,
