kernel: take out a failing only worker while peers have room

Cause: a daemon never took its only worker out of service, so one that fails everything went on running, and failing, whatever was placed there. Ruled out, by reading: the fleet's failure rate, which moves too slowly to reach its bound within five failures. The new kernel test fails, since nothing is forwarded. After: all kernel tests pass. The last worker goes out only while a fresh hint shows room at a peer.

--- a/crates/kernel/src/ejection.rs
+++ b/crates/kernel/src/ejection.rs
@@ -107,8 +107,11 @@
         self.timers.insert((self.now_us + pause_us, Timer::Probe(key)));
     }
 
+    /// The last worker is taken out only while peers have room, since it is better than none.
     fn may_eject(&self) -> bool {
         let limit = self.workers.len().div_ceil(EJECTED_PART);
-        self.ejected < limit && self.ejected + 1 < self.workers.len()
+        let oldest_us = self.now_us.saturating_sub(self.settings.peer_load_max_age_us);
+        let leaves_some = self.ejected + 1 < self.workers.len() || self.peers.have_room(oldest_us);
+        self.ejected < limit && leaves_some
     }
 }
--- a/crates/kernel/src/peers.rs
+++ b/crates/kernel/src/peers.rs
@@ -70,6 +70,13 @@
         None
     }
 
+    /// Returns whether a fresh hint shows a free slot.
+    pub(crate) fn have_room(&self, oldest_us: u64) -> bool {
+        self.peers
+            .iter()
+            .any(|peer| peer.seen_us >= oldest_us && peer.load.free_slots > 0)
+    }
+
     /// Returns a fresh peer with tokens of the team, even if it has no free slot.
     pub(crate) fn with_tokens(&self, oldest_us: u64, team: &TeamName) -> Option<DaemonName> {
         self.peers
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -313,6 +313,30 @@
     );
 }
 
+/// Guards against a daemon whose only worker fails every task and which keeps it in service although
+/// peers have room, and against one that takes out its only worker when nothing else is left.
+#[test]
+fn the_only_worker_is_taken_out_only_while_peers_have_room() {
+    let five_failures = |mut cell: Cell| {
+        for task in 1..=5 {
+            cell.submit(task, "a", Policy::Interactive);
+            cell.end(task, TaskEnd::Failed);
+        }
+        cell.submit(6, "a", Policy::Interactive)
+    };
+    let alone = Cell::new().team("a", 1_000).worker("bad", 8);
+    let with_peer = Cell::new()
+        .team("a", 1_000)
+        .worker("bad", 8)
+        .peer("entry-2", 3, &[]);
+
+    let kept = five_failures(alone);
+    let taken_out = five_failures(with_peer);
+
+    assert_eq!(started_tasks(&kept), [6]);
+    assert_eq!(forwarded(&taken_out), ["entry-2"]);
+}
+
 /// Guards against so many ejections that the rest of the fleet is overloaded.
 #[test]
 fn only_a_part_of_the_fleet_is_taken_out() {
