--- /dev/null
+++ b/crates/jobs/src/book.rs
@@ -0,0 +1,131 @@
+//! Replicated state of jobs, workers and their configuration.
+
+use {
+    crate::{Configuration, Job, JobCommand, JobEnd, JobId, JobState, RunEnd, RunId, Wave, WorkerEntry},
+    fuchsiatack_derives::message,
+    fuchsiatack_model::{QueueName, WorkerName},
+    smol_str::SmolStr,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// A wave of maintenance and the machines that had theirs.
+#[message]
+pub struct WaveEntry {
+    /// Machines whose maintenance was ordered.
+    pub ordered: BTreeSet<SmolStr>,
+    /// The wave.
+    pub wave: Wave,
+}
+
+/// State that all store members agree on. It changes only by `apply`, which is deterministic.
+#[derive(Default)]
+#[message]
+pub struct JobBook {
+    /// Configuration in force.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Jobs that are known.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Waves of maintenance.
+    pub waves: BTreeMap<u64, WaveEntry>,
+    /// Workers that are known.
+    pub workers: BTreeMap<WorkerName, WorkerEntry>,
+}
+
+impl JobBook {
+    /// Applies one command.
+    pub fn apply(&mut self, command: &JobCommand) {
+        match command {
+            JobCommand::Cancel { job, unix_ms } => self.finish(*job, JobState::Cancelled, *unix_ms),
+            JobCommand::Configure(configuration) => self.configure(configuration),
+            JobCommand::End {
+                checkpoint,
+                end,
+                is_final,
+                run,
+                unix_ms,
+            } => {
+                if self.end_run(*run, *end, checkpoint) {
+                    self.settle(*run, *end, *is_final, *unix_ms);
+                }
+            }
+            JobCommand::Forget(jobs) => self.jobs.retain(|id, _| !jobs.contains(id)),
+            JobCommand::Maintained { machine, wave } => {
+                if let Some(entry) = self.waves.get_mut(wave) {
+                    entry.ordered.insert(machine.clone());
+                }
+            }
+            JobCommand::PutWorker { entry, worker } => {
+                self.workers.insert(worker.clone(), entry.clone());
+            }
+            JobCommand::RemoveWorker(worker) => self.remove_worker(worker),
+            JobCommand::Start { runs, worker } => {
+                for run in runs {
+                    if let Some(job) = self.jobs.get_mut(&run.task.step.job) {
+                        job.start(*run, worker);
+                    }
+                }
+            }
+            JobCommand::StartWave(wave) => {
+                self.waves.entry(wave.id).or_insert_with(|| WaveEntry {
+                    ordered: BTreeSet::new(),
+                    wave: wave.clone(),
+                });
+            }
+            JobCommand::Submit(submission) => {
+                self.jobs
+                    .entry(submission.job)
+                    .or_insert_with(|| Job::new(submission.as_ref().clone()));
+            }
+        }
+    }
+
+    /// Number of jobs of a queue that have not started.
+    pub fn pending(&self, queue: &QueueName) -> u64 {
+        let is_pending = |job: &&Job| job.queue == *queue && job.state() == JobState::Queued;
+        self.jobs.values().filter(is_pending).count() as u64
+    }
+
+    fn configure(&mut self, configuration: &Configuration) {
+        let present = self.configuration.as_ref().map(|present| present.version);
+        if present.is_none_or(|version| configuration.version > version) {
+            self.configuration = Some(Arc::new(configuration.clone()));
+        }
+    }
+
+    fn end_run(&mut self, run: RunId, end: RunEnd, checkpoint: &SmolStr) -> bool {
+        self.jobs
+            .get_mut(&run.task.step.job)
+            .is_some_and(|job| job.end(run, end, checkpoint))
+    }
+
+    fn settle(&mut self, run: RunId, end: RunEnd, is_final: bool, unix_ms: u64) {
+        let job = run.task.step.job;
+        let is_complete = end == RunEnd::Done && self.jobs.get(&job).is_some_and(Job::is_complete);
+        match end {
+            _ if is_complete => self.finish(job, JobState::Completed, unix_ms),
+            RunEnd::Failed if is_final => self.finish(job, JobState::Failed, unix_ms),
+            RunEnd::Done | RunEnd::Failed | RunEnd::Interrupted => {}
+        }
+    }
+
+    fn finish(&mut self, job: JobId, state: JobState, unix_ms: u64) {
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.ended.get_or_insert(JobEnd { state, unix_ms });
+        }
+    }
+
+    fn remove_worker(&mut self, worker: &WorkerName) {
+        self.workers.remove(worker);
+        let on_worker = |job: &Job| {
+            let runs = job.runs().filter(|(_, on)| *on == worker);
+            runs.map(|(run, _)| run).collect::<Vec<_>>()
+        };
+        let runs: Vec<_> = self.jobs.values().flat_map(on_worker).collect();
+        for run in runs {
+            self.end_run(run, RunEnd::Interrupted, &SmolStr::default());
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,236 @@
+//! A job and the state of its tasks.
+
+use {
+    crate::{JobId, JobSpec, JobState, RunEnd, RunId, StepId, StepSpec, Submission, TaskKey},
+    fuchsiatack_derives::message,
+    fuchsiatack_model::{QueueName, TeamName, WorkerName},
+    smol_str::SmolStr,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// State of one task.
+#[derive(Default)]
+#[message]
+pub struct Task {
+    /// Latest checkpoint, or empty.
+    pub checkpoint: SmolStr,
+    /// Whether it has done its work.
+    pub done: bool,
+    /// Number of the last failed run, so that a gang's failure is counted once.
+    pub failed_run: u32,
+    /// Runs that ended as failed. Those of a gang are counted on its first task.
+    pub failures: u32,
+    /// Number of the last run, or 0.
+    pub last_run: u32,
+    /// Worker of the present run, if one may be at work.
+    pub worker: Option<WorkerName>,
+}
+
+/// When and how a job ended.
+#[message]
+pub struct JobEnd {
+    /// Final state.
+    pub state: JobState,
+    /// Time in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+/// Tasks of one occurrence, by step.
+pub type Occurrence = Vec<Vec<Task>>;
+
+/// An accepted job.
+#[message]
+pub struct Job {
+    /// Time of acceptance in milliseconds since the Unix epoch.
+    pub accepted_unix_ms: u64,
+    /// Set once it has ended.
+    pub ended: Option<JobEnd>,
+    /// Identifier.
+    pub id: JobId,
+    /// Occurrences that have started.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Its queue.
+    pub queue: QueueName,
+    /// What was submitted.
+    pub spec: Arc<JobSpec>,
+    /// Team that it counts for.
+    pub team: Option<TeamName>,
+}
+
+impl Job {
+    pub(crate) fn new(submission: Submission) -> Self {
+        Self {
+            accepted_unix_ms: submission.accepted_unix_ms,
+            ended: None,
+            id: submission.job,
+            occurrences: BTreeMap::new(),
+            queue: submission.queue,
+            spec: Arc::new(submission.spec),
+            team: submission.team,
+        }
+    }
+
+    /// Number of times that the steps run.
+    pub fn occurrence_count(&self) -> u32 {
+        self.spec.schedule.map_or(1, |schedule| schedule.occurrences)
+    }
+
+    /// Due time of an occurrence in milliseconds since the Unix epoch.
+    pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        match self.spec.schedule {
+            None => self.accepted_unix_ms,
+            Some(schedule) => {
+                schedule.start_unix_ms + u64::from(occurrence).saturating_mul(schedule.interval_ms)
+            }
+        }
+    }
+
+    /// State that callers see.
+    pub fn state(&self) -> JobState {
+        match &self.ended {
+            Some(ended) => ended.state,
+            None if self.has_started() => JobState::Running,
+            None => JobState::Queued,
+        }
+    }
+
+    /// Returns whether a task has started.
+    pub fn has_started(&self) -> bool {
+        !self.occurrences.is_empty()
+    }
+
+    /// Description of a step.
+    pub fn step(&self, step: u32) -> Option<&StepSpec> {
+        self.spec.steps.get(step as usize)
+    }
+
+    /// Returns the state of a task; `None` if it has never started.
+    pub fn task(&self, task: TaskKey) -> Option<&Task> {
+        self.occurrences
+            .get(&task.step.occurrence)?
+            .get(task.step.step as usize)?
+            .get(task.index as usize)
+    }
+
+    /// Returns whether all tasks of a step are done.
+    pub fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
+        let tasks = self
+            .occurrences
+            .get(&occurrence)
+            .and_then(|occurrence| occurrence.get(step as usize));
+        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.done))
+    }
+
+    /// Returns the steps of a due occurrence whose turn has come and that are not done.
+    pub fn open_steps(&self, occurrence: u32) -> impl Iterator<Item = StepId> {
+        let is_open = move |(number, step): &(u32, &StepSpec)| {
+            let is_ready = step
+                .depends_on
+                .iter()
+                .all(|earlier| self.is_step_done(occurrence, *earlier));
+            is_ready && !self.is_step_done(occurrence, *number)
+        };
+        (0..)
+            .zip(self.spec.steps.iter())
+            .filter(is_open)
+            .map(move |(step, _)| StepId {
+                job: self.id,
+                occurrence,
+                step,
+            })
+    }
+
+    /// Longest chain of estimated work in milliseconds.
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends_ms: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
+        for step in &self.spec.steps {
+            let start_ms = step
+                .depends_on
+                .iter()
+                .filter_map(|earlier| ends_ms.get(*earlier as usize));
+            ends_ms.push(start_ms.max().copied().unwrap_or(0) + step.estimated_ms);
+        }
+        ends_ms.into_iter().max().unwrap_or(0)
+    }
+
+    pub(crate) fn start(&mut self, run: RunId, worker: &WorkerName) {
+        let steps = &self.spec.steps;
+        let fresh = || {
+            steps
+                .iter()
+                .map(|step| vec![Task::default(); step.tasks as usize])
+                .collect()
+        };
+        let occurrence = self
+            .occurrences
+            .entry(run.task.step.occurrence)
+            .or_insert_with(fresh);
+        let task = occurrence
+            .get_mut(run.task.step.step as usize)
+            .and_then(|step| step.get_mut(run.task.index as usize));
+        if let Some(task) = task {
+            task.last_run = run.number;
+            task.worker = Some(worker.clone());
+        }
+    }
+
+    /// Takes the end of a run. Returns whether the run was the present one.
+    pub(crate) fn end(&mut self, run: RunId, end: RunEnd, checkpoint: &SmolStr) -> bool {
+        let step = run.task.step;
+        let is_gang = self.step(step.step).is_some_and(|spec| spec.gang);
+        let tasks = self
+            .occurrences
+            .get_mut(&step.occurrence)
+            .and_then(|occurrence| occurrence.get_mut(step.step as usize));
+        let Some(tasks) = tasks else {
+            return false;
+        };
+        match tasks.get_mut(run.task.index as usize) {
+            Some(task) if task.last_run == run.number && task.worker.is_some() => {
+                task.worker = None;
+                if !checkpoint.is_empty() {
+                    task.checkpoint = checkpoint.clone();
+                }
+            }
+            _ => return false,
+        }
+        let counted = if is_gang { 0 } else { run.task.index as usize };
+        match end {
+            RunEnd::Done if is_gang => tasks.iter_mut().for_each(|task| task.done = true),
+            RunEnd::Done => tasks[run.task.index as usize].done = true,
+            RunEnd::Failed if tasks[counted].failed_run < run.number => {
+                tasks[counted].failed_run = run.number;
+                tasks[counted].failures += 1;
+            }
+            RunEnd::Failed | RunEnd::Interrupted => {}
+        }
+        true
+    }
+
+    /// Returns whether every task of every occurrence is done.
+    pub(crate) fn is_complete(&self) -> bool {
+        let count = self.occurrence_count();
+        let is_done = |occurrence: &Occurrence| occurrence.iter().flatten().all(|task| task.done);
+        self.occurrences.len() as u32 == count && self.occurrences.values().all(is_done)
+    }
+
+    /// Returns the present runs with their workers.
+    pub fn runs(&self) -> impl Iterator<Item = (RunId, &WorkerName)> {
+        self.occurrences.iter().flat_map(move |(occurrence, steps)| {
+            (0..).zip(steps).flat_map(move |(step, tasks)| {
+                (0..).zip(tasks).filter_map(move |(index, task): (u32, &Task)| {
+                    let step = StepId {
+                        job: self.id,
+                        occurrence: *occurrence,
+                        step,
+                    };
+                    let run = RunId {
+                        number: task.last_run,
+                        task: TaskKey { index, step },
+                    };
+                    task.worker.as_ref().map(|worker| (run, worker))
+                })
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,57 @@
+//! Jobs of callers: their replicated state and the leader's decisions on them.
+//!
+//! Nothing here does I/O or reads a clock. `JobBook` is the state that all store members agree on.
+//! `Planner` runs on the leader: it takes events and returns commands and effects.
+
+mod advisers;
+mod book;
+mod calls;
+mod clock_sample;
+mod command;
+mod configuration;
+mod effect;
+mod event;
+mod ids;
+mod job;
+mod job_spec;
+mod note;
+mod output;
+mod plan_advice;
+mod plan_calls;
+mod plan_runs;
+mod plan_start;
+mod plan_workers;
+mod planner;
+mod run_view;
+mod settings;
+mod step_spec;
+mod step_view;
+mod worker_entry;
+mod worker_report;
+mod worker_view;
+
+pub mod placement;
+
+pub use self::{
+    book::{JobBook, WaveEntry},
+    calls::{
+        AdviceReply, AdviceRequest, CallId, CellAnswer, CellCall, EntryReport, JobAction, JobAnswer, JobCall,
+        JobState, Wave,
+    },
+    command::{JobCommand, RunEnd, Submission},
+    configuration::{AdvicePolicy, Configuration, Queue, Team},
+    effect::{Callee, Effect},
+    event::{
+        EndedRun, HoldReport, JobEvent, ListedEnd, ListedRun, OrderRejection, OrderResult, WorkerCallError,
+    },
+    ids::{JobId, RunId, StepId, TaskKey},
+    job::{Job, JobEnd, Occurrence, Task},
+    job_spec::{JobSpec, Schedule},
+    note::Note,
+    output::Output,
+    planner::Planner,
+    settings::PlannerSettings,
+    step_spec::StepSpec,
+    worker_entry::WorkerEntry,
+    worker_report::WorkerReport,
+};
--- /dev/null
+++ b/crates/jobs/src/plan_calls.rs
@@ -0,0 +1,245 @@
+//! Answers to calls.
+
+use {
+    crate::{
+        CallId, CellAnswer, CellCall, Configuration, EntryReport, JobAction, JobAnswer, JobCall, JobCommand,
+        JobSpec, Note, Planner, Submission, Wave, calls::job_of,
+    },
+    fuchsiatack_model::{QueueName, TeamName, WorkerName},
+    smol_str::SmolStr,
+};
+
+/// Most tasks of one occurrence of a job.
+const MAX_TASKS: u32 = 20_000;
+/// Most occurrences of a job.
+const MAX_OCCURRENCES: u32 = 100_000;
+
+impl Planner {
+    pub(crate) fn called(&mut self, id: CallId, call: CellCall) {
+        match call {
+            CellCall::Advise(_) => {
+                let reason = SmolStr::new_static("the leader does not take questions for others");
+                self.answer(id, CellAnswer::Failed(reason));
+            }
+            CellCall::Configure(configuration) => self.configure(id, configuration),
+            CellCall::Entry(report) => self.entry_reported(id, &report),
+            CellCall::Heartbeat(report) => {
+                self.worker_reported(&report);
+                self.answer(id, CellAnswer::Done);
+            }
+            CellCall::Job(call) => {
+                let answer = self.job_called(call);
+                self.answer(id, CellAnswer::Job(answer));
+            }
+            CellCall::Leave(worker) => self.worker_left(id, &worker),
+            CellCall::ReadConfiguration => {
+                let configuration = self.book.configuration.as_ref();
+                let answer = configuration.map_or(CellAnswer::Nothing, |configuration| {
+                    CellAnswer::Configuration(configuration.document.clone())
+                });
+                self.answer(id, answer);
+            }
+            CellCall::ReadWave(wave) => {
+                let answer = self.wave_state(wave);
+                self.answer(id, answer);
+            }
+            CellCall::StartWave(wave) => self.start_wave(id, wave),
+        }
+    }
+
+    fn configure(&mut self, id: CallId, configuration: Box<Configuration>) {
+        let present = self.book.configuration.as_ref().map(|present| present.version);
+        let version = configuration.version;
+        let is_newer = present.is_none_or(|present| version > present);
+        self.note(
+            Note::new(if is_newer {
+                "configuration stored"
+            } else {
+                "configuration already overtaken"
+            })
+            .with("version", version)
+            .with("present", present.unwrap_or_default())
+            .with("queues", configuration.queues.len())
+            .with("teams", configuration.teams.len()),
+        );
+        if is_newer {
+            self.propose(JobCommand::Configure(configuration));
+            self.dirty = true;
+        }
+        self.answer(id, CellAnswer::Done);
+    }
+
+    fn entry_reported(&mut self, id: CallId, report: &EntryReport) {
+        match report.stopping {
+            true => self.advisers.remove(report.address),
+            false if self.advisers.announce(self.now_ms, report.address, &report.name) => {
+                self.note(Note::new("daemon found").with("daemon", &report.name));
+            }
+            false => {}
+        }
+        let answer = CellAnswer::Welcome {
+            configured: self.book.configuration.is_some(),
+            members: self.members.clone(),
+        };
+        self.answer(id, answer);
+    }
+
+    fn job_called(&mut self, call: JobCall) -> JobAnswer {
+        let Some(configuration) = self.book.configuration.clone() else {
+            return JobAnswer::NotConfigured;
+        };
+        let Some((queue, rest)) = configuration.route(&call.host, &call.path) else {
+            return JobAnswer::UnknownQueue;
+        };
+        let team = call.key.as_deref().and_then(|key| configuration.team_of_key(key));
+        if team.is_none() && !queue.is_open {
+            return JobAnswer::UnknownKey;
+        }
+        let team = team.map(|team| team.name.clone());
+        match (call.action, job_of(rest)) {
+            (JobAction::Read, None) if rest.is_empty() => JobAnswer::Pending(self.book.pending(&queue.name)),
+            (JobAction::Submit(spec), Some(job)) => self.submit(job, &queue.name, team, *spec),
+            (JobAction::Read, Some(job)) => {
+                match self.own_job(job, &queue.name, team.as_ref(), queue.is_open) {
+                    Some(job) => JobAnswer::State(job.state()),
+                    None => JobAnswer::NoSuchJob,
+                }
+            }
+            (JobAction::Cancel, Some(job)) => {
+                match self
+                    .own_job(job, &queue.name, team.as_ref(), queue.is_open)
+                    .is_some()
+                {
+                    true => self.cancel(job),
+                    false => JobAnswer::NoSuchJob,
+                }
+            }
+            (JobAction::Submit(_), None) => JobAnswer::Invalid("the path names no job".into()),
+            (JobAction::Cancel | JobAction::Read, None) => JobAnswer::NoSuchJob,
+        }
+    }
+
+    fn own_job(
+        &self,
+        job: crate::JobId,
+        queue: &QueueName,
+        team: Option<&TeamName>,
+        is_open: bool,
+    ) -> Option<&crate::Job> {
+        let is_own = |job: &&crate::Job| job.queue == *queue && (is_open || job.team.as_ref() == team);
+        self.book.jobs.get(&job).filter(is_own)
+    }
+
+    fn submit(
+        &mut self,
+        job: crate::JobId,
+        queue: &QueueName,
+        team: Option<TeamName>,
+        spec: JobSpec,
+    ) -> JobAnswer {
+        if self.book.jobs.contains_key(&job) {
+            self.note(Note::new("job known already").job(job));
+            return JobAnswer::Accepted;
+        }
+        if let Some(reason) = invalid(&spec) {
+            self.note(Note::new("job invalid").job(job).with("reason", &reason));
+            return JobAnswer::Invalid(reason);
+        }
+        self.note(
+            Note::new("job accepted")
+                .job(job)
+                .with("queue", queue)
+                .with("team", team.as_ref().map_or("", TeamName::as_str))
+                .with("steps", spec.steps.len())
+                .with("tasks", spec.steps.iter().map(|step| step.tasks).sum::<u32>())
+                .with(
+                    "configuration",
+                    self.book
+                        .configuration
+                        .as_ref()
+                        .map_or(0, |present| present.version),
+                ),
+        );
+        self.propose(JobCommand::Submit(Box::new(Submission {
+            accepted_unix_ms: self.now_unix_ms,
+            job,
+            queue: queue.clone(),
+            spec,
+            team,
+        })));
+        self.refresh_job(job);
+        JobAnswer::Accepted
+    }
+
+    fn cancel(&mut self, id: crate::JobId) -> JobAnswer {
+        let has_ended = self.book.jobs.get(&id).is_some_and(|job| job.ended.is_some());
+        self.note(Note::new("job cancelled").job(id).with("had_ended", has_ended));
+        if !has_ended {
+            self.propose(JobCommand::Cancel {
+                job: id,
+                unix_ms: self.now_unix_ms,
+            });
+            self.close_job(id);
+        }
+        JobAnswer::Cancelled
+    }
+
+    fn worker_left(&mut self, id: CallId, worker: &WorkerName) {
+        let now_ms = self.now_ms;
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.left = true;
+            view.hold_due_ms = now_ms;
+        }
+        self.note(Note::new("worker left").with("worker", worker));
+        self.answer(id, CellAnswer::Done);
+    }
+
+    fn wave_state(&self, wave: u64) -> CellAnswer {
+        match self.book.waves.get(&wave) {
+            None => CellAnswer::Nothing,
+            Some(entry) => CellAnswer::Wave {
+                completed: entry
+                    .wave
+                    .machines
+                    .iter()
+                    .all(|machine| entry.ordered.contains(machine)),
+            },
+        }
+    }
+
+    fn start_wave(&mut self, id: CallId, wave: Wave) {
+        if !self.book.waves.contains_key(&wave.id) {
+            self.note(
+                Note::new("wave stored")
+                    .with("wave", wave.id)
+                    .with("machines", wave.machines.len()),
+            );
+            self.propose(JobCommand::StartWave(wave));
+        }
+        self.answer(id, CellAnswer::Done);
+    }
+}
+
+/// Returns why a job cannot be accepted.
+fn invalid(spec: &JobSpec) -> Option<SmolStr> {
+    let tasks = spec
+        .steps
+        .iter()
+        .try_fold(0_u32, |sum, step| sum.checked_add(step.tasks));
+    let occurrences = spec.schedule.map_or(1, |schedule| schedule.occurrences);
+    let refers_back = || {
+        (0..)
+            .zip(&spec.steps)
+            .all(|(number, step)| step.depends_on.iter().all(|earlier| *earlier < number))
+    };
+    let reason = match tasks {
+        _ if spec.steps.is_empty() => "the job has no steps",
+        _ if spec.steps.iter().any(|step| step.tasks == 0) => "a step has no tasks",
+        None => "the job has too many tasks",
+        Some(tasks) if tasks > MAX_TASKS => "the job has too many tasks",
+        _ if occurrences == 0 || occurrences > MAX_OCCURRENCES => "the number of repetitions is out of range",
+        _ if !refers_back() => "a step depends on one that does not come before it",
+        _ => return None,
+    };
+    Some(SmolStr::new_static(reason))
+}
--- /dev/null
+++ b/crates/jobs/src/plan_start.rs
@@ -0,0 +1,369 @@
+//! Order of waiting steps and their starts.
+//!
+//! Answers bursts of urgent work beside a backlog of large jobs: queues with a lower priority
+//! number come first and have a part of each worker for themselves. Within a priority, jobs that
+//! can still meet their objective come first, the most urgent at the front; jobs that are late
+//! already wait behind them, since serving them first would make the others late as well.
+
+use {
+    crate::{
+        Effect, JobCommand, Note, Planner, Queue, RunId, StepId, StepSpec, TaskKey,
+        placement::{self, Candidate},
+        plan_runs::UNKNOWN_SLOWNESS,
+        run_view::RunState,
+    },
+    fuchsiatack_model::{Resources, WorkerName},
+    smol_str::SmolStr,
+    std::collections::BTreeMap,
+};
+
+/// Most steps that are tried in one turn without a success, so that a long backlog that cannot be
+/// placed does not use up the processor.
+const MAX_FAILED_STEPS: usize = 64;
+
+/// Starts that were chosen, by worker.
+type Starts = BTreeMap<WorkerName, Vec<TaskKey>>;
+
+impl Planner {
+    /// Starts the waiting tasks that have room.
+    pub(crate) fn place(&mut self) {
+        let now_ms = self.now_ms;
+        let mut order: Vec<_> = self
+            .steps
+            .iter()
+            .filter(|(_, view)| now_ms >= view.held_until_ms)
+            .map(|(step, view)| {
+                let is_late = now_ms + view.remaining_ms > view.due_ms;
+                ((view.priority, is_late, view.due_ms), *step)
+            })
+            .collect();
+        order.sort_unstable();
+        let lowest = order.first().map_or(0, |((priority, ..), _)| *priority);
+        let top = self.top_priority().unwrap_or(lowest);
+        let mut failed = 0;
+        for ((priority, ..), step) in order {
+            let kept_free_percent = match priority == top {
+                true => 0,
+                false => self.settings.urgent_reserve_percent,
+            };
+            match self.place_step(step, kept_free_percent) {
+                true => {}
+                false => failed += 1,
+            }
+            if failed >= MAX_FAILED_STEPS {
+                break;
+            }
+        }
+    }
+
+    fn top_priority(&self) -> Option<u32> {
+        let configuration = self.book.configuration.as_ref()?;
+        configuration.queues.iter().map(|queue| queue.priority).min()
+    }
+
+    /// Tries to start the waiting tasks of a step. Returns whether nothing of it waits any more.
+    fn place_step(&mut self, step: StepId, kept_free_percent: u32) -> bool {
+        let Some(job) = self.book.jobs.get(&step.job) else {
+            return true;
+        };
+        let (Some(spec), Some(queue)) = (job.step(step.step).cloned(), self.queue_of(step.job).cloned())
+        else {
+            return true;
+        };
+        let waiting = self.waiting_tasks(step, &spec);
+        if waiting.is_empty() {
+            return true;
+        }
+        let allowed = self.allowed_by_limit(step, &spec, waiting.len());
+        if allowed == 0 || (spec.gang && allowed < spec.tasks as usize) {
+            return false;
+        }
+        let mut candidates = self.candidates(step, &spec, &queue);
+        candidates.retain(|candidate| candidate.fits(&spec.reserved(), kept_free_percent));
+        let mut usable = candidates.clone();
+        if queue.advice.is_some() {
+            usable.retain(|candidate| self.ticket(step, &candidate.key).is_some());
+        }
+        let waiting = &waiting[..allowed];
+        let starts = match spec.gang {
+            true => self.choose_gang(step, &spec, waiting, usable, kept_free_percent),
+            false => self.choose_single(step, &spec, waiting, usable, kept_free_percent),
+        };
+        let placed: usize = starts.values().map(Vec::len).sum();
+        if placed > 0 {
+            self.start(step, &spec, starts);
+        }
+        let left = waiting.len() - placed;
+        if let (Some(policy), true) = (&queue.advice, left > 0) {
+            candidates.retain(|candidate| self.ticket(step, &candidate.key).is_none());
+            let all = if spec.gang { spec.tasks as usize } else { left };
+            self.ask_advice(step, policy, all, &candidates);
+        }
+        left == 0
+    }
+
+    /// Returns the tasks of a step that have no present run and are not done. A gang waits until
+    /// none of its members has one.
+    fn waiting_tasks(&self, step: StepId, spec: &StepSpec) -> Vec<TaskKey> {
+        let Some(job) = self.book.jobs.get(&step.job) else {
+            return Vec::new();
+        };
+        let is_waiting = |task: &TaskKey| {
+            job.task(*task)
+                .is_none_or(|task| !task.done && task.worker.is_none())
+        };
+        let waiting: Vec<_> = (0..spec.tasks)
+            .map(|index| TaskKey { index, step })
+            .filter(is_waiting)
+            .collect();
+        match spec.gang && waiting.len() < spec.tasks as usize {
+            true => Vec::new(),
+            false => waiting,
+        }
+    }
+
+    /// Returns how many tasks of a step its team's limit allows.
+    fn allowed_by_limit(&self, step: StepId, spec: &StepSpec, tasks: usize) -> usize {
+        let team = self.book.jobs.get(&step.job).and_then(|job| job.team.as_ref());
+        let (Some(team), Some(configuration)) = (team, &self.book.configuration) else {
+            return tasks;
+        };
+        let Some(limit) = configuration.team(team).map(|team| team.limit) else {
+            return tasks;
+        };
+        let used = self.team_used.get(team).copied().unwrap_or(Resources::NONE);
+        let left = |limit: u64, used: u64, each: u64| match (limit, each) {
+            (0, _) | (_, 0) => usize::MAX,
+            _ => (limit.saturating_sub(used) / each) as usize,
+        };
+        let demand = &spec.demand;
+        tasks
+            .min(left(
+                limit.processors_millis.into(),
+                used.processors_millis.into(),
+                demand.processors_millis.into(),
+            ))
+            .min(left(limit.memory_bytes, used.memory_bytes, demand.memory_bytes))
+            .min(left(
+                limit.accelerators.into(),
+                used.accelerators.into(),
+                demand.accelerators.into(),
+            ))
+    }
+
+    fn ticket(&self, step: StepId, worker: &WorkerName) -> Option<&SmolStr> {
+        let (ticket, valid_until_ms) = self.steps.get(&step)?.advice.good.get(worker)?;
+        (self.now_ms < *valid_until_ms).then_some(ticket)
+    }
+
+    /// Returns the workers that may run the step's tasks by everything but room and advice, the
+    /// best first. A worker that was found unfit by the advice service is left out.
+    fn candidates(&self, step: StepId, spec: &StepSpec, queue: &Queue) -> Vec<Candidate<WorkerName>> {
+        let advice = self.steps.get(&step).map(|view| &view.advice);
+        let mut candidates = Vec::new();
+        for (name, view) in &self.workers {
+            let Some(entry) = self.book.workers.get(name) else {
+                continue;
+            };
+            let has_label = spec
+                .required_label
+                .as_ref()
+                .is_none_or(|label| entry.labels.contains(label));
+            let is_unfit = queue.advice.is_some()
+                && advice
+                    .is_some_and(|advice| advice.asked.contains(name) && !advice.good.contains_key(name));
+            if entry.service != queue.service
+                || entry.draining
+                || !view.takes_work(self.now_ms)
+                || !has_label
+                || is_unfit
+                || self.is_crowded(step, spec, name)
+                || self.disturbs(spec, name)
+            {
+                continue;
+            }
+            candidates.push(Candidate {
+                capacity: entry.capacity,
+                key: name.clone(),
+                near: spec
+                    .data_rack
+                    .as_ref()
+                    .is_none_or(|rack| entry.labels.contains(rack)),
+                slowness_thousandths: self.kinds.get(entry.kind()).copied().unwrap_or(UNKNOWN_SLOWNESS),
+                used: view.used,
+            });
+        }
+        placement::sort(&mut candidates, &spec.reserved());
+        candidates
+    }
+
+    /// Returns whether the worker has as many tasks of the step as it may have.
+    fn is_crowded(&self, step: StepId, spec: &StepSpec, worker: &WorkerName) -> bool {
+        spec.max_per_worker
+            .is_some_and(|limit| self.tasks_on(step, worker) >= limit as usize)
+    }
+
+    fn tasks_on(&self, step: StepId, worker: &WorkerName) -> usize {
+        let tasks = self.workers.get(worker).map(|view| &view.runs);
+        tasks.map_or(0, |tasks| tasks.iter().filter(|task| task.step == step).count())
+    }
+
+    /// Returns whether tasks that use idle processor time would share a worker with tasks that
+    /// owe their users a latency.
+    fn disturbs(&self, spec: &StepSpec, worker: &WorkerName) -> bool {
+        let clashes = |other: &StepSpec| {
+            (spec.fills_idle && other.target_tail_ms.is_some())
+                || (spec.target_tail_ms.is_some() && other.fills_idle)
+        };
+        if !spec.fills_idle && spec.target_tail_ms.is_none() {
+            return false;
+        }
+        let runs = self.workers.get(worker).map(|view| &view.runs);
+        runs.is_some_and(|runs| {
+            runs.iter().any(|task| {
+                let job = self.book.jobs.get(&task.step.job);
+                job.and_then(|job| job.step(task.step.step)).is_some_and(clashes)
+            })
+        })
+    }
+
+    fn choose_single(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        waiting: &[TaskKey],
+        mut usable: Vec<Candidate<WorkerName>>,
+        kept_free_percent: u32,
+    ) -> Starts {
+        let reserved = spec.reserved();
+        let mut starts = Starts::new();
+        for task in waiting {
+            let Some(position) = placement::choose(&usable, &reserved, kept_free_percent) else {
+                break;
+            };
+            let worker = usable[position].key.clone();
+            usable[position].used = usable[position].used.plus(&reserved);
+            let tasks = starts.entry(worker.clone()).or_default();
+            tasks.push(*task);
+            let count = tasks.len() + self.tasks_on(step, &worker);
+            if spec.max_per_worker.is_some_and(|limit| count >= limit as usize) {
+                usable.remove(position);
+            }
+        }
+        starts
+    }
+
+    /// Chooses workers for all members of a gang, on one rack if it wants one and that fits.
+    fn choose_gang(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        waiting: &[TaskKey],
+        usable: Vec<Candidate<WorkerName>>,
+        kept_free_percent: u32,
+    ) -> Starts {
+        let rack_of = |worker: &WorkerName| {
+            let entry = self.book.workers.get(worker);
+            entry.map_or(SmolStr::default(), |entry| SmolStr::new(entry.rack()))
+        };
+        let mut groups: BTreeMap<SmolStr, Vec<Candidate<WorkerName>>> = BTreeMap::new();
+        if spec.same_rack {
+            for candidate in &usable {
+                groups
+                    .entry(rack_of(&candidate.key))
+                    .or_default()
+                    .push(candidate.clone());
+            }
+        }
+        let groups = groups.into_values().chain(std::iter::once(usable));
+        groups
+            .map(|group| self.choose_single(step, spec, waiting, group, kept_free_percent))
+            .find(|starts| starts.values().map(Vec::len).sum::<usize>() == waiting.len())
+            .unwrap_or_default()
+    }
+
+    /// Records the intent to start runs, and orders them once it is committed.
+    fn start(&mut self, step: StepId, spec: &StepSpec, starts: Starts) {
+        let Some(job) = self.book.jobs.get(&step.job) else {
+            return;
+        };
+        let payload = job.spec.payload.clone();
+        let tasks = || starts.values().flatten();
+        let last_run = |task: &TaskKey| job.task(*task).map_or(0, |task| task.last_run);
+        let gang_number = tasks().map(last_run).max().unwrap_or(0) + 1;
+        let checkpoint_of = |task: &TaskKey| {
+            job.task(*task)
+                .map(|task| task.checkpoint.clone())
+                .unwrap_or_default()
+        };
+        let gang_checkpoint = tasks()
+            .map(checkpoint_of)
+            .find(|checkpoint| !checkpoint.is_empty());
+        let mut orders = Vec::new();
+        for (worker, tasks) in &starts {
+            for task in tasks {
+                let (number, checkpoint) = match spec.gang {
+                    true => (gang_number, gang_checkpoint.clone().unwrap_or_default()),
+                    false => (last_run(task) + 1, checkpoint_of(task)),
+                };
+                let run = RunId { number, task: *task };
+                orders.push((worker.clone(), run, checkpoint));
+            }
+        }
+        let waited_ms = self
+            .steps
+            .get(&step)
+            .map_or(0, |view| self.now_ms.saturating_sub(view.opened_ms));
+        self.note(
+            Note::new("runs started")
+                .job(step.job)
+                .with("step", step)
+                .with("runs", orders.len())
+                .with("workers", starts.len())
+                .with("waited_ms", waited_ms)
+                .with(
+                    "configuration",
+                    self.book
+                        .configuration
+                        .as_ref()
+                        .map_or(0, |present| present.version),
+                ),
+        );
+        for (worker, tasks) in starts {
+            let numbers: BTreeMap<_, _> = orders.iter().map(|(_, run, _)| (run.task, run.number)).collect();
+            let runs = tasks.into_iter().map(|task| RunId {
+                number: numbers.get(&task).copied().unwrap_or(1),
+                task,
+            });
+            self.propose(JobCommand::Start {
+                runs: runs.collect(),
+                worker,
+            });
+        }
+        for (worker, run, checkpoint) in orders {
+            self.home(run, &worker, RunState::Ordered);
+            self.order_start(&worker, run, checkpoint, payload.clone());
+        }
+    }
+
+    fn order_start(&mut self, worker: &WorkerName, run: RunId, checkpoint: SmolStr, payload: SmolStr) {
+        let ticket = self.ticket(run.task.step, worker).cloned();
+        let Some(to) = self.callee(worker) else {
+            return;
+        };
+        let (now_ms, lease_ms) = (self.now_ms, self.settings.lease_ms);
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let deadline_ms = view.clock.map_or(0, |clock| clock.at_least_ms(now_ms)) + lease_ms;
+        view.granted_ms = view.granted_ms.max(deadline_ms);
+        self.after_commit(Effect::Start {
+            checkpoint,
+            deadline_ms,
+            payload,
+            run,
+            ticket,
+            to,
+        });
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/planner.rs
@@ -0,0 +1,336 @@
+//! The leader's decisions on jobs, workers and runs.
+//!
+//! The planner does no I/O and reads no clock. It applies each command to its own copy of the book
+//! when it proposes it, so that it never waits for the log; what the outside sees waits for the
+//! commit.
+
+use {
+    crate::{
+        CallId, CellAnswer, Effect, JobBook, JobCommand, JobEvent, JobId, Note, Output, PlannerSettings,
+        Queue, StepId, TaskKey,
+        advisers::Advisers,
+        effect::Callee,
+        run_view::{RunState, RunView},
+        step_view::StepView,
+        worker_view::WorkerView,
+    },
+    fuchsiatack_model::{QueueName, Resources, TeamName, WorkerName},
+    smol_str::SmolStr,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
+};
+
+/// Margin after the longest lease of an earlier leader, in milliseconds. It covers the time in
+/// which a leader that was just replaced may still have sent a renewal.
+const INHERITED_MARGIN_MS: u64 = 700;
+/// Slowest rate of a worker's clock, in thousandths, by which a lease may last longer.
+const SLOWEST_RATE_THOUSANDTHS: u64 = 980;
+
+/// The leader's planner.
+pub struct Planner {
+    pub(crate) advisers: Advisers,
+    pub(crate) book: JobBook,
+    /// Whether something changed that placement depends on.
+    pub(crate) dirty: bool,
+    pub(crate) fence: u64,
+    pub(crate) forget_due_ms: u64,
+    /// Share of asked workers that may run a queue's steps, in thousandths.
+    pub(crate) good_shares: BTreeMap<QueueName, u64>,
+    /// Mean of actual over estimated duration on workers of a kind, in thousandths.
+    pub(crate) kinds: BTreeMap<SmolStr, u64>,
+    pub(crate) members: Vec<SocketAddr>,
+    pub(crate) now_ms: u64,
+    pub(crate) now_unix_ms: u64,
+    pub(crate) output: Output,
+    pub(crate) runs: BTreeMap<TaskKey, RunView>,
+    /// Jobs with occurrences that are due later, by the next due time since the Unix epoch.
+    pub(crate) scheduled: BTreeSet<(u64, JobId, u32)>,
+    pub(crate) settings: PlannerSettings,
+    pub(crate) steps: BTreeMap<StepId, StepView>,
+    pub(crate) team_used: BTreeMap<TeamName, Resources>,
+    pub(crate) workers: BTreeMap<WorkerName, WorkerView>,
+}
+
+impl Planner {
+    /// Starts the work of a leader from the committed state. `fence` is higher than that of every
+    /// earlier leader. Times are in milliseconds; `now_ms` must count while the VM is suspended.
+    pub fn new(settings: PlannerSettings, book: JobBook, fence: u64, now_ms: u64, now_unix_ms: u64) -> Self {
+        let lease_ms = settings.lease_ms * 1_000 / SLOWEST_RATE_THOUSANDTHS;
+        let inherited_until_ms = now_ms + lease_ms + INHERITED_MARGIN_MS;
+        let workers = book
+            .workers
+            .keys()
+            .map(|worker| (worker.clone(), WorkerView::new(now_ms, inherited_until_ms)))
+            .collect();
+        let mut planner = Self {
+            advisers: Advisers::new(),
+            book,
+            dirty: true,
+            fence,
+            forget_due_ms: now_ms,
+            good_shares: BTreeMap::new(),
+            kinds: BTreeMap::new(),
+            members: Vec::new(),
+            now_ms,
+            now_unix_ms,
+            output: Output::default(),
+            runs: BTreeMap::new(),
+            scheduled: BTreeSet::new(),
+            settings,
+            steps: BTreeMap::new(),
+            team_used: BTreeMap::new(),
+            workers,
+        };
+        planner.restore();
+        planner
+    }
+
+    /// Takes an event at a time. Its consequences are in the next `take_output`.
+    pub fn handle(&mut self, now_ms: u64, now_unix_ms: u64, event: JobEvent) {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.now_unix_ms = now_unix_ms;
+        match event {
+            JobEvent::Advised { by, reply, step } => self.advised(by, reply, step),
+            JobEvent::Called { call, id } => self.called(id, call),
+            JobEvent::Held {
+                result,
+                sent_ms,
+                worker,
+            } => self.held(&worker, sent_ms, result),
+            JobEvent::Started { result, run, worker } => self.started(&worker, run, result),
+            JobEvent::Stopped { result, run, worker } => self.stopped(&worker, run, result),
+            JobEvent::Tick => self.tick(),
+        }
+    }
+
+    /// Places what can be placed and returns everything since the last call.
+    pub fn take_output(&mut self) -> Output {
+        if std::mem::take(&mut self.dirty) {
+            self.place();
+        }
+        self.renew_due();
+        std::mem::take(&mut self.output)
+    }
+
+    /// Sets the peer addresses of the store members, for daemons that ask.
+    pub fn set_members(&mut self, members: Vec<SocketAddr>) {
+        self.members = members;
+    }
+
+    /// The state with all proposed commands applied.
+    pub fn book(&self) -> &JobBook {
+        &self.book
+    }
+
+    fn restore(&mut self) {
+        let jobs: Vec<_> = self.book.jobs.keys().copied().collect();
+        for id in jobs {
+            let Some(job) = self.book.jobs.get(&id) else {
+                continue;
+            };
+            let runs: Vec<_> = job.runs().map(|(run, worker)| (run, worker.clone())).collect();
+            for (run, worker) in runs {
+                self.home(run, &worker, RunState::Unverified);
+            }
+            self.refresh_job(id);
+        }
+        self.note(
+            Note::new("leadership started")
+                .with("fence", self.fence)
+                .with("jobs", self.book.jobs.len())
+                .with("runs", self.runs.len())
+                .with("workers", self.workers.len()),
+        );
+    }
+
+    pub(crate) fn propose(&mut self, command: JobCommand) {
+        self.book.apply(&command);
+        self.output.commands.push(command);
+    }
+
+    pub(crate) fn after_commit(&mut self, effect: Effect) {
+        self.output.after_commit.push(effect);
+    }
+
+    pub(crate) fn answer(&mut self, id: CallId, answer: CellAnswer) {
+        self.after_commit(Effect::Answer { answer, id });
+    }
+
+    pub(crate) fn note(&mut self, note: Note) {
+        self.output.notes.push(note);
+    }
+
+    pub(crate) fn callee(&self, worker: &WorkerName) -> Option<Callee> {
+        let entry = self.book.workers.get(worker)?;
+        Some(Callee {
+            address: entry.address,
+            fence: self.fence,
+            worker: worker.clone(),
+        })
+    }
+
+    pub(crate) fn queue_of(&self, job: JobId) -> Option<&Queue> {
+        let queue = &self.book.jobs.get(&job)?.queue;
+        self.book.configuration.as_ref()?.queue(queue)
+    }
+
+    /// Counts a run on its worker and its team.
+    pub(crate) fn home(&mut self, run: crate::RunId, worker: &WorkerName, state: RunState) {
+        let Some(job) = self.book.jobs.get(&run.task.step.job) else {
+            return;
+        };
+        let Some(spec) = job.step(run.task.step.step) else {
+            return;
+        };
+        let view = RunView {
+            checkpoint: SmolStr::default(),
+            demand: spec.demand,
+            reserved: spec.reserved(),
+            run,
+            started_ms: self.now_ms,
+            state,
+            team: job.team.clone(),
+            worker: worker.clone(),
+        };
+        if let Some(on) = self.workers.get_mut(worker) {
+            on.used = on.used.plus(&view.reserved);
+            on.runs.insert(run.task);
+        }
+        if let Some(team) = &view.team {
+            let used = self.team_used.entry(team.clone()).or_insert(Resources::NONE);
+            *used = used.plus(&view.demand);
+        }
+        self.runs.insert(run.task, view);
+    }
+
+    /// Removes a run from its worker and its team.
+    pub(crate) fn unhome(&mut self, task: TaskKey) -> Option<RunView> {
+        let view = self.runs.remove(&task)?;
+        if let Some(on) = self.workers.get_mut(&view.worker) {
+            on.used = on.used.minus(&view.reserved);
+            on.runs.remove(&task);
+        }
+        if let Some(used) = view.team.as_ref().and_then(|team| self.team_used.get_mut(team)) {
+            *used = used.minus(&view.demand);
+        }
+        self.dirty = true;
+        Some(view)
+    }
+
+    /// Opens the steps of a job whose turn has come and closes the others.
+    pub(crate) fn refresh_job(&mut self, id: JobId) {
+        let Some(job) = self.book.jobs.get(&id) else {
+            return;
+        };
+        let mut open = BTreeSet::new();
+        if job.ended.is_none() {
+            for occurrence in 0..job.occurrence_count() {
+                let due_unix_ms = job.due_unix_ms(occurrence);
+                match job.spec.schedule {
+                    Some(_) if due_unix_ms > self.now_unix_ms => {
+                        self.scheduled.insert((due_unix_ms, id, occurrence));
+                        break;
+                    }
+                    _ => open.extend(job.open_steps(occurrence)),
+                }
+            }
+        }
+        let first = StepId {
+            job: id,
+            occurrence: 0,
+            step: 0,
+        };
+        let last = StepId {
+            job: id,
+            occurrence: u32::MAX,
+            step: u32::MAX,
+        };
+        let closed: Vec<_> = self
+            .steps
+            .range(first..=last)
+            .map(|(step, _)| *step)
+            .filter(|step| !open.contains(step))
+            .collect();
+        for step in closed {
+            self.steps.remove(&step);
+        }
+        for step in open {
+            if !self.steps.contains_key(&step) {
+                let view = self.new_step(step);
+                self.steps.insert(step, view);
+            }
+        }
+        self.dirty = true;
+    }
+
+    fn new_step(&self, step: StepId) -> StepView {
+        let queue = self.queue_of(step.job);
+        let (stretch, target_ms, priority) = queue.map_or((1.0, 0, u32::MAX), |queue| {
+            (queue.stretch, queue.target_latency_ms, queue.priority)
+        });
+        let (chain_ms, due_unix_ms, remaining_ms) = self.book.jobs.get(&step.job).map_or((0, 0, 0), |job| {
+            let remaining_ms = job
+                .spec
+                .steps
+                .iter()
+                .skip(step.step as usize)
+                .map(|spec| spec.estimated_ms);
+            (
+                job.chain_ms(),
+                job.due_unix_ms(step.occurrence),
+                remaining_ms.sum::<u64>(),
+            )
+        });
+        let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
+        let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
+        StepView {
+            advice: Default::default(),
+            due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
+            held_until_ms: 0,
+            opened_ms: self.now_ms,
+            priority,
+            remaining_ms: remaining_ms.min(chain_ms),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.open_due_occurrences();
+        self.watch_workers();
+        self.retry_stops();
+        self.expire_questions();
+        for name in self.advisers.expire(self.now_ms) {
+            self.note(Note::new("daemon lost").with("daemon", name));
+        }
+        self.forget_old_jobs();
+        self.dirty = true;
+    }
+
+    fn open_due_occurrences(&mut self) {
+        while let Some((due_unix_ms, job, occurrence)) = self.scheduled.first().copied() {
+            if due_unix_ms > self.now_unix_ms {
+                break;
+            }
+            self.scheduled.remove(&(due_unix_ms, job, occurrence));
+            self.refresh_job(job);
+        }
+    }
+
+    fn forget_old_jobs(&mut self) {
+        const INTERVAL_MS: u64 = 5_000;
+        if self.now_ms < self.forget_due_ms {
+            return;
+        }
+        self.forget_due_ms = self.now_ms + INTERVAL_MS;
+        let limit_unix_ms = self.now_unix_ms.saturating_sub(self.settings.retention_ms);
+        let is_old = |job: &&crate::Job| {
+            let ended = job.ended.as_ref();
+            ended.is_some_and(|ended| ended.unix_ms < limit_unix_ms) && job.runs().next().is_none()
+        };
+        let old: Vec<_> = self.book.jobs.values().filter(is_old).map(|job| job.id).collect();
+        if !old.is_empty() {
+            self.propose(JobCommand::Forget(old));
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/run_view.rs
@@ -0,0 +1,39 @@
+//! A run as the leader sees it.
+
+use {
+    crate::RunId,
+    fuchsiatack_model::{Resources, TeamName, WorkerName},
+    smol_str::SmolStr,
+};
+
+/// What is known of a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum RunState {
+    /// The worker confirmed it when its clock showed this.
+    Confirmed { clock_ms: u64 },
+    /// Its order is on its way.
+    Ordered,
+    /// A stop was ordered. `settled_ms` is when the worker confirmed the stop, by the planner's
+    /// clock; from then on the run cannot start any more.
+    Stopping { retry_ms: u64, settled_ms: Option<u64> },
+    /// Its order was not answered at this time by the planner's clock.
+    Unanswered { since_ms: u64 },
+    /// An earlier leader ordered it, or its worker started again.
+    Unverified,
+}
+
+/// A present run.
+#[derive(Clone, Debug)]
+pub(crate) struct RunView {
+    /// Latest checkpoint, or empty.
+    pub(crate) checkpoint: SmolStr,
+    /// What it takes from its worker.
+    pub(crate) reserved: Resources,
+    /// What it counts against its team's limit.
+    pub(crate) demand: Resources,
+    pub(crate) run: RunId,
+    pub(crate) started_ms: u64,
+    pub(crate) state: RunState,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) worker: WorkerName,
+}
--- /dev/null
+++ b/crates/jobs/src/step_view.rs
@@ -0,0 +1,34 @@
+//! A step whose turn has come, as the leader sees it.
+
+use {
+    fuchsiatack_model::WorkerName,
+    smol_str::SmolStr,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// What the advice service said of a step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepAdvice {
+    /// Workers that were asked about. The answer for a worker never changes in its life.
+    pub(crate) asked: BTreeSet<WorkerName>,
+    /// Workers that may run the step, with the ticket and the time up to which it is valid.
+    pub(crate) good: BTreeMap<WorkerName, (SmolStr, u64)>,
+    /// When the present question was sent, if one is open.
+    pub(crate) open_since_ms: Option<u64>,
+    /// Workers of the open question.
+    pub(crate) open_workers: Vec<WorkerName>,
+}
+
+/// An open step.
+#[derive(Clone, Debug)]
+pub(crate) struct StepView {
+    pub(crate) advice: StepAdvice,
+    /// Latency objective of its job, by the planner's clock in milliseconds.
+    pub(crate) due_ms: u64,
+    /// No attempt to place it is made before this time.
+    pub(crate) held_until_ms: u64,
+    pub(crate) opened_ms: u64,
+    pub(crate) priority: u32,
+    /// Estimated time from now to the end of the job, once the step starts.
+    pub(crate) remaining_ms: u64,
+}
--- /dev/null
+++ b/crates/jobs/src/worker_view.rs
@@ -0,0 +1,106 @@
+//! A worker as the leader sees it.
+
+use {
+    crate::{TaskKey, clock_sample::ClockSample},
+    fuchsiatack_model::Resources,
+    std::collections::BTreeSet,
+};
+
+/// What the leader knows of a worker beside its entry in the book.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerView {
+    pub(crate) clock: Option<ClockSample>,
+    /// Renewals that failed since the last answer.
+    pub(crate) failures: u32,
+    /// Latest end of a lease that was ever sent, on the worker's clock.
+    pub(crate) granted_ms: u64,
+    /// When its last heartbeat arrived.
+    pub(crate) heard_ms: u64,
+    pub(crate) hold_due_ms: u64,
+    pub(crate) hold_in_flight: bool,
+    /// When leases granted by earlier leaders have ended for certain.
+    pub(crate) inherited_until_ms: u64,
+    /// Ends up to this number are recorded.
+    pub(crate) last_seen: u64,
+    /// Ends up to this number were reported as seen to the worker.
+    pub(crate) told_seen: u64,
+    /// Whether it said that it has left.
+    pub(crate) left: bool,
+    /// Tasks whose present run is on it.
+    pub(crate) runs: BTreeSet<TaskKey>,
+    /// Highest sequence of its heartbeats in this life.
+    pub(crate) sequence: u64,
+    /// No order is sent to it before this time.
+    pub(crate) shunned_until_ms: u64,
+    /// Sum of what its runs take.
+    pub(crate) used: Resources,
+    /// Whether it answered a renewal of this leader in its present life.
+    pub(crate) verified: bool,
+}
+
+impl WorkerView {
+    pub(crate) fn new(now_ms: u64, inherited_until_ms: u64) -> Self {
+        Self {
+            clock: None,
+            failures: 0,
+            granted_ms: 0,
+            heard_ms: now_ms,
+            hold_due_ms: now_ms,
+            hold_in_flight: false,
+            inherited_until_ms,
+            last_seen: 0,
+            left: false,
+            runs: BTreeSet::new(),
+            sequence: 0,
+            shunned_until_ms: 0,
+            told_seen: 0,
+            used: Resources::NONE,
+            verified: false,
+        }
+    }
+
+    /// Forgets what belonged to its earlier life. Its runs stay until a renewal shows them gone.
+    pub(crate) fn reborn(&mut self, now_ms: u64) {
+        self.clock = None;
+        self.failures = 0;
+        self.granted_ms = 0;
+        self.hold_due_ms = now_ms;
+        self.last_seen = 0;
+        self.left = false;
+        self.sequence = 0;
+        self.told_seen = 0;
+        self.verified = false;
+    }
+
+    /// Takes a reading of its clock. An older reading never replaces a newer one.
+    pub(crate) fn observe_clock(&mut self, now_ms: u64, worker_ms: u64) {
+        let sample = ClockSample {
+            received_ms: now_ms,
+            worker_ms,
+        };
+        let is_better = self
+            .clock
+            .is_none_or(|present| worker_ms >= present.at_least_ms(now_ms));
+        if is_better {
+            self.clock = Some(sample);
+        }
+    }
+
+    /// When every lease on it has ended for certain, by the planner's clock.
+    pub(crate) fn lapses_ms(&self) -> u64 {
+        let own_ms = match (self.clock, self.granted_ms) {
+            (Some(clock), granted_ms) if granted_ms > 0 => clock.surely_reaches_ms(granted_ms),
+            _ => 0,
+        };
+        own_ms.max(self.inherited_until_ms)
+    }
+
+    /// Returns whether new runs may be placed on it.
+    pub(crate) fn takes_work(&self, now_ms: u64) -> bool {
+        self.verified
+            && self.failures == 0
+            && !self.left
+            && self.clock.is_some()
+            && now_ms >= self.shunned_until_ms
+    }
+}
