--- /dev/null
+++ b/crates/cell/src/lib.rs
@@ -0,0 +1,28 @@
+//! Daemons of a cell that runs jobs: the entry role, which takes callers' requests, and the core
+//! role, which keeps the state, leads and speaks to workers.
+//!
+//! How callers, workers and operators speak is a `Dialect`, which lives elsewhere.
+
+mod adviser;
+mod cell_port;
+mod core_role;
+mod dialect;
+mod entry_role;
+mod error;
+mod executor;
+mod http_server;
+mod log_budget;
+mod logs;
+mod metrics;
+mod peers;
+mod settings;
+
+pub use self::{
+    core_role::CoreRole,
+    dialect::{Dialect, HttpAnswer, HttpQuestion, WorkerRequest},
+    entry_role::EntryRole,
+    error::CellError,
+    log_budget::{LogBudget, Verdict},
+    logs::{log, set_up_logs},
+    settings::{CellSettings, CoreSettings, EntrySettings},
+};
--- /dev/null
+++ b/crates/cell/src/peers.rs
@@ -0,0 +1,90 @@
+//! Questions to other daemons.
+
+use {
+    crate::{CellSettings, adviser::Adviser},
+    fuchsiatack_consensus::Envelope,
+    fuchsiatack_jobs::{AdviceReply, AdviceRequest, CellAnswer, CellCall},
+    fuchsiatack_store::Store,
+    fuchsiatack_wire::{
+        Caller, CellSecret, Handler, NotLeader, PeerClient, PeerClientSettings, Request, Response,
+    },
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Longest wait for another daemon's answer; longer than its own wait for the advice service.
+const ADVICE_LIMIT: Duration = Duration::from_millis(5_500);
+
+/// Connections to other daemons.
+pub(crate) struct Peers {
+    clients: Mutex<HashMap<SocketAddr, Arc<PeerClient>>>,
+    secret: CellSecret,
+    settings: PeerClientSettings,
+}
+
+impl Peers {
+    pub(crate) fn new(settings: &CellSettings) -> Self {
+        Self {
+            clients: Mutex::default(),
+            secret: settings.secret.clone(),
+            settings: settings.peer_times.clone(),
+        }
+    }
+
+    /// Has another daemon ask the advice service; `None` if there was no answer.
+    pub(crate) async fn advise(&self, address: SocketAddr, request: AdviceRequest) -> Option<AdviceReply> {
+        let call = Request::Cell(Box::new(CellCall::Advise(request)));
+        let answer = self.client(address).call(call, ADVICE_LIMIT).await;
+        match answer {
+            Ok(Response::Cell(answer)) => match *answer {
+                CellAnswer::Advice(reply) => Some(reply),
+                _ => None,
+            },
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    fn client(&self, address: SocketAddr) -> Arc<PeerClient> {
+        self.clients
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(address)
+            .or_insert_with(|| {
+                let (secret, settings) = (self.secret.clone(), self.settings.clone());
+                Arc::new(PeerClient::new(address, secret, settings, None))
+            })
+            .clone()
+    }
+}
+
+/// Answers calls of other daemons.
+pub(crate) struct PeerHandler {
+    pub(crate) adviser: Arc<Adviser>,
+    pub(crate) store: Option<Store>,
+}
+
+impl Handler for PeerHandler {
+    async fn call(&self, caller: Caller, request: Request) -> Response {
+        match (request, &self.store) {
+            (Request::Cell(call), store) => match (*call, store) {
+                (CellCall::Advise(request), _) => {
+                    Response::Cell(Box::new(self.adviser.answer(&request).await))
+                }
+                (call, Some(store)) => store.call(caller, Request::Cell(Box::new(call))).await,
+                (_, None) => Response::NotLeader(NotLeader { leader: None }),
+            },
+            (request, Some(store)) => store.call(caller, request).await,
+            (_, None) => Response::NotLeader(NotLeader { leader: None }),
+        }
+    }
+
+    fn consensus(&self, envelope: Envelope) {
+        if let Some(store) = &self.store {
+            store.consensus(envelope);
+        }
+    }
+}
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -38,11 +38,15 @@
         }
     }
 
-    /// Returns whether a leader was heard within the shortest election timeout. Votes are refused
+    /// Returns whether a leader was heard within the shortest election timeout, or may have been
+    /// heard before this member restarted. Votes are refused
     /// then, so that a member that was cut off or removed cannot disturb a working leader.
     pub(crate) fn has_live_leader(&self) -> bool {
         let heard = |heard_ms: u64| self.now_ms < heard_ms + self.settings.election_minimum_ms;
-        self.role == Role::Leader || (self.leader.is_some() && self.leader_heard_ms.is_some_and(heard))
+        let is_quiet = self.quiet_until_ms.is_some_and(|until_ms| self.now_ms < until_ms);
+        self.role == Role::Leader
+            || is_quiet
+            || (self.leader.is_some() && self.leader_heard_ms.is_some_and(heard))
     }
 
     /// Returns whether the member is a voter in the present list, or in the committed one while the
@@ -122,6 +126,8 @@
         self.role = Role::Leader;
         self.leader = Some(self.settings.id);
         self.incoming = None;
+        self.round_sent_ms.clear();
+        self.transferring = false;
         self.progress.clear();
         self.update_progress();
         self.term_start = self.append_own(Payload::Command(Vec::new()));
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -6,6 +6,10 @@
     std::sync::Arc,
 };
 
+/// Heartbeat rounds that are remembered for the leader's lease. Older ones are over when it is
+/// asked for: calls may begin a round for each batch, at most every few milliseconds.
+const MAX_LEASE_ROUNDS: usize = 256;
+
 impl Node {
     pub(crate) fn append_own(&mut self, payload: Payload) -> LogIndex {
         let index = LogIndex(self.log.last().0 + 1);
@@ -190,6 +194,10 @@
 
     pub(crate) fn send_heartbeats(&mut self) {
         self.round += 1;
+        self.round_sent_ms.push_back((self.round, self.now_ms));
+        if self.round_sent_ms.len() > MAX_LEASE_ROUNDS {
+            self.round_sent_ms.pop_front();
+        }
         self.heartbeat_due_ms = self.now_ms + self.settings.heartbeat_ms;
         let followers: Vec<_> = self
             .progress
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -54,10 +54,15 @@
     pub(crate) members_index: LogIndex,
     pub(crate) now_ms: u64,
     pub(crate) progress: BTreeMap<MemberId, Progress>,
+    /// A restarted member votes for nobody before this time, since it may have promised a leader
+    /// its lease. Set by the first time it is told.
+    pub(crate) quiet_until_ms: Option<u64>,
     pub(crate) random: StdRng,
     pub(crate) reset_log: bool,
     pub(crate) role: Role,
     pub(crate) round: u64,
+    /// Heartbeat rounds that may still extend the leader's lease, with the time they were sent.
+    pub(crate) round_sent_ms: VecDeque<(u64, u64)>,
     pub(crate) settings: NodeSettings,
     pub(crate) snapshot: Option<Arc<Snapshot>>,
     pub(crate) snapshot_changed: bool,
@@ -66,6 +71,8 @@
     pub(crate) term: Term,
     /// Index of the first entry of this member's own leadership.
     pub(crate) term_start: LogIndex,
+    /// Whether this leader has asked another member to take over.
+    pub(crate) transferring: bool,
     /// First index that no `Ready` has carried yet.
     pub(crate) unsaved: LogIndex,
     /// Marks that are not synced yet, with the last entry they cover.
@@ -105,16 +112,19 @@
             members_index: LogIndex(0),
             now_ms: 0,
             progress: BTreeMap::new(),
+            quiet_until_ms: (stored.hard_state.term == Term(0)).then_some(0),
             random: StdRng::seed_from_u64(settings.seed),
             reset_log: false,
             role: Role::Follower,
             round: 0,
+            round_sent_ms: VecDeque::new(),
             settings,
             snapshot: stored.snapshot,
             snapshot_changed: false,
             stable: last,
             term: stored.hard_state.term,
             term_start: LogIndex(0),
+            transferring: false,
             unsaved: LogIndex(last.0 + 1),
             unsynced: VecDeque::new(),
             vote: stored.hard_state.vote,
@@ -246,7 +256,7 @@
 
     /// Takes a message of another member.
     pub fn receive(&mut self, now_ms: u64, message: Envelope) {
-        self.now_ms = self.now_ms.max(now_ms);
+        self.pass_time(now_ms);
         let Envelope { body, from, to } = message;
         if to != self.settings.id || from == to {
             return;
@@ -267,6 +277,37 @@
         self.handle(from, body);
     }
 
+    /// Returns whether this member leads and knows every committed entry of earlier leaders.
+    pub fn is_settled_leader(&self) -> bool {
+        self.role == Role::Leader && self.commit >= self.term_start
+    }
+
+    /// Time up to which no other member can have become leader, in the time that `tick` is told.
+    /// Known on the leader only.
+    ///
+    /// A quorum refuses votes for the shortest election timeout after it heard a heartbeat, so the
+    /// lease counts from when a round that a quorum answered was sent.
+    pub fn lease_until_ms(&self) -> Option<u64> {
+        if !self.is_settled_leader() || self.transferring {
+            return None;
+        }
+        let is_answered = |round: u64| {
+            self.is_quorum(|member| {
+                member == self.settings.id
+                    || self
+                        .progress
+                        .get(&member)
+                        .is_some_and(|progress| progress.acknowledged_round >= round)
+            })
+        };
+        let answered = self
+            .round_sent_ms
+            .iter()
+            .rev()
+            .find(|(round, _)| is_answered(*round));
+        answered.map(|(_, sent_ms)| sent_ms + self.settings.election_minimum_ms)
+    }
+
     /// What this member does at present.
     pub fn role(&self) -> Role {
         self.role
@@ -317,6 +358,7 @@
     /// Asks a voter that has the whole log to take over. It may be repeated until the role changes.
     pub fn transfer_leadership(&mut self) -> Result<(), NotLeader> {
         self.require_leader()?;
+        self.transferring = true;
         let own = self.settings.id;
         let (last, term) = (self.log.last(), self.term);
         let successor = self
@@ -330,7 +372,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now_ms: u64) {
-        self.now_ms = self.now_ms.max(now_ms);
+        self.pass_time(now_ms);
         match self.role {
             Role::Leader if !self.hears_quorum() => self.become_follower(self.term, None),
             Role::Leader if self.now_ms >= self.heartbeat_due_ms => self.send_heartbeats(),
@@ -345,6 +387,12 @@
         }
     }
 
+    fn pass_time(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        let quiet_ms = self.settings.election_minimum_ms;
+        self.quiet_until_ms.get_or_insert(self.now_ms + quiet_ms);
+    }
+
     fn handle(&mut self, from: MemberId, body: Body) {
         match body {
             Body::Append {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -213,6 +213,7 @@
     secret: CellSecret,
 ) -> (Session, mpsc::Receiver<SessionEvent>) {
     let cell = CellClient::new(CellClientSettings {
+        attempt_limit: CellClientSettings::DEFAULT_ATTEMPT_LIMIT,
         members: settings
             .store
             .members
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use {
     fuchsiatack_daemon::{Arguments, Daemon, DaemonError, Settings, set_up_logs},
+    fuchsiatack_platform::RunError,
     gumdrop::Options,
     std::process::ExitCode,
     tokio::signal::unix::{SignalKind, signal},
@@ -12,6 +13,9 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.platform {
+        return run_on_platform(&arguments);
+    }
     let Some(file) = &arguments.settings else {
         eprintln!(
             "fuchsiatackd: --settings FILE is missing\n\n{}",
@@ -39,6 +43,24 @@
     }
 }
 
+fn run_on_platform(arguments: &Arguments) -> ExitCode {
+    let Some(secret_file) = &arguments.cell_secret_file else {
+        eprintln!("fuchsiatackd: --platform needs --cell-secret-file FILE");
+        return ExitCode::from(USAGE_ERROR);
+    };
+    match fuchsiatack_platform::run(secret_file) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error @ (RunError::File { .. } | RunError::Settings(_))) => {
+            eprintln!("fuchsiatackd: {error}");
+            ExitCode::from(USAGE_ERROR)
+        }
+        Err(error) => {
+            eprintln!("fuchsiatackd: {error}");
+            ExitCode::from(INTERNAL_ERROR)
+        }
+    }
+}
+
 #[tokio::main]
 async fn run(settings: Settings) -> Result<(), DaemonError> {
     set_up_logs(&settings.log)?;
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -3,6 +3,7 @@
 use {
     crate::{DaemonInfo, JournalKey, StoredAnswer},
     fuchsiatack_derives::{key, message},
+    fuchsiatack_jobs::JobCommand,
     fuchsiatack_model::{
         Epoch, SessionId, TaskOutcome, TeamName, WorkName, WorkTask, WorkerAnnouncement, WorkerName,
     },
@@ -111,6 +112,8 @@
         /// Tokens to add.
         tokens: u32,
     },
+    /// Changes of the job state, in order.
+    Jobs(Vec<JobCommand>),
     /// Withdraws a journalled start that never reached a worker.
     JournalAbort {
         /// The request.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -7,6 +7,7 @@
         session::Session, token_pools::TokenPools, work_store::WorkStore, worker::Worker,
     },
     fuchsiatack_derives::{message, value},
+    fuchsiatack_jobs::JobBook,
     fuchsiatack_model::{Epoch, LogIndex, Resources, SessionId, WorkerName},
     fuchsiatack_records::Kind,
     std::collections::{BTreeMap, VecDeque},
@@ -39,6 +40,7 @@
 pub struct Ledger {
     /// Index of the last command.
     pub(crate) applied: LogIndex,
+    pub(crate) jobs: JobBook,
     pub(crate) journal: JournalStore,
     /// Workers by the order in which they were lost. One that came back is skipped.
     pub(crate) lost_workers: VecDeque<(WorkerName, Epoch)>,
@@ -95,6 +97,11 @@
         Some(Command::ExpireJournal { before_unix_ms })
     }
 
+    /// State of jobs.
+    pub fn jobs(&self) -> &JobBook {
+        &self.jobs
+    }
+
     /// Answers a read.
     pub fn query(&self, query: &Query) -> QueryReply {
         match query {
@@ -163,6 +170,10 @@
                 team,
                 tokens,
             } => self.grant_tokens(session, team, tokens, changes),
+            Command::Jobs(commands) => {
+                commands.iter().for_each(|command| self.jobs.apply(command));
+                Ok(Reply::Applied)
+            }
             Command::JournalAbort {
                 key,
                 session,
--- a/crates/session/src/cell_client.rs
+++ b/crates/session/src/cell_client.rs
@@ -3,6 +3,7 @@
 use {
     crate::{CellClientSettings, SessionError},
     fuchsiatack_derives::value,
+    fuchsiatack_jobs::{CellAnswer, CellCall},
     fuchsiatack_ledger::{Command, Query, QueryReply, Reply},
     fuchsiatack_model::LogIndex,
     fuchsiatack_wire::{FollowUpdate, NotLeader, PeerClient, Request, Response, WireError},
@@ -15,8 +16,6 @@
     tokio::{sync::mpsc, time::Instant},
 };
 
-/// Longest wait for one member, so that a silent one does not use up the caller's time.
-const ATTEMPT_LIMIT: Duration = Duration::from_secs(1);
 /// Pause before another member is asked while no leader is known.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 
@@ -41,6 +40,8 @@
 struct Shared {
     clients: Mutex<HashMap<SocketAddr, Arc<PeerClient>>>,
     leader: Mutex<SocketAddr>,
+    /// Addresses to ask while no leader is known. They start with those of the settings.
+    members: Mutex<Vec<SocketAddr>>,
     settings: CellClientSettings,
 }
 
@@ -59,10 +60,12 @@
     pub fn new(settings: CellClientSettings) -> Self {
         let leader = Mutex::new(settings.members[0]);
         let clients = Mutex::default();
+        let members = Mutex::new(settings.members.clone());
         Self {
             shared: Arc::new(Shared {
                 clients,
                 leader,
+                members,
                 settings,
             }),
         }
@@ -96,6 +99,29 @@
         }
     }
 
+    /// Calls the cell. The call may reach it more than once, so it must be idempotent.
+    pub async fn call_cell(&self, call: CellCall, limit: Duration) -> Result<CellAnswer, SessionError> {
+        match self
+            .call_leader(Request::Cell(Box::new(call)), true, limit)
+            .await?
+        {
+            Response::Cell(answer) => Ok(*answer),
+            _ => Err(SessionError::Unexpected),
+        }
+    }
+
+    /// Notes members of the store beside those of the settings. Clients of other addresses are
+    /// dropped, so that replaced members leave nothing behind.
+    pub fn learn(&self, learned: &[SocketAddr]) {
+        let mut members = self.shared.settings.members.clone();
+        members.extend(learned);
+        members.sort_unstable();
+        members.dedup();
+        let leader = self.leader();
+        lock(&self.shared.clients).retain(|address, _| *address == leader || members.contains(address));
+        *lock(&self.shared.members) = members;
+    }
+
     /// Reads the ledger.
     pub async fn query(&self, query: Query, limit: Duration) -> Result<Queried, SessionError> {
         match self.call_leader(Request::Query(query), true, limit).await? {
@@ -134,7 +160,9 @@
                 false => return Err(SessionError::NoLeader),
             }
             let client = self.client(self.leader());
-            let answer = client.call(request.clone(), left.min(ATTEMPT_LIMIT)).await;
+            let answer = client
+                .call(request.clone(), left.min(self.shared.settings.attempt_limit))
+                .await;
             in_doubt |= answer.as_ref().is_err_and(|error| !error.had_no_effect());
             match answer {
                 Ok(Response::NotLeader(NotLeader { leader })) => {
@@ -157,7 +185,7 @@
     }
 
     fn after(&self, address: SocketAddr) -> SocketAddr {
-        let members = &self.shared.settings.members;
+        let members = lock(&self.shared.members);
         let next = members
             .iter()
             .position(|member| *member == address)
--- a/crates/session/src/settings.rs
+++ b/crates/session/src/settings.rs
@@ -9,6 +9,8 @@
 /// How to reach the store.
 #[derive(Clone, Debug)]
 pub struct CellClientSettings {
+    /// Longest wait for one member, so that a silent one does not use up the caller's time.
+    pub attempt_limit: Duration,
     /// Peer addresses of the store members.
     pub members: Vec<SocketAddr>,
     /// Times of the connections.
@@ -17,6 +19,11 @@
     pub secret: CellSecret,
 }
 
+impl CellClientSettings {
+    /// Longest wait for one member by default.
+    pub const DEFAULT_ATTEMPT_LIMIT: Duration = Duration::from_secs(1);
+}
+
 /// Times and identity of a session.
 #[derive(Clone, Debug)]
 pub struct SessionSettings {
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -136,6 +136,7 @@
 fn cell(members: Vec<SocketAddr>) -> CellClient {
     let secret = CellSecret::new("a shared secret");
     CellClient::new(CellClientSettings {
+        attempt_limit: CellClientSettings::DEFAULT_ATTEMPT_LIMIT,
         members,
         peer: PeerClientSettings::default(),
         secret,
--- a/crates/store/src/event.rs
+++ b/crates/store/src/event.rs
@@ -2,6 +2,7 @@
 
 use {
     fuchsiatack_consensus::{Envelope, PersistMark, StoredState},
+    fuchsiatack_jobs::JobEvent,
     fuchsiatack_model::LogIndex,
     fuchsiatack_wire::{Caller, Formation, Request, Response},
     std::net::SocketAddr,
@@ -16,6 +17,7 @@
         request: Request,
     },
     Consensus(Envelope),
+    Jobs(JobEvent),
     Stop,
 }
 
--- a/crates/store/src/formation.rs
+++ b/crates/store/src/formation.rs
@@ -1,10 +1,11 @@
 //! Formation of the cell.
 
 use {
-    crate::{InitialMember, StoreSettings, event::Event},
+    crate::{InitialMember, Membership, StoreSettings, event::Event, membership},
     fuchsiatack_consensus::{Member, MemberId, MemberRole},
     fuchsiatack_wire::{Formation, PeerClient, Request, Response},
-    std::{net::SocketAddr, time::Duration},
+    futures_util::future::join_all,
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
     tokio::sync::mpsc::UnboundedSender,
 };
 
@@ -22,24 +23,23 @@
 
 /// Asks the other listed members for their identities until the receiver is gone.
 pub(crate) async fn ask_members(settings: StoreSettings, own: Formation, events: UnboundedSender<Event>) {
-    let others = settings
-        .members
-        .iter()
-        .filter(|member| member.name != settings.name);
-    let clients: Vec<_> = others
-        .map(|member| {
-            PeerClient::new(
-                member.address,
-                settings.secret.clone(),
-                settings.peer.clone(),
-                None,
-            )
-        })
+    let client = |address| PeerClient::new(address, settings.secret.clone(), settings.peer.clone(), None);
+    let clients: Vec<_> = membership::other_addresses(&settings.members, &settings.name)
+        .into_iter()
+        .map(client)
         .collect();
+    let mut joined = HashMap::new();
     loop {
-        let mut answers = Vec::new();
-        for client in &clients {
-            answers.push((client.address(), ask(client, own.clone()).await));
+        let asked = clients.iter().map(|client| ask(client, own.clone()));
+        let answers = join_all(asked).await;
+        let answers: Vec<_> = clients.iter().map(PeerClient::address).zip(answers).collect();
+        if let Membership::Joining { address, .. } = settings.membership {
+            for member in formed_members(&answers) {
+                let client = joined.entry(member).or_insert_with(|| client(member));
+                if join(client, address, &own).await {
+                    break;
+                }
+            }
         }
         if events.send(Event::Formation(answers)).is_err() {
             return;
@@ -69,6 +69,12 @@
             false => Verdict::Wait,
         };
     }
+    if matches!(settings.membership, Membership::Joining { may_form: false, .. }) {
+        return Verdict::Wait;
+    }
+    if !settings.members.iter().any(|member| member.name == settings.name) {
+        return Verdict::Wait;
+    }
     let members = settings.members.iter().map(|member| {
         let id = match member.name == settings.name {
             true => own,
@@ -101,6 +107,25 @@
         .map(|answer| answer.identity)
 }
 
+/// Addresses of the members of a formed cell.
+fn formed_members(answers: &[(SocketAddr, Option<Formation>)]) -> Vec<SocketAddr> {
+    let formed = answers.iter().filter_map(|(_, answer)| answer.as_ref());
+    let formed = formed.filter(|answer| answer.formed);
+    formed
+        .flat_map(|answer| answer.members.iter().map(|member| member.address))
+        .collect()
+}
+
+/// Asks a member to take this one in. Returns whether it leads and will do so.
+async fn join(client: &PeerClient, address: SocketAddr, own: &Formation) -> bool {
+    let request = Request::Join {
+        address,
+        identity: own.identity,
+        name: own.name.clone(),
+    };
+    matches!(client.call(request, ASK_TIMEOUT).await, Ok(Response::Joining))
+}
+
 async fn ask(client: &PeerClient, own: Formation) -> Option<Formation> {
     match client.call(Request::Form(own), ASK_TIMEOUT).await {
         Ok(Response::Formation(formation)) => Some(formation),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,10 +1,12 @@
 //! Runtime of the store role: drives the replicated log and applies it to the ledger.
 
 mod calls;
+mod clock;
 mod error;
 mod event;
 mod followers;
 mod formation;
+mod jobs_role;
 mod leadership;
 mod membership;
 mod peers;
@@ -15,8 +17,9 @@
 mod writer;
 
 pub use self::{
+    clock::{steady_ms, unix_ms},
     error::StoreError,
-    settings::{InitialMember, StoreSettings},
+    settings::{InitialMember, JobsSettings, Membership, StoreSettings},
     status::StoreStatus,
     store::Store,
 };
--- a/crates/store/src/membership.rs
+++ b/crates/store/src/membership.rs
@@ -1,53 +1,88 @@
-//! Changes of the member list that operators ask for.
+//! Changes of the member list.
 
 use {
+    crate::InitialMember,
     fuchsiatack_consensus::{Member, MemberChange, MemberId, MemberRole},
-    fuchsiatack_records::{Record, Spec, StoreMemberSpec},
+    fuchsiatack_records::{Record, Spec},
+    smol_str::SmolStr,
+    std::net::SocketAddr,
 };
 
-/// Returns the next change that brings the member list closer to the `store_member` records.
+/// A member that is to be in the list under its name, in place of any other identity of that name.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct DesiredMember {
+    pub(crate) address: SocketAddr,
+    pub(crate) id: MemberId,
+    pub(crate) name: SmolStr,
+}
+
+/// Returns the members that operators ask for by `store_member` records.
+pub(crate) fn of_records(records: &[Record]) -> Vec<DesiredMember> {
+    let desired = records.iter().filter_map(|record| match &record.spec {
+        Spec::StoreMember(spec) => Some(DesiredMember {
+            address: spec.address,
+            id: MemberId(spec.identity),
+            name: record.name.clone(),
+        }),
+        _ => None,
+    });
+    desired.collect()
+}
+
+/// Returns the next change that brings the member list closer to the desired members.
 ///
 /// A new identity is added as a learner. Once it is caught up, the member that it replaces is
 /// removed, and then it becomes a voter. The removal comes first, since the replaced member is
-/// usually lost: counting it in a larger quorum would need all the others.
+/// usually lost: counting it in a larger quorum would need all the others. A learner that replaces
+/// nobody becomes a voter while there are fewer than `max_voters`.
 pub(crate) fn next_change(
-    records: &[Record],
+    desired: &[DesiredMember],
     members: &[Member],
+    max_voters: usize,
     is_caught_up: impl Fn(MemberId) -> bool,
 ) -> Option<MemberChange> {
-    records.iter().find_map(|record| match &record.spec {
-        Spec::StoreMember(spec) => change_for(record, spec, members, &is_caught_up),
-        _ => None,
-    })
+    desired
+        .iter()
+        .find_map(|desired| change_for(desired, members, max_voters, &is_caught_up))
 }
 
 fn change_for(
-    record: &Record,
-    spec: &StoreMemberSpec,
+    desired: &DesiredMember,
     members: &[Member],
+    max_voters: usize,
     is_caught_up: impl Fn(MemberId) -> bool,
 ) -> Option<MemberChange> {
-    let id = MemberId(spec.identity);
+    let id = desired.id;
     let present = members.iter().find(|member| member.id == id);
     let replaced = members
         .iter()
-        .find(|member| member.id != id && member.name == record.name);
+        .find(|member| member.id != id && member.name == desired.name);
+    let is_voter = |member: &&Member| member.role == MemberRole::Voter;
+    let has_room = members.iter().filter(is_voter).count() < max_voters;
     match (present, replaced) {
-        (Some(member), _) if member.address != spec.address || member.name != record.name => {
-            Some(add(record, spec))
+        (Some(member), _) if member.address != desired.address || member.name != desired.name => {
+            Some(add(desired))
         }
-        (None, _) => Some(add(record, spec)),
+        (None, _) => Some(add(desired)),
         (Some(member), _) if member.role == MemberRole::Learner && !is_caught_up(id) => None,
         (Some(_), Some(replaced)) => Some(MemberChange::Remove(replaced.id)),
-        (Some(member), None) if member.role == MemberRole::Learner => Some(MemberChange::Promote(id)),
+        (Some(member), None) if member.role == MemberRole::Learner && has_room => {
+            Some(MemberChange::Promote(id))
+        }
         (Some(_), None) => None,
     }
 }
 
-fn add(record: &Record, spec: &StoreMemberSpec) -> MemberChange {
+fn add(desired: &DesiredMember) -> MemberChange {
     MemberChange::Add {
-        address: spec.address,
-        id: MemberId(spec.identity),
-        name: record.name.clone(),
+        address: desired.address,
+        id: desired.id,
+        name: desired.name.clone(),
     }
 }
+
+/// Returns the addresses of listed members without the one named `own`.
+pub(crate) fn other_addresses(members: &[InitialMember], own: &str) -> Vec<SocketAddr> {
+    let others = members.iter().filter(|member| member.name != own);
+    others.map(|member| member.address).collect()
+}
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -2,19 +2,22 @@
 
 use {
     crate::{
-        StoreError, StoreSettings, StoreStatus,
+        Membership, StoreError, StoreSettings, StoreStatus,
         calls::{Answer, Calls, WaitingRead, failed},
+        clock::{steady_ms, unix_ms},
         event::{Event, Input},
         followers::Followers,
         formation::{self, Verdict},
+        jobs_role::JobsRole,
         leadership::{Demand, Leadership},
-        membership,
+        membership::{self, DesiredMember},
         peers::Peers,
         writer::{Job, Writer},
     },
     fuchsiatack_consensus::{
         Entry, Envelope, MemberId, Node, NodeSettings, Payload, Ready, Role, Snapshot, StoredState,
     },
+    fuchsiatack_jobs::JobEvent,
     fuchsiatack_ledger::{Addressed, Allocator, Command, Ledger, Query, QueryReply, Renewal, Reply},
     fuchsiatack_model::{LogIndex, SessionId},
     fuchsiatack_records::Kind,
@@ -23,7 +26,7 @@
         collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::Duration,
     },
     tokio::{
         sync::{mpsc, oneshot},
@@ -38,6 +41,8 @@
 const EXPIRY_INTERVAL_MS: u64 = 60_000;
 /// Interval of checks of the `store_member` records in milliseconds.
 const MEMBERS_INTERVAL_MS: u64 = 100;
+/// Most voters of a store whose members join by themselves or by records.
+const MAX_VOTERS: usize = 7;
 /// Shortest time between two plans in milliseconds, so that many renewals share one.
 const MINIMUM_PLAN_INTERVAL_MS: u64 = 20;
 /// Interval of the allocator's plans in milliseconds.
@@ -57,6 +62,9 @@
     formation: Option<AbortHandle>,
     forming: bool,
     identity: MemberId,
+    jobs: Option<JobsRole>,
+    /// Daemons that asked to be store members, by identity.
+    joining: HashMap<MemberId, DesiredMember>,
     leadership: Option<Leadership>,
     ledger: Ledger,
     node: Node,
@@ -67,7 +75,6 @@
     /// Bytes of commands that were applied since then.
     snapshot_lag_bytes: u64,
     snapshot_running: bool,
-    started: Instant,
     /// Time at which a planned stop no longer waits for a successor.
     stop_due_ms: Option<u64>,
     status: Arc<Mutex<StoreStatus>>,
@@ -105,6 +112,8 @@
             formation: None,
             forming: false,
             identity,
+            jobs: None,
+            joining: HashMap::new(),
             leadership: None,
             ledger,
             peers: Peers::new(settings.secret.clone(), settings.peer.clone()),
@@ -113,7 +122,6 @@
             snapshot: snapshot.unwrap_or_default(),
             snapshot_lag_bytes: 0,
             snapshot_running: false,
-            started: Instant::now(),
             stop_due_ms: None,
             status: Arc::new(Mutex::new(status)),
             writer,
@@ -179,7 +187,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        steady_ms()
     }
 
     fn tick(&mut self) {
@@ -188,6 +196,9 @@
         }
         let now_ms = self.now_ms();
         self.node.tick(now_ms);
+        if let Some(jobs) = &mut self.jobs {
+            jobs.handle(now_ms, JobEvent::Tick);
+        }
         self.followers.push_idle(now_ms, self.node.applied());
         match self.leadership {
             Some(_) if self.stop_due_ms.is_some() => self.hand_over(),
@@ -233,6 +244,12 @@
                 self.node.receive(self.now_ms(), envelope);
             }
             Input::Consensus(_) => {}
+            Input::Jobs(event) => {
+                let now_ms = self.now_ms();
+                if let Some(jobs) = &mut self.jobs {
+                    jobs.handle(now_ms, event);
+                }
+            }
             Input::Stop => self.stop_due_ms = Some(self.now_ms() + STOP_LIMIT_MS),
         }
     }
@@ -244,11 +261,35 @@
             Request::Form(_) => {
                 let _ = call.reply.send(Response::Formation(self.own_formation()));
             }
+            Request::Cell(cell) if is_leader && self.jobs.is_some() => {
+                let now_ms = self.now_ms();
+                if let Some(jobs) = &mut self.jobs {
+                    jobs.called(now_ms, *cell, call.reply);
+                }
+            }
+            Request::Join {
+                address,
+                identity,
+                name,
+            } if is_leader && self.settings.membership != Membership::Records => {
+                let desired = DesiredMember {
+                    address,
+                    id: identity,
+                    name,
+                };
+                self.joining.insert(identity, desired);
+                let _ = call.reply.send(Response::Joining);
+            }
             Request::Propose(command) if is_leader => self.propose(*command, Some(call.reply)),
             Request::Follow { .. } | Request::Query(_) | Request::Renew(_) if is_leader => {
                 self.calls.add_read(call);
             }
-            Request::Follow { .. } | Request::Propose(_) | Request::Query(_) | Request::Renew(_) => {
+            Request::Cell(_)
+            | Request::Follow { .. }
+            | Request::Join { .. }
+            | Request::Propose(_)
+            | Request::Query(_)
+            | Request::Renew(_) => {
                 let _ = call.reply.send(self.not_leader());
             }
             Request::Forward(_) | Request::Ping => {
@@ -356,6 +397,7 @@
         if self.failure.is_none() && !self.forming {
             self.follow_role();
             self.confirm_reads();
+            self.propose_jobs();
             loop {
                 let ready = self.node.take_ready();
                 if ready.is_empty() {
@@ -365,6 +407,7 @@
                 self.follow_role();
             }
             self.take_snapshot();
+            self.release_effects();
         }
         if self.node.is_formed()
             && let Some(formation) = self.formation.take()
@@ -543,6 +586,46 @@
         Response::Renewed(advice)
     }
 
+    // Jobs.
+
+    /// Starts the planner once every entry of earlier leaders is applied, and proposes what it
+    /// decided in this turn.
+    fn propose_jobs(&mut self) {
+        let Some(settings) = &self.settings.jobs else {
+            return;
+        };
+        if self.jobs.is_none() && self.node.is_settled_leader() && self.node.applied() == self.node.commit() {
+            let now_ms = self.now_ms();
+            let mut jobs = JobsRole::new(settings, self.ledger.jobs(), self.node.term(), now_ms);
+            jobs.set_members(self.node.members().iter().map(|member| member.address).collect());
+            self.jobs = Some(jobs);
+        }
+        let Some(jobs) = &mut self.jobs else {
+            return;
+        };
+        let (commands, effects) = jobs.take_commands();
+        if !commands.is_empty() {
+            self.propose(Command::Jobs(commands), None);
+        }
+        let index = self.node.last();
+        if let Some(jobs) = &mut self.jobs {
+            jobs.wait_for(index, effects);
+        }
+    }
+
+    /// Carries out the planner's effects whose entries are applied, while the lease holds.
+    fn release_effects(&mut self) {
+        let now_ms = self.now_ms();
+        let holds_lease = self
+            .node
+            .lease_until_ms()
+            .is_some_and(|until_ms| now_ms < until_ms);
+        let applied = self.node.applied();
+        if let Some(jobs) = self.jobs.as_mut().filter(|_| holds_lease) {
+            self.answers.extend(jobs.release(applied));
+        }
+    }
+
     // Leadership.
 
     /// Starts or ends the work of a leader when the role has changed.
@@ -576,6 +659,9 @@
 
     fn resign(&mut self) {
         self.leadership = None;
+        if let Some(jobs) = self.jobs.take() {
+            jobs.lost_leadership();
+        }
         self.followers.clear();
         let not_leader = self.not_leader();
         self.calls.lost_leadership(&not_leader);
@@ -624,11 +710,16 @@
             }
             _ => return,
         }
-        let QueryReply::Records(records) = self.ledger.query(&Query::Records(Kind::StoreMember)) else {
-            return;
+        let desired = match (
+            self.settings.membership,
+            self.ledger.query(&Query::Records(Kind::StoreMember)),
+        ) {
+            (Membership::Joining { .. }, _) => self.joining.values().cloned().collect(),
+            (Membership::Records, QueryReply::Records(records)) => membership::of_records(&records),
+            (Membership::Records, _) => Vec::new(),
         };
         let is_caught_up = |member| self.node.is_caught_up(member);
-        let change = membership::next_change(&records, self.node.members(), is_caught_up);
+        let change = membership::next_change(&desired, self.node.members(), MAX_VOTERS, is_caught_up);
         if let Some(change) = change {
             let _ = self.node.propose_members(change);
             self.peers.learn_all(self.node.members());
@@ -653,12 +744,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
-
 fn node_settings(settings: &StoreSettings, id: MemberId) -> NodeSettings {
     NodeSettings {
         election_maximum_ms: settings.election_maximum_ms,
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -2,10 +2,12 @@
 
 use {
     fuchsiatack_consensus::disk::LogStoreSettings,
+    fuchsiatack_jobs::{Effect, Note, PlannerSettings},
     fuchsiatack_ledger::AllocatorSettings,
     fuchsiatack_wire::{CellSecret, PeerClientSettings},
     smol_str::SmolStr,
     std::{net::SocketAddr, path::PathBuf},
+    tokio::sync::mpsc::UnboundedSender,
 };
 
 /// A member that the settings list for the formation of the cell.
@@ -17,6 +19,32 @@
     pub name: SmolStr,
 }
 
+/// Who decides which daemons are store members.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Membership {
+    /// Every daemon with the cell's secret that asks for it is taken in.
+    Joining {
+        /// Peer address of this member.
+        address: SocketAddr,
+        /// Whether the listed members may form a new cell. It must be false once a cell was
+        /// formed, so that members that lost their disks do not form a second one.
+        may_form: bool,
+    },
+    /// Operators, by `store_member` records.
+    Records,
+}
+
+/// The store's part of the scheduling of jobs. Effects and lines for the log go to these queues.
+#[derive(Clone, Debug)]
+pub struct JobsSettings {
+    /// Effects that the leader wants carried out.
+    pub effects: UnboundedSender<Effect>,
+    /// Lines for the log.
+    pub notes: UnboundedSender<Note>,
+    /// Times and limits of the planner.
+    pub planner: PlannerSettings,
+}
+
 /// Settings of a `Store`.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
@@ -30,10 +58,14 @@
     pub election_minimum_ms: u64,
     /// Interval of heartbeats in milliseconds.
     pub heartbeat_ms: u64,
+    /// Scheduling of jobs; `None` refuses calls to the cell.
+    pub jobs: Option<JobsSettings>,
     /// Settings of the log files.
     pub log_store: LogStoreSettings,
     /// Members that form the cell, this one included.
     pub members: Vec<InitialMember>,
+    /// Who decides on the members.
+    pub membership: Membership,
     /// Name of this member.
     pub name: SmolStr,
     /// Times of the connections to other members.
@@ -60,8 +92,10 @@
             election_maximum_ms: 900,
             election_minimum_ms: 450,
             heartbeat_ms: 150,
+            jobs: None,
             log_store: LogStoreSettings::default(),
             members,
+            membership: Membership::Records,
             name: name.into(),
             peer: PeerClientSettings::default(),
             secret,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        StoreError, StoreSettings, StoreStatus,
+        Membership, StoreError, StoreSettings, StoreStatus,
         calls::failed,
         event::{Event, Input},
         runtime::Runtime,
         writer::Writer,
     },
     fuchsiatack_consensus::{Envelope, Role, disk::LogStore},
+    fuchsiatack_jobs::JobEvent,
     fuchsiatack_wire::{Caller, Handler, NotLeader, Request, Response},
     std::sync::{Arc, Mutex, PoisonError},
     tokio::{
@@ -47,7 +48,8 @@
     /// Opens the data folder and starts the runtime. Must be called in a tokio runtime; it reads
     /// the log before it returns.
     pub fn start(settings: StoreSettings) -> Result<Self, StoreError> {
-        if !settings.members.iter().any(|member| member.name == settings.name) {
+        let is_listed = settings.members.iter().any(|member| member.name == settings.name);
+        if settings.membership == Membership::Records && !is_listed {
             return Err(StoreError::NotListed(settings.name));
         }
         let (log_store, stored) = LogStore::open_with(&settings.data_folder, settings.log_store.clone())?;
@@ -87,6 +89,11 @@
         let _ = self.shared.inputs.try_send(Input::Consensus(envelope));
     }
 
+    /// Reports the outcome of an effect of the planner. It is lost once the runtime has ended.
+    pub async fn report(&self, event: JobEvent) {
+        let _ = self.shared.inputs.send(Input::Jobs(event)).await;
+    }
+
     /// Returns the latest state. After the runtime has ended the member counts as a follower.
     pub fn status(&self) -> StoreStatus {
         let status = self.shared.status.lock();
--- a/crates/wire/src/peer_traffic.rs
+++ b/crates/wire/src/peer_traffic.rs
@@ -30,6 +30,8 @@
 /// Purpose of a frame or datagram. A reply has the kind of its call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TrafficKind {
+    /// Call to the cell.
+    Cell,
     /// Message of the replicated log.
     Consensus,
     /// Start of a subscription.
@@ -56,7 +58,8 @@
 
 impl TrafficKind {
     /// All kinds.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
+        Self::Cell,
         Self::Consensus,
         Self::Follow,
         Self::Formation,
@@ -73,6 +76,7 @@
     /// Name of the kind as a metric label.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Cell => "cell",
             Self::Consensus => "consensus",
             Self::Follow => "follow",
             Self::Formation => "formation",
@@ -100,8 +104,9 @@
 
     fn of_request(request: &Request) -> Self {
         match request {
+            Request::Cell(_) => Self::Cell,
             Request::Follow { .. } => Self::Follow,
-            Request::Form(_) => Self::Formation,
+            Request::Form(_) | Request::Join { .. } => Self::Formation,
             Request::Forward(_) => Self::Forward,
             Request::Ping => Self::Ping,
             Request::Propose(_) => Self::Proposal,
@@ -112,9 +117,10 @@
 
     fn of_response(response: &Response) -> Self {
         match response {
+            Response::Cell(_) => Self::Cell,
             Response::Failed { .. } | Response::NotLeader(_) => Self::Refusal,
             Response::Following => Self::Follow,
-            Response::Formation(_) => Self::Formation,
+            Response::Formation(_) | Response::Joining => Self::Formation,
             Response::Forwarded(_) => Self::Forward,
             Response::Pong => Self::Ping,
             Response::Proposed { .. } => Self::Proposal,
--- a/crates/wire/src/response.rs
+++ b/crates/wire/src/response.rs
@@ -3,6 +3,7 @@
 use {
     crate::{Formation, ForwardedAnswer},
     fuchsiatack_derives::message,
+    fuchsiatack_jobs::CellAnswer,
     fuchsiatack_ledger::{Advice, QueryReply, Reply},
     fuchsiatack_model::LogIndex,
     smol_str::SmolStr,
@@ -19,6 +20,8 @@
 /// Answer to a `Request`.
 #[message]
 pub enum Response {
+    /// Answer to `Cell`.
+    Cell(Box<CellAnswer>),
     /// The call could not be carried out; whether it took effect is not known.
     Failed {
         /// What went wrong.
@@ -30,6 +33,8 @@
     Formation(Formation),
     /// Answer to `Forward`.
     Forwarded(Box<ForwardedAnswer>),
+    /// The leader will take the sender in.
+    Joining,
     /// Only the leader answers such calls; nothing was done.
     NotLeader(NotLeader),
     /// Answer to `Ping`.
