jobs: take out workers that fail what they start, and stop runs of ended jobs after a change of leader

Two workers failed everything for 7 s; they looked empty, so 1,019 runs failed and jobs used up their three attempts there.

Change: a worker whose runs of two jobs fail in a row gets nothing for 1.5 s, then one run on trial; a task is tried again elsewhere; a new leader stops what ended jobs still run.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,6 +27,7 @@
 mod step_spec;
 mod step_view;
 mod worker_entry;
+mod worker_health;
 mod worker_report;
 mod worker_view;
 
@@ -53,5 +54,6 @@
     settings::PlannerSettings,
     step_spec::StepSpec,
     worker_entry::WorkerEntry,
+    worker_health::WorkerHealth,
     worker_report::WorkerReport,
 };
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -49,11 +49,16 @@
     }
 }
 
-/// Returns the position of the best candidate that has room.
-pub fn choose<K>(candidates: &[Candidate<K>], reserved: &Resources, kept_free_percent: u32) -> Option<usize> {
+/// Returns the position of the best candidate that has room and is wanted.
+pub fn choose<K>(
+    candidates: &[Candidate<K>],
+    reserved: &Resources,
+    kept_free_percent: u32,
+    is_wanted: impl Fn(&Candidate<K>) -> bool,
+) -> Option<usize> {
     let fitting = candidates.iter().enumerate();
     fitting
-        .filter(|(_, candidate)| candidate.fits(reserved, kept_free_percent))
+        .filter(|(_, candidate)| is_wanted(candidate) && candidate.fits(reserved, kept_free_percent))
         .min_by_key(|(_, candidate)| candidate.cost(reserved))
         .map(|(position, _)| position)
 }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -161,6 +161,7 @@
         };
         let is_final = end == RunEnd::Failed && self.fails_job(run);
         self.learn(run, end, &view.worker, view.started_ms);
+        self.judge(run, end, &view.worker);
         if end != RunEnd::Done {
             self.note(
                 Note::new("run over")
@@ -264,6 +265,31 @@
         self.refresh_job(id);
     }
 
+    /// Judges a worker by the end of a run.
+    fn judge(&mut self, run: RunId, end: RunEnd, worker: &WorkerName) {
+        let now_ms = self.now_ms;
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        match end {
+            RunEnd::Done => view.health.succeeded(),
+            RunEnd::Failed => {
+                if view.health.failed(now_ms, run.task.step.job) {
+                    self.note(
+                        Note::new("worker taken out")
+                            .with("worker", worker)
+                            .with("reason", "runs of several jobs failed in a row"),
+                    );
+                }
+                if let Some(step) = self.steps.get_mut(&run.task.step) {
+                    let failed_on = step.failed_on.entry(run.task.index).or_default();
+                    failed_on.insert(worker.clone());
+                }
+            }
+            RunEnd::Interrupted => {}
+        }
+    }
+
     /// Learns from the end of a run how its kind of worker works.
     fn learn(&mut self, run: RunId, end: RunEnd, worker: &WorkerName, started_ms: u64) {
         let estimated_ms = self
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -238,7 +238,7 @@
         let reserved = spec.reserved();
         let mut starts = Starts::new();
         for task in waiting {
-            let Some(position) = placement::choose(&usable, &reserved, kept_free_percent) else {
+            let Some(position) = self.choose_worker(*task, &usable, &reserved, kept_free_percent) else {
                 break;
             };
             let worker = usable[position].key.clone();
@@ -253,6 +253,25 @@
         starts
     }
 
+    /// Chooses a worker for a task, if possible one on which it has not failed.
+    fn choose_worker(
+        &self,
+        task: TaskKey,
+        usable: &[Candidate<WorkerName>],
+        reserved: &Resources,
+        kept_free_percent: u32,
+    ) -> Option<usize> {
+        let failed_on = self
+            .steps
+            .get(&task.step)
+            .and_then(|view| view.failed_on.get(&task.index));
+        let is_new = |candidate: &Candidate<WorkerName>| {
+            failed_on.is_none_or(|workers| !workers.contains(&candidate.key))
+        };
+        placement::choose(usable, reserved, kept_free_percent, is_new)
+            .or_else(|| placement::choose(usable, reserved, kept_free_percent, |_| true))
+    }
+
     /// Chooses workers for all members of a gang, on one rack if it wants one and that fits.
     fn choose_gang(
         &self,
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -134,7 +134,11 @@
             for (run, worker) in runs {
                 self.home(run, &worker, RunState::Unverified);
             }
-            self.refresh_job(id);
+            // An earlier leader may have been lost before it stopped what a cancelled job runs.
+            match self.book.jobs.get(&id).is_some_and(|job| job.ended.is_some()) {
+                true => self.close_job(id),
+                false => self.refresh_job(id),
+            }
         }
         self.note(
             Note::new("leadership started")
@@ -288,6 +292,7 @@
         StepView {
             advice: Default::default(),
             due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
+            failed_on: Default::default(),
             held_until_ms: 0,
             opened_ms: self.now_ms,
             priority,
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -1,7 +1,7 @@
 //! A worker as the leader sees it.
 
 use {
-    crate::{TaskKey, clock_sample::ClockSample},
+    crate::{TaskKey, WorkerHealth, clock_sample::ClockSample},
     fuchsiatack_model::Resources,
     std::collections::BTreeSet,
 };
@@ -16,6 +16,7 @@
     pub(crate) granted_ms: u64,
     /// When its last heartbeat arrived.
     pub(crate) heard_ms: u64,
+    pub(crate) health: WorkerHealth,
     pub(crate) hold_due_ms: u64,
     pub(crate) hold_in_flight: bool,
     /// When leases granted by earlier leaders have ended for certain.
@@ -45,6 +46,7 @@
             failures: 0,
             granted_ms: 0,
             heard_ms: now_ms,
+            health: WorkerHealth::default(),
             hold_due_ms: now_ms,
             hold_in_flight: false,
             inherited_until_ms,
@@ -64,6 +66,7 @@
         self.clock = None;
         self.failures = 0;
         self.granted_ms = 0;
+        self.health = WorkerHealth::default();
         self.hold_due_ms = now_ms;
         self.last_seen = 0;
         self.left = false;
@@ -102,5 +105,7 @@
             && !self.left
             && self.clock.is_some()
             && now_ms >= self.shunned_until_ms
+            && !self.health.is_ejected(now_ms)
+            && !(self.health.is_on_trial() && !self.runs.is_empty())
     }
 }
