--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -66,10 +66,11 @@
 
     fn reborn(&mut self, worker: &WorkerName, born_unix_ms: u64) {
         let now_ms = self.now_ms;
+        let leases_until_ms = self.inherited_until_ms(self.settings.max_lease_ms);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
-        view.reborn(now_ms);
+        view.reborn(now_ms, leases_until_ms);
         for task in view.runs.clone() {
             if let Some(run) = self.runs.get_mut(&task)
                 && matches!(run.state, RunState::Confirmed { .. })
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -57,13 +57,6 @@
     /// Starts the work of a leader from the committed state. `fence` is higher than that of every
     /// earlier leader. Times are in milliseconds; `now_ms` must count while the VM is suspended.
     pub fn new(settings: PlannerSettings, book: JobBook, fence: u64, now_ms: u64, now_unix_ms: u64) -> Self {
-        let lease_ms = settings.lease_ms * 1_000 / SLOWEST_RATE_THOUSANDTHS;
-        let inherited_until_ms = now_ms + lease_ms + INHERITED_MARGIN_MS;
-        let workers = book
-            .workers
-            .keys()
-            .map(|worker| (worker.clone(), WorkerView::new(now_ms, inherited_until_ms)))
-            .collect();
         let mut planner = Self {
             advisers: Advisers::new(),
             book,
@@ -81,7 +74,7 @@
             settings,
             steps: BTreeMap::new(),
             team_used: BTreeMap::new(),
-            workers,
+            workers: BTreeMap::new(),
         };
         planner.restore();
         planner
@@ -124,7 +117,18 @@
         &self.book
     }
 
+    /// When leases of a length that may have been granted until now have ended for certain.
+    pub(crate) fn inherited_until_ms(&self, lease_ms: u64) -> u64 {
+        let longest_ms = lease_ms * 1_000 / SLOWEST_RATE_THOUSANDTHS;
+        self.now_ms + longest_ms + INHERITED_MARGIN_MS
+    }
+
     fn restore(&mut self) {
+        let until_ms = self.inherited_until_ms(self.settings.lease_ms);
+        for worker in self.book.workers.keys() {
+            let view = WorkerView::new(self.now_ms, until_ms);
+            self.workers.insert(worker.clone(), view);
+        }
         let jobs: Vec<_> = self.book.jobs.keys().copied().collect();
         for id in jobs {
             let Some(job) = self.book.jobs.get(&id) else {
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -7,6 +7,8 @@
 pub struct PlannerSettings {
     /// Lease of the runs on a worker in milliseconds. Every renewal extends it to this much.
     pub lease_ms: u64,
+    /// Longest lease that a worker grants, in milliseconds. It shortens longer ones.
+    pub max_lease_ms: u64,
     /// Longest time that a renewal waits at the worker for an end, in milliseconds.
     pub hold_wait_ms: u64,
     /// Pause after a renewal that brought ends, so that the next one brings several.
@@ -23,6 +25,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 4_000,
+            max_lease_ms: 10_000,
             hold_wait_ms: 1_000,
             hold_pause_ms: 60,
             retention_ms: 150_000,
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -61,13 +61,16 @@
         }
     }
 
-    /// Forgets what belonged to its earlier life. Its runs stay until a renewal shows them gone.
-    pub(crate) fn reborn(&mut self, now_ms: u64) {
+    /// Forgets what belonged to its earlier life. Its runs stay until a renewal shows them gone: an
+    /// order that was on its way may have started one in the new life, under a lease up to
+    /// `leases_until_ms`.
+    pub(crate) fn reborn(&mut self, now_ms: u64, leases_until_ms: u64) {
         self.clock = None;
         self.failures = 0;
         self.granted_ms = 0;
         self.health = WorkerHealth::default();
         self.hold_due_ms = now_ms;
+        self.inherited_until_ms = leases_until_ms;
         self.last_seen = 0;
         self.left = false;
         self.sequence = 0;
