jobs: simplify a condition that the linter names

Cause: clippy refuses the negated conjunction in WorkerView::takes_work. The condition is the same. Result: clippy is clean over the workspace.

--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -109,6 +109,6 @@
             && self.clock.is_some()
             && now_ms >= self.shunned_until_ms
             && !self.health.is_ejected(now_ms)
-            && !(self.health.is_on_trial() && !self.runs.is_empty())
+            && (!self.health.is_on_trial() || self.runs.is_empty())
     }
 }
