jobs: place only steps that wait, on workers with tickets

Cause: on the grown site (350 workers) the leader used 0.343 of its 0.4 cores and starts took a median of 1,087 ms: each turn cloned the description of every open step, looked at each of its tasks, and built a list of all workers for every step that could not be placed. Ruled out: the advice service (6,448 calls spread over 49 daemons), the HTTP client (920 calls/s).

Change: a step keeps the set of its waiting tasks; only such steps are looked at, those without room again after 20 ms; placement looks at workers with a valid ticket, and at all workers only to ask for advice; queues are found by an index.

--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -35,6 +35,7 @@
         let Some(view) = self.steps.get_mut(&step) else {
             return;
         };
+        view.held_until_ms = 0;
         let asked = std::mem::take(&mut view.advice.open_workers);
         let sent_ms = view.advice.open_since_ms.take().unwrap_or(now_ms);
         let Some(reply) = reply else {
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -64,6 +64,7 @@
         );
         if is_newer {
             self.propose(JobCommand::Configure(configuration));
+            self.index_queues();
             self.dirty = true;
         }
         self.answer(id, CellAnswer::Done);
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -189,6 +189,10 @@
             return;
         };
         let is_gang = job.step(run.task.step.step).is_some_and(|spec| spec.gang);
+        let is_done = job.task(run.task).is_some_and(|task| task.done);
+        if let Some(step) = self.steps.get_mut(&run.task.step).filter(|_| !is_done) {
+            step.waiting.insert(run.task.index);
+        }
         let is_step_done = job.is_step_done(run.task.step.occurrence, run.task.step.step);
         match job.ended.as_ref().map(|ended| ended.state) {
             Some(state) => {
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        Effect, JobCommand, Note, Planner, Queue, RunId, StepId, StepSpec, TaskKey,
+        Effect, JobCommand, Note, Planner, RunId, StepId, StepSpec, TaskKey,
         placement::{self, Candidate},
         plan_runs::UNKNOWN_SLOWNESS,
         run_view::RunState,
@@ -24,6 +24,9 @@
 /// Starts that were chosen, by worker.
 type Starts = BTreeMap<WorkerName, Vec<TaskKey>>;
 
+/// Pause before a step that found no room is tried again, in milliseconds.
+const NO_ROOM_PAUSE_MS: u64 = 20;
+
 impl Planner {
     /// Starts the waiting tasks that have room.
     pub(crate) fn place(&mut self) {
@@ -31,25 +34,27 @@
         let mut order: Vec<_> = self
             .steps
             .iter()
-            .filter(|(_, view)| now_ms >= view.held_until_ms)
+            .filter(|(_, view)| !view.waiting.is_empty() && now_ms >= view.held_until_ms)
             .map(|(step, view)| {
                 let is_late = now_ms + view.remaining_ms > view.due_ms;
                 ((view.priority, is_late, view.due_ms), *step)
             })
             .collect();
         order.sort_unstable();
-        let lowest = order.first().map_or(0, |((priority, ..), _)| *priority);
-        let top = self.top_priority().unwrap_or(lowest);
+        let top = self.top_priority().unwrap_or(0);
         let mut failed = 0;
         for ((priority, ..), step) in order {
             let kept_free_percent = match priority == top {
                 true => 0,
                 false => self.settings.urgent_reserve_percent,
             };
-            match self.place_step(step, kept_free_percent) {
-                true => {}
-                false => failed += 1,
+            if self.place_step(step, kept_free_percent) {
+                continue;
+            }
+            if let Some(view) = self.steps.get_mut(&step) {
+                view.held_until_ms = now_ms + NO_ROOM_PAUSE_MS;
             }
+            failed += 1;
             if failed >= MAX_FAILED_STEPS {
                 break;
             }
@@ -63,63 +68,59 @@
 
     /// Tries to start the waiting tasks of a step. Returns whether nothing of it waits any more.
     fn place_step(&mut self, step: StepId, kept_free_percent: u32) -> bool {
-        let Some(job) = self.book.jobs.get(&step.job) else {
+        let (Some(job), Some(view)) = (self.book.jobs.get(&step.job), self.steps.get(&step)) else {
             return true;
         };
-        let (Some(spec), Some(queue)) = (job.step(step.step).cloned(), self.queue_of(step.job).cloned())
-        else {
+        let (job_spec, waiting_tasks) = (job.spec.clone(), view.waiting.clone());
+        let Some(spec) = job_spec.steps.get(step.step as usize) else {
             return true;
         };
-        let waiting = self.waiting_tasks(step, &spec);
-        if waiting.is_empty() {
-            return true;
+        let Some(queue) = self.queue_of(step.job) else {
+            return false;
+        };
+        let (advice, service) = (queue.advice.clone(), queue.service.clone());
+        // A gang waits until none of its members has a run.
+        if spec.gang && waiting_tasks.len() < spec.tasks as usize {
+            return false;
         }
-        let allowed = self.allowed_by_limit(step, &spec, waiting.len());
+        let allowed = self.allowed_by_limit(step, spec, waiting_tasks.len());
         if allowed == 0 || (spec.gang && allowed < spec.tasks as usize) {
             return false;
         }
-        let mut candidates = self.candidates(step, &spec, &queue);
-        candidates.retain(|candidate| candidate.fits(&spec.reserved(), kept_free_percent));
-        let mut usable = candidates.clone();
-        if queue.advice.is_some() {
-            usable.retain(|candidate| self.ticket(step, &candidate.key).is_some());
-        }
+        let waiting: Vec<_> = waiting_tasks
+            .iter()
+            .map(|index| TaskKey { index: *index, step })
+            .collect();
         let waiting = &waiting[..allowed];
+        let usable = match advice {
+            None => self.all_candidates(step, spec, &service),
+            Some(_) => self.advised_candidates(step, spec, &service),
+        };
         let starts = match spec.gang {
-            true => self.choose_gang(step, &spec, waiting, usable, kept_free_percent),
-            false => self.choose_single(step, &spec, waiting, usable, kept_free_percent),
+            true => self.choose_gang(step, spec, waiting, usable, kept_free_percent),
+            false => self.choose_single(step, spec, waiting, usable, kept_free_percent),
         };
         let placed: usize = starts.values().map(Vec::len).sum();
         if placed > 0 {
-            self.start(step, &spec, starts);
+            self.start(step, spec, starts);
         }
         let left = waiting.len() - placed;
-        if let (Some(policy), true) = (&queue.advice, left > 0) {
-            candidates.retain(|candidate| self.ticket(step, &candidate.key).is_none());
+        let may_ask = self
+            .steps
+            .get(&step)
+            .is_some_and(|view| view.advice.open_since_ms.is_none());
+        if let (Some(policy), true) = (&advice, left > 0 && may_ask) {
+            let mut candidates = self.all_candidates(step, spec, &service);
+            candidates.retain(|candidate| {
+                candidate.fits(&spec.reserved(), kept_free_percent)
+                    && self.ticket(step, &candidate.key).is_none()
+                    && !self.is_unfit(step, &candidate.key)
+            });
+            placement::sort(&mut candidates, &spec.reserved());
             let all = if spec.gang { spec.tasks as usize } else { left };
             self.ask_advice(step, policy, all, &candidates);
         }
-        left == 0
-    }
-
-    /// Returns the tasks of a step that have no present run and are not done. A gang waits until
-    /// none of its members has one.
-    fn waiting_tasks(&self, step: StepId, spec: &StepSpec) -> Vec<TaskKey> {
-        let Some(job) = self.book.jobs.get(&step.job) else {
-            return Vec::new();
-        };
-        let is_waiting = |task: &TaskKey| {
-            job.task(*task)
-                .is_none_or(|task| !task.done && task.worker.is_none())
-        };
-        let waiting: Vec<_> = (0..spec.tasks)
-            .map(|index| TaskKey { index, step })
-            .filter(is_waiting)
-            .collect();
-        match spec.gang && waiting.len() < spec.tasks as usize {
-            true => Vec::new(),
-            false => waiting,
-        }
+        waiting_tasks.len() == placed
     }
 
     /// Returns how many tasks of a step its team's limit allows.
@@ -156,45 +157,59 @@
         (self.now_ms < *valid_until_ms).then_some(ticket)
     }
 
-    /// Returns the workers that may run the step's tasks by everything but room and advice, the
-    /// best first. A worker that was found unfit by the advice service is left out.
-    fn candidates(&self, step: StepId, spec: &StepSpec, queue: &Queue) -> Vec<Candidate<WorkerName>> {
+    /// Returns whether the advice service has found a worker unfit for a step.
+    fn is_unfit(&self, step: StepId, worker: &WorkerName) -> bool {
         let advice = self.steps.get(&step).map(|view| &view.advice);
-        let mut candidates = Vec::new();
-        for (name, view) in &self.workers {
-            let Some(entry) = self.book.workers.get(name) else {
-                continue;
-            };
-            let has_label = spec
-                .required_label
-                .as_ref()
-                .is_none_or(|label| entry.labels.contains(label));
-            let is_unfit = queue.advice.is_some()
-                && advice
-                    .is_some_and(|advice| advice.asked.contains(name) && !advice.good.contains_key(name));
-            if entry.service != queue.service
-                || entry.draining
-                || !view.takes_work(self.now_ms)
-                || !has_label
-                || is_unfit
-                || self.is_crowded(step, spec, name)
-                || self.disturbs(spec, name)
-            {
-                continue;
-            }
-            candidates.push(Candidate {
-                capacity: entry.capacity,
-                key: name.clone(),
-                near: spec
-                    .data_rack
-                    .as_ref()
-                    .is_none_or(|rack| entry.labels.contains(rack)),
-                slowness_thousandths: self.kinds.get(entry.kind()).copied().unwrap_or(UNKNOWN_SLOWNESS),
-                used: view.used,
-            });
-        }
-        placement::sort(&mut candidates, &spec.reserved());
-        candidates
+        advice.is_some_and(|advice| advice.asked.contains(worker) && !advice.good.contains_key(worker))
+    }
+
+    /// Returns the workers that may run the step's tasks by everything but room and advice.
+    fn all_candidates(&self, step: StepId, spec: &StepSpec, service: &SmolStr) -> Vec<Candidate<WorkerName>> {
+        let names = self.workers.keys();
+        names
+            .filter_map(|name| self.candidate(step, spec, service, name))
+            .collect()
+    }
+
+    /// Returns those for which the step has a valid ticket.
+    fn advised_candidates(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+    ) -> Vec<Candidate<WorkerName>> {
+        let good = self.steps.get(&step).map(|view| &view.advice.good);
+        let valid = good
+            .into_iter()
+            .flatten()
+            .filter(|(_, (_, valid_until_ms))| self.now_ms < *valid_until_ms);
+        valid
+            .filter_map(|(name, _)| self.candidate(step, spec, service, name))
+            .collect()
+    }
+
+    fn candidate(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+        name: &WorkerName,
+    ) -> Option<Candidate<WorkerName>> {
+        let (view, entry) = (self.workers.get(name)?, self.book.workers.get(name)?);
+        let has_label = |label: &SmolStr| entry.labels.contains(label);
+        let is_excluded = entry.service != *service
+            || entry.draining
+            || !view.takes_work(self.now_ms)
+            || !spec.required_label.as_ref().is_none_or(has_label)
+            || self.is_crowded(step, spec, name)
+            || self.disturbs(spec, name);
+        (!is_excluded).then(|| Candidate {
+            capacity: entry.capacity,
+            key: name.clone(),
+            near: spec.data_rack.as_ref().is_none_or(has_label),
+            slowness_thousandths: self.kinds.get(entry.kind()).copied().unwrap_or(UNKNOWN_SLOWNESS),
+            used: view.used,
+        })
     }
 
     /// Returns whether the worker has as many tasks of the step as it may have.
@@ -360,6 +375,9 @@
             });
         }
         for (worker, run, checkpoint) in orders {
+            if let Some(view) = self.steps.get_mut(&step) {
+                view.waiting.remove(&run.task.index);
+            }
             self.home(run, &worker, RunState::Ordered);
             self.order_start(&worker, run, checkpoint, payload.clone());
         }
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -44,6 +44,8 @@
     pub(crate) now_ms: u64,
     pub(crate) now_unix_ms: u64,
     pub(crate) output: Output,
+    /// Positions of the queues in the configuration, by name.
+    pub(crate) queues: BTreeMap<QueueName, usize>,
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Jobs with occurrences that are due later, by the next due time since the Unix epoch.
     pub(crate) scheduled: BTreeSet<(u64, JobId, u32)>,
@@ -69,6 +71,7 @@
             now_ms,
             now_unix_ms,
             output: Output::default(),
+            queues: BTreeMap::new(),
             runs: BTreeMap::new(),
             scheduled: BTreeSet::new(),
             settings,
@@ -124,6 +127,7 @@
     }
 
     fn restore(&mut self) {
+        self.index_queues();
         let until_ms = self.inherited_until_ms(self.settings.lease_ms);
         for worker in self.book.workers.keys() {
             let view = WorkerView::new(self.now_ms, until_ms);
@@ -181,7 +185,16 @@
 
     pub(crate) fn queue_of(&self, job: JobId) -> Option<&Queue> {
         let queue = &self.book.jobs.get(&job)?.queue;
-        self.book.configuration.as_ref()?.queue(queue)
+        let position = *self.queues.get(queue)?;
+        self.book.configuration.as_ref()?.queues.get(position)
+    }
+
+    /// Notes where each queue stands in the configuration, which may hold hundreds.
+    pub(crate) fn index_queues(&mut self) {
+        let configuration = self.book.configuration.as_ref();
+        let queues = configuration.map(|configuration| configuration.queues.iter());
+        let names = queues.into_iter().flatten().map(|queue| queue.name.clone());
+        self.queues = names.zip(0..).collect();
     }
 
     /// Counts a run on its worker and its team.
@@ -301,9 +314,22 @@
             opened_ms: self.now_ms,
             priority,
             remaining_ms: remaining_ms.min(chain_ms),
+            waiting: self.waiting_tasks(step),
         }
     }
 
+    fn waiting_tasks(&self, step: StepId) -> BTreeSet<u32> {
+        let Some(job) = self.book.jobs.get(&step.job) else {
+            return BTreeSet::new();
+        };
+        let tasks = job.step(step.step).map_or(0, |spec| spec.tasks);
+        let is_waiting = |index: &u32| {
+            let task = job.task(TaskKey { index: *index, step });
+            task.is_none_or(|task| !task.done && task.worker.is_none())
+        };
+        (0..tasks).filter(is_waiting).collect()
+    }
+
     fn tick(&mut self) {
         self.open_due_occurrences();
         self.watch_workers();
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -33,4 +33,6 @@
     pub(crate) priority: u32,
     /// Estimated time from now to the end of the job, once the step starts.
     pub(crate) remaining_ms: u64,
+    /// Tasks that have no present run and are not done.
+    pub(crate) waiting: BTreeSet<u32>,
 }
