--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -7,6 +7,13 @@
 /// Example: `fuchsiatackd --settings /etc/fuchsiatack/daemon.yaml`
 #[derive(Debug, Options)]
 pub struct Arguments {
+    /// The platform's settings file, in place of the one that its variable names.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "the platform's settings file, with --platform"
+    )]
+    pub boot_file: Option<PathBuf>,
     /// File with the secret of the cell, for `--platform`.
     #[options(no_short, meta = "FILE", help = "secret of the cell, with --platform")]
     pub cell_secret_file: Option<PathBuf>,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -48,7 +48,7 @@
         eprintln!("fuchsiatackd: --platform needs --cell-secret-file FILE");
         return ExitCode::from(USAGE_ERROR);
     };
-    match fuchsiatack_platform::run(secret_file) {
+    match fuchsiatack_platform::run(secret_file, arguments.boot_file.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error @ (RunError::File { .. } | RunError::Settings(_))) => {
             eprintln!("fuchsiatackd: {error}");
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -18,8 +18,13 @@
 const HOLD_RETRY_LIMIT_MS: u64 = 1_000;
 /// Silence after which a worker without runs is forgotten, in milliseconds.
 const SILENCE_LIMIT_MS: u64 = 15_000;
-/// Time after which a worker without runs is told which ends were seen, in milliseconds.
-const IDLE_ACKNOWLEDGEMENT_MS: u64 = 700;
+/// Time after which a worker without runs is told which ends were seen, in milliseconds. It is
+/// shorter than `SAME_LIFE_MS`.
+const IDLE_ACKNOWLEDGEMENT_MS: u64 = 300;
+/// Time after an answer in which a worker cannot have crashed and started again, in milliseconds.
+/// Numbers of ends begin anew in each life, so a number of the earlier life would make the new one
+/// forget ends that nobody has seen.
+const SAME_LIFE_MS: u64 = 500;
 
 impl Planner {
     /// Takes a heartbeat.
@@ -126,8 +131,9 @@
             .map(|clock| clock.at_least_ms(now_ms) + lease_ms);
         view.granted_ms = view.granted_ms.max(deadline_ms.unwrap_or(0));
         view.hold_in_flight = true;
-        view.told_seen = view.last_seen;
-        let last_seen = view.last_seen;
+        let is_same_life = is_sound && now_ms < view.answered_ms + SAME_LIFE_MS;
+        let last_seen = if is_same_life { view.last_seen } else { 0 };
+        view.told_seen = last_seen;
         let waits = is_sound && !view.runs.is_empty();
         self.after_commit(Effect::Hold {
             deadline_ms,
@@ -197,6 +203,7 @@
         };
         let was_lost = view.failures > 0 || !view.verified;
         let failures = std::mem::take(&mut view.failures);
+        view.answered_ms = now_ms;
         view.verified = true;
         view.heard_ms = now_ms;
         view.observe_clock(now_ms, report.clock_ms);
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -9,6 +9,8 @@
 /// What the leader knows of a worker beside its entry in the book.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerView {
+    /// When it last answered a renewal in its present life.
+    pub(crate) answered_ms: u64,
     pub(crate) clock: Option<ClockSample>,
     /// Renewals that failed since the last answer.
     pub(crate) failures: u32,
@@ -42,6 +44,7 @@
 impl WorkerView {
     pub(crate) fn new(now_ms: u64, inherited_until_ms: u64) -> Self {
         Self {
+            answered_ms: 0,
             clock: None,
             failures: 0,
             granted_ms: 0,
@@ -65,6 +68,7 @@
     /// order that was on its way may have started one in the new life, under a lease up to
     /// `leases_until_ms`.
     pub(crate) fn reborn(&mut self, now_ms: u64, leases_until_ms: u64) {
+        self.answered_ms = 0;
         self.clock = None;
         self.failures = 0;
         self.granted_ms = 0;
--- a/crates/jobs/tests/simulation/worker.rs
+++ b/crates/testkit/src/job_worker.rs
@@ -1,4 +1,5 @@
-//! A worker as its interface describes it: fencing tokens, leases on its own clock, run numbers.
+//! A worker that runs tasks of jobs, without I/O: fencing tokens, leases on its own clock, run
+//! numbers, and ends that are kept until they are seen.
 
 use {
     fuchsiatack_jobs::{
@@ -11,17 +12,23 @@
 
 /// A run at work.
 #[derive(Clone, Debug)]
-pub struct Work {
+pub struct JobWork {
+    /// When it ends, in milliseconds of the test's clock.
     pub done_ms: u64,
+    /// Whether it ends as failed.
     pub fails: bool,
+    /// Number of the run.
     pub number: u32,
+    /// What it occupies.
     pub reserved: Resources,
 }
 
-/// State of one worker.
+/// State of one worker. Times are in milliseconds of the test's clock unless they are its own.
 #[derive(Clone, Debug)]
-pub struct SimulatedWorker {
+pub struct JobWorker {
+    /// Start of its life.
     pub born_unix_ms: u64,
+    /// What it holds.
     pub capacity: Resources,
     /// Set while it is cut off; it runs on.
     pub cut_until_ms: u64,
@@ -29,12 +36,18 @@
     fence: u64,
     highest: BTreeMap<TaskKey, u32>,
     lease_ms: u64,
-    pub running: BTreeMap<TaskKey, Work>,
+    /// Done runs whose ends were seen by the leader.
+    pub noted: Vec<RunId>,
+    /// Runs at work.
+    pub running: BTreeMap<TaskKey, JobWork>,
     sequence: u64,
     started_ms: u64,
+    /// Ends up to this number count no more, since the lease lapsed before they were seen.
+    void: u64,
 }
 
-impl SimulatedWorker {
+impl JobWorker {
+    /// Creates a worker that starts now.
     pub fn new(now_ms: u64, capacity: Resources) -> Self {
         Self {
             born_unix_ms: now_ms,
@@ -44,9 +57,11 @@
             fence: 0,
             highest: BTreeMap::new(),
             lease_ms: 0,
+            noted: Vec::new(),
             running: BTreeMap::new(),
             sequence: 0,
             started_ms: now_ms,
+            void: 0,
         }
     }
 
@@ -55,6 +70,12 @@
         (now_ms - self.started_ms) * 98 / 100
     }
 
+    /// Returns whether there are ends behind `last_seen`.
+    pub fn has_ends(&self, last_seen: u64) -> bool {
+        self.ended.iter().any(|ended| ended.sequence > last_seen)
+    }
+
+    /// Sum of what its runs occupy.
     pub fn used(&self) -> Resources {
         let reserved = self.running.values().map(|work| work.reserved);
         reserved.fold(Resources::NONE, |sum, reserved| sum.plus(&reserved))
@@ -85,6 +106,7 @@
             self.end(task, end);
         }
         if clock_ms > self.lease_ms {
+            self.void = self.sequence;
             let left: Vec<_> = self.running.keys().copied().collect();
             for task in left {
                 self.end(task, ListedEnd::Interrupted);
@@ -93,13 +115,14 @@
         done
     }
 
+    /// Takes an order to start a run. Returns its clock.
     pub fn start(
         &mut self,
         now_ms: u64,
         fence: u64,
         deadline_ms: u64,
         run: RunId,
-        work: Work,
+        work: JobWork,
     ) -> Result<u64, WorkerCallError> {
         let clock_ms = self.clock_ms(now_ms);
         let rejected = |rejection| Err(WorkerCallError::Rejected(rejection));
@@ -126,6 +149,7 @@
         Ok(clock_ms)
     }
 
+    /// Takes an order to stop a run, and keeps it from starting later. Returns its clock.
     pub fn stop(&mut self, now_ms: u64, fence: u64, run: RunId) -> Result<u64, WorkerCallError> {
         if fence < self.fence {
             return Err(WorkerCallError::Rejected(OrderRejection::Fenced));
@@ -143,6 +167,7 @@
         Ok(self.clock_ms(now_ms))
     }
 
+    /// Renews the lease, forgets ends that were seen, and lists runs and ends.
     pub fn hold(
         &mut self,
         now_ms: u64,
@@ -155,6 +180,11 @@
         }
         self.fence = fence;
         self.lease_ms = self.lease_ms.max(deadline_ms.unwrap_or(0));
+        let seen = self.ended.iter().take_while(|ended| ended.sequence <= last_seen);
+        let seen_done = seen
+            .filter(|ended| ended.end == ListedEnd::Done && ended.sequence > self.void)
+            .map(|ended| ended.run);
+        self.noted.extend(seen_done);
         self.ended.retain(|ended| ended.sequence > last_seen);
         let running = self.running.iter().map(|(task, work)| ListedRun {
             checkpoint: SmolStr::default(),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -16,6 +16,7 @@
 mod fake_worker_settings;
 mod history;
 mod history_checker;
+mod job_worker;
 mod json_log;
 mod link_faults;
 mod load;
@@ -52,6 +53,7 @@
     fake_worker_settings::{FakeWorkerSettings, WorkerControl},
     history::History,
     history_checker::HistoryChecker,
+    job_worker::{JobWork, JobWorker},
     json_log::{JsonLog, read_json_log},
     link_faults::LinkFaults,
     load::run_load,
