--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod record_file;
 mod replace_member;
 mod status;
+mod trace;
 
 use {
     crate::{error::CliError, options::Invocation},
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -4,7 +4,7 @@
     crate::{
         apply::ApplyOptions, check::CheckOptions, client::Client, delete::DeleteOptions, drain::DrainOptions,
         error::CliError, get::GetOptions, output::Format, replace_member::ReplaceMemberOptions,
-        status::StatusOptions,
+        status::StatusOptions, trace::TraceOptions,
     },
     gumdrop::{Options, ParsingStyle},
 };
@@ -59,6 +59,8 @@
     ReplaceMember(ReplaceMemberOptions),
     #[options(help = "show members, sessions, workers and tokens")]
     Status(StatusOptions),
+    #[options(help = "show the story of a job from log files")]
+    Trace(TraceOptions),
 }
 
 /// A parsed command line.
@@ -91,6 +93,7 @@
         match &options.command {
             None => Err(CliError::usage("a command is needed; see fuchsiatack --help")),
             Some(Command::Check(command)) => command.run(options.output),
+            Some(Command::Trace(command)) => command.run(),
             Some(command) => {
                 let client = Client::new(&options)?;
                 run_remote(command, &client, &options).await
@@ -108,6 +111,7 @@
         Command::Get(command) => command.run(client, options.output, options.schema).await,
         Command::ReplaceMember(command) => command.run(client, options.output).await,
         Command::Status(command) => command.run(client, options.output).await,
+        Command::Trace(command) => command.run(),
     }
 }
 
@@ -133,6 +137,7 @@
             ReplaceMemberOptions::usage(),
         ),
         Some(Command::Status(_)) => ("status", crate::status::EXAMPLE, StatusOptions::usage()),
+        Some(Command::Trace(_)) => ("trace JOB FILE...", crate::trace::EXAMPLE, TraceOptions::usage()),
     };
     println!("Usage: fuchsiatack {line}\n\n{usage}");
     if options.command.is_none() {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -30,6 +30,7 @@
         "get",
         "replace-member",
         "status",
+        "trace",
     ] {
         let output = run(&[], &[command, "--help"]);
 
@@ -270,3 +271,33 @@
     assert_eq!(code(&rejected), 3);
     assert_eq!(rejecting.received().len(), 1);
 }
+
+/// Guards against lines out of order, lines of other jobs, and a collector's prefix that hides one.
+#[test]
+fn trace_tells_the_story_of_a_job_in_order() {
+    let core = file(
+        "trace-core.log",
+        concat!(
+            "  3.7370 core {\"daemon\":\"core\",\"event\":\"job accepted\",\"job\":\"00000000000000aa\",\"unix_ms\":20}\n",
+            "{\"daemon\":\"core\",\"event\":\"job accepted\",\"job\":\"00000000000000bb\",\"unix_ms\":21}\n",
+            "not a line of a daemon 00000000000000aa\n",
+        ),
+    );
+    let entry = file(
+        "trace-entry.log",
+        "{\"daemon\":\"entry\",\"event\":\"request answered\",\"job\":\"/q/00000000000000aa\",\"unix_ms\":15,\"outcome\":\"accepted\"}\n",
+    );
+    let path = |file: &std::path::PathBuf| file.display().to_string();
+
+    let output = run(&[], &["trace", "00000000000000aa", &path(&core), &path(&entry)]);
+    let missing = run(&[], &["trace", "00000000000000aa"]);
+
+    let text = standard_output(&output);
+    let lines: Vec<_> = text.lines().collect();
+    assert_eq!((code(&output), code(&missing), lines.len()), (0, 2, 3), "{text}");
+    assert!(lines[0].contains("request answered: outcome=accepted"), "{text}");
+    assert!(
+        lines[1].contains("+5 ms") && lines[1].contains("job accepted"),
+        "{text}"
+    );
+}
