jobs: leave workers on which runs stand still

Cause: a worker that turns slow or hangs still answers its renewals; its runs held up their jobs until it recovered, and its free room attracted more. Change: a worker with overdue runs (three times the expected duration and 500 ms) of two jobs is taken out; those runs are stopped and start elsewhere; it comes back with one run on trial.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod plan_advice;
 mod plan_calls;
 mod plan_runs;
+mod plan_stalls;
 mod plan_start;
 mod plan_workers;
 mod planner;
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -50,6 +50,8 @@
     /// Jobs with occurrences that are due later, by the next due time since the Unix epoch.
     pub(crate) scheduled: BTreeSet<(u64, JobId, u32)>,
     pub(crate) settings: PlannerSettings,
+    /// When stalled workers are looked for next.
+    pub(crate) stalls_due_ms: u64,
     pub(crate) steps: BTreeMap<StepId, StepView>,
     pub(crate) team_used: BTreeMap<TeamName, Resources>,
     pub(crate) workers: BTreeMap<WorkerName, WorkerView>,
@@ -75,6 +77,7 @@
             runs: BTreeMap::new(),
             scheduled: BTreeSet::new(),
             settings,
+            stalls_due_ms: now_ms,
             steps: BTreeMap::new(),
             team_used: BTreeMap::new(),
             workers: BTreeMap::new(),
@@ -333,6 +336,7 @@
     fn tick(&mut self) {
         self.open_due_occurrences();
         self.watch_workers();
+        self.watch_stalls();
         self.retry_stops();
         self.expire_questions();
         for name in self.advisers.expire(self.now_ms) {
--- a/crates/jobs/src/worker_health.rs
+++ b/crates/jobs/src/worker_health.rs
@@ -1,4 +1,4 @@
-//! Workers that fail what they start while they report to be well.
+//! Workers that fail what they start, or hold it up, while they report to be well.
 //!
 //! Answers a worker that fails every task at once: it looks empty, so the least loaded rule sends
 //! it ever more work, and jobs use up their attempts there within a second.
@@ -34,10 +34,15 @@
         if !is_failing || self.is_ejected(now_ms) {
             return false;
         }
+        self.eject(now_ms);
+        true
+    }
+
+    /// Takes the worker out, each time for longer until a run does its work there.
+    pub fn eject(&mut self, now_ms: u64) {
         let ejection_ms = EJECTION_MS.saturating_mul(1 << self.ejections.min(8));
         self.until_ms = now_ms + ejection_ms.min(EJECTION_LIMIT_MS);
         self.ejections += 1;
-        true
     }
 
     /// Returns whether the worker is taken out.
