--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod output;
 mod plan_advice;
 mod plan_calls;
+mod plan_evacuation;
 mod plan_runs;
 mod plan_stalls;
 mod plan_start;
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Returns whether the worker has confirmed a run.
+    pub(crate) fn is_confirmed(&self, task: TaskKey) -> bool {
+        let view = self.runs.get(&task);
+        view.is_some_and(|view| matches!(view.state, RunState::Confirmed { .. }))
+    }
+
     /// Orders the stop of a present run.
     pub(crate) fn stop_run(&mut self, task: TaskKey) {
         let now_ms = self.now_ms;
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -67,6 +67,9 @@
             });
             self.dirty = true;
         }
+        if report.draining {
+            self.evacuate(&report.name, report.remaining_ms);
+        }
     }
 
     fn reborn(&mut self, worker: &WorkerName, born_unix_ms: u64) {
--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -329,6 +329,37 @@
     }
 
     fn heartbeat(&mut self, name: &WorkerName) {
+        self.report(name, None);
+    }
+
+    /// Has a worker say that it leaves in a time.
+    pub fn drain(&mut self, name: &WorkerName, remaining_ms: u64) {
+        self.report(name, Some(remaining_ms));
+    }
+
+    /// Worker of a run that takes at least this much longer.
+    pub fn worker_at_work(&self, left_ms: u64) -> Option<WorkerName> {
+        let is_at_work = |worker: &JobWorker| {
+            worker
+                .running
+                .values()
+                .any(|work| work.done_ms > self.now_ms + left_ms)
+        };
+        self.workers
+            .iter()
+            .find(|(_, worker)| is_at_work(worker))
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Runs on a worker that end later than a time from now.
+    pub fn runs_beyond(&self, name: &WorkerName, left_ms: u64) -> usize {
+        let running = self.workers[name].running.values();
+        running
+            .filter(|work| work.done_ms > self.now_ms + left_ms)
+            .count()
+    }
+
+    fn report(&mut self, name: &WorkerName, remaining_ms: Option<u64>) {
         let worker = &self.workers[name];
         if worker.cut_until_ms > self.now_ms {
             return;
@@ -340,11 +371,11 @@
             capacity: worker.capacity,
             clock_ms: worker.clock_ms(self.now_ms),
             data_center: DataCenter::new("a"),
-            draining: false,
+            draining: remaining_ms.is_some(),
             labels: vec!["kind".into(), "rack".into()],
             machine: SmolStr::default(),
             name: name.clone(),
-            remaining_ms: None,
+            remaining_ms,
             sequence: self.sequence,
             service: "service".into(),
         };
--- a/crates/jobs/tests/simulation/main.rs
+++ b/crates/jobs/tests/simulation/main.rs
@@ -84,3 +84,17 @@
     assert_eq!(cell.violations, Vec::<String>::new());
     assert_eq!(cell.unended(), 0);
 }
+
+/// Guards against runs that are lost with a worker which said in time that it leaves.
+#[test]
+fn runs_leave_a_worker_that_goes_before_they_end() {
+    const STAY_MS: u64 = 200;
+    let mut cell = SimulatedCell::new(3, Faults::default());
+    cell.run_until(1_500);
+    let worker = cell.worker_at_work(700).expect("a worker is at work after 1.5 s");
+
+    cell.drain(&worker, STAY_MS);
+    cell.run_until(1_500 + STAY_MS);
+
+    assert_eq!(cell.runs_beyond(&worker, 500), 0);
+}
