jobs: judge missing runs only by lists that were asked for after they became doubtful

Cause, found by a random run of the simulation: a worker started again while idle; a start reached its new life just after a list was made there, and the list arrived after the start's answer. The list showed the new life, made the run doubtful, and counted as proof that it was gone, so that its task started a second time.

Change: a run becomes doubtful at a time; only a list that was asked for later proves it gone.

--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -83,7 +83,7 @@
             if let Some(run) = self.runs.get_mut(&task)
                 && matches!(run.state, RunState::Confirmed { .. })
             {
-                run.state = RunState::Unverified;
+                run.state = RunState::Unverified { since_ms: now_ms };
             }
         }
         for step in self.steps.values_mut() {
@@ -298,7 +298,9 @@
             .collect();
         for (run, state) in missing {
             match state {
-                RunState::Unverified => self.end_run(run, RunEnd::Interrupted, None, "not at its worker"),
+                RunState::Unverified { since_ms } if sent_ms >= since_ms => {
+                    self.end_run(run, RunEnd::Interrupted, None, "not at its worker");
+                }
                 RunState::Confirmed { clock_ms } if report.clock_ms > clock_ms => {
                     self.end_run(run, RunEnd::Interrupted, None, "no longer at its worker");
                 }
@@ -313,7 +315,8 @@
                 RunState::Confirmed { .. }
                 | RunState::Ordered
                 | RunState::Stopping { .. }
-                | RunState::Unanswered { .. } => {}
+                | RunState::Unanswered { .. }
+                | RunState::Unverified { .. } => {}
             }
         }
     }
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -143,7 +143,8 @@
             };
             let runs: Vec<_> = job.runs().map(|(run, worker)| (run, worker.clone())).collect();
             for (run, worker) in runs {
-                self.home(run, &worker, RunState::Unverified);
+                let since_ms = self.now_ms;
+                self.home(run, &worker, RunState::Unverified { since_ms });
             }
             // An earlier leader may have been lost before it stopped what a cancelled job runs.
             match self.book.jobs.get(&id).is_some_and(|job| job.ended.is_some()) {
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -18,8 +18,9 @@
     Stopping { retry_ms: u64, settled_ms: Option<u64> },
     /// Its order was not answered at this time by the planner's clock.
     Unanswered { since_ms: u64 },
-    /// An earlier leader ordered it, or its worker started again.
-    Unverified,
+    /// An earlier leader ordered it, or its worker started again, at this time by the planner's
+    /// clock. A list that was asked for earlier tells nothing of it.
+    Unverified { since_ms: u64 },
 }
 
 /// A present run.
--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -420,10 +420,17 @@
             1 => (false, 1 + self.draw(5)),
             _ => (true, 1 + self.draw(5)),
         };
+        // A worker carries out late only what it received; one that is down receives nothing.
+        let is_down = callee_of(&effect)
+            .and_then(|name| self.workers.get(name))
+            .is_none_or(|worker| worker.cut_until_ms > sent_ms);
         if !answers {
             let event = unanswered(&effect, sent_ms);
             self.later(sent_ms + 700, Later::Event { event, leader });
         }
+        if !answers && is_down {
+            return;
+        }
         self.later(
             sent_ms + delay_ms,
             Later::Arrive {
--- a/crates/jobs/tests/simulation/main.rs
+++ b/crates/jobs/tests/simulation/main.rs
@@ -98,3 +98,15 @@
 
     assert_eq!(cell.runs_beyond(&worker, 500), 0);
 }
+
+/// A list that was made before a run started, and that arrived after the worker's new life was
+/// known, was taken as proof that the run was gone; its task started a second time.
+#[test]
+fn list_from_before_a_new_life_was_known_proves_nothing() {
+    const SEED: u64 = 16_769_174_480_321_931_799;
+
+    let cell = run(SEED, Faults::all());
+
+    assert_eq!(cell.violations, Vec::<String>::new());
+    assert_eq!(cell.unended(), 0);
+}
