--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -5,11 +5,12 @@
     fuchsiatack_ledger::{Command, JournalEntry, JournalKey, LedgerError, Query, QueryReply, Reply},
     fuchsiatack_model::{Outcome, Refusal, SessionId},
     fuchsiatack_session::SessionError,
+    fuchsiatack_store::unix_ms,
     opentelemetry::trace::SpanKind,
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::{Duration, SystemTime, UNIX_EPOCH},
+        time::Duration,
     },
     tokio::{
         sync::watch,
@@ -323,9 +324,3 @@
         }
     }
 }
-
-fn unix_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
--- a/crates/jobs/src/clock_sample.rs
+++ b/crates/jobs/src/clock_sample.rs
@@ -3,7 +3,7 @@
 use fuchsiatack_derives::value;
 
 /// Slowest rate of a worker's clock, in thousandths of the planner's.
-const SLOWEST_RATE_THOUSANDTHS: u64 = 980;
+pub(crate) const SLOWEST_RATE_THOUSANDTHS: u64 = 980;
 
 /// A reading of a worker's clock.
 #[derive(Copy)]
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -9,6 +9,7 @@
         CallId, CellAnswer, Effect, JobBook, JobCommand, JobEvent, JobId, Note, Output, PlannerSettings,
         Queue, StepId, TaskKey,
         advisers::Advisers,
+        clock_sample::SLOWEST_RATE_THOUSANDTHS,
         effect::Callee,
         run_view::{RunState, RunView},
         step_view::StepView,
@@ -25,8 +26,6 @@
 /// Margin after the longest lease of an earlier leader, in milliseconds. It covers the time in
 /// which a leader that was just replaced may still have sent a renewal.
 const INHERITED_MARGIN_MS: u64 = 700;
-/// Slowest rate of a worker's clock, in thousandths, by which a lease may last longer.
-const SLOWEST_RATE_THOUSANDTHS: u64 = 980;
 
 /// The leader's planner.
 pub struct Planner {
