jobs: settle orders without an answer by a check beside the renewal

Ruled out: repeating the task at once (the order may still arrive), a second order to the same worker.

Limits: orders 350 ms instead of 700, renewals 400 ms beyond their wait instead of 600, wait 500 ms instead of 1,000. Renewals move to a module of their own. The simulation loses renewals as well, which it did not.

--- a/crates/cell/src/executor.rs
+++ b/crates/cell/src/executor.rs
@@ -15,10 +15,10 @@
 
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Longest wait for the answer to an order.
-const ORDER_LIMIT: Duration = Duration::from_millis(700);
+/// Longest wait for the answer to an order. A check of the worker's lists settles what became of it.
+const ORDER_LIMIT: Duration = Duration::from_millis(350);
 /// Longest wait for the answer to a renewal, beyond the time that the worker itself waits.
-const HOLD_LIMIT: Duration = Duration::from_millis(600);
+const HOLD_LIMIT: Duration = Duration::from_millis(400);
 /// Time after which an unused connection is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// Unacknowledged bytes close a connection after this, so that a silent one is not used again.
@@ -67,12 +67,18 @@
             Effect::Advise { by, request } => Some(self.advise(by, request).await),
             // The store answers calls by itself.
             Effect::Answer { .. } => None,
-            Effect::Hold { ref to, wait_ms, .. } => {
+            Effect::Hold {
+                kind,
+                ref to,
+                wait_ms,
+                ..
+            } => {
                 let sent_ms = fuchsiatack_store::steady_ms();
                 let limit = HOLD_LIMIT + Duration::from_millis(wait_ms);
                 let answer = self.order("hold", to, &effect, limit).await;
                 let result = answer.and_then(|(status, body)| self.dialect.hold_report(status, &body));
                 Some(JobEvent::Held {
+                    kind,
                     result,
                     sent_ms,
                     worker: to.worker.clone(),
--- a/crates/jobs/src/effect.rs
+++ b/crates/jobs/src/effect.rs
@@ -19,6 +19,16 @@
     pub worker: WorkerName,
 }
 
+/// Why a worker is asked for its lists. Variants are sorted by name.
+#[derive(Copy)]
+#[value]
+pub enum HoldKind {
+    /// Settles an order whose outcome is not known, beside the renewal that is on its way.
+    Check,
+    /// Renews the leases and waits for the next end.
+    Renewal,
+}
+
 /// An effect. Variants are sorted by name.
 #[value]
 pub enum Effect {
@@ -40,6 +50,8 @@
     Hold {
         /// End of the lease on the worker's steady clock in milliseconds; `None` extends nothing.
         deadline_ms: Option<u64>,
+        /// Why the worker is asked.
+        kind: HoldKind,
         /// Ends up to this number may be forgotten.
         last_seen: u64,
         /// The worker.
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -1,7 +1,7 @@
 //! What the planner is told.
 
 use {
-    crate::{AdviceReply, CallId, CellCall, RunId, StepId},
+    crate::{AdviceReply, CallId, CellCall, HoldKind, RunId, StepId},
     fuchsiatack_derives::{key, message, value},
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
@@ -134,6 +134,8 @@
     },
     /// A renewal was answered or failed.
     Held {
+        /// Why the worker was asked.
+        kind: HoldKind,
         /// Result.
         result: Result<HoldReport, WorkerCallError>,
         /// When it was sent, by the planner's clock.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod plan_advice;
 mod plan_calls;
 mod plan_evacuation;
+mod plan_renewals;
 mod plan_runs;
 mod plan_stalls;
 mod plan_start;
@@ -43,7 +44,7 @@
     },
     command::{JobCommand, RunEnd, Submission},
     configuration::{AdvicePolicy, Configuration, Queue, Team},
-    effect::{Callee, Effect},
+    effect::{Callee, Effect, HoldKind},
     event::{
         EndedRun, HoldReport, JobEvent, ListedEnd, ListedRun, OrderRejection, OrderResult, WorkerCallError,
     },
--- /dev/null
+++ b/crates/jobs/src/plan_renewals.rs
@@ -0,0 +1,298 @@
+//! Renewals of the leases on workers, and what their answers list.
+
+use {
+    crate::{
+        Effect, EndedRun, HoldKind, HoldReport, JobCommand, ListedEnd, Note, Planner, RunEnd, RunId,
+        WorkerCallError, run_view::RunState, worker_view::WorkerView,
+    },
+    fuchsiatack_model::WorkerName,
+    std::collections::BTreeMap,
+};
+
+/// Pause after a failed renewal, for each failure in a row, in milliseconds.
+const HOLD_RETRY_MS: u64 = 100;
+/// Longest pause after a failed renewal in milliseconds.
+const HOLD_RETRY_LIMIT_MS: u64 = 1_000;
+/// Time after which a worker without runs is told which ends were seen, in milliseconds. It is
+/// shorter than `SAME_LIFE_MS`.
+const IDLE_ACKNOWLEDGEMENT_MS: u64 = 300;
+/// Time after an answer in which a worker cannot have crashed and started again, in milliseconds.
+/// Numbers of ends begin anew in each life, so a number of the earlier life would make the new one
+/// forget ends that nobody has seen.
+const SAME_LIFE_MS: u64 = 500;
+
+impl Planner {
+    /// Sends the renewals and checks that are due.
+    pub(crate) fn renew_due(&mut self) {
+        let checks: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, view)| {
+                !view.check_in_flight && view.check_due_ms.is_some_and(|due_ms| self.now_ms >= due_ms)
+            })
+            .map(|(worker, _)| worker.clone())
+            .collect();
+        for worker in checks {
+            self.check(&worker);
+        }
+        let due: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, view)| self.needs_hold(view))
+            .map(|(worker, _)| worker.clone())
+            .collect();
+        for worker in due {
+            self.renew(&worker);
+        }
+    }
+
+    fn needs_hold(&self, view: &WorkerView) -> bool {
+        let is_idle_due =
+            view.told_seen < view.last_seen && self.now_ms >= view.hold_due_ms + IDLE_ACKNOWLEDGEMENT_MS;
+        let is_wanted = !view.verified || view.left || !view.runs.is_empty() || is_idle_due;
+        !view.hold_in_flight && self.now_ms >= view.hold_due_ms && is_wanted
+    }
+
+    /// Asks a worker for its lists at once. The renewal that is on its way may wait there for long.
+    fn check(&mut self, worker: &WorkerName) {
+        let Some(to) = self.callee(worker) else {
+            return;
+        };
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.check_due_ms = None;
+            view.check_in_flight = true;
+        }
+        self.after_commit(Effect::Hold {
+            deadline_ms: None,
+            kind: HoldKind::Check,
+            last_seen: 0,
+            to,
+            wait_ms: 0,
+        });
+    }
+
+    fn renew(&mut self, worker: &WorkerName) {
+        let Some(to) = self.callee(worker) else {
+            return;
+        };
+        let (now_ms, lease_ms) = (self.now_ms, self.settings.lease_ms);
+        let wait_ms = self.settings.hold_wait_ms;
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let is_sound = view.verified && view.failures == 0 && !view.left;
+        // A worker that may not answer gets no longer lease, so that its runs can be taken over.
+        let deadline_ms = view
+            .clock
+            .filter(|_| is_sound && !view.runs.is_empty())
+            .map(|clock| clock.at_least_ms(now_ms) + lease_ms);
+        view.granted_ms = view.granted_ms.max(deadline_ms.unwrap_or(0));
+        view.hold_in_flight = true;
+        let is_same_life = is_sound && now_ms < view.answered_ms + SAME_LIFE_MS;
+        let last_seen = if is_same_life { view.last_seen } else { 0 };
+        view.told_seen = last_seen;
+        let waits = is_sound && !view.runs.is_empty();
+        self.after_commit(Effect::Hold {
+            deadline_ms,
+            kind: HoldKind::Renewal,
+            last_seen,
+            to,
+            wait_ms: if waits { wait_ms } else { 0 },
+        });
+    }
+
+    /// Takes the answer to a renewal.
+    pub(crate) fn held(
+        &mut self,
+        worker: &WorkerName,
+        kind: HoldKind,
+        sent_ms: u64,
+        result: Result<HoldReport, WorkerCallError>,
+    ) {
+        let now_ms = self.now_ms;
+        let hold_pause_ms = self.settings.hold_pause_ms;
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        match kind {
+            HoldKind::Check => view.check_in_flight = false,
+            HoldKind::Renewal => view.hold_in_flight = false,
+        }
+        match (result, kind) {
+            (Ok(report), HoldKind::Check) => self.listed(worker, sent_ms, report),
+            (Ok(report), HoldKind::Renewal) => {
+                let has_ends = report.ended.iter().any(|ended| ended.sequence > view.last_seen);
+                view.hold_due_ms = now_ms + if has_ends { hold_pause_ms } else { 0 };
+                self.listed(worker, sent_ms, report);
+            }
+            (Err(error), _) => {
+                view.failures += 1;
+                let retry_ms = now_ms + (HOLD_RETRY_MS * u64::from(view.failures)).min(HOLD_RETRY_LIMIT_MS);
+                match kind {
+                    HoldKind::Check => view.plan_check(retry_ms),
+                    HoldKind::Renewal => view.hold_due_ms = retry_ms,
+                }
+                let (failures, left) = (view.failures, view.left);
+                if failures == 1 {
+                    self.note(
+                        Note::new("worker lost")
+                            .with("worker", worker)
+                            .with("error", error.as_str())
+                            .with("sent_ms_ago", now_ms.saturating_sub(sent_ms)),
+                    );
+                }
+                if error == WorkerCallError::OtherWorker || left {
+                    self.remove_worker(worker, error.as_str());
+                }
+            }
+        }
+    }
+
+    fn listed(&mut self, worker: &WorkerName, sent_ms: u64, report: HoldReport) {
+        let now_ms = self.now_ms;
+        let known_unix_ms = self
+            .book
+            .workers
+            .get(worker)
+            .map_or(0, |entry| entry.born_unix_ms);
+        let born_unix_ms = report.born_unix_ms.unwrap_or(known_unix_ms);
+        if born_unix_ms < known_unix_ms {
+            return;
+        }
+        if born_unix_ms > known_unix_ms {
+            self.reborn(worker, born_unix_ms);
+            if let Some(mut entry) = self.book.workers.get(worker).cloned() {
+                entry.born_unix_ms = born_unix_ms;
+                self.propose(JobCommand::PutWorker {
+                    entry,
+                    worker: worker.clone(),
+                });
+            }
+        }
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let was_lost = view.failures > 0 || !view.verified;
+        let failures = std::mem::take(&mut view.failures);
+        view.answered_ms = now_ms;
+        view.verified = true;
+        view.heard_ms = now_ms;
+        view.observe_clock(now_ms, report.clock_ms);
+        if was_lost {
+            self.dirty = true;
+            self.note(
+                Note::new("worker reached")
+                    .with("worker", worker)
+                    .with("failures", failures)
+                    .with("running", report.running.len())
+                    .with("ended", report.ended.len()),
+            );
+        }
+        for ended in &report.ended {
+            self.take_end(worker, ended);
+        }
+        self.compare_runs(worker, sent_ms, &report);
+    }
+
+    fn take_end(&mut self, worker: &WorkerName, ended: &EndedRun) {
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if ended.sequence <= view.last_seen {
+            return;
+        }
+        view.last_seen = ended.sequence;
+        let is_present = self
+            .runs
+            .get(&ended.run.task)
+            .is_some_and(|run| run.run == ended.run && run.worker == *worker);
+        if !is_present {
+            self.note(
+                Note::new("end of a superseded run ignored")
+                    .job(ended.run.task.step.job)
+                    .with("run", ended.run)
+                    .with("worker", worker)
+                    .with("end", &ended.reason),
+            );
+            return;
+        }
+        let end = match ended.end {
+            ListedEnd::Done => RunEnd::Done,
+            ListedEnd::Failed => RunEnd::Failed,
+            ListedEnd::Interrupted => RunEnd::Interrupted,
+        };
+        self.end_run(ended.run, end, Some(&ended.checkpoint), &ended.reason);
+    }
+
+    /// Compares the listed runs with those that should be there.
+    fn compare_runs(&mut self, worker: &WorkerName, sent_ms: u64, report: &HoldReport) {
+        let listed: BTreeMap<RunId, _> = report.running.iter().map(|listed| (listed.run, listed)).collect();
+        for (run, present) in &listed {
+            let view = self
+                .runs
+                .get_mut(&run.task)
+                .filter(|view| view.run == *run && view.worker == *worker);
+            let Some(view) = view else {
+                self.stop_stray(worker, *run);
+                continue;
+            };
+            if !present.checkpoint.is_empty() {
+                view.checkpoint = present.checkpoint.clone();
+            }
+            match view.state {
+                RunState::Stopping { .. } => {}
+                _ => {
+                    view.state = RunState::Confirmed {
+                        clock_ms: report.clock_ms,
+                    }
+                }
+            }
+        }
+        let Some(view) = self.workers.get(worker) else {
+            return;
+        };
+        let missing: Vec<_> = view
+            .runs
+            .iter()
+            .filter_map(|task| self.runs.get(task))
+            .filter(|view| !listed.contains_key(&view.run))
+            .map(|view| (view.run, view.state))
+            .collect();
+        for (run, state) in missing {
+            match state {
+                RunState::Unverified { since_ms } if sent_ms >= since_ms => {
+                    self.end_run(run, RunEnd::Interrupted, None, "not at its worker");
+                }
+                RunState::Confirmed { clock_ms } if report.clock_ms > clock_ms => {
+                    self.end_run(run, RunEnd::Interrupted, None, "no longer at its worker");
+                }
+                RunState::Stopping {
+                    settled_ms: Some(settled_ms),
+                    ..
+                } if sent_ms >= settled_ms => {
+                    self.end_run(run, RunEnd::Interrupted, None, "stopped before it started");
+                }
+                // The order may still arrive. A stop keeps it from starting the run.
+                RunState::Unanswered { since_ms } if sent_ms > since_ms => self.stop_run(run.task),
+                RunState::Confirmed { .. }
+                | RunState::Ordered
+                | RunState::Stopping { .. }
+                | RunState::Unanswered { .. }
+                | RunState::Unverified { .. } => {}
+            }
+        }
+    }
+
+    fn stop_stray(&mut self, worker: &WorkerName, run: RunId) {
+        let Some(to) = self.callee(worker) else {
+            return;
+        };
+        self.note(
+            Note::new("superseded run stopped")
+                .job(run.task.step.job)
+                .with("run", run)
+                .with("worker", worker),
+        );
+        self.after_commit(Effect::Stop { run, to });
+    }
+}
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -35,6 +35,7 @@
             (Err(WorkerCallError::Unanswered), RunState::Ordered) => {
                 view.state = RunState::Unanswered { since_ms: now_ms };
                 self.shun(worker, now_ms + REFUSAL_PAUSE_MS);
+                self.plan_check(worker);
                 self.note(
                     Note::new("order unanswered")
                         .job(run.task.step.job)
@@ -79,6 +80,12 @@
         }
     }
 
+    fn plan_check(&mut self, worker: &WorkerName) {
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.plan_check(self.now_ms);
+        }
+    }
+
     /// Takes the answer to an order to stop a run.
     pub(crate) fn stopped(&mut self, worker: &WorkerName, run: RunId, result: OrderResult) {
         let now_ms = self.now_ms;
@@ -90,19 +97,23 @@
             return;
         };
         match (result, &mut view.state) {
-            (Ok(_), RunState::Stopping { settled_ms, .. }) => {
+            // If a later run ended there, this one cannot start any more either.
+            (
+                Ok(_) | Err(WorkerCallError::Rejected(OrderRejection::Outdated)),
+                RunState::Stopping {
+                    is_doubtful,
+                    settled_ms,
+                    ..
+                },
+            ) => {
                 settled_ms.get_or_insert(now_ms);
+                if *is_doubtful {
+                    self.plan_check(worker);
+                }
             }
             (Err(WorkerCallError::OtherWorker), _) => {
                 self.remove_worker(worker, WorkerCallError::OtherWorker.as_str());
             }
-            // A later run ended there, so this one cannot start any more.
-            (
-                Err(WorkerCallError::Rejected(OrderRejection::Outdated)),
-                RunState::Stopping { settled_ms, .. },
-            ) => {
-                settled_ms.get_or_insert(now_ms);
-            }
             (Ok(_) | Err(_), _) => {}
         }
     }
@@ -123,6 +134,7 @@
             return;
         }
         view.state = RunState::Stopping {
+            is_doubtful: !matches!(view.state, RunState::Confirmed { .. }),
             retry_ms: now_ms + STOP_RETRY_MS,
             settled_ms: None,
         };
@@ -144,6 +156,7 @@
             if let RunState::Stopping {
                 retry_ms,
                 settled_ms: None,
+                ..
             } = &mut view.state
                 && now_ms >= *retry_ms
             {
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -93,10 +93,11 @@
             JobEvent::Advised { by, reply, step } => self.advised(by, reply, step),
             JobEvent::Called { call, id } => self.called(id, call),
             JobEvent::Held {
+                kind,
                 result,
                 sent_ms,
                 worker,
-            } => self.held(&worker, sent_ms, result),
+            } => self.held(&worker, kind, sent_ms, result),
             JobEvent::Started { result, run, worker } => self.started(&worker, run, result),
             JobEvent::Stopped { result, run, worker } => self.stopped(&worker, run, result),
             JobEvent::Tick => self.tick(),
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -14,8 +14,13 @@
     /// Its order is on its way.
     Ordered,
     /// A stop was ordered. `settled_ms` is when the worker confirmed the stop, by the planner's
-    /// clock; from then on the run cannot start any more.
-    Stopping { retry_ms: u64, settled_ms: Option<u64> },
+    /// clock; from then on the run cannot start any more. `is_doubtful` tells that no list has shown
+    /// the run, so that no end may ever be listed.
+    Stopping {
+        is_doubtful: bool,
+        retry_ms: u64,
+        settled_ms: Option<u64>,
+    },
     /// Its order was not answered at this time by the planner's clock.
     Unanswered { since_ms: u64 },
     /// An earlier leader ordered it, or its worker started again, at this time by the planner's
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -26,7 +26,7 @@
         Self {
             lease_ms: 4_000,
             max_lease_ms: 10_000,
-            hold_wait_ms: 1_000,
+            hold_wait_ms: 500,
             hold_pause_ms: 60,
             retention_ms: 150_000,
             urgent_reserve_percent: 10,
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -11,8 +11,11 @@
 pub(crate) struct WorkerView {
     /// When it last answered a renewal in its present life.
     pub(crate) answered_ms: u64,
+    /// When its lists are looked at beside the renewals, if an order's outcome is not known.
+    pub(crate) check_due_ms: Option<u64>,
+    pub(crate) check_in_flight: bool,
     pub(crate) clock: Option<ClockSample>,
-    /// Renewals that failed since the last answer.
+    /// Calls that failed since the last answer.
     pub(crate) failures: u32,
     /// Latest end of a lease that was ever sent, on the worker's clock.
     pub(crate) granted_ms: u64,
@@ -45,6 +48,8 @@
     pub(crate) fn new(now_ms: u64, inherited_until_ms: u64) -> Self {
         Self {
             answered_ms: 0,
+            check_due_ms: None,
+            check_in_flight: false,
             clock: None,
             failures: 0,
             granted_ms: 0,
@@ -82,6 +87,11 @@
         self.verified = false;
     }
 
+    /// Has its lists looked at from `due_ms`, if that is not planned for earlier.
+    pub(crate) fn plan_check(&mut self, due_ms: u64) {
+        self.check_due_ms = Some(self.check_due_ms.map_or(due_ms, |present| present.min(due_ms)));
+    }
+
     /// Takes a reading of its clock. An older reading never replaces a newer one.
     pub(crate) fn observe_clock(&mut self, now_ms: u64, worker_ms: u64) {
         let sample = ClockSample {
--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -2,9 +2,9 @@
 
 use {
     fuchsiatack_jobs::{
-        CallId, CellCall, Configuration, Effect, HoldReport, JobAction, JobBook, JobCall, JobCommand,
-        JobEvent, JobId, JobSpec, Planner, PlannerSettings, Queue, RunId, StepSpec, TaskKey, Team,
-        WorkerCallError, WorkerReport,
+        CallId, CellCall, Configuration, Effect, HoldKind, HoldReport, JobAction, JobBook, JobCall,
+        JobCommand, JobEvent, JobId, JobSpec, Planner, PlannerSettings, Queue, RunId, StepSpec, TaskKey,
+        Team, WorkerCallError, WorkerReport,
     },
     fuchsiatack_model::{DataCenter, QueueName, Resources, TeamName, WorkerName},
     fuchsiatack_testkit::{JobWork, JobWorker},
@@ -18,6 +18,8 @@
 /// 500 ms for which it takes a worker that answered for the same life.
 const RESTART_MS: u64 = 800;
 const COMMIT_MS: u64 = 15;
+/// Time after which a call counts as unanswered.
+const ANSWER_LIMIT_MS: u64 = 350;
 const HEARTBEAT_MS: u64 = 1_500;
 const WORKERS: usize = 6;
 const JOBS: u64 = 40;
@@ -409,9 +411,8 @@
             return;
         }
         let (leader, sent_ms) = (self.term, self.now_ms);
-        let is_order = !matches!(effect, Effect::Hold { .. });
-        // An order without an answer is lost, or carried out seconds later.
-        let fault = match self.faults.lost_orders && is_order {
+        // A call without an answer is lost, or carried out seconds later.
+        let fault = match self.faults.lost_orders {
             true => self.draw(20),
             false => u64::MAX,
         };
@@ -426,7 +427,7 @@
             .is_none_or(|worker| worker.cut_until_ms > sent_ms);
         if !answers {
             let event = unanswered(&effect, sent_ms);
-            self.later(sent_ms + 700, Later::Event { event, leader });
+            self.later(sent_ms + ANSWER_LIMIT_MS, Later::Event { event, leader });
         }
         if !answers && is_down {
             return;
@@ -476,13 +477,14 @@
         if is_cut {
             if answers {
                 let event = unanswered(&effect, sent_ms);
-                self.later(now_ms + 700, Later::Event { event, leader });
+                self.later(now_ms + ANSWER_LIMIT_MS, Later::Event { event, leader });
             }
             return;
         }
         let event = match effect {
             Effect::Hold {
                 deadline_ms,
+                kind,
                 last_seen,
                 to,
                 ..
@@ -491,7 +493,7 @@
                 let result = worker.hold(now_ms, to.fence, deadline_ms, last_seen);
                 let noted = std::mem::take(&mut worker.noted);
                 self.noted.extend(noted.iter().map(|run| run.task));
-                held(name, sent_ms, result)
+                held(name, kind, sent_ms, result)
             }
             Effect::Start {
                 deadline_ms, run, to, ..
@@ -667,8 +669,14 @@
     }
 }
 
-fn held(worker: WorkerName, sent_ms: u64, result: Result<HoldReport, WorkerCallError>) -> JobEvent {
+fn held(
+    worker: WorkerName,
+    kind: HoldKind,
+    sent_ms: u64,
+    result: Result<HoldReport, WorkerCallError>,
+) -> JobEvent {
     JobEvent::Held {
+        kind,
         result,
         sent_ms,
         worker,
@@ -678,7 +686,7 @@
 fn unanswered(effect: &Effect, sent_ms: u64) -> JobEvent {
     let error = WorkerCallError::Unanswered;
     match effect {
-        Effect::Hold { to, .. } => held(to.worker.clone(), sent_ms, Err(error)),
+        Effect::Hold { kind, to, .. } => held(to.worker.clone(), *kind, sent_ms, Err(error)),
         Effect::Start { run, to, .. } => JobEvent::Started {
             result: Err(error),
             run: *run,
