jobs: ask for advice before the turn of a step comes, about more workers at once

Cause: steps of wide jobs were placed by up to four questions one after the other, of 8 to 20 workers each and about 45 ms apart, and every step of a chain began with such a wait. Ruled out: busy daemons (advice 181 s of work in 52 s on 14 daemons), room.

Change: a question names at least 30 workers; advice for a step is asked for while the steps before it are at work, so early that half of a ticket's time is left at its turn. The code for steps moves from the planner into a module of its own.

--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -8,17 +8,20 @@
 
 /// Most workers in one question.
 const MAX_ASKED: usize = 100;
-/// Fewest workers in a first question, if there are so many.
-const MIN_ASKED: usize = 8;
+/// Fewest workers in a question, if there are so many. A second question costs far more time than
+/// more workers in the first.
+const MIN_ASKED: usize = 30;
+/// Fewest asked workers from which an answer counts for the share of good ones.
+const MIN_SAMPLE: usize = 8;
 /// Time before the end of a ticket from which it is not used, in milliseconds. It covers the way
 /// of the answer, the commit of the start and the way of the order.
 const TICKET_MARGIN_MS: u64 = 250;
 /// Share of good workers that is assumed of a queue without answers, in thousandths.
 const ASSUMED_GOOD_THOUSANDTHS: u64 = 400;
-/// Weight of a new answer in the share of good workers: one part in this many.
-const SHARE_WINDOW: u64 = 8;
 /// Tasks of a step that are expected to share one worker.
 const TASKS_PER_WORKER: u64 = 2;
+/// Weight of a new answer in the share of good workers: one part in this many.
+const SHARE_WINDOW: u64 = 8;
 /// Workers in a question beyond the expected need, in percent of it.
 const SPARE_PERCENT: u64 = 130;
 /// Time beyond the expected answer after which a question counts as lost, in milliseconds.
@@ -63,7 +66,7 @@
                 .with("good", good)
                 .with("waited_ms", now_ms.saturating_sub(sent_ms)),
         );
-        if let Some(queue) = queue.filter(|_| asked.len() >= MIN_ASKED) {
+        if let Some(queue) = queue.filter(|_| asked.len() >= MIN_SAMPLE) {
             let share = good as u64 * 1_000 / asked.len() as u64;
             let mean = self.good_shares.entry(queue).or_insert(share);
             *mean = (*mean * (SHARE_WINDOW - 1) + share) / SHARE_WINDOW;
--- /dev/null
+++ b/crates/jobs/src/plan_ahead.rs
@@ -0,0 +1,112 @@
+//! Advice for steps whose turn comes soon.
+//!
+//! Answers jobs of several short steps: an answer of the advice service takes a large part of the
+//! time that such a step takes, and a long step's answer takes half a second. It is asked for while
+//! the steps before are still at work, so that the tasks start as soon as their turn has come.
+
+use crate::{Planner, StepId, TaskKey, step_view::StepView};
+
+/// Interval in which steps that come soon are looked for, in milliseconds.
+const INTERVAL_MS: u64 = 50;
+
+impl Planner {
+    /// Asks for advice on steps that come soon.
+    pub(crate) fn ask_ahead(&mut self) {
+        if self.now_ms < self.ahead_due_ms {
+            return;
+        }
+        self.ahead_due_ms = self.now_ms + INTERVAL_MS;
+        let at_work = self
+            .steps
+            .iter()
+            .filter(|(_, view)| !view.is_ahead && view.waiting.is_empty());
+        let soon: Vec<_> = at_work.flat_map(|(step, _)| self.following(*step)).collect();
+        for step in soon {
+            self.ask_ahead_of(step);
+        }
+    }
+
+    /// Steps that wait for a step, and for no other that is not done or at work.
+    fn following(&self, before: StepId) -> Vec<StepId> {
+        let Some(job) = self.book.jobs.get(&before.job).filter(|job| job.ended.is_none()) else {
+            return Vec::new();
+        };
+        let is_near = |number: u32| {
+            let step = StepId {
+                step: number,
+                ..before
+            };
+            let view = self.steps.get(&step);
+            job.is_step_done(before.occurrence, number)
+                || view.is_some_and(|view| !view.is_ahead && view.waiting.is_empty())
+        };
+        (0..)
+            .zip(&job.spec.steps)
+            .filter(|(_, spec)| spec.depends_on.contains(&before.step))
+            .filter(|(_, spec)| spec.depends_on.iter().all(|earlier| is_near(*earlier)))
+            .map(|(number, _)| StepId {
+                step: number,
+                ..before
+            })
+            .filter(|step| !self.steps.contains_key(step))
+            .collect()
+    }
+
+    fn ask_ahead_of(&mut self, step: StepId) {
+        let Some(spec) = self
+            .book
+            .jobs
+            .get(&step.job)
+            .and_then(|job| job.step(step.step))
+            .cloned()
+        else {
+            return;
+        };
+        let Some(queue) = self.queue_of(step.job) else {
+            return;
+        };
+        let (Some(policy), service) = (queue.advice.clone(), queue.service.clone()) else {
+            return;
+        };
+        // A ticket that is half used up leaves the time to start the tasks.
+        let lead_ms = policy.answer_ms(spec.tasks as usize) + policy.valid_ms / 2;
+        let left_ms = spec.depends_on.iter().map(|earlier| {
+            self.step_left_ms(StepId {
+                step: *earlier,
+                ..step
+            })
+        });
+        if left_ms.max().unwrap_or(0) > lead_ms {
+            return;
+        }
+        let view = StepView {
+            is_ahead: true,
+            ..self.new_step(step)
+        };
+        self.steps.insert(step, view);
+        let candidates = self.candidates_to_ask(step, &spec, &service, 0);
+        self.ask_advice(step, &policy, spec.tasks as usize, &candidates);
+        let is_open = |step| {
+            let view = self.steps.get(&step);
+            view.is_some_and(|view| view.advice.open_since_ms.is_some())
+        };
+        // All daemons are busy: it is tried again.
+        if !is_open(step) {
+            self.steps.remove(&step);
+        }
+    }
+
+    /// Expected time until the last run of a step is over.
+    fn step_left_ms(&self, step: StepId) -> u64 {
+        let first = TaskKey { index: 0, step };
+        let last = TaskKey {
+            index: u32::MAX,
+            step,
+        };
+        let left_ms = self
+            .runs
+            .range(first..=last)
+            .filter_map(|(task, _)| self.expected_left_ms(*task));
+        left_ms.max().unwrap_or(0)
+    }
+}
--- a/crates/jobs/src/plan_evacuation.rs
+++ b/crates/jobs/src/plan_evacuation.rs
@@ -50,7 +50,7 @@
     }
 
     /// Expected time to the end of a run in milliseconds; `None` if it does not end by itself.
-    fn expected_left_ms(&self, task: TaskKey) -> Option<u64> {
+    pub(crate) fn expected_left_ms(&self, task: TaskKey) -> Option<u64> {
         let view = self.runs.get(&task)?;
         let job = self.book.jobs.get(&task.step.job)?;
         let spec = job.step(task.step.step).filter(|spec| !spec.long_running)?;
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -110,19 +110,31 @@
             .get(&step)
             .is_some_and(|view| view.advice.open_since_ms.is_none());
         if let (Some(policy), true) = (&advice, left > 0 && may_ask) {
-            let mut candidates = self.all_candidates(step, spec, &service);
-            candidates.retain(|candidate| {
-                candidate.fits(&spec.reserved(), kept_free_percent)
-                    && self.ticket(step, &candidate.key).is_none()
-                    && !self.is_unfit(step, &candidate.key)
-            });
-            placement::sort(&mut candidates, &spec.reserved());
+            let candidates = self.candidates_to_ask(step, spec, &service, kept_free_percent);
             let all = if spec.gang { spec.tasks as usize } else { left };
             self.ask_advice(step, policy, all, &candidates);
         }
         waiting_tasks.len() == placed
     }
 
+    /// Returns the workers that the advice service may be asked about, the best first.
+    pub(crate) fn candidates_to_ask(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+        kept_free_percent: u32,
+    ) -> Vec<Candidate<WorkerName>> {
+        let mut candidates = self.all_candidates(step, spec, service);
+        candidates.retain(|candidate| {
+            candidate.fits(&spec.reserved(), kept_free_percent)
+                && self.ticket(step, &candidate.key).is_none()
+                && !self.is_unfit(step, &candidate.key)
+        });
+        placement::sort(&mut candidates, &spec.reserved());
+        candidates
+    }
+
     /// Returns how many tasks of a step its team's limit allows.
     fn allowed_by_limit(&self, step: StepId, spec: &StepSpec, tasks: usize) -> usize {
         let team = self.book.jobs.get(&step.job).and_then(|job| job.team.as_ref());
--- /dev/null
+++ b/crates/jobs/src/plan_steps.rs
@@ -0,0 +1,122 @@
+//! Steps whose turn has come.
+
+use {
+    crate::{
+        JobId, Planner, StepId, TaskKey,
+        step_view::{StepAdvice, StepView},
+    },
+    std::collections::BTreeSet,
+};
+
+impl Planner {
+    /// Opens the steps of a job whose turn has come and closes the others.
+    pub(crate) fn refresh_job(&mut self, id: JobId) {
+        let Some(job) = self.book.jobs.get(&id) else {
+            return;
+        };
+        let mut open = BTreeSet::new();
+        if job.ended.is_none() {
+            for occurrence in 0..job.occurrence_count() {
+                let due_unix_ms = job.due_unix_ms(occurrence);
+                match job.spec.schedule {
+                    Some(_) if due_unix_ms > self.now_unix_ms => {
+                        self.scheduled.insert((due_unix_ms, id, occurrence));
+                        break;
+                    }
+                    _ => open.extend(job.open_steps(occurrence)),
+                }
+            }
+        }
+        let first = StepId {
+            job: id,
+            occurrence: 0,
+            step: 0,
+        };
+        let last = StepId {
+            job: id,
+            occurrence: u32::MAX,
+            step: u32::MAX,
+        };
+        let has_ended = job.ended.is_some();
+        let closed: Vec<_> = self
+            .steps
+            .range(first..=last)
+            .filter(|(step, view)| !open.contains(step) && (has_ended || !view.is_ahead))
+            .map(|(step, _)| *step)
+            .collect();
+        for step in closed {
+            self.steps.remove(&step);
+        }
+        for step in open {
+            let advice = match self.steps.get(&step) {
+                Some(view) if !view.is_ahead => continue,
+                Some(view) => view.advice.clone(),
+                None => StepAdvice::default(),
+            };
+            let view = StepView {
+                advice,
+                waiting: self.waiting_tasks(step),
+                ..self.new_step(step)
+            };
+            self.steps.insert(step, view);
+        }
+        self.dirty = true;
+    }
+
+    /// A step on which no task waits yet.
+    pub(crate) fn new_step(&self, step: StepId) -> StepView {
+        let queue = self.queue_of(step.job);
+        let (stretch, target_ms, priority) = queue.map_or((1.0, 0, u32::MAX), |queue| {
+            (queue.stretch, queue.target_latency_ms, queue.priority)
+        });
+        let (chain_ms, due_unix_ms, remaining_ms) = self.book.jobs.get(&step.job).map_or((0, 0, 0), |job| {
+            let remaining_ms = job
+                .spec
+                .steps
+                .iter()
+                .skip(step.step as usize)
+                .map(|spec| spec.estimated_ms);
+            (
+                job.chain_ms(),
+                job.due_unix_ms(step.occurrence),
+                remaining_ms.sum::<u64>(),
+            )
+        });
+        let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
+        let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
+        StepView {
+            advice: StepAdvice::default(),
+            due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
+            failed_on: Default::default(),
+            held_until_ms: 0,
+            is_ahead: false,
+            opened_ms: self.now_ms,
+            priority,
+            remaining_ms: remaining_ms.min(chain_ms),
+            waiting: BTreeSet::new(),
+        }
+    }
+
+    fn waiting_tasks(&self, step: StepId) -> BTreeSet<u32> {
+        let Some(job) = self.book.jobs.get(&step.job) else {
+            return BTreeSet::new();
+        };
+        let tasks = job.step(step.step).map_or(0, |spec| spec.tasks);
+        let is_waiting = |index: &u32| {
+            let task = job.task(TaskKey { index: *index, step });
+            task.is_none_or(|task| !task.done && task.worker.is_none())
+        };
+        (0..tasks).filter(is_waiting).collect()
+    }
+
+    /// Opens the steps of occurrences whose time has come.
+    pub(crate) fn open_due_occurrences(&mut self) {
+        while let Some((due_unix_ms, job, occurrence)) = self.scheduled.first().copied() {
+            if due_unix_ms > self.now_unix_ms {
+                break;
+            }
+            self.scheduled.remove(&(due_unix_ms, job, occurrence));
+            self.refresh_job(job);
+        }
+    }
+}
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -30,6 +30,8 @@
 /// The leader's planner.
 pub struct Planner {
     pub(crate) advisers: Advisers,
+    /// When advice for steps that come soon is asked for next.
+    pub(crate) ahead_due_ms: u64,
     pub(crate) book: JobBook,
     /// Whether something changed that placement depends on.
     pub(crate) dirty: bool,
@@ -62,6 +64,7 @@
     pub fn new(settings: PlannerSettings, book: JobBook, fence: u64, now_ms: u64, now_unix_ms: u64) -> Self {
         let mut planner = Self {
             advisers: Advisers::new(),
+            ahead_due_ms: now_ms,
             book,
             dirty: true,
             fence,
@@ -244,98 +247,9 @@
         Some(view)
     }
 
-    /// Opens the steps of a job whose turn has come and closes the others.
-    pub(crate) fn refresh_job(&mut self, id: JobId) {
-        let Some(job) = self.book.jobs.get(&id) else {
-            return;
-        };
-        let mut open = BTreeSet::new();
-        if job.ended.is_none() {
-            for occurrence in 0..job.occurrence_count() {
-                let due_unix_ms = job.due_unix_ms(occurrence);
-                match job.spec.schedule {
-                    Some(_) if due_unix_ms > self.now_unix_ms => {
-                        self.scheduled.insert((due_unix_ms, id, occurrence));
-                        break;
-                    }
-                    _ => open.extend(job.open_steps(occurrence)),
-                }
-            }
-        }
-        let first = StepId {
-            job: id,
-            occurrence: 0,
-            step: 0,
-        };
-        let last = StepId {
-            job: id,
-            occurrence: u32::MAX,
-            step: u32::MAX,
-        };
-        let closed: Vec<_> = self
-            .steps
-            .range(first..=last)
-            .map(|(step, _)| *step)
-            .filter(|step| !open.contains(step))
-            .collect();
-        for step in closed {
-            self.steps.remove(&step);
-        }
-        for step in open {
-            if !self.steps.contains_key(&step) {
-                let view = self.new_step(step);
-                self.steps.insert(step, view);
-            }
-        }
-        self.dirty = true;
-    }
-
-    fn new_step(&self, step: StepId) -> StepView {
-        let queue = self.queue_of(step.job);
-        let (stretch, target_ms, priority) = queue.map_or((1.0, 0, u32::MAX), |queue| {
-            (queue.stretch, queue.target_latency_ms, queue.priority)
-        });
-        let (chain_ms, due_unix_ms, remaining_ms) = self.book.jobs.get(&step.job).map_or((0, 0, 0), |job| {
-            let remaining_ms = job
-                .spec
-                .steps
-                .iter()
-                .skip(step.step as usize)
-                .map(|spec| spec.estimated_ms);
-            (
-                job.chain_ms(),
-                job.due_unix_ms(step.occurrence),
-                remaining_ms.sum::<u64>(),
-            )
-        });
-        let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
-        let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
-        StepView {
-            advice: Default::default(),
-            due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
-            failed_on: Default::default(),
-            held_until_ms: 0,
-            opened_ms: self.now_ms,
-            priority,
-            remaining_ms: remaining_ms.min(chain_ms),
-            waiting: self.waiting_tasks(step),
-        }
-    }
-
-    fn waiting_tasks(&self, step: StepId) -> BTreeSet<u32> {
-        let Some(job) = self.book.jobs.get(&step.job) else {
-            return BTreeSet::new();
-        };
-        let tasks = job.step(step.step).map_or(0, |spec| spec.tasks);
-        let is_waiting = |index: &u32| {
-            let task = job.task(TaskKey { index: *index, step });
-            task.is_none_or(|task| !task.done && task.worker.is_none())
-        };
-        (0..tasks).filter(is_waiting).collect()
-    }
-
     fn tick(&mut self) {
         self.open_due_occurrences();
+        self.ask_ahead();
         self.watch_workers();
         self.watch_stalls();
         self.retry_stops();
@@ -347,16 +261,6 @@
         self.dirty = true;
     }
 
-    fn open_due_occurrences(&mut self) {
-        while let Some((due_unix_ms, job, occurrence)) = self.scheduled.first().copied() {
-            if due_unix_ms > self.now_unix_ms {
-                break;
-            }
-            self.scheduled.remove(&(due_unix_ms, job, occurrence));
-            self.refresh_job(job);
-        }
-    }
-
     fn forget_old_jobs(&mut self) {
         const INTERVAL_MS: u64 = 5_000;
         if self.now_ms < self.forget_due_ms {
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -29,6 +29,8 @@
     pub(crate) failed_on: BTreeMap<u32, BTreeSet<WorkerName>>,
     /// No attempt to place it is made before this time.
     pub(crate) held_until_ms: u64,
+    /// Whether its turn has not come yet and only advice is asked for.
+    pub(crate) is_ahead: bool,
     pub(crate) opened_ms: u64,
     pub(crate) priority: u32,
     /// Estimated time from now to the end of the job, once the step starts.
