jobs: find runs that stand still or are slow by the progress that workers list

Cause: a worker that hangs or turns slow was found out only when two of its jobs were overdue by three times their declared duration and half a second: 2.4 s for a task of 0.6 s, after its objective. Lists of workers carry each run's progress in percent (seen in a trial with extra log lines: it rises from 0 to 100 with the work and stands still on a worker that hangs), which was decoded and not used. Ruled out: the fifth column (processors in use): it stays at its level while a run stands still.

Change: the planner keeps each run's pace by its worker's clock. A run that stands still for 400 ms or four percent of its time, or takes 2.5 times as long as its siblings, is stopped and starts elsewhere, if that ends sooner; its worker is taken out as before. Against the declared duration alone two jobs must be slow. Gangs keep the old rule. What is left of a run on a leaving worker comes from its pace as well. The simulation and the stand-in worker hang.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -63,7 +63,8 @@
 pub struct ListedRun {
     /// Latest checkpoint, or empty.
     pub checkpoint: SmolStr,
-    /// Share of full speed at which it works, in percent.
+    /// Share of its work that is done, in percent; for a task that does not end, the share of full
+    /// speed at which it works.
     pub percent: u32,
     /// The run.
     pub run: RunId,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,6 +27,7 @@
 mod plan_steps;
 mod plan_workers;
 mod planner;
+mod progress;
 mod run_view;
 mod settings;
 mod step_spec;
@@ -56,6 +57,7 @@
     note::Note,
     output::Output,
     planner::Planner,
+    progress::Progress,
     settings::PlannerSettings,
     step_spec::StepSpec,
     worker_entry::WorkerEntry,
--- a/crates/jobs/src/plan_evacuation.rs
+++ b/crates/jobs/src/plan_evacuation.rs
@@ -54,9 +54,10 @@
         let view = self.runs.get(&task)?;
         let job = self.book.jobs.get(&task.step.job)?;
         let spec = job.step(task.step.step).filter(|spec| !spec.long_running)?;
-        let entry = self.book.workers.get(&view.worker)?;
-        let slowness = self.kinds.get(entry.kind()).copied().unwrap_or(UNKNOWN_SLOWNESS);
-        let expected_ms = spec.estimated_ms * slowness / UNKNOWN_SLOWNESS;
+        if let Some(left_ms) = view.progress.left_ms() {
+            return Some(left_ms);
+        }
+        let expected_ms = spec.estimated_ms * self.slowness_of(&view.worker) / UNKNOWN_SLOWNESS;
         Some(expected_ms.saturating_sub(self.now_ms.saturating_sub(view.started_ms)))
     }
 }
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -236,6 +236,7 @@
                 self.stop_stray(worker, *run);
                 continue;
             };
+            view.progress.observe(report.clock_ms, present.percent);
             if !present.checkpoint.is_empty() {
                 view.checkpoint = present.checkpoint.clone();
             }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -179,8 +179,8 @@
             _ => end,
         };
         let is_final = end == RunEnd::Failed && self.fails_job(run);
+        self.judge(run, end, &view.worker, view.started_ms);
         self.learn(run, end, &view.worker, view.started_ms);
-        self.judge(run, end, &view.worker);
         if end != RunEnd::Done {
             self.note(
                 Note::new("run over")
@@ -289,12 +289,16 @@
     }
 
     /// Judges a worker by the end of a run.
-    fn judge(&mut self, run: RunId, end: RunEnd, worker: &WorkerName) {
+    fn judge(&mut self, run: RunId, end: RunEnd, worker: &WorkerName, started_ms: u64) {
         let now_ms = self.now_ms;
+        let ran_ms = now_ms.saturating_sub(started_ms);
+        let is_slow = self.is_slow(run.task, worker, ran_ms);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
         match end {
+            // A run that took far too long shows no sound worker.
+            RunEnd::Done if is_slow => {}
             RunEnd::Done => view.health.succeeded(),
             RunEnd::Failed => {
                 if view.health.failed(now_ms, run.task.step.job) {
@@ -334,6 +338,10 @@
             return;
         }
         let ran_ms = self.now_ms.saturating_sub(started_ms);
+        let present = self.slowness_of(worker);
+        if let Some(step) = self.steps.get_mut(&run.task.step) {
+            step.durations_ms.push(ran_ms * UNKNOWN_SLOWNESS / present);
+        }
         let slowness = (ran_ms * 1_000 / estimated_ms).min(20_000);
         let kind = SmolStr::new(entry.kind());
         let mean = self.kinds.entry(kind).or_insert(UNKNOWN_SLOWNESS);
--- a/crates/jobs/src/plan_stalls.rs
+++ b/crates/jobs/src/plan_stalls.rs
@@ -1,91 +1,204 @@
 //! Workers on which tasks stand still or take many times as long as elsewhere.
 //!
 //! Answers a worker that turns slow or hangs while it answers its renewals: its runs would hold up
-//! their jobs until it recovers, and its free room would attract more. Single overdue runs are left
-//! alone, since declared durations are rough.
+//! their jobs until it recovers, and its free room would attract more. What workers list of the
+//! progress of their runs shows it within a second. Declared durations are rough, so that a single
+//! run counts as slow only against other tasks of its step.
 
 use {
-    crate::{Note, Planner, TaskKey, plan_runs::UNKNOWN_SLOWNESS, worker_view::WorkerView},
+    crate::{
+        Note, Planner, StepId, StepSpec, TaskKey, plan_runs::UNKNOWN_SLOWNESS, run_view::RunView,
+        worker_view::WorkerView,
+    },
     fuchsiatack_model::WorkerName,
-    std::collections::BTreeSet,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Interval of the check in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 200;
-/// A run is overdue after this many times its expected duration.
+/// Shortest time for which a run that stands still shows no progress, in milliseconds.
+const STILL_MS: u64 = 400;
+/// A run stands still if it takes the expected time of this many percent for less than one.
+const STILL_PERCENT: u64 = 4;
+/// Time in which a run that resumes from a checkpoint shows no progress, in milliseconds.
+const RESTORE_MS: u64 = 900;
+/// A run is slow if it takes this many times as long as other tasks of its step, in thousandths.
+const SLOW_THOUSANDTHS: u64 = 2_500;
+/// The same against its declared duration, which may be wrong by half.
+const SLOW_AS_DECLARED_THOUSANDTHS: u64 = 3_000;
+/// Tasks of a step whose durations tell what is usual.
+const MIN_SIBLINGS: usize = 3;
+/// Jobs with runs on a worker that are slow as declared, from which the worker counts as slow.
+const SLOW_JOBS: usize = 2;
+/// Time that a stop and a new start take, in milliseconds.
+const MOVE_MS: u64 = 400;
+/// A run is moved if it would take this many times as long as elsewhere, in thousandths.
+const WORTH_MOVING_THOUSANDTHS: u64 = 1_500;
+/// A gang is overdue after this many times its expected duration.
 const OVERDUE_FACTOR: u64 = 3;
-/// Time beyond that which an overdue run has taken, in milliseconds.
+/// Time beyond that which an overdue gang has taken, in milliseconds.
 const OVERDUE_MS: u64 = 500;
-/// Jobs with overdue runs on a worker from which it counts as stalled.
-const STALLED_JOBS: usize = 2;
+
+/// What a run shows of its worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Sign {
+    /// It is slow as far as its declared duration tells.
+    SlowAsDeclared,
+    /// It is slow or stands still for certain.
+    Stalled,
+}
+
+/// Usual durations of the tasks of steps, as on a worker that is neither fast nor slow.
+type UsualDurations = BTreeMap<StepId, Option<u64>>;
 
 impl Planner {
-    /// Takes overdue runs off stalled workers.
+    /// Takes stalled runs off their workers.
     pub(crate) fn watch_stalls(&mut self) {
         if self.now_ms < self.stalls_due_ms {
             return;
         }
         self.stalls_due_ms = self.now_ms + CHECK_INTERVAL_MS;
+        let mut usual = UsualDurations::new();
         let stalled: Vec<_> = self
             .workers
             .iter()
-            .filter(|(_, view)| view.runs.len() >= stalled_jobs(view) && view.failures == 0)
+            .filter(|(_, view)| view.failures == 0 && view.verified)
             .filter_map(|(worker, view)| {
-                let overdue: Vec<_> = view
-                    .runs
-                    .iter()
-                    .copied()
-                    .filter(|task| self.is_overdue(*task))
-                    .collect();
-                let jobs: BTreeSet<_> = overdue.iter().map(|task| task.step.job).collect();
-                (jobs.len() >= stalled_jobs(view)).then(|| (worker.clone(), overdue))
+                let runs = self.stalled_runs(view, &mut usual);
+                (!runs.is_empty()).then(|| (worker.clone(), runs))
             })
             .collect();
-        for (worker, overdue) in stalled {
-            self.leave_stalled(&worker, overdue);
+        for (worker, runs) in stalled {
+            self.leave_stalled(&worker, runs);
         }
     }
 
-    fn leave_stalled(&mut self, worker: &WorkerName, overdue: Vec<TaskKey>) {
+    /// Runs that are to leave a worker.
+    fn stalled_runs(&self, view: &WorkerView, usual: &mut UsualDurations) -> Vec<TaskKey> {
+        let signs = view.runs.iter().filter_map(|task| {
+            let sign = self.sign(*task, usual)?;
+            Some((*task, sign))
+        });
+        let signs: Vec<_> = signs.collect();
+        let jobs: BTreeSet<_> = signs.iter().map(|(task, _)| task.step.job).collect();
+        let needed = if view.health.is_on_trial() { 1 } else { SLOW_JOBS };
+        let is_proven = jobs.len() >= needed;
+        signs
+            .into_iter()
+            .filter(|(_, sign)| is_proven || *sign == Sign::Stalled)
+            .map(|(task, _)| task)
+            .collect()
+    }
+
+    fn sign(&self, task: TaskKey, usual: &mut UsualDurations) -> Option<Sign> {
+        let view = self.runs.get(&task)?;
+        let spec = self.book.jobs.get(&task.step.job)?.step(task.step.step)?;
+        let slowness = self.slowness_of(&view.worker);
+        let is_measured = spec.estimated_ms > 0 && !spec.long_running && !spec.fills_idle;
+        if !is_measured || !self.is_confirmed(task) || !self.is_near(spec, &view.worker) {
+            return None;
+        }
+        if spec.gang {
+            let limit_ms = spec.estimated_ms * slowness.max(UNKNOWN_SLOWNESS) / UNKNOWN_SLOWNESS
+                * OVERDUE_FACTOR
+                + OVERDUE_MS;
+            let is_overdue = self.now_ms.saturating_sub(view.started_ms) > limit_ms;
+            return is_overdue.then_some(Sign::SlowAsDeclared);
+        }
+        let siblings_ms = *usual
+            .entry(task.step)
+            .or_insert_with(|| self.usual_duration_ms(task.step));
+        let expected_ms = siblings_ms.unwrap_or(spec.estimated_ms) * slowness / UNKNOWN_SLOWNESS;
+        if stands_still(view, spec, expected_ms) {
+            return Some(Sign::Stalled);
+        }
+        let whole_ms = view.progress.whole_ms()?;
+        let (limit, sign) = match siblings_ms {
+            Some(_) => (SLOW_THOUSANDTHS, Sign::Stalled),
+            None => (SLOW_AS_DECLARED_THOUSANDTHS, Sign::SlowAsDeclared),
+        };
+        let is_slow = whole_ms * 1_000 > expected_ms * limit;
+        (is_slow && is_worth_moving(view, spec, expected_ms)).then_some(sign)
+    }
+
+    /// Median duration of the tasks of a step that are done or whose pace is known.
+    fn usual_duration_ms(&self, step: StepId) -> Option<u64> {
+        let done_ms = self.steps.get(&step).map(|view| view.durations_ms.as_slice());
+        let first = TaskKey { index: 0, step };
+        let last = TaskKey {
+            index: u32::MAX,
+            step,
+        };
+        let running_ms = self.runs.range(first..=last).filter_map(|(_, view)| {
+            let whole_ms = view.progress.whole_ms()?;
+            Some(whole_ms * UNKNOWN_SLOWNESS / self.slowness_of(&view.worker))
+        });
+        let mut all_ms: Vec<_> = done_ms
+            .unwrap_or_default()
+            .iter()
+            .copied()
+            .chain(running_ms)
+            .collect();
+        all_ms.sort_unstable();
+        (all_ms.len() >= MIN_SIBLINGS).then(|| all_ms[all_ms.len() / 2])
+    }
+
+    /// Returns whether a run that took this long was slow.
+    pub(crate) fn is_slow(&self, task: TaskKey, worker: &WorkerName, ran_ms: u64) -> bool {
+        let job = self.book.jobs.get(&task.step.job);
+        let Some(spec) = job.and_then(|job| job.step(task.step.step)) else {
+            return false;
+        };
+        let usual_ms = self.usual_duration_ms(task.step).unwrap_or(spec.estimated_ms);
+        let expected_ms = usual_ms * self.slowness_of(worker) / UNKNOWN_SLOWNESS;
+        ran_ms * 1_000 > expected_ms * SLOW_AS_DECLARED_THOUSANDTHS + OVERDUE_MS * 1_000
+    }
+
+    /// Mean of actual over expected duration on workers of a worker's kind, in thousandths.
+    pub(crate) fn slowness_of(&self, worker: &WorkerName) -> u64 {
+        let kind = self.book.workers.get(worker).map(|entry| entry.kind());
+        let slowness = kind.and_then(|kind| self.kinds.get(kind)).copied();
+        slowness.unwrap_or(UNKNOWN_SLOWNESS).max(1)
+    }
+
+    fn is_near(&self, spec: &StepSpec, worker: &WorkerName) -> bool {
+        let labels = self.book.workers.get(worker).map(|entry| entry.labels.as_slice());
+        let has = |label| labels.is_some_and(|labels| labels.contains(label));
+        spec.data_rack.as_ref().is_none_or(has)
+    }
+
+    fn leave_stalled(&mut self, worker: &WorkerName, runs: Vec<TaskKey>) {
         let now_ms = self.now_ms;
         if let Some(view) = self.workers.get_mut(worker) {
             view.health.eject(now_ms);
         }
+        let percents = runs.iter().filter_map(|task| self.runs.get(task));
+        let percents: Vec<_> = percents.map(|view| view.progress.percent().to_string()).collect();
         self.note(
             Note::new("worker stalled")
                 .with("worker", worker)
-                .with("overdue_runs", overdue.len()),
+                .with("runs", runs.len())
+                .with("percents", percents.join(",")),
         );
-        for task in overdue {
+        for task in runs {
             self.stop_run(task);
         }
     }
+}
 
-    fn is_overdue(&self, task: TaskKey) -> bool {
-        let Some(view) = self.runs.get(&task) else {
-            return false;
-        };
-        let job = self.book.jobs.get(&task.step.job);
-        let Some(spec) = job.and_then(|job| job.step(task.step.step)) else {
-            return false;
-        };
-        let kind = self.book.workers.get(&view.worker).map(|entry| entry.kind());
-        let slowness = kind
-            .and_then(|kind| self.kinds.get(kind))
-            .copied()
-            .unwrap_or(UNKNOWN_SLOWNESS);
-        let expected_ms = spec.estimated_ms * slowness.max(UNKNOWN_SLOWNESS) / UNKNOWN_SLOWNESS;
-        let limit_ms = expected_ms * OVERDUE_FACTOR + OVERDUE_MS;
-        let is_timed = spec.estimated_ms > 0 && !spec.long_running && !spec.fills_idle;
-        is_timed && self.now_ms.saturating_sub(view.started_ms) > limit_ms
-    }
+fn stands_still(view: &RunView, spec: &StepSpec, expected_ms: u64) -> bool {
+    let resumes = spec.checkpoints && view.run.number > 1;
+    let limit_ms = STILL_MS.max(expected_ms * STILL_PERCENT / 100) + if resumes { RESTORE_MS } else { 0 };
+    view.progress.still_ms() >= limit_ms && view.progress.percent() < 100
 }
 
-/// Jobs with overdue runs from which a worker counts as stalled. One is enough for a worker that has
-/// done nothing since it was taken out.
-fn stalled_jobs(view: &WorkerView) -> usize {
-    match view.health.is_on_trial() {
-        true => 1,
-        false => STALLED_JOBS,
-    }
+/// Returns whether a run is over sooner if it is stopped and starts on another worker.
+fn is_worth_moving(view: &RunView, spec: &StepSpec, expected_ms: u64) -> bool {
+    let left_percent = u64::from(100 - view.progress.percent().min(100));
+    let elsewhere_ms = match spec.checkpoints {
+        true => expected_ms * left_percent / 100 + RESTORE_MS,
+        false => expected_ms,
+    };
+    let left_ms = view.progress.left_ms().unwrap_or(u64::MAX);
+    left_ms > (elsewhere_ms + MOVE_MS) * WORTH_MOVING_THOUSANDTHS / 1_000
 }
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -87,6 +87,7 @@
         StepView {
             advice: StepAdvice::default(),
             due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
+            durations_ms: Vec::new(),
             failed_on: Default::default(),
             held_until_ms: 0,
             is_ahead: false,
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         CallId, CellAnswer, Effect, JobBook, JobCommand, JobEvent, JobId, Note, Output, PlannerSettings,
-        Queue, StepId, TaskKey,
+        Progress, Queue, StepId, TaskKey,
         advisers::Advisers,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         effect::Callee,
@@ -215,6 +215,7 @@
         let view = RunView {
             checkpoint: SmolStr::default(),
             demand: spec.demand,
+            progress: Progress::default(),
             reserved: spec.reserved(),
             run,
             started_ms: self.now_ms,
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -1,7 +1,7 @@
 //! A run as the leader sees it.
 
 use {
-    crate::RunId,
+    crate::{Progress, RunId},
     fuchsiatack_model::{Resources, TeamName, WorkerName},
     smol_str::SmolStr,
 };
@@ -37,6 +37,7 @@
     pub(crate) reserved: Resources,
     /// What it counts against its team's limit.
     pub(crate) demand: Resources,
+    pub(crate) progress: Progress,
     pub(crate) run: RunId,
     pub(crate) started_ms: u64,
     pub(crate) state: RunState,
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -25,6 +25,8 @@
     pub(crate) advice: StepAdvice,
     /// Latency objective of its job, by the planner's clock in milliseconds.
     pub(crate) due_ms: u64,
+    /// Durations of tasks that are done, as on a worker of a kind that is neither fast nor slow.
+    pub(crate) durations_ms: Vec<u64>,
     /// Workers on which a task has failed, by its number.
     pub(crate) failed_on: BTreeMap<u32, BTreeSet<WorkerName>>,
     /// No attempt to place it is made before this time.
--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -34,6 +34,7 @@
     pub crashes: bool,
     pub cuts: bool,
     pub failures: bool,
+    pub hangs: bool,
     pub leader_changes: bool,
     pub lost_orders: bool,
 }
@@ -44,6 +45,7 @@
             crashes: true,
             cuts: true,
             failures: true,
+            hangs: true,
             leader_changes: true,
             lost_orders: true,
         }
@@ -222,6 +224,12 @@
                 worker.cut_until_ms = until_ms;
             }
         }
+        if self.faults.hangs && self.draw(500) == 0 {
+            let until_ms = self.now_ms + 500 + self.draw(5_000);
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.hang(until_ms);
+            }
+        }
         if self.faults.leader_changes && self.draw(700) == 0 {
             self.change_leader();
         }
@@ -538,6 +546,7 @@
             fails,
             number: run.number,
             reserved: step.demand,
+            since_ms: now_ms,
         };
         let worker = self.workers.get_mut(name).expect("workers stay");
         let before = worker.running.len();
--- /dev/null
+++ b/crates/jobs/tests/stalls.rs
@@ -0,0 +1,103 @@
+//! Workers on which runs stand still or are slow.
+
+mod common;
+
+use {
+    common::{Leader, Sent, queue, step},
+    fuchsiatack_jobs::{HoldKind, JobId, Progress, RunId},
+    fuchsiatack_model::WorkerName,
+};
+
+fn stops(leader: &mut Leader) -> Vec<RunId> {
+    let calls = leader.take().into_iter();
+    calls
+        .filter_map(|call| match call {
+            Sent::Stop { run, .. } => Some(run),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Starts a job of one step with a task on each worker, and returns its runs.
+fn start(leader: &mut Leader, tasks: u32, estimated_ms: u64) -> Vec<(RunId, WorkerName)> {
+    leader.submit(JobId(1), vec![step(tasks, estimated_ms)]);
+    let started = leader.take_started();
+    for (run, worker) in &started {
+        leader.started(worker, *run, Ok(leader.now_ms));
+    }
+    started
+}
+
+/// Each worker lists its runs with one percentage.
+fn list(leader: &mut Leader, started: &[(RunId, WorkerName)], percent_of: impl Fn(&WorkerName) -> u32) {
+    let workers: std::collections::BTreeSet<_> = started.iter().map(|(_, worker)| worker).collect();
+    for worker in workers {
+        let on_worker = started.iter().filter(|(_, on)| on == worker);
+        let listed: Vec<_> = on_worker.map(|(run, _)| (*run, percent_of(worker))).collect();
+        leader.held(worker.as_str(), HoldKind::Renewal, &listed, &[]);
+    }
+}
+
+/// Guards against a worker that answers its renewals while its runs stand still: they held up their
+/// jobs for three times their declared duration.
+#[test]
+fn run_that_stands_still_leaves_its_worker_within_a_second() {
+    let mut leader = Leader::new(queue(), &["a", "b"]);
+    let started = start(&mut leader, 1, 600);
+    for _ in 0..3 {
+        leader.pass(250);
+        list(&mut leader, &started, |_| 30);
+    }
+    leader.pass(250);
+
+    assert_eq!(stops(&mut leader), [started[0].0]);
+}
+
+/// Guards against a slow worker that is found out only when its runs are overdue.
+#[test]
+fn run_that_is_slower_than_its_siblings_leaves_its_worker() {
+    let mut leader = Leader::new(queue(), &["a", "b", "c", "d", "e"]);
+    let started = start(&mut leader, 5, 2_000);
+    let slow = started[0].1.clone();
+    assert!(started[1..].iter().all(|(_, worker)| *worker != slow));
+    for turn in 1..=4 {
+        leader.pass(200);
+        list(&mut leader, &started, |worker| {
+            if *worker == slow { 2 * turn } else { 10 * turn }
+        });
+    }
+    leader.pass(200);
+
+    assert_eq!(stops(&mut leader), [started[0].0]);
+}
+
+/// Guards against moves of tasks whose declared duration is far too short.
+#[test]
+fn job_that_takes_longer_than_declared_is_left_alone() {
+    let mut leader = Leader::new(queue(), &["a", "b", "c"]);
+    let started = start(&mut leader, 3, 400);
+    for turn in 1..=12 {
+        leader.pass(250);
+        list(&mut leader, &started, |_| 5 * turn);
+    }
+
+    assert_eq!(stops(&mut leader), []);
+}
+
+#[test]
+fn progress_tells_the_pace_of_the_last_second() {
+    let mut progress = Progress::default();
+    for turn in 0..10 {
+        progress.observe(turn * 100, 5 * turn as u32);
+    }
+    assert_eq!(progress.whole_ms(), Some(2_000));
+    assert_eq!(progress.left_ms(), Some(1_100));
+
+    for turn in 10..30 {
+        progress.observe(turn * 100, 45);
+    }
+    progress.observe(500, 25);
+
+    assert_eq!(progress.still_ms(), 2_000);
+    assert_eq!(progress.whole_ms(), None, "it stands still");
+}
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -192,6 +192,7 @@
             fails: state.fails,
             number: run.number,
             reserved: step.demand,
+            since_ms: now_ms,
         };
         let before = state.worker.running.len();
         let (fence, deadline_ms) = (number(body, "fencingToken"), number(body, "deadlineMs"));
--- a/crates/testkit/src/job_worker.rs
+++ b/crates/testkit/src/job_worker.rs
@@ -21,6 +21,16 @@
     pub number: u32,
     /// What it occupies.
     pub reserved: Resources,
+    /// When it started, in milliseconds of the test's clock.
+    pub since_ms: u64,
+}
+
+impl JobWork {
+    /// Share of its work that is done, in percent.
+    fn percent(&self, now_ms: u64) -> u32 {
+        let whole_ms = (self.done_ms - self.since_ms).max(1);
+        (now_ms.saturating_sub(self.since_ms) * 100 / whole_ms).min(100) as u32
+    }
 }
 
 /// State of one worker. Times are in milliseconds of the test's clock unless they are its own.
@@ -35,9 +45,13 @@
     ended: Vec<EndedRun>,
     fence: u64,
     highest: BTreeMap<TaskKey, u32>,
+    /// Its runs stand still until then, while it answers.
+    hung_until_ms: u64,
     lease_ms: u64,
     /// Done runs whose ends were seen by the leader.
     pub noted: Vec<RunId>,
+    /// When time passed last.
+    passed_ms: u64,
     /// Runs at work.
     pub running: BTreeMap<TaskKey, JobWork>,
     sequence: u64,
@@ -56,8 +70,10 @@
             ended: Vec::new(),
             fence: 0,
             highest: BTreeMap::new(),
+            hung_until_ms: 0,
             lease_ms: 0,
             noted: Vec::new(),
+            passed_ms: now_ms,
             running: BTreeMap::new(),
             sequence: 0,
             started_ms: now_ms,
@@ -83,6 +99,12 @@
 
     /// Lets time pass: runs end, and a lapsed lease kills what is left. Returns tasks done now.
     pub fn pass(&mut self, now_ms: u64) -> Vec<RunId> {
+        let hung_ms = now_ms.min(self.hung_until_ms).saturating_sub(self.passed_ms);
+        self.passed_ms = now_ms;
+        for work in self.running.values_mut() {
+            work.since_ms += hung_ms;
+            work.done_ms += hung_ms;
+        }
         let clock_ms = self.clock_ms(now_ms);
         let over: Vec<_> = self
             .running
@@ -115,6 +137,11 @@
         done
     }
 
+    /// Has its runs stand still for a time.
+    pub fn hang(&mut self, until_ms: u64) {
+        self.hung_until_ms = until_ms;
+    }
+
     /// Takes an order to start a run. Returns its clock.
     pub fn start(
         &mut self,
@@ -188,7 +215,7 @@
         self.ended.retain(|ended| ended.sequence > last_seen);
         let running = self.running.iter().map(|(task, work)| ListedRun {
             checkpoint: SmolStr::default(),
-            percent: 100,
+            percent: work.percent(now_ms),
             run: RunId {
                 number: work.number,
                 task: *task,
