jobs: fewer looks at workers, and a shorter election

After a loss of power an election took 0.55 to 0.95 s of the 2.2 s without service. Ruled out: the start of the processes (0.05 s), the planner's restart (0.02 s).

Change: 120 ms between renewals with ends; renewals wait 500 ms where brief tasks run and 1,500 ms elsewhere. Election timeouts 350 to 650 ms instead of 500 to 1,000; the leader's lease and the time after a start in which no vote is granted are as long as the shortest one, so that they stay safe.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -37,10 +37,11 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Longest election timeout in milliseconds.
-const ELECTION_MAXIMUM_MS: u64 = 1_000;
-/// Shortest election timeout in milliseconds. The leader's lease is as long.
-const ELECTION_MINIMUM_MS: u64 = 500;
-/// Interval of the leader's heartbeats in milliseconds; four fit into its lease.
+const ELECTION_MAXIMUM_MS: u64 = 650;
+/// Shortest election timeout in milliseconds. The leader's lease is as long, and a member that
+/// starts grants no vote for as long.
+const ELECTION_MINIMUM_MS: u64 = 350;
+/// Interval of the leader's heartbeats in milliseconds; three fit into its lease.
 const HEARTBEAT_MS: u64 = 100;
 /// Bytes of applied commands after which a snapshot is taken. It bounds the log in memory.
 const SNAPSHOT_BYTES: u64 = 2 << 20;
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -76,7 +76,10 @@
             return;
         };
         let (now_ms, lease_ms) = (self.now_ms, self.settings.lease_ms);
-        let wait_ms = self.settings.hold_wait_ms;
+        let wait_ms = match self.has_brief_runs(worker) {
+            true => self.settings.brief_hold_wait_ms,
+            false => self.settings.hold_wait_ms,
+        };
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
@@ -101,6 +104,12 @@
         });
     }
 
+    fn has_brief_runs(&self, worker: &WorkerName) -> bool {
+        let runs = self.workers.get(worker).map(|view| &view.runs);
+        let mut runs = runs.into_iter().flatten().filter_map(|task| self.runs.get(task));
+        runs.any(|view| view.is_brief)
+    }
+
     /// Takes the answer to a renewal.
     pub(crate) fn held(
         &mut self,
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -27,6 +27,9 @@
 /// which a leader that was just replaced may still have sent a renewal.
 const INHERITED_MARGIN_MS: u64 = 700;
 
+/// Declared duration below which a task is brief, in milliseconds.
+const BRIEF_MS: u64 = 2_000;
+
 /// The leader's planner.
 pub struct Planner {
     pub(crate) advisers: Advisers,
@@ -215,6 +218,7 @@
         let view = RunView {
             checkpoint: SmolStr::default(),
             demand: spec.demand,
+            is_brief: spec.estimated_ms < BRIEF_MS && !spec.long_running,
             progress: Progress::default(),
             reserved: spec.reserved(),
             run,
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -37,6 +37,8 @@
     pub(crate) reserved: Resources,
     /// What it counts against its team's limit.
     pub(crate) demand: Resources,
+    /// Whether it is expected to be over within seconds.
+    pub(crate) is_brief: bool,
     pub(crate) progress: Progress,
     pub(crate) run: RunId,
     pub(crate) started_ms: u64,
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -9,8 +9,11 @@
     pub lease_ms: u64,
     /// Longest lease that a worker grants, in milliseconds. It shortens longer ones.
     pub max_lease_ms: u64,
-    /// Longest time that a renewal waits at the worker for an end, in milliseconds.
+    /// Longest time that a renewal waits at the worker for an end, in milliseconds, while tasks that
+    /// take long run there. What stands still there is found out a renewal later.
     pub hold_wait_ms: u64,
+    /// The same while brief tasks run there.
+    pub brief_hold_wait_ms: u64,
     /// Pause after a renewal that brought ends, so that the next one brings several.
     pub hold_pause_ms: u64,
     /// Time after the end of a job for which its state is kept, in milliseconds.
@@ -26,8 +29,9 @@
         Self {
             lease_ms: 4_000,
             max_lease_ms: 10_000,
-            hold_wait_ms: 500,
-            hold_pause_ms: 60,
+            hold_wait_ms: 1_500,
+            brief_hold_wait_ms: 500,
+            hold_pause_ms: 120,
             retention_ms: 150_000,
             urgent_reserve_percent: 10,
             retry_after_ms: 1_000,
