cell: core members call workers on behalf of the leader; judge runs by what is known of their worker's kind

Natively, calls to workers (kernel, HTTP client, allocations) take about nine tenths of the leader's time, the planner 7%; eight other members are idle. Ruled out: the planner, the log's syncs (6%). Change: with more than 100 workers each core member calls its part of them, chosen by the highest rank of a hash, so that connections outlive a change of leader. The order, its fencing token and its lease stay the leader's. A member that fails is passed over for 3 s, a worker that is silent through a member is called directly for 5 s. Orders become a type of their own that travels between daemons. Tests: routes.rs.

Change: the first tasks count most, no run is judged by its pace before ten tasks of its kind are done, slow means three times the siblings' or four times the declared duration, and standing still ten percent of the time.

--- a/crates/cell/src/adviser.rs
+++ b/crates/cell/src/adviser.rs
@@ -1,7 +1,7 @@
 //! Questions to the advice service, on behalf of the leader.
 
 use {
-    crate::{CellError, Dialect, executor::http_client, metrics::Metrics},
+    crate::{CellError, Dialect, metrics::Metrics, worker_caller::http_client},
     fuchsiatack_jobs::{AdviceReply, AdviceRequest, CellAnswer},
     reqwest::{Client, header},
     smol_str::SmolStr,
--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -5,11 +5,13 @@
         CellError, CoreSettings, Dialect, HttpAnswer, HttpQuestion,
         adviser::Adviser,
         cell_port::CellPort,
-        executor::{Executor, http_client},
+        executor::Executor,
         http_server::{Answering, HttpServer},
         log,
         metrics::Metrics,
         peers::{PeerHandler, Peers},
+        routes::Routes,
+        worker_caller::WorkerCaller,
     },
     fuchsiatack_consensus::Role,
     fuchsiatack_jobs::{CellAnswer, Note},
@@ -18,7 +20,7 @@
     http::{Method, StatusCode},
     smol_str::ToSmolStr,
     std::{
-        sync::Arc,
+        sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
     tokio::{
@@ -71,16 +73,17 @@
             dialect.clone(),
             metrics.clone(),
         )?);
+        let caller = Arc::new(WorkerCaller::new(dialect.clone(), metrics.clone())?);
         let executor = Executor {
             adviser: adviser.clone(),
-            client: http_client()?,
-            dialect: dialect.clone(),
-            metrics: metrics.clone(),
+            caller: caller.clone(),
             peers: Peers::new(&settings.cell),
+            routes: Mutex::new(Routes::new(settings.cell.peer)),
             store: store.clone(),
         };
         let handler = Arc::new(PeerHandler {
             adviser,
+            caller: Some(caller),
             store: Some(store.clone()),
         });
         let mut background = JoinSet::new();
--- a/crates/cell/src/dialect.rs
+++ b/crates/cell/src/dialect.rs
@@ -4,8 +4,8 @@
     bytes::Bytes,
     fuchsiatack_derives::value,
     fuchsiatack_jobs::{
-        AdviceReply, AdviceRequest, CellAnswer, CellCall, Effect, HoldReport, JobAnswer, JobCall,
-        OrderResult, WorkerCallError,
+        AdviceReply, AdviceRequest, CellAnswer, CellCall, HoldReport, JobAnswer, JobCall, OrderResult,
+        WorkerCallError, WorkerOrder,
     },
     http::{HeaderMap, HeaderName, Method, StatusCode},
     std::time::Duration,
@@ -102,8 +102,8 @@
     /// Encodes an answer to a worker or an operator.
     fn control_answer(&self, answer: &CellAnswer) -> HttpAnswer;
 
-    /// Encodes an order to a worker; `None` for effects that are no orders.
-    fn worker_request(&self, effect: &Effect) -> Option<WorkerRequest>;
+    /// Encodes an order to a worker; `None` if its name cannot stand in a header.
+    fn worker_request(&self, order: &WorkerOrder) -> Option<WorkerRequest>;
 
     /// Decodes the answer to a renewal.
     fn hold_report(&self, status: StatusCode, body: &[u8]) -> Result<HoldReport, WorkerCallError>;
--- a/crates/cell/src/entry_role.rs
+++ b/crates/cell/src/entry_role.rs
@@ -70,6 +70,7 @@
         let adviser = Adviser::new(settings.cell.advice, dialect.clone(), metrics.clone())?;
         let handler = Arc::new(PeerHandler {
             adviser: Arc::new(adviser),
+            caller: None,
             store: None,
         });
         let shared = Arc::new(Shared {
--- a/crates/cell/src/executor.rs
+++ b/crates/cell/src/executor.rs
@@ -1,50 +1,32 @@
 //! Carries out the effects of the planner.
 
 use {
-    crate::{CellError, Dialect, adviser::Adviser, metrics::Metrics, peers::Peers},
-    fuchsiatack_jobs::{AdviceRequest, Callee, Effect, JobEvent, WorkerCallError},
-    fuchsiatack_store::Store,
-    reqwest::{Client, StatusCode, header, redirect::Policy},
+    crate::{
+        adviser::Adviser,
+        log,
+        peers::{Carried, Peers},
+        routes::Routes,
+        worker_caller::WorkerCaller,
+    },
+    fuchsiatack_jobs::{AdviceRequest, Effect, JobEvent, Note, WorkerCallError, WorkerOrder, WorkerReply},
+    fuchsiatack_store::{Store, steady_ms},
     std::{
         net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
     },
-    tokio::sync::mpsc::UnboundedReceiver,
+    tokio::{sync::mpsc::UnboundedReceiver, time::sleep},
 };
 
-/// Longest time to open a connection.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Longest wait for the answer to an order. A check of the worker's lists settles what became of it.
-const ORDER_LIMIT: Duration = Duration::from_millis(350);
-/// Longest wait for the answer to a renewal, beyond the time that the worker itself waits.
-const HOLD_LIMIT: Duration = Duration::from_millis(400);
-/// Time after which an unused connection is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(30);
-/// Unacknowledged bytes close a connection after this, so that a silent one is not used again.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-
-/// Creates a client that keeps its connections.
-pub(crate) fn http_client() -> Result<Client, CellError> {
-    Client::builder()
-        .connect_timeout(CONNECT_LIMIT)
-        .no_proxy()
-        .pool_idle_timeout(IDLE_LIMIT)
-        // A redirect would run a task on a worker that nothing is counted on.
-        .redirect(Policy::none())
-        .tcp_nodelay(true)
-        .tcp_user_timeout(SILENCE_LIMIT)
-        .build()
-        .map_err(|error| CellError::Client(error.to_string()))
-}
+/// Period in which the list of core members is taken over.
+const MEMBERS_PERIOD: Duration = Duration::from_secs(1);
 
 /// Speaks to workers and to the advice service.
 pub(crate) struct Executor {
     pub(crate) adviser: Arc<Adviser>,
-    pub(crate) client: Client,
-    pub(crate) dialect: Arc<dyn Dialect>,
-    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) caller: Arc<WorkerCaller>,
     pub(crate) peers: Peers,
+    pub(crate) routes: Mutex<Routes>,
     pub(crate) store: Store,
 }
 
@@ -52,6 +34,8 @@
     /// Carries out effects until there are no more.
     pub(crate) async fn run(self, mut effects: UnboundedReceiver<Effect>) {
         let executor = Arc::new(self);
+        let followed = executor.clone();
+        let members = tokio::spawn(async move { followed.follow_members().await });
         while let Some(effect) = effects.recv().await {
             let executor = executor.clone();
             tokio::spawn(async move {
@@ -60,6 +44,20 @@
                 }
             });
         }
+        members.abort();
+    }
+
+    async fn follow_members(&self) {
+        loop {
+            let members = self.store.status().members;
+            let addresses = members.into_iter().map(|member| member.address);
+            self.routes().set_members(addresses);
+            sleep(MEMBERS_PERIOD).await;
+        }
+    }
+
+    fn routes(&self) -> MutexGuard<'_, Routes> {
+        self.routes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn carry_out(&self, effect: Effect) -> Option<JobEvent> {
@@ -67,38 +65,10 @@
             Effect::Advise { by, request } => Some(self.advise(by, request).await),
             // The store answers calls by itself.
             Effect::Answer { .. } => None,
-            Effect::Hold {
-                kind,
-                ref to,
-                wait_ms,
-                ..
-            } => {
-                let sent_ms = fuchsiatack_store::steady_ms();
-                let limit = HOLD_LIMIT + Duration::from_millis(wait_ms);
-                let answer = self.order("hold", to, &effect, limit).await;
-                let result = answer.and_then(|(status, body)| self.dialect.hold_report(status, &body));
-                Some(JobEvent::Held {
-                    kind,
-                    result,
-                    sent_ms,
-                    worker: to.worker.clone(),
-                })
-            }
-            Effect::Start { ref to, run, .. } => {
-                let answer = self.order("start", to, &effect, ORDER_LIMIT).await;
-                Some(JobEvent::Started {
-                    result: answer.and_then(|(status, body)| self.dialect.order_result(status, &body)),
-                    run,
-                    worker: to.worker.clone(),
-                })
-            }
-            Effect::Stop { ref to, run } => {
-                let answer = self.order("stop", to, &effect, ORDER_LIMIT).await;
-                Some(JobEvent::Stopped {
-                    result: answer.and_then(|(status, body)| self.dialect.order_result(status, &body)),
-                    run,
-                    worker: to.worker.clone(),
-                })
+            Effect::Order(order) => {
+                let sent_ms = steady_ms();
+                let reply = self.order(&order, sent_ms).await;
+                Some(order.event(sent_ms, reply))
             }
         }
     }
@@ -112,43 +82,47 @@
         JobEvent::Advised { by, reply, step }
     }
 
-    async fn order(
-        &self,
-        call: &'static str,
-        to: &Callee,
-        effect: &Effect,
-        limit: Duration,
-    ) -> Result<(StatusCode, Vec<u8>), WorkerCallError> {
-        let request = self
-            .dialect
-            .worker_request(effect)
-            .ok_or(WorkerCallError::Unreachable)?;
-        let begin = Instant::now();
-        let sent = self
-            .client
-            .post(format!("http://{}{}", to.address, request.path))
-            .timeout(limit)
-            .header(header::CONTENT_TYPE, "application/json")
-            .headers(request.headers)
-            .body(request.body)
-            .send()
-            .await;
-        let answer = match sent {
-            Ok(response) => {
-                let status = response.status();
-                let body = response.bytes().await;
-                body.map(|body| (status, body.to_vec()))
-                    .map_err(|_| WorkerCallError::Unanswered)
-            }
-            Err(error) if error.is_connect() => Err(WorkerCallError::Unreachable),
-            Err(_) => Err(WorkerCallError::Unanswered),
+    /// Calls a worker, itself or through another core member.
+    async fn order(&self, order: &WorkerOrder, now_ms: u64) -> WorkerReply {
+        let member = self.routes().choose(now_ms, &order.to().worker);
+        let Some(member) = member else {
+            return self.caller.call(order).await;
         };
-        let outcome = match &answer {
-            Ok((status, _)) if status.is_success() => "ok",
-            Ok(_) => "rejected",
-            Err(error) => error.as_str(),
-        };
-        self.metrics.called(call, outcome, begin.elapsed());
-        answer
+        match self.peers.carry(member, order.clone()).await {
+            Carried::Replied(reply) => {
+                if is_silent(&reply) {
+                    self.routes().worker_failed(steady_ms(), &order.to().worker);
+                }
+                reply
+            }
+            Carried::NotSent => {
+                self.pause(member, "not reached");
+                self.caller.call(order).await
+            }
+            Carried::Unknown => {
+                self.pause(member, "no answer");
+                order.failed(WorkerCallError::Unanswered)
+            }
+        }
     }
+
+    fn pause(&self, member: SocketAddr, reason: &str) {
+        if self.routes().member_failed(steady_ms(), member) {
+            log(Note::new("calls no longer go through a core member")
+                .with("member", member)
+                .with("reason", reason));
+        }
+    }
+}
+
+/// Returns whether the worker did not answer the member that called it.
+fn is_silent(reply: &WorkerReply) -> bool {
+    let error = match reply {
+        WorkerReply::Lists(result) => result.as_ref().err(),
+        WorkerReply::Outcome(result) => result.as_ref().err(),
+    };
+    matches!(
+        error,
+        Some(WorkerCallError::Unanswered | WorkerCallError::Unreachable)
+    )
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -15,7 +15,9 @@
 mod logs;
 mod metrics;
 mod peers;
+mod routes;
 mod settings;
+mod worker_caller;
 
 pub use self::{
     core_role::CoreRole,
@@ -24,5 +26,6 @@
     error::CellError,
     log_budget::{LogBudget, Verdict},
     logs::{log, set_up_logs},
+    routes::Routes,
     settings::{CellSettings, CoreSettings, EntrySettings},
 };
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -1,13 +1,18 @@
-//! Questions to other daemons.
+//! Calls between daemons on behalf of the leader.
 
 use {
-    crate::{CellSettings, adviser::Adviser},
+    crate::{
+        CellSettings,
+        adviser::Adviser,
+        worker_caller::{WorkerCaller, order_limit},
+    },
     fuchsiatack_consensus::Envelope,
-    fuchsiatack_jobs::{AdviceReply, AdviceRequest, CellAnswer, CellCall},
+    fuchsiatack_jobs::{AdviceReply, AdviceRequest, CellAnswer, CellCall, WorkerOrder, WorkerReply},
     fuchsiatack_store::Store,
     fuchsiatack_wire::{
         Caller, CellSecret, Handler, NotLeader, PeerClient, PeerClientSettings, Request, Response,
     },
+    smol_str::SmolStr,
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -19,6 +24,19 @@
 /// Longest wait for another daemon's answer; longer than its own wait for the advice service.
 const ADVICE_LIMIT: Duration = Duration::from_millis(5_500);
 
+/// Wait for a member beyond the time that its call to the worker takes.
+const CARRY_MARGIN: Duration = Duration::from_millis(100);
+
+/// What became of an order that another member was to carry out.
+pub(crate) enum Carried {
+    /// It had no effect.
+    NotSent,
+    /// The member has called the worker.
+    Replied(WorkerReply),
+    /// The member did not answer; the worker may have got the order.
+    Unknown,
+}
+
 /// Connections to other daemons.
 pub(crate) struct Peers {
     clients: Mutex<HashMap<SocketAddr, Arc<PeerClient>>>,
@@ -48,6 +66,21 @@
         }
     }
 
+    /// Has another core member call a worker.
+    pub(crate) async fn carry(&self, address: SocketAddr, order: WorkerOrder) -> Carried {
+        let limit = order_limit(&order) + CARRY_MARGIN;
+        let call = Request::Cell(Box::new(CellCall::Work(Box::new(order))));
+        match self.client(address).call(call, limit).await {
+            Ok(Response::Cell(answer)) => match *answer {
+                CellAnswer::Work(reply) => Carried::Replied(*reply),
+                _ => Carried::NotSent,
+            },
+            Ok(_) => Carried::NotSent,
+            Err(error) if error.had_no_effect() => Carried::NotSent,
+            Err(_) => Carried::Unknown,
+        }
+    }
+
     fn client(&self, address: SocketAddr) -> Arc<PeerClient> {
         self.clients
             .lock()
@@ -64,9 +97,20 @@
 /// Answers calls of other daemons.
 pub(crate) struct PeerHandler {
     pub(crate) adviser: Arc<Adviser>,
+    /// Set on core members.
+    pub(crate) caller: Option<Arc<WorkerCaller>>,
     pub(crate) store: Option<Store>,
 }
 
+impl PeerHandler {
+    async fn carry(&self, order: &WorkerOrder) -> CellAnswer {
+        match &self.caller {
+            Some(caller) => CellAnswer::Work(Box::new(caller.call(order).await)),
+            None => CellAnswer::Failed(SmolStr::new_static("this daemon does not call workers")),
+        }
+    }
+}
+
 impl Handler for PeerHandler {
     async fn call(&self, caller: Caller, request: Request) -> Response {
         match (request, &self.store) {
@@ -74,6 +118,7 @@
                 (CellCall::Advise(request), _) => {
                     Response::Cell(Box::new(self.adviser.answer(&request).await))
                 }
+                (CellCall::Work(order), _) => Response::Cell(Box::new(self.carry(&order).await)),
                 (call, Some(store)) => store.call(caller, Request::Cell(Box::new(call))).await,
                 (_, None) => Response::NotLeader(NotLeader { leader: None }),
             },
--- /dev/null
+++ b/crates/cell/tests/routes.rs
@@ -0,0 +1,102 @@
+//! Which core member calls a worker.
+
+use {
+    fuchsiatack_cell::Routes,
+    fuchsiatack_model::WorkerName,
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+fn member(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_020))
+}
+
+fn workers(count: usize) -> Vec<WorkerName> {
+    (0..count)
+        .map(|number| WorkerName::new(format!("w-{number}")))
+        .collect()
+}
+
+/// Routes of one of nine members that has called all workers once.
+fn routes(own: u8, workers: &[WorkerName]) -> Routes {
+    let mut routes = Routes::new(member(own));
+    routes.set_members((1..=9).map(member));
+    for worker in workers {
+        routes.choose(0, worker);
+    }
+    routes
+}
+
+/// Guards against a leader whose processor time is used up by calls to hundreds of workers.
+#[test]
+fn members_share_the_calls_to_many_workers() {
+    let workers = workers(360);
+    let mut routes = routes(1, &workers);
+
+    let mut calls: BTreeMap<_, usize> = BTreeMap::new();
+    for worker in &workers {
+        *calls.entry(routes.choose(1, worker)).or_default() += 1;
+    }
+
+    assert_eq!(calls.len(), 9);
+    assert!(calls.values().all(|count| (20..=70).contains(count)), "{calls:?}");
+}
+
+/// Guards against a detour of each call in a cell that the leader can serve by itself.
+#[test]
+fn leader_of_a_small_cell_calls_its_workers_itself() {
+    let workers = workers(50);
+    let mut routes = routes(1, &workers);
+
+    assert!(workers.iter().all(|worker| routes.choose(1, worker).is_none()));
+}
+
+/// Guards against calls that go on through a member that is down or cut off.
+#[test]
+fn member_that_failed_is_passed_over_for_a_time() {
+    let workers = workers(360);
+    let mut routes = routes(1, &workers);
+    let (worker, failed) = workers
+        .iter()
+        .find_map(|worker| Some((worker, routes.choose(1, worker)?)))
+        .expect("a member calls a worker");
+
+    assert!(routes.member_failed(10, failed), "it was in use");
+    assert!(!routes.member_failed(11, failed), "it is noted once");
+
+    assert!(
+        workers
+            .iter()
+            .all(|worker| routes.choose(12, worker) != Some(failed))
+    );
+    assert_eq!(routes.choose(9_000, worker), Some(failed));
+}
+
+/// Guards against a worker that counts as lost while only one member cannot reach it.
+#[test]
+fn worker_that_did_not_answer_a_member_is_called_directly() {
+    let workers = workers(360);
+    let mut routes = routes(1, &workers);
+    let worker = workers
+        .iter()
+        .find(|worker| routes.choose(1, worker).is_some())
+        .expect("a member calls a worker");
+
+    routes.worker_failed(10, worker);
+
+    assert_eq!(routes.choose(11, worker), None);
+    assert!(routes.choose(9_000, worker).is_some());
+}
+
+/// Guards against connections that are opened anew by every leader.
+#[test]
+fn workers_keep_their_member_when_the_leader_changes() {
+    let workers = workers(360);
+    let mut before = routes(1, &workers);
+    let mut after = routes(2, &workers);
+
+    for worker in &workers {
+        let caller_before = before.choose(1, worker).unwrap_or(member(1));
+        let caller_after = after.choose(1, worker).unwrap_or(member(2));
+        assert_eq!(caller_before, caller_after);
+    }
+}
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the leader of the cell and their answers.
 
 use {
-    crate::{Configuration, JobId, JobSpec, StepId, WorkerReport},
+    crate::{Configuration, JobId, JobSpec, StepId, WorkerOrder, WorkerReply, WorkerReport},
     fuchsiatack_derives::{key, message},
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
@@ -151,6 +151,8 @@
     ReadWave(u64),
     /// Starts a wave.
     StartWave(Wave),
+    /// Calls a worker on behalf of the leader; any core member does it.
+    Work(Box<WorkerOrder>),
 }
 
 /// Answer to a `CellCall`. Variants are sorted by name.
@@ -180,6 +182,8 @@
         /// Peer addresses of the store members.
         members: Vec<SocketAddr>,
     },
+    /// Answer of a worker.
+    Work(Box<WorkerReply>),
 }
 
 /// Number of a call at the leader.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod ids;
 mod job;
 mod job_spec;
+mod kind_pace;
 mod note;
 mod output;
 mod plan_advice;
@@ -34,6 +35,7 @@
 mod step_view;
 mod worker_entry;
 mod worker_health;
+mod worker_order;
 mod worker_report;
 mod worker_view;
 
@@ -47,13 +49,14 @@
     },
     command::{JobCommand, RunEnd, Submission},
     configuration::{AdvicePolicy, Configuration, Queue, Team},
-    effect::{Callee, Effect, HoldKind},
+    effect::Effect,
     event::{
         EndedRun, HoldReport, JobEvent, ListedEnd, ListedRun, OrderRejection, OrderResult, WorkerCallError,
     },
     ids::{JobId, RunId, StepId, TaskKey},
     job::{Job, JobEnd, Occurrence, Task},
     job_spec::{JobSpec, Schedule},
+    kind_pace::KindPace,
     note::Note,
     output::Output,
     planner::Planner,
@@ -62,5 +65,6 @@
     step_spec::StepSpec,
     worker_entry::WorkerEntry,
     worker_health::WorkerHealth,
+    worker_order::{Callee, HoldKind, WorkerOrder, WorkerReply},
     worker_report::WorkerReport,
 };
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -17,8 +17,8 @@
 impl Planner {
     pub(crate) fn called(&mut self, id: CallId, call: CellCall) {
         match call {
-            CellCall::Advise(_) => {
-                let reason = SmolStr::new_static("the leader does not take questions for others");
+            CellCall::Advise(_) | CellCall::Work(_) => {
+                let reason = SmolStr::new_static("the planner does not call others");
                 self.answer(id, CellAnswer::Failed(reason));
             }
             CellCall::Configure(configuration) => self.configure(id, configuration),
--- a/crates/jobs/src/plan_evacuation.rs
+++ b/crates/jobs/src/plan_evacuation.rs
@@ -5,7 +5,7 @@
 //! stopped at the notice, keep their checkpoint, and start elsewhere at once.
 
 use {
-    crate::{Note, Planner, TaskKey, plan_runs::UNKNOWN_SLOWNESS},
+    crate::{Note, Planner, TaskKey, kind_pace::UNKNOWN_SLOWNESS},
     fuchsiatack_model::WorkerName,
 };
 
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Effect, EndedRun, HoldKind, HoldReport, JobCommand, ListedEnd, Note, Planner, RunEnd, RunId,
-        WorkerCallError, run_view::RunState, worker_view::WorkerView,
+        EndedRun, HoldKind, HoldReport, JobCommand, ListedEnd, Note, Planner, RunEnd, RunId, WorkerCallError,
+        WorkerOrder, run_view::RunState, worker_view::WorkerView,
     },
     fuchsiatack_model::WorkerName,
     std::collections::BTreeMap,
@@ -62,7 +62,7 @@
             view.check_due_ms = None;
             view.check_in_flight = true;
         }
-        self.after_commit(Effect::Hold {
+        self.order(WorkerOrder::Hold {
             deadline_ms: None,
             kind: HoldKind::Check,
             last_seen: 0,
@@ -95,7 +95,7 @@
         let last_seen = if is_same_life { view.last_seen } else { 0 };
         view.told_seen = last_seen;
         let waits = is_sound && !view.runs.is_empty();
-        self.after_commit(Effect::Hold {
+        self.order(WorkerOrder::Hold {
             deadline_ms,
             kind: HoldKind::Renewal,
             last_seen,
@@ -303,6 +303,6 @@
                 .with("run", run)
                 .with("worker", worker),
         );
-        self.after_commit(Effect::Stop { run, to });
+        self.order(WorkerOrder::Stop { run, to });
     }
 }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Effect, JobCommand, JobId, Note, OrderRejection, OrderResult, Planner, RunEnd, RunId, TaskKey,
-        WorkerCallError, run_view::RunState,
+        JobCommand, JobId, Note, OrderRejection, OrderResult, Planner, RunEnd, RunId, TaskKey,
+        WorkerCallError, WorkerOrder, kind_pace::UNKNOWN_SLOWNESS, run_view::RunState,
     },
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
@@ -15,10 +15,6 @@
 const REFUSAL_PAUSE_MS: u64 = 300;
 /// Pause of a step after one of its orders was refused, in milliseconds.
 const STEP_PAUSE_MS: u64 = 100;
-/// Weight of a new duration in the mean of its kind of worker: one part in this many.
-const SLOWNESS_WINDOW: u64 = 32;
-/// Duration over estimate of a kind that has not run anything yet, in thousandths.
-pub(crate) const UNKNOWN_SLOWNESS: u64 = 1_000;
 
 impl Planner {
     /// Takes the answer to an order to start a run.
@@ -144,7 +140,7 @@
 
     fn order_stop(&mut self, run: RunId, worker: &WorkerName) {
         if let Some(to) = self.callee(worker) {
-            self.after_commit(Effect::Stop { run, to });
+            self.order(WorkerOrder::Stop { run, to });
         }
     }
 
@@ -338,14 +334,12 @@
             return;
         }
         let ran_ms = self.now_ms.saturating_sub(started_ms);
-        let present = self.slowness_of(worker);
+        let slowness = self.slowness_of(worker);
         if let Some(step) = self.steps.get_mut(&run.task.step) {
-            step.durations_ms.push(ran_ms * UNKNOWN_SLOWNESS / present);
+            step.durations_ms.push(ran_ms * UNKNOWN_SLOWNESS / slowness);
         }
-        let slowness = (ran_ms * 1_000 / estimated_ms).min(20_000);
         let kind = SmolStr::new(entry.kind());
-        let mean = self.kinds.entry(kind).or_insert(UNKNOWN_SLOWNESS);
-        *mean = (*mean * (SLOWNESS_WINDOW - 1) + slowness) / SLOWNESS_WINDOW;
+        self.kinds.entry(kind).or_default().learn(ran_ms, estimated_ms);
     }
 }
 
--- a/crates/jobs/src/plan_stalls.rs
+++ b/crates/jobs/src/plan_stalls.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        Note, Planner, StepId, StepSpec, TaskKey, plan_runs::UNKNOWN_SLOWNESS, run_view::RunView,
+        KindPace, Note, Planner, StepId, StepSpec, TaskKey, kind_pace::UNKNOWN_SLOWNESS, run_view::RunView,
         worker_view::WorkerView,
     },
     fuchsiatack_model::WorkerName,
@@ -19,13 +19,13 @@
 /// Shortest time for which a run that stands still shows no progress, in milliseconds.
 const STILL_MS: u64 = 400;
 /// A run stands still if it takes the expected time of this many percent for less than one.
-const STILL_PERCENT: u64 = 4;
+const STILL_PERCENT: u64 = 10;
 /// Time in which a run that resumes from a checkpoint shows no progress, in milliseconds.
 const RESTORE_MS: u64 = 900;
 /// A run is slow if it takes this many times as long as other tasks of its step, in thousandths.
-const SLOW_THOUSANDTHS: u64 = 2_500;
+const SLOW_THOUSANDTHS: u64 = 3_000;
 /// The same against its declared duration, which may be wrong by half.
-const SLOW_AS_DECLARED_THOUSANDTHS: u64 = 3_000;
+const SLOW_AS_DECLARED_THOUSANDTHS: u64 = 4_000;
 /// Tasks of a step whose durations tell what is usual.
 const MIN_SIBLINGS: usize = 3;
 /// Jobs with runs on a worker that are slow as declared, from which the worker counts as slow.
@@ -112,7 +112,10 @@
         if stands_still(view, spec, expected_ms) {
             return Some(Sign::Stalled);
         }
-        let whole_ms = view.progress.whole_ms()?;
+        let whole_ms = view
+            .progress
+            .whole_ms()
+            .filter(|_| self.pace_of(&view.worker).is_known())?;
         let (limit, sign) = match siblings_ms {
             Some(_) => (SLOW_THOUSANDTHS, Sign::Stalled),
             None => (SLOW_AS_DECLARED_THOUSANDTHS, Sign::SlowAsDeclared),
@@ -154,11 +157,16 @@
         ran_ms * 1_000 > expected_ms * SLOW_AS_DECLARED_THOUSANDTHS + OVERDUE_MS * 1_000
     }
 
-    /// Mean of actual over expected duration on workers of a worker's kind, in thousandths.
-    pub(crate) fn slowness_of(&self, worker: &WorkerName) -> u64 {
+    /// How long tasks take on workers of a worker's kind.
+    pub(crate) fn pace_of(&self, worker: &WorkerName) -> KindPace {
         let kind = self.book.workers.get(worker).map(|entry| entry.kind());
-        let slowness = kind.and_then(|kind| self.kinds.get(kind)).copied();
-        slowness.unwrap_or(UNKNOWN_SLOWNESS).max(1)
+        let pace = kind.and_then(|kind| self.kinds.get(kind)).copied();
+        pace.unwrap_or_default()
+    }
+
+    /// Mean of actual over declared duration on workers of a worker's kind, in thousandths.
+    pub(crate) fn slowness_of(&self, worker: &WorkerName) -> u64 {
+        self.pace_of(worker).slowness_thousandths()
     }
 
     fn is_near(&self, spec: &StepSpec, worker: &WorkerName) -> bool {
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -7,9 +7,8 @@
 
 use {
     crate::{
-        Effect, JobCommand, Note, Planner, RunId, StepId, StepSpec, TaskKey,
+        JobCommand, Note, Planner, RunId, StepId, StepSpec, TaskKey, WorkerOrder,
         placement::{self, Candidate},
-        plan_runs::UNKNOWN_SLOWNESS,
         run_view::RunState,
     },
     fuchsiatack_model::{Resources, WorkerName},
@@ -219,7 +218,7 @@
             capacity: entry.capacity,
             key: name.clone(),
             near: spec.data_rack.as_ref().is_none_or(has_label),
-            slowness_thousandths: self.kinds.get(entry.kind()).copied().unwrap_or(UNKNOWN_SLOWNESS),
+            slowness_thousandths: self.pace_of(name).slowness_thousandths(),
             used: view.used,
         })
     }
@@ -406,7 +405,7 @@
         };
         let deadline_ms = view.clock.map_or(0, |clock| clock.at_least_ms(now_ms)) + lease_ms;
         view.granted_ms = view.granted_ms.max(deadline_ms);
-        self.after_commit(Effect::Start {
+        self.order(WorkerOrder::Start {
             checkpoint,
             deadline_ms,
             payload,
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -6,11 +6,10 @@
 
 use {
     crate::{
-        CallId, CellAnswer, Effect, JobBook, JobCommand, JobEvent, JobId, Note, Output, PlannerSettings,
-        Progress, Queue, StepId, TaskKey,
+        CallId, Callee, CellAnswer, Effect, JobBook, JobCommand, JobEvent, JobId, KindPace, Note, Output,
+        PlannerSettings, Progress, Queue, StepId, TaskKey, WorkerOrder,
         advisers::Advisers,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
-        effect::Callee,
         run_view::{RunState, RunView},
         step_view::StepView,
         worker_view::WorkerView,
@@ -42,8 +41,8 @@
     pub(crate) forget_due_ms: u64,
     /// Share of asked workers that may run a queue's steps, in thousandths.
     pub(crate) good_shares: BTreeMap<QueueName, u64>,
-    /// Mean of actual over estimated duration on workers of a kind, in thousandths.
-    pub(crate) kinds: BTreeMap<SmolStr, u64>,
+    /// How long tasks take on each kind of worker.
+    pub(crate) kinds: BTreeMap<SmolStr, KindPace>,
     pub(crate) members: Vec<SocketAddr>,
     pub(crate) now_ms: u64,
     pub(crate) now_unix_ms: u64,
@@ -176,6 +175,10 @@
         self.output.after_commit.push(effect);
     }
 
+    pub(crate) fn order(&mut self, order: WorkerOrder) {
+        self.after_commit(Effect::Order(order));
+    }
+
     pub(crate) fn answer(&mut self, id: CallId, answer: CellAnswer) {
         self.after_commit(Effect::Answer { answer, id });
     }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -7,7 +7,7 @@
         AdvicePolicy, AdviceReply, AdviceRequest, CallId, CellCall, Configuration, Effect, EndedRun,
         HoldKind, HoldReport, JobAction, JobBook, JobCall, JobCommand, JobEvent, JobId, JobSpec, ListedEnd,
         ListedRun, OrderResult, Planner, PlannerSettings, Queue, RunId, StepId, StepSpec, Team,
-        WorkerCallError, WorkerReport,
+        WorkerCallError, WorkerOrder, WorkerReport,
     },
     fuchsiatack_model::{DataCenter, QueueName, Resources, TeamName, WorkerName},
     smol_str::SmolStr,
@@ -277,20 +277,20 @@
     match effect {
         Effect::Advise { by, request } => Some(Sent::Advise { by, request }),
         Effect::Answer { .. } => None,
-        Effect::Hold {
+        Effect::Order(WorkerOrder::Hold {
             kind: HoldKind::Check,
             to,
             ..
-        } => Some(Sent::Check(to.worker)),
-        Effect::Hold { to, wait_ms, .. } => Some(Sent::Renew {
+        }) => Some(Sent::Check(to.worker)),
+        Effect::Order(WorkerOrder::Hold { to, wait_ms, .. }) => Some(Sent::Renew {
             wait_ms,
             worker: to.worker,
         }),
-        Effect::Start { run, to, .. } => Some(Sent::Start {
+        Effect::Order(WorkerOrder::Start { run, to, .. }) => Some(Sent::Start {
             run,
             worker: to.worker,
         }),
-        Effect::Stop { run, to } => Some(Sent::Stop {
+        Effect::Order(WorkerOrder::Stop { run, to }) => Some(Sent::Stop {
             run,
             worker: to.worker,
         }),
--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -4,7 +4,7 @@
     fuchsiatack_jobs::{
         CallId, CellCall, Configuration, Effect, HoldKind, HoldReport, JobAction, JobBook, JobCall,
         JobCommand, JobEvent, JobId, JobSpec, Planner, PlannerSettings, Queue, RunId, StepSpec, TaskKey,
-        Team, WorkerCallError, WorkerReport,
+        Team, WorkerCallError, WorkerOrder, WorkerReport,
     },
     fuchsiatack_model::{DataCenter, QueueName, Resources, TeamName, WorkerName},
     fuchsiatack_testkit::{JobWork, JobWorker},
@@ -490,22 +490,22 @@
             return;
         }
         let event = match effect {
-            Effect::Hold {
+            Effect::Order(WorkerOrder::Hold {
                 deadline_ms,
                 kind,
                 last_seen,
                 to,
                 ..
-            } => {
+            }) => {
                 let worker = self.workers.get_mut(&name).expect("workers stay");
                 let result = worker.hold(now_ms, to.fence, deadline_ms, last_seen);
                 let noted = std::mem::take(&mut worker.noted);
                 self.noted.extend(noted.iter().map(|run| run.task));
                 held(name, kind, sent_ms, result)
             }
-            Effect::Start {
+            Effect::Order(WorkerOrder::Start {
                 deadline_ms, run, to, ..
-            } => {
+            }) => {
                 let result = self.start(&name, to.fence, deadline_ms, run);
                 JobEvent::Started {
                     result,
@@ -513,7 +513,7 @@
                     worker: name,
                 }
             }
-            Effect::Stop { run, to } => {
+            Effect::Order(WorkerOrder::Stop { run, to }) => {
                 let worker = self.workers.get_mut(&name).expect("workers stay");
                 let result = worker.stop(now_ms, to.fence, run);
                 JobEvent::Stopped {
@@ -628,7 +628,7 @@
 
 fn callee_of(effect: &Effect) -> Option<&WorkerName> {
     match effect {
-        Effect::Hold { to, .. } | Effect::Start { to, .. } | Effect::Stop { to, .. } => Some(&to.worker),
+        Effect::Order(order) => Some(&order.to().worker),
         Effect::Advise { .. } | Effect::Answer { .. } => None,
     }
 }
@@ -693,19 +693,11 @@
 }
 
 fn unanswered(effect: &Effect, sent_ms: u64) -> JobEvent {
-    let error = WorkerCallError::Unanswered;
     match effect {
-        Effect::Hold { kind, to, .. } => held(to.worker.clone(), *kind, sent_ms, Err(error)),
-        Effect::Start { run, to, .. } => JobEvent::Started {
-            result: Err(error),
-            run: *run,
-            worker: to.worker.clone(),
-        },
-        Effect::Stop { run, to } => JobEvent::Stopped {
-            result: Err(error),
-            run: *run,
-            worker: to.worker.clone(),
-        },
+        Effect::Order(order) => {
+            let reply = order.failed(WorkerCallError::Unanswered);
+            order.clone().event(sent_ms, reply)
+        }
         Effect::Advise { .. } | Effect::Answer { .. } => JobEvent::Tick,
     }
 }
--- a/crates/jobs/tests/stalls.rs
+++ b/crates/jobs/tests/stalls.rs
@@ -6,6 +6,7 @@
     common::{Leader, Sent, queue, step},
     fuchsiatack_jobs::{HoldKind, JobId, Progress, RunId},
     fuchsiatack_model::WorkerName,
+    std::collections::BTreeSet,
 };
 
 fn stops(leader: &mut Leader) -> Vec<RunId> {
@@ -18,6 +19,23 @@
         .collect()
 }
 
+/// Has the leader learn how long tasks take on this kind of worker.
+fn learn(leader: &mut Leader) {
+    leader.submit(JobId(2), vec![step(12, 500)]);
+    let started = leader.take_started();
+    for (run, worker) in &started {
+        leader.started(worker, *run, Ok(leader.now_ms));
+    }
+    leader.pass(500);
+    let workers: BTreeSet<_> = started.iter().map(|(_, worker)| worker).collect();
+    for worker in workers {
+        let runs = started.iter().filter(|(_, on)| on == worker).map(|(run, _)| *run);
+        let ended: Vec<_> = (1..).zip(runs).collect();
+        leader.held(worker.as_str(), HoldKind::Renewal, &[], &ended);
+    }
+    leader.take();
+}
+
 /// Starts a job of one step with a task on each worker, and returns its runs.
 fn start(leader: &mut Leader, tasks: u32, estimated_ms: u64) -> Vec<(RunId, WorkerName)> {
     leader.submit(JobId(1), vec![step(tasks, estimated_ms)]);
@@ -30,7 +48,7 @@
 
 /// Each worker lists its runs with one percentage.
 fn list(leader: &mut Leader, started: &[(RunId, WorkerName)], percent_of: impl Fn(&WorkerName) -> u32) {
-    let workers: std::collections::BTreeSet<_> = started.iter().map(|(_, worker)| worker).collect();
+    let workers: BTreeSet<_> = started.iter().map(|(_, worker)| worker).collect();
     for worker in workers {
         let on_worker = started.iter().filter(|(_, on)| on == worker);
         let listed: Vec<_> = on_worker.map(|(run, _)| (*run, percent_of(worker))).collect();
@@ -57,6 +75,7 @@
 #[test]
 fn run_that_is_slower_than_its_siblings_leaves_its_worker() {
     let mut leader = Leader::new(queue(), &["a", "b", "c", "d", "e"]);
+    learn(&mut leader);
     let started = start(&mut leader, 5, 2_000);
     let slow = started[0].1.clone();
     assert!(started[1..].iter().all(|(_, worker)| *worker != slow));
