jobs: cheaper placement in a full cell, slow workers by half of their runs; cell: no caller is held through an outage

Change: rooms first, one lookup of a step's advice, one attempt to ask in 60 ms, renewals looked for once in 25 ms instead of in every turn. Candidates have a module.

Change: a worker is slow if half of its runs are, of two jobs or more; standing still stays as it was. Stalled runs are logged with what decided.

Change: 0.9 s while an election may be under way, 0.1 s once the leader has been silent for 1.5 s, with Retry-After 1 s; a request that a leader may have got is followed up to its deadline. A member that answers other calls is not passed over.

--- a/crates/cell/src/cell_port.rs
+++ b/crates/cell/src/cell_port.rs
@@ -2,10 +2,9 @@
 
 use {
     fuchsiatack_jobs::{CellAnswer, CellCall},
-    fuchsiatack_session::{CellClient, SessionError},
+    fuchsiatack_session::{CallLimits, CellClient, SessionError},
     fuchsiatack_store::Store,
     fuchsiatack_wire::{Caller, Request, Response},
-    std::time::Duration,
     tokio::{sync::mpsc, time::timeout},
 };
 
@@ -18,17 +17,17 @@
 
 impl CellPort {
     /// Calls the leader. An error of `SessionError::NoLeader` had no effect.
-    pub(crate) async fn call(&self, call: CellCall, limit: Duration) -> Result<CellAnswer, SessionError> {
+    pub(crate) async fn call(&self, call: CellCall, limits: CallLimits) -> Result<CellAnswer, SessionError> {
         if let Some(store) = &self.store {
             let request = Request::Cell(Box::new(call.clone()));
             // No pushes are asked for, so nothing is ever sent to this queue.
             let (pushes, _) = mpsc::channel(1);
-            match timeout(limit, store.call(Caller { pushes }, request)).await {
+            match timeout(limits.in_doubt, store.call(Caller { pushes }, request)).await {
                 Ok(Response::Cell(answer)) => return Ok(*answer),
                 Ok(Response::NotLeader(_)) => {}
                 Ok(_) | Err(_) => return Err(SessionError::NoAnswer),
             }
         }
-        self.client.call_cell(call, limit).await
+        self.client.call_cell(call, limits).await
     }
 }
--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -15,6 +15,7 @@
     },
     fuchsiatack_consensus::Role,
     fuchsiatack_jobs::{CellAnswer, Note},
+    fuchsiatack_session::CallLimits,
     fuchsiatack_store::{InitialMember, JobsSettings, Membership, Store, StoreSettings},
     fuchsiatack_wire::PeerServer,
     http::{Method, StatusCode},
@@ -230,7 +231,7 @@
                 return answer;
             }
         };
-        let answer = self.port.call(call, CONTROL_LIMIT).await;
+        let answer = self.port.call(call, CallLimits::both(CONTROL_LIMIT)).await;
         let outcome = if answer.is_ok() { "ok" } else { "no leader" };
         self.metrics.called("control", outcome, begin.elapsed());
         match answer {
--- a/crates/cell/src/entry_role.rs
+++ b/crates/cell/src/entry_role.rs
@@ -7,12 +7,13 @@
         cell_port::CellPort,
         core_role::serve_metrics,
         http_server::{Answering, HttpServer},
+        leader_wait::limits_of_call,
         log,
         metrics::Metrics,
         peers::PeerHandler,
     },
     fuchsiatack_jobs::{CellAnswer, CellCall, EntryReport, JobAction, JobAnswer, JobCall, Note},
-    fuchsiatack_session::SessionError,
+    fuchsiatack_session::{CallLimits, SessionError},
     fuchsiatack_wire::PeerServer,
     http::StatusCode,
     std::{
@@ -32,10 +33,6 @@
 /// Time without an answered announcement after which no more callers are to be sent here. It spans
 /// an election, in which calls wait for the new leader.
 const READY_LIMIT: Duration = Duration::from_millis(4_000);
-/// Longest wait of a caller for the leader, so that it learns in time to come back.
-const LEADER_LIMIT: Duration = Duration::from_millis(2_500);
-/// Time that is left to send an answer before the caller's deadline.
-const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// When a caller may come back that found no leader.
 const NO_LEADER_RETRY: Duration = Duration::from_secs(1);
 /// Time for which requests are still taken after a planned stop began. The balancer notices it
@@ -144,11 +141,10 @@
         stopping: shared.stopping.load(Ordering::Acquire),
     });
     let was_ready = shared.is_ready();
-    match shared.port.call(call, ANNOUNCE_LIMIT).await {
+    match shared.port.call(call, CallLimits::both(ANNOUNCE_LIMIT)).await {
         Ok(CellAnswer::Welcome { configured, members }) => {
             shared.configured.store(configured, Ordering::Release);
-            let heard_ms = shared.begin.elapsed().as_millis() as u64 + 1;
-            shared.heard_ms.store(heard_ms, Ordering::Release);
+            shared.heard_leader();
             shared.port.client.learn(&members);
         }
         Ok(_) => log(Note::new("announcement answered unexpectedly")),
@@ -162,16 +158,25 @@
 }
 
 impl Shared {
-    fn is_ready(&self) -> bool {
+    fn heard_leader(&self) {
+        let heard_ms = self.begin.elapsed().as_millis() as u64 + 1;
+        self.heard_ms.store(heard_ms, Ordering::Release);
+    }
+
+    /// Time since the leader answered last.
+    fn silence(&self) -> Duration {
         let heard_ms = self.heard_ms.load(Ordering::Acquire);
-        let silence = self
-            .begin
+        self.begin
             .elapsed()
-            .saturating_sub(Duration::from_millis(heard_ms));
+            .saturating_sub(Duration::from_millis(heard_ms))
+    }
+
+    fn is_ready(&self) -> bool {
+        let heard_ms = self.heard_ms.load(Ordering::Acquire);
         self.configured.load(Ordering::Acquire)
             && !self.stopping.load(Ordering::Acquire)
             && heard_ms > 0
-            && silence < READY_LIMIT
+            && self.silence() < READY_LIMIT
     }
 }
 
@@ -208,13 +213,13 @@
             }
         };
         let kind = kind_of(&call);
-        let limit = shared
-            .dialect
-            .caller_limit(&question)
-            .saturating_sub(ANSWER_MARGIN)
-            .min(LEADER_LIMIT);
-        let answer = shared.port.call(CellCall::Job(call), limit).await;
+        let patience = shared.dialect.caller_limit(&question);
+        let limits = limits_of_call(patience, shared.silence());
+        let answer = shared.port.call(CellCall::Job(call), limits).await;
         let waited = begin.elapsed();
+        if answer.is_ok() {
+            shared.heard_leader();
+        }
         match answer {
             Ok(CellAnswer::Job(answer)) => {
                 shared.metrics.called(kind, outcome_of(&answer), waited);
--- a/crates/cell/src/executor.rs
+++ b/crates/cell/src/executor.rs
@@ -90,28 +90,32 @@
         };
         match self.peers.carry(member, order.clone()).await {
             Carried::Replied(reply) => {
+                let mut routes = self.routes();
+                routes.member_answered(steady_ms(), member);
                 if is_silent(&reply) {
-                    self.routes().worker_failed(steady_ms(), &order.to().worker);
+                    routes.worker_failed(steady_ms(), &order.to().worker);
                 }
                 reply
             }
             Carried::NotSent => {
-                self.pause(member, "not reached");
+                let is_new = self.routes().member_failed(steady_ms(), member);
+                note_pause(is_new, member, "not reached");
                 self.caller.call(order).await
             }
             Carried::Unknown => {
-                self.pause(member, "no answer");
+                let is_new = self.routes().member_unanswered(steady_ms(), now_ms, member);
+                note_pause(is_new, member, "no answer");
                 order.failed(WorkerCallError::Unanswered)
             }
         }
     }
+}
 
-    fn pause(&self, member: SocketAddr, reason: &str) {
-        if self.routes().member_failed(steady_ms(), member) {
-            log(Note::new("calls no longer go through a core member")
-                .with("member", member)
-                .with("reason", reason));
-        }
+fn note_pause(is_new: bool, member: SocketAddr, reason: &str) {
+    if is_new {
+        log(Note::new("calls no longer go through a core member")
+            .with("member", member)
+            .with("reason", reason));
     }
 }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod executor;
 mod http_server;
+mod leader_wait;
 mod log_budget;
 mod logs;
 mod metrics;
@@ -24,6 +25,7 @@
     dialect::{Dialect, HttpAnswer, HttpQuestion, WorkerRequest},
     entry_role::EntryRole,
     error::CellError,
+    leader_wait::limits_of_call,
     log_budget::{LogBudget, Verdict},
     logs::{log, set_up_logs},
     routes::Routes,
--- a/crates/cell/src/routes.rs
+++ b/crates/cell/src/routes.rs
@@ -29,6 +29,8 @@
 /// Which member calls which worker. Times are in milliseconds of a steady clock.
 #[derive(Debug)]
 pub struct Routes {
+    /// When members answered last.
+    answered_ms: HashMap<SocketAddr, u64>,
     /// When workers that were not called lately are left out next.
     cleaned_ms: u64,
     /// Workers that are called directly until then.
@@ -47,6 +49,7 @@
     /// Creates the routes of the member at an address.
     pub fn new(own: SocketAddr) -> Self {
         Self {
+            answered_ms: HashMap::new(),
             cleaned_ms: 0,
             direct_until_ms: HashMap::new(),
             members: Vec::new(),
@@ -90,6 +93,19 @@
         }
     }
 
+    /// Notes that a member has answered a call.
+    pub fn member_answered(&mut self, now_ms: u64, member: SocketAddr) {
+        self.answered_ms.insert(member, now_ms);
+    }
+
+    /// Notes that a member did not answer a call that was sent at `sent_ms`. It has failed if it
+    /// answered no other call since: a single answer may be late for want of processor time here.
+    /// Returns whether it was in use before and is passed over now.
+    pub fn member_unanswered(&mut self, now_ms: u64, sent_ms: u64, member: SocketAddr) -> bool {
+        let answered_ms = self.answered_ms.get(&member).copied().unwrap_or(0);
+        answered_ms <= sent_ms && self.member_failed(now_ms, member)
+    }
+
     /// Notes that a member did not carry a call out. Returns whether it was in use before.
     pub fn member_failed(&mut self, now_ms: u64, member: SocketAddr) -> bool {
         let until_ms = self.paused_until_ms.insert(member, now_ms + MEMBER_PAUSE_MS);
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -10,7 +10,7 @@
 
 /// Longest wait for one store member. It is longer than a commit under load and shorter than the
 /// time after which a silent connection is closed.
-const ATTEMPT_LIMIT: Duration = Duration::from_millis(700);
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(500);
 
 /// Settings that both roles share.
 #[derive(Clone, Debug)]
--- a/crates/cell/tests/routes.rs
+++ b/crates/cell/tests/routes.rs
@@ -71,6 +71,22 @@
     assert_eq!(routes.choose(9_000, worker), Some(failed));
 }
 
+/// Guards against members that are all passed over because a busy leader reads their answers late.
+#[test]
+fn member_that_answers_other_calls_is_not_passed_over() {
+    let workers = workers(360);
+    let mut routes = routes(1, &workers);
+    let member = member(2);
+
+    routes.member_answered(900, member);
+
+    assert!(!routes.member_unanswered(1_000, 500, member));
+    assert!(
+        routes.member_unanswered(1_500, 1_000, member),
+        "it answered nothing since"
+    );
+}
+
 /// Guards against a worker that counts as lost while only one member cannot reach it.
 #[test]
 fn worker_that_did_not_answer_a_member_is_called_directly() {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod plan_advice;
 mod plan_ahead;
 mod plan_calls;
+mod plan_candidates;
 mod plan_evacuation;
 mod plan_renewals;
 mod plan_runs;
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -24,6 +24,9 @@
 const SHARE_WINDOW: u64 = 8;
 /// Workers in a question beyond the expected need, in percent of it.
 const SPARE_PERCENT: u64 = 130;
+/// Pause after an attempt to ask, in milliseconds. Looking for workers to ask about is the most
+/// expensive part of a turn in a full cell.
+const ASK_PAUSE_MS: u64 = 60;
 /// Time beyond the expected answer after which a question counts as lost, in milliseconds.
 const QUESTION_LIMIT_MS: u64 = 6_000;
 
@@ -39,6 +42,7 @@
             return;
         };
         view.held_until_ms = 0;
+        view.advice.ask_due_ms = 0;
         let asked = std::mem::take(&mut view.advice.open_workers);
         let sent_ms = view.advice.open_since_ms.take().unwrap_or(now_ms);
         let Some(reply) = reply else {
@@ -73,6 +77,12 @@
         }
     }
 
+    /// Returns whether a question about a step may be sent now.
+    pub(crate) fn may_ask(&self, step: StepId) -> bool {
+        let advice = self.steps.get(&step).map(|view| &view.advice);
+        advice.is_some_and(|advice| advice.open_since_ms.is_none() && self.now_ms >= advice.ask_due_ms)
+    }
+
     /// Asks which workers may run a step. Only workers with room are named, the best first. Those
     /// that are known to be good come before those that were never asked about.
     pub(crate) fn ask_advice(
@@ -82,9 +92,11 @@
         tasks: usize,
         candidates: &[Candidate<WorkerName>],
     ) {
-        let Some(view) = self.steps.get(&step) else {
+        let now_ms = self.now_ms;
+        let Some(view) = self.steps.get_mut(&step) else {
             return;
         };
+        view.advice.ask_due_ms = now_ms + ASK_PAUSE_MS;
         if view.advice.open_since_ms.is_some() || candidates.is_empty() {
             return;
         }
--- a/crates/jobs/src/plan_ahead.rs
+++ b/crates/jobs/src/plan_ahead.rs
@@ -48,10 +48,16 @@
                 step: number,
                 ..before
             })
-            .filter(|step| !self.steps.contains_key(step))
+            .filter(|step| self.is_unasked(*step))
             .collect()
     }
 
+    /// Returns whether nothing was asked about a step yet and it may be asked now.
+    fn is_unasked(&self, step: StepId) -> bool {
+        let view = self.steps.get(&step);
+        view.is_none_or(|view| view.is_ahead && view.advice.asked.is_empty() && self.may_ask(step))
+    }
+
     fn ask_ahead_of(&mut self, step: StepId) {
         let Some(spec) = self
             .book
@@ -79,21 +85,15 @@
         if left_ms.max().unwrap_or(0) > lead_ms {
             return;
         }
-        let view = StepView {
-            is_ahead: true,
-            ..self.new_step(step)
-        };
-        self.steps.insert(step, view);
+        if !self.steps.contains_key(&step) {
+            let view = StepView {
+                is_ahead: true,
+                ..self.new_step(step)
+            };
+            self.steps.insert(step, view);
+        }
         let candidates = self.candidates_to_ask(step, &spec, &service, 0);
         self.ask_advice(step, &policy, spec.tasks as usize, &candidates);
-        let is_open = |step| {
-            let view = self.steps.get(&step);
-            view.is_some_and(|view| view.advice.open_since_ms.is_some())
-        };
-        // All daemons are busy: it is tried again.
-        if !is_open(step) {
-            self.steps.remove(&step);
-        }
     }
 
     /// Expected time until the last run of a step is over.
--- /dev/null
+++ b/crates/jobs/src/plan_candidates.rs
@@ -0,0 +1,130 @@
+//! Workers that may run the tasks of a step.
+//!
+//! Answers many waiting steps in a full cell of hundreds of workers: the cheapest conditions come
+//! first, and what is known of a step is looked up once and not for every worker.
+
+use {
+    crate::{
+        Planner, StepId, StepSpec, WorkerEntry,
+        placement::{self, Candidate},
+        worker_view::WorkerView,
+    },
+    fuchsiatack_model::WorkerName,
+    smol_str::SmolStr,
+};
+
+impl Planner {
+    /// Returns the workers that the advice service may be asked about, the best first.
+    pub(crate) fn candidates_to_ask(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+        kept_free_percent: u32,
+    ) -> Vec<Candidate<WorkerName>> {
+        let Some(advice) = self.steps.get(&step).map(|view| &view.advice) else {
+            return Vec::new();
+        };
+        let reserved = spec.reserved();
+        let mut candidates = self.all_candidates(step, spec, service);
+        candidates.retain(|candidate| {
+            candidate.fits(&reserved, kept_free_percent)
+                && advice.may_be_asked_about(&candidate.key, self.now_ms)
+        });
+        placement::sort(&mut candidates, &reserved);
+        candidates
+    }
+
+    /// Returns the workers with room that may run the step's tasks by everything but advice.
+    pub(crate) fn all_candidates(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+    ) -> Vec<Candidate<WorkerName>> {
+        let candidates = self
+            .workers
+            .iter()
+            .filter_map(|(name, view)| self.candidate(step, spec, service, name, view));
+        candidates.collect()
+    }
+
+    /// Returns those for which the step has a valid ticket.
+    pub(crate) fn advised_candidates(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+    ) -> Vec<Candidate<WorkerName>> {
+        let good = self.steps.get(&step).map(|view| &view.advice.good);
+        let valid = good
+            .into_iter()
+            .flatten()
+            .filter(|(_, (_, valid_until_ms))| self.now_ms < *valid_until_ms);
+        let candidates = valid.filter_map(|(name, _)| {
+            let view = self.workers.get(name)?;
+            self.candidate(step, spec, service, name, view)
+        });
+        candidates.collect()
+    }
+
+    fn candidate(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+        name: &WorkerName,
+        view: &WorkerView,
+    ) -> Option<Candidate<WorkerName>> {
+        if !view.takes_work(self.now_ms) {
+            return None;
+        }
+        let entry = self.book.workers.get(name)?;
+        let is_excluded = !entry.capacity.covers(&view.used.plus(&spec.reserved()))
+            || !suits(spec, service, entry)
+            || spec
+                .max_per_worker
+                .is_some_and(|limit| tasks_on(step, view) >= limit as usize)
+            || self.disturbs(spec, view);
+        (!is_excluded).then(|| Candidate {
+            capacity: entry.capacity,
+            key: name.clone(),
+            near: spec
+                .data_rack
+                .as_ref()
+                .is_none_or(|rack| entry.labels.contains(rack)),
+            slowness_thousandths: self.pace_of_kind(entry).slowness_thousandths(),
+            used: view.used,
+        })
+    }
+
+    /// Returns how many tasks of a step are on a worker.
+    pub(crate) fn tasks_on(&self, step: StepId, worker: &WorkerName) -> usize {
+        self.workers.get(worker).map_or(0, |view| tasks_on(step, view))
+    }
+
+    /// Returns whether tasks that use idle processor time would share a worker with tasks that
+    /// owe their users a latency.
+    fn disturbs(&self, spec: &StepSpec, view: &WorkerView) -> bool {
+        let clashes = |other: &StepSpec| {
+            (spec.fills_idle && other.target_tail_ms.is_some())
+                || (spec.target_tail_ms.is_some() && other.fills_idle)
+        };
+        if !spec.fills_idle && spec.target_tail_ms.is_none() {
+            return false;
+        }
+        view.runs.iter().any(|task| {
+            let job = self.book.jobs.get(&task.step.job);
+            job.and_then(|job| job.step(task.step.step)).is_some_and(clashes)
+        })
+    }
+}
+
+fn suits(spec: &StepSpec, service: &SmolStr, entry: &WorkerEntry) -> bool {
+    let label = spec.required_label.as_ref();
+    entry.service == *service && !entry.draining && label.is_none_or(|label| entry.labels.contains(label))
+}
+
+fn tasks_on(step: StepId, view: &WorkerView) -> usize {
+    view.runs.iter().filter(|task| task.step == step).count()
+}
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -22,19 +22,24 @@
 const SAME_LIFE_MS: u64 = 500;
 
 impl Planner {
-    /// Sends the renewals and checks that are due.
-    pub(crate) fn renew_due(&mut self) {
-        let checks: Vec<_> = self
+    /// Sends the checks that are due.
+    pub(crate) fn check_due(&mut self) {
+        let is_due = |view: &WorkerView| {
+            !view.check_in_flight && view.check_due_ms.is_some_and(|due_ms| self.now_ms >= due_ms)
+        };
+        let due: Vec<_> = self
             .workers
             .iter()
-            .filter(|(_, view)| {
-                !view.check_in_flight && view.check_due_ms.is_some_and(|due_ms| self.now_ms >= due_ms)
-            })
+            .filter(|(_, view)| is_due(view))
             .map(|(worker, _)| worker.clone())
             .collect();
-        for worker in checks {
+        for worker in due {
             self.check(&worker);
         }
+    }
+
+    /// Sends the renewals that are due.
+    pub(crate) fn renew_due(&mut self) {
         let due: Vec<_> = self
             .workers
             .iter()
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -79,6 +79,7 @@
     fn plan_check(&mut self, worker: &WorkerName) {
         if let Some(view) = self.workers.get_mut(worker) {
             view.plan_check(self.now_ms);
+            self.is_check_planned = true;
         }
     }
 
--- a/crates/jobs/src/plan_stalls.rs
+++ b/crates/jobs/src/plan_stalls.rs
@@ -2,13 +2,14 @@
 //!
 //! Answers a worker that turns slow or hangs while it answers its renewals: its runs would hold up
 //! their jobs until it recovers, and its free room would attract more. What workers list of the
-//! progress of their runs shows it within a second. Declared durations are rough, so that a single
-//! run counts as slow only against other tasks of its step.
+//! progress of their runs shows it within a second. Declared durations are rough and some tasks take
+//! many times as long as their siblings, so that a worker counts as slow only if half of its runs
+//! are, of two jobs or more.
 
 use {
     crate::{
-        KindPace, Note, Planner, StepId, StepSpec, TaskKey, kind_pace::UNKNOWN_SLOWNESS, run_view::RunView,
-        worker_view::WorkerView,
+        KindPace, Note, Planner, StepId, StepSpec, TaskKey, WorkerEntry, kind_pace::UNKNOWN_SLOWNESS,
+        run_view::RunView, worker_view::WorkerView,
     },
     fuchsiatack_model::WorkerName,
     std::collections::{BTreeMap, BTreeSet},
@@ -22,13 +23,12 @@
 const STILL_PERCENT: u64 = 10;
 /// Time in which a run that resumes from a checkpoint shows no progress, in milliseconds.
 const RESTORE_MS: u64 = 900;
-/// A run is slow if it takes this many times as long as other tasks of its step, in thousandths.
+/// A run is slow if it takes this many times as long as other tasks of its step, or as declared if
+/// there are none, in thousandths.
 const SLOW_THOUSANDTHS: u64 = 3_000;
-/// The same against its declared duration, which may be wrong by half.
-const SLOW_AS_DECLARED_THOUSANDTHS: u64 = 4_000;
 /// Tasks of a step whose durations tell what is usual.
 const MIN_SIBLINGS: usize = 3;
-/// Jobs with runs on a worker that are slow as declared, from which the worker counts as slow.
+/// Jobs with slow runs on a worker from which the worker counts as slow.
 const SLOW_JOBS: usize = 2;
 /// Time that a stop and a new start take, in milliseconds.
 const MOVE_MS: u64 = 400;
@@ -42,10 +42,12 @@
 /// What a run shows of its worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Sign {
-    /// It is slow as far as its declared duration tells.
-    SlowAsDeclared,
-    /// It is slow or stands still for certain.
-    Stalled,
+    /// It is slow. The task may be longer than its siblings.
+    Slow,
+    /// It is as fast as can be expected.
+    Sound,
+    /// It stands still.
+    Still,
 }
 
 /// Usual durations of the tasks of steps, as on a worker that is neither fast nor slow.
@@ -80,16 +82,22 @@
             Some((*task, sign))
         });
         let signs: Vec<_> = signs.collect();
-        let jobs: BTreeSet<_> = signs.iter().map(|(task, _)| task.step.job).collect();
+        let slow = signs.iter().filter(|(_, sign)| *sign == Sign::Slow);
+        let jobs: BTreeSet<_> = slow.clone().map(|(task, _)| task.step.job).collect();
         let needed = if view.health.is_on_trial() { 1 } else { SLOW_JOBS };
-        let is_proven = jobs.len() >= needed;
+        let is_slow = jobs.len() >= needed && slow.count() * 2 >= signs.len();
         signs
             .into_iter()
-            .filter(|(_, sign)| is_proven || *sign == Sign::Stalled)
+            .filter(|(_, sign)| match sign {
+                Sign::Slow => is_slow,
+                Sign::Sound => false,
+                Sign::Still => true,
+            })
             .map(|(task, _)| task)
             .collect()
     }
 
+    /// What a run shows of its worker; `None` if that cannot be told.
     fn sign(&self, task: TaskKey, usual: &mut UsualDurations) -> Option<Sign> {
         let view = self.runs.get(&task)?;
         let spec = self.book.jobs.get(&task.step.job)?.step(task.step.step)?;
@@ -103,25 +111,24 @@
                 * OVERDUE_FACTOR
                 + OVERDUE_MS;
             let is_overdue = self.now_ms.saturating_sub(view.started_ms) > limit_ms;
-            return is_overdue.then_some(Sign::SlowAsDeclared);
+            return is_overdue.then_some(Sign::Slow);
         }
         let siblings_ms = *usual
             .entry(task.step)
             .or_insert_with(|| self.usual_duration_ms(task.step));
         let expected_ms = siblings_ms.unwrap_or(spec.estimated_ms) * slowness / UNKNOWN_SLOWNESS;
         if stands_still(view, spec, expected_ms) {
-            return Some(Sign::Stalled);
+            return Some(Sign::Still);
         }
         let whole_ms = view
             .progress
             .whole_ms()
             .filter(|_| self.pace_of(&view.worker).is_known())?;
-        let (limit, sign) = match siblings_ms {
-            Some(_) => (SLOW_THOUSANDTHS, Sign::Stalled),
-            None => (SLOW_AS_DECLARED_THOUSANDTHS, Sign::SlowAsDeclared),
-        };
-        let is_slow = whole_ms * 1_000 > expected_ms * limit;
-        (is_slow && is_worth_moving(view, spec, expected_ms)).then_some(sign)
+        let is_slow = whole_ms * 1_000 > expected_ms * SLOW_THOUSANDTHS;
+        Some(match is_slow && is_worth_moving(view, spec, expected_ms) {
+            true => Sign::Slow,
+            false => Sign::Sound,
+        })
     }
 
     /// Median duration of the tasks of a step that are done or whose pace is known.
@@ -154,14 +161,18 @@
         };
         let usual_ms = self.usual_duration_ms(task.step).unwrap_or(spec.estimated_ms);
         let expected_ms = usual_ms * self.slowness_of(worker) / UNKNOWN_SLOWNESS;
-        ran_ms * 1_000 > expected_ms * SLOW_AS_DECLARED_THOUSANDTHS + OVERDUE_MS * 1_000
+        ran_ms * 1_000 > expected_ms * SLOW_THOUSANDTHS + OVERDUE_MS * 1_000
     }
 
     /// How long tasks take on workers of a worker's kind.
     pub(crate) fn pace_of(&self, worker: &WorkerName) -> KindPace {
-        let kind = self.book.workers.get(worker).map(|entry| entry.kind());
-        let pace = kind.and_then(|kind| self.kinds.get(kind)).copied();
-        pace.unwrap_or_default()
+        let entry = self.book.workers.get(worker);
+        entry.map_or_else(KindPace::default, |entry| self.pace_of_kind(entry))
+    }
+
+    /// How long tasks take on workers of the kind of an entry.
+    pub(crate) fn pace_of_kind(&self, entry: &WorkerEntry) -> KindPace {
+        self.kinds.get(entry.kind()).copied().unwrap_or_default()
     }
 
     /// Mean of actual over declared duration on workers of a worker's kind, in thousandths.
@@ -180,13 +191,26 @@
         if let Some(view) = self.workers.get_mut(worker) {
             view.health.eject(now_ms);
         }
-        let percents = runs.iter().filter_map(|task| self.runs.get(task));
-        let percents: Vec<_> = percents.map(|view| view.progress.percent().to_string()).collect();
+        for task in &runs {
+            let Some(view) = self.runs.get(task) else {
+                continue;
+            };
+            let usual_ms = self.usual_duration_ms(task.step);
+            let note = Note::new("run stalled")
+                .job(task.step.job)
+                .with("run", view.run)
+                .with("worker", worker)
+                .with("percent", view.progress.percent())
+                .with("still_ms", view.progress.still_ms())
+                .with("whole_ms", view.progress.whole_ms().unwrap_or_default())
+                .with("usual_ms", usual_ms.unwrap_or_default())
+                .with("slowness", self.slowness_of(worker));
+            self.note(note);
+        }
         self.note(
             Note::new("worker stalled")
                 .with("worker", worker)
-                .with("runs", runs.len())
-                .with("percents", percents.join(",")),
+                .with("runs", runs.len()),
         );
         for task in runs {
             self.stop_run(task);
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -104,11 +104,7 @@
             self.start(step, spec, starts);
         }
         let left = waiting.len() - placed;
-        let may_ask = self
-            .steps
-            .get(&step)
-            .is_some_and(|view| view.advice.open_since_ms.is_none());
-        if let (Some(policy), true) = (&advice, left > 0 && may_ask) {
+        if let (Some(policy), true) = (&advice, left > 0 && self.may_ask(step)) {
             let candidates = self.candidates_to_ask(step, spec, &service, kept_free_percent);
             let all = if spec.gang { spec.tasks as usize } else { left };
             self.ask_advice(step, policy, all, &candidates);
@@ -116,24 +112,6 @@
         waiting_tasks.len() == placed
     }
 
-    /// Returns the workers that the advice service may be asked about, the best first.
-    pub(crate) fn candidates_to_ask(
-        &self,
-        step: StepId,
-        spec: &StepSpec,
-        service: &SmolStr,
-        kept_free_percent: u32,
-    ) -> Vec<Candidate<WorkerName>> {
-        let mut candidates = self.all_candidates(step, spec, service);
-        candidates.retain(|candidate| {
-            candidate.fits(&spec.reserved(), kept_free_percent)
-                && self.ticket(step, &candidate.key).is_none()
-                && !self.is_unfit(step, &candidate.key)
-        });
-        placement::sort(&mut candidates, &spec.reserved());
-        candidates
-    }
-
     /// Returns how many tasks of a step its team's limit allows.
     fn allowed_by_limit(&self, step: StepId, spec: &StepSpec, tasks: usize) -> usize {
         let team = self.book.jobs.get(&step.job).and_then(|job| job.team.as_ref());
@@ -163,96 +141,6 @@
             ))
     }
 
-    fn ticket(&self, step: StepId, worker: &WorkerName) -> Option<&SmolStr> {
-        let (ticket, valid_until_ms) = self.steps.get(&step)?.advice.good.get(worker)?;
-        (self.now_ms < *valid_until_ms).then_some(ticket)
-    }
-
-    /// Returns whether the advice service has found a worker unfit for a step.
-    fn is_unfit(&self, step: StepId, worker: &WorkerName) -> bool {
-        let advice = self.steps.get(&step).map(|view| &view.advice);
-        advice.is_some_and(|advice| advice.asked.contains(worker) && !advice.good.contains_key(worker))
-    }
-
-    /// Returns the workers that may run the step's tasks by everything but room and advice.
-    fn all_candidates(&self, step: StepId, spec: &StepSpec, service: &SmolStr) -> Vec<Candidate<WorkerName>> {
-        let names = self.workers.keys();
-        names
-            .filter_map(|name| self.candidate(step, spec, service, name))
-            .collect()
-    }
-
-    /// Returns those for which the step has a valid ticket.
-    fn advised_candidates(
-        &self,
-        step: StepId,
-        spec: &StepSpec,
-        service: &SmolStr,
-    ) -> Vec<Candidate<WorkerName>> {
-        let good = self.steps.get(&step).map(|view| &view.advice.good);
-        let valid = good
-            .into_iter()
-            .flatten()
-            .filter(|(_, (_, valid_until_ms))| self.now_ms < *valid_until_ms);
-        valid
-            .filter_map(|(name, _)| self.candidate(step, spec, service, name))
-            .collect()
-    }
-
-    fn candidate(
-        &self,
-        step: StepId,
-        spec: &StepSpec,
-        service: &SmolStr,
-        name: &WorkerName,
-    ) -> Option<Candidate<WorkerName>> {
-        let (view, entry) = (self.workers.get(name)?, self.book.workers.get(name)?);
-        let has_label = |label: &SmolStr| entry.labels.contains(label);
-        let is_excluded = entry.service != *service
-            || entry.draining
-            || !view.takes_work(self.now_ms)
-            || !spec.required_label.as_ref().is_none_or(has_label)
-            || self.is_crowded(step, spec, name)
-            || self.disturbs(spec, name);
-        (!is_excluded).then(|| Candidate {
-            capacity: entry.capacity,
-            key: name.clone(),
-            near: spec.data_rack.as_ref().is_none_or(has_label),
-            slowness_thousandths: self.pace_of(name).slowness_thousandths(),
-            used: view.used,
-        })
-    }
-
-    /// Returns whether the worker has as many tasks of the step as it may have.
-    fn is_crowded(&self, step: StepId, spec: &StepSpec, worker: &WorkerName) -> bool {
-        spec.max_per_worker
-            .is_some_and(|limit| self.tasks_on(step, worker) >= limit as usize)
-    }
-
-    fn tasks_on(&self, step: StepId, worker: &WorkerName) -> usize {
-        let tasks = self.workers.get(worker).map(|view| &view.runs);
-        tasks.map_or(0, |tasks| tasks.iter().filter(|task| task.step == step).count())
-    }
-
-    /// Returns whether tasks that use idle processor time would share a worker with tasks that
-    /// owe their users a latency.
-    fn disturbs(&self, spec: &StepSpec, worker: &WorkerName) -> bool {
-        let clashes = |other: &StepSpec| {
-            (spec.fills_idle && other.target_tail_ms.is_some())
-                || (spec.target_tail_ms.is_some() && other.fills_idle)
-        };
-        if !spec.fills_idle && spec.target_tail_ms.is_none() {
-            return false;
-        }
-        let runs = self.workers.get(worker).map(|view| &view.runs);
-        runs.is_some_and(|runs| {
-            runs.iter().any(|task| {
-                let job = self.book.jobs.get(&task.step.job);
-                job.and_then(|job| job.step(task.step.step)).is_some_and(clashes)
-            })
-        })
-    }
-
     fn choose_single(
         &self,
         step: StepId,
@@ -395,7 +283,10 @@
     }
 
     fn order_start(&mut self, worker: &WorkerName, run: RunId, checkpoint: SmolStr, payload: SmolStr) {
-        let ticket = self.ticket(run.task.step, worker).cloned();
+        let step = self.steps.get(&run.task.step);
+        let ticket = step
+            .and_then(|view| view.advice.ticket(worker, self.now_ms))
+            .cloned();
         let Some(to) = self.callee(worker) else {
             return;
         };
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -42,6 +42,8 @@
     /// Share of asked workers that may run a queue's steps, in thousandths.
     pub(crate) good_shares: BTreeMap<QueueName, u64>,
     /// How long tasks take on each kind of worker.
+    /// Whether a worker is to be looked at in this turn.
+    pub(crate) is_check_planned: bool,
     pub(crate) kinds: BTreeMap<SmolStr, KindPace>,
     pub(crate) members: Vec<SocketAddr>,
     pub(crate) now_ms: u64,
@@ -72,6 +74,7 @@
             fence,
             forget_due_ms: now_ms,
             good_shares: BTreeMap::new(),
+            is_check_planned: false,
             kinds: BTreeMap::new(),
             members: Vec::new(),
             now_ms,
@@ -114,7 +117,9 @@
         if std::mem::take(&mut self.dirty) {
             self.place();
         }
-        self.renew_due();
+        if std::mem::take(&mut self.is_check_planned) {
+            self.check_due();
+        }
         std::mem::take(&mut self.output)
     }
 
@@ -123,6 +128,12 @@
         self.members = members;
     }
 
+    /// Number of steps with tasks that wait for a worker.
+    pub fn waiting_steps(&self) -> usize {
+        let waiting = self.steps.values().filter(|view| !view.waiting.is_empty());
+        waiting.count()
+    }
+
     /// The state with all proposed commands applied.
     pub fn book(&self) -> &JobBook {
         &self.book
@@ -259,6 +270,8 @@
         self.open_due_occurrences();
         self.ask_ahead();
         self.watch_workers();
+        self.check_due();
+        self.renew_due();
         self.watch_stalls();
         self.retry_stops();
         self.expire_questions();
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -9,6 +9,8 @@
 /// What the advice service said of a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
+    /// No question is sent before this time.
+    pub(crate) ask_due_ms: u64,
     /// Workers that were asked about. The answer for a worker never changes in its life.
     pub(crate) asked: BTreeSet<WorkerName>,
     /// Workers that may run the step, with the ticket and the time up to which it is valid.
@@ -19,6 +21,23 @@
     pub(crate) open_workers: Vec<WorkerName>,
 }
 
+impl StepAdvice {
+    /// Ticket for a worker, if it is valid.
+    pub(crate) fn ticket(&self, worker: &WorkerName, now_ms: u64) -> Option<&SmolStr> {
+        let (ticket, valid_until_ms) = self.good.get(worker)?;
+        (now_ms < *valid_until_ms).then_some(ticket)
+    }
+
+    /// Returns whether an answer about a worker tells anything new: it has no valid ticket and was
+    /// not found unfit.
+    pub(crate) fn may_be_asked_about(&self, worker: &WorkerName, now_ms: u64) -> bool {
+        match self.good.get(worker) {
+            Some((_, valid_until_ms)) => now_ms >= *valid_until_ms,
+            None => !self.asked.contains(worker),
+        }
+    }
+}
+
 /// An open step.
 #[derive(Clone, Debug)]
 pub(crate) struct StepView {
--- a/crates/session/src/cell_client.rs
+++ b/crates/session/src/cell_client.rs
@@ -19,6 +19,26 @@
 /// Pause before another member is asked while no leader is known.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 
+/// How long a call goes on.
+#[derive(Copy)]
+#[value]
+pub struct CallLimits {
+    /// Longest time of a call that may have reached a leader, whose answer tells what became of it.
+    pub in_doubt: Duration,
+    /// Longest time of a call that cannot have reached a leader.
+    pub undelivered: Duration,
+}
+
+impl CallLimits {
+    /// The same limit for both.
+    pub fn both(limit: Duration) -> Self {
+        Self {
+            in_doubt: limit,
+            undelivered: limit,
+        }
+    }
+}
+
 /// Result of a committed command.
 #[value]
 pub struct Committed {
@@ -93,16 +113,16 @@
         limit: Duration,
     ) -> Result<Committed, SessionError> {
         let request = Request::Propose(Box::new(command));
-        match self.call_leader(request, repeat, limit).await? {
+        match self.call_leader(request, repeat, CallLimits::both(limit)).await? {
             Response::Proposed { index, reply } => Ok(Committed { index, reply }),
             _ => Err(SessionError::Unexpected),
         }
     }
 
     /// Calls the cell. The call may reach it more than once, so it must be idempotent.
-    pub async fn call_cell(&self, call: CellCall, limit: Duration) -> Result<CellAnswer, SessionError> {
+    pub async fn call_cell(&self, call: CellCall, limits: CallLimits) -> Result<CellAnswer, SessionError> {
         match self
-            .call_leader(Request::Cell(Box::new(call)), true, limit)
+            .call_leader(Request::Cell(Box::new(call)), true, limits)
             .await?
         {
             Response::Cell(answer) => Ok(*answer),
@@ -124,7 +144,10 @@
 
     /// Reads the ledger.
     pub async fn query(&self, query: Query, limit: Duration) -> Result<Queried, SessionError> {
-        match self.call_leader(Request::Query(query), true, limit).await? {
+        match self
+            .call_leader(Request::Query(query), true, CallLimits::both(limit))
+            .await?
+        {
             Response::Queried { index, reply } => Ok(Queried { index, reply: *reply }),
             _ => Err(SessionError::Unexpected),
         }
@@ -148,12 +171,17 @@
         &self,
         request: Request,
         repeat: bool,
-        limit: Duration,
+        limits: CallLimits,
     ) -> Result<Response, SessionError> {
-        let deadline = Instant::now() + limit;
+        let begin = Instant::now();
         let mut in_doubt = false;
         loop {
-            let left = deadline.saturating_duration_since(Instant::now());
+            let limit = if in_doubt {
+                limits.in_doubt
+            } else {
+                limits.undelivered
+            };
+            let left = limit.saturating_sub(begin.elapsed());
             match in_doubt {
                 _ if !left.is_zero() => {}
                 true => return Err(SessionError::NoAnswer),
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -9,7 +9,7 @@
 mod settings;
 
 pub use self::{
-    cell_client::{CellClient, Committed, Queried},
+    cell_client::{CallLimits, CellClient, Committed, Queried},
     directory::Directory,
     error::SessionError,
     session::{Load, Session, SessionEvent},
--- a/crates/store/src/jobs_role.rs
+++ b/crates/store/src/jobs_role.rs
@@ -7,10 +7,10 @@
     crate::{
         JobsSettings,
         calls::{Answer, failed},
-        clock::unix_ms,
+        clock::{steady_ms, unix_ms},
     },
     fuchsiatack_consensus::Term,
-    fuchsiatack_jobs::{CallId, CellAnswer, CellCall, Effect, JobBook, JobCommand, JobEvent, Planner},
+    fuchsiatack_jobs::{CallId, CellAnswer, CellCall, Effect, JobBook, JobCommand, JobEvent, Note, Planner},
     fuchsiatack_model::LogIndex,
     fuchsiatack_wire::Response,
     std::{
@@ -20,6 +20,9 @@
     tokio::sync::oneshot,
 };
 
+/// Time of one placement from which it is logged, in milliseconds. Answers wait for it.
+const LONG_TURN_MS: u64 = 40;
+
 pub(crate) struct JobsRole {
     last_call: u64,
     planner: Planner,
@@ -58,7 +61,9 @@
 
     /// Ends a turn: returns its commands, and the effects that wait for their commit.
     pub(crate) fn take_commands(&mut self) -> (Vec<JobCommand>, Vec<Effect>) {
+        let begin_ms = steady_ms();
         let output = self.planner.take_output();
+        self.note_long_turn(steady_ms() - begin_ms);
         for note in output.notes {
             let _ = self.settings.notes.send(note);
         }
@@ -68,6 +73,16 @@
         (output.commands, output.after_commit)
     }
 
+    /// Tells on-call engineers that placement uses up the processor.
+    fn note_long_turn(&self, took_ms: u64) {
+        if took_ms >= LONG_TURN_MS {
+            let note = Note::new("placement took long")
+                .with("took_ms", took_ms)
+                .with("waiting_steps", self.planner.waiting_steps());
+            let _ = self.settings.notes.send(note);
+        }
+    }
+
     /// Queues effects until an index is applied.
     pub(crate) fn wait_for(&mut self, index: LogIndex, effects: Vec<Effect>) {
         self.waiting
