--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -26,7 +26,7 @@
     entry_role::EntryRole,
     error::CellError,
     leader_wait::limits_of_call,
-    log_budget::{LogBudget, Verdict},
+    log_budget::{LogBudget, Verdict, is_sampled},
     logs::{log, set_up_logs},
     routes::Routes,
     settings::{CellSettings, CoreSettings, EntrySettings},
--- a/crates/cell/src/logs.rs
+++ b/crates/cell/src/logs.rs
@@ -4,7 +4,7 @@
 //! never holds up a decision.
 
 use {
-    crate::{CellError, LogBudget, Verdict},
+    crate::{CellError, LogBudget, Verdict, log_budget::is_sampled},
     fuchsiatack_jobs::Note,
     serde_json::{Map, Value},
     smol_str::SmolStr,
@@ -82,11 +82,12 @@
         return;
     };
     let unix_ms = fuchsiatack_store::unix_ms();
-    let verdict = log
-        .budget
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .decide(unix_ms / MILLIS_PER_SECOND, note.event);
+    let is_sampled = note.job.as_ref().is_some_and(|job| is_sampled(job));
+    let verdict = log.budget.lock().unwrap_or_else(PoisonError::into_inner).decide(
+        unix_ms / MILLIS_PER_SECOND,
+        note.event,
+        is_sampled,
+    );
     let Verdict::Write { suppressed } = verdict else {
         return;
     };
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -146,12 +146,13 @@
                     HoldKind::Check => view.plan_check(retry_ms),
                     HoldKind::Renewal => view.hold_due_ms = retry_ms,
                 }
-                let (failures, left) = (view.failures, view.left);
+                let (failures, left, runs) = (view.failures, view.left, view.runs.len());
                 if failures == 1 {
                     self.note(
                         Note::new("worker lost")
                             .with("worker", worker)
                             .with("error", error.as_str())
+                            .with("runs", runs)
                             .with("sent_ms_ago", now_ms.saturating_sub(sent_ms)),
                     );
                 }
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -29,7 +29,7 @@
         Self {
             lease_ms: 4_000,
             max_lease_ms: 10_000,
-            hold_wait_ms: 1_500,
+            hold_wait_ms: 1_000,
             brief_hold_wait_ms: 500,
             hold_pause_ms: 120,
             retention_ms: 150_000,
