store: part the runtime by job, and tell the planner of members that join later

The metrics page and the writer of the planner's lines stood in core_role although both roles use them. Ruled out: a change of behaviour elsewhere; functions moved as they were.

Change: runtime, runtime_node, runtime_reads, runtime_leader; metrics_page and logs; the member list is told again every 100 ms.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -8,7 +8,9 @@
         executor::Executor,
         http_server::{Answering, HttpServer},
         log,
+        logs::write_notes,
         metrics::Metrics,
+        metrics_page::serve_metrics,
         peers::{PeerHandler, Peers},
         routes::Routes,
         worker_caller::WorkerCaller,
@@ -18,17 +20,12 @@
     fuchsiatack_session::CallLimits,
     fuchsiatack_store::{InitialMember, JobsSettings, Membership, Store, StoreSettings},
     fuchsiatack_wire::PeerServer,
-    http::{Method, StatusCode},
     smol_str::ToSmolStr,
     std::{
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
-    tokio::{
-        sync::mpsc::{UnboundedReceiver, unbounded_channel},
-        task::JoinSet,
-        time::sleep,
-    },
+    tokio::{sync::mpsc::unbounded_channel, task::JoinSet, time::sleep},
 };
 
 /// Longest wait for the leader. Workers and operators ask another daemon after a second.
@@ -37,8 +34,6 @@
 const WATCH_PERIOD: Duration = Duration::from_millis(250);
 /// Longest wait until answers are sent in a planned stop.
 const SERVER_STOP_LIMIT: Duration = Duration::from_millis(800);
-/// Path of the metrics.
-const METRICS_PATH: &str = "/metrics";
 /// Longest election timeout in milliseconds.
 const ELECTION_MAXIMUM_MS: u64 = 650;
 /// Shortest election timeout in milliseconds. The leader's lease is as long, and a member that
@@ -141,44 +136,6 @@
     }
 }
 
-/// Serves the metrics on an address of their own.
-pub(crate) async fn serve_metrics(
-    background: &mut JoinSet<()>,
-    address: std::net::SocketAddr,
-    metrics: Arc<Metrics>,
-) -> Result<(), CellError> {
-    const MAX_BODY_BYTES: usize = 1 << 10;
-    let server = HttpServer::start(address, MAX_BODY_BYTES, Arc::new(MetricsPage { metrics })).await?;
-    background.spawn(async move {
-        // Dropping the handle would stop the server.
-        let _server = server;
-        std::future::pending::<()>().await;
-    });
-    Ok(())
-}
-
-struct MetricsPage {
-    metrics: Arc<Metrics>,
-}
-
-impl Answering for MetricsPage {
-    async fn answer(&self, question: HttpQuestion) -> HttpAnswer {
-        match (question.method, question.path.as_str()) {
-            (Method::GET, METRICS_PATH) => HttpAnswer {
-                body: self.metrics.text().into(),
-                ..HttpAnswer::status(StatusCode::OK)
-            },
-            _ => HttpAnswer::status(StatusCode::NOT_FOUND),
-        }
-    }
-}
-
-async fn write_notes(mut notes: UnboundedReceiver<Note>) {
-    while let Some(note) = notes.recv().await {
-        log(note);
-    }
-}
-
 /// Logs changes of what the store believes.
 async fn watch(store: Store, metrics: Arc<Metrics>) {
     let mut seen = None;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -15,6 +15,7 @@
 mod log_budget;
 mod logs;
 mod metrics;
+mod metrics_page;
 mod peers;
 mod routes;
 mod settings;
--- a/crates/cell/src/logs.rs
+++ b/crates/cell/src/logs.rs
@@ -18,6 +18,7 @@
         num::NonZeroUsize,
         sync::{Mutex, OnceLock, PoisonError},
     },
+    tokio::sync::mpsc::UnboundedReceiver,
 };
 
 /// Lines that wait for the output.
@@ -106,3 +107,10 @@
     }
     spdlog::log!(Level::Info, "{}", Value::Object(line));
 }
+
+/// Writes the planner's lines until there are no more.
+pub(crate) async fn write_notes(mut notes: UnboundedReceiver<Note>) {
+    while let Some(note) = notes.recv().await {
+        log(note);
+    }
+}
--- /dev/null
+++ b/crates/store/src/runtime_leader.rs
@@ -0,0 +1,167 @@
+//! The runtime's work while this member leads: jobs, plans, the member list.
+
+use {
+    crate::{
+        Membership, clock::unix_ms, jobs_role::JobsRole, leadership::Leadership, membership, runtime::Runtime,
+    },
+    fuchsiatack_consensus::Role,
+    fuchsiatack_ledger::{Allocator, Command, Query, QueryReply},
+    fuchsiatack_records::Kind,
+    std::collections::HashMap,
+};
+
+/// Interval of checks for journal entries whose retention is over, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 60_000;
+/// Interval of checks of the `store_member` records in milliseconds.
+const MEMBERS_INTERVAL_MS: u64 = 100;
+/// Most voters of a store whose members join by themselves or by records.
+const MAX_VOTERS: usize = 7;
+/// Interval of the allocator's plans in milliseconds.
+const PLAN_INTERVAL_MS: u64 = 100;
+
+impl Runtime {
+    /// Starts the planner once every entry of earlier leaders is applied, and proposes what it
+    /// decided in this turn.
+    pub(crate) fn propose_jobs(&mut self) {
+        let Some(settings) = &self.settings.jobs else {
+            return;
+        };
+        if self.jobs.is_none() && self.node.is_settled_leader() && self.node.applied() == self.node.commit() {
+            let now_ms = self.now_ms();
+            let jobs = JobsRole::new(settings, self.ledger.jobs(), self.node.term(), now_ms);
+            self.jobs = Some(jobs);
+            self.tell_members();
+        }
+        let Some(jobs) = &mut self.jobs else {
+            return;
+        };
+        let (commands, effects) = jobs.take_commands();
+        if !commands.is_empty() {
+            self.propose(Command::Jobs(commands), None);
+        }
+        let index = self.node.last();
+        if let Some(jobs) = &mut self.jobs {
+            jobs.wait_for(index, effects);
+        }
+    }
+
+    /// Carries out the planner's effects whose entries are applied, while the lease holds.
+    pub(crate) fn release_effects(&mut self) {
+        let now_ms = self.now_ms();
+        let holds_lease = self
+            .node
+            .lease_until_ms()
+            .is_some_and(|until_ms| now_ms < until_ms);
+        let applied = self.node.applied();
+        if let Some(jobs) = self.jobs.as_mut().filter(|_| holds_lease) {
+            self.answers.extend(jobs.release(applied));
+        }
+    }
+
+    /// Starts or ends the work of a leader when the role has changed.
+    pub(crate) fn follow_role(&mut self) {
+        let led = self.leadership.as_ref().map(|leadership| leadership.term);
+        let leads = (self.node.role() == Role::Leader).then(|| self.node.term());
+        // Calls may have been accepted in a leadership that lasted for less than a turn.
+        let has_orphans = leads.is_none() && !self.calls.is_empty();
+        if led == leads && !has_orphans {
+            return;
+        }
+        if led.is_some() || has_orphans {
+            self.resign();
+        }
+        if let Some(term) = leads {
+            let now_ms = self.now_ms();
+            let allocator = self.settings.allocator.clone();
+            self.leadership = Some(Leadership {
+                allocator: allocator.map(|settings| Allocator::new(settings, now_ms)),
+                demand: HashMap::new(),
+                confirmation_due_ms: now_ms,
+                expiry_due_ms: now_ms,
+                members_due_ms: now_ms,
+                plan_due_ms: now_ms,
+                planned: self.node.last(),
+                planned_ms: 0,
+                term,
+            });
+        }
+    }
+
+    pub(crate) fn resign(&mut self) {
+        self.leadership = None;
+        if let Some(jobs) = self.jobs.take() {
+            jobs.lost_leadership();
+        }
+        self.followers.clear();
+        let not_leader = self.not_leader();
+        self.calls.lost_leadership(&not_leader);
+    }
+
+    /// Proposes the allocator's commands if a plan is due and former ones are applied.
+    pub(crate) fn plan(&mut self) {
+        let now_ms = self.now_ms();
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if self.stop_due_ms.is_some() {
+            return;
+        }
+        if now_ms < leadership.plan_due_ms || self.node.applied() < leadership.planned {
+            return;
+        }
+        leadership.plan_due_ms = now_ms + PLAN_INTERVAL_MS;
+        leadership.planned_ms = now_ms;
+        let Some(allocator) = &mut leadership.allocator else {
+            return;
+        };
+        let mut commands = allocator.plan(now_ms, &self.ledger);
+        if now_ms >= leadership.expiry_due_ms {
+            leadership.expiry_due_ms = now_ms + EXPIRY_INTERVAL_MS;
+            commands.extend(self.ledger.journal_expiry(unix_ms()));
+        }
+        if commands.is_empty() {
+            return;
+        }
+        for command in commands {
+            self.propose(command, None);
+        }
+        if let Some(leadership) = &mut self.leadership {
+            leadership.planned = self.node.last();
+        }
+    }
+
+    /// Tells the planner where the members are, for daemons that ask.
+    fn tell_members(&mut self) {
+        let addresses = self.node.members().iter().map(|member| member.address).collect();
+        if let Some(jobs) = &mut self.jobs {
+            jobs.set_members(addresses);
+        }
+    }
+
+    /// Proposes the next change of the member list that the records ask for. It is tried again
+    /// later if an earlier change is not committed yet.
+    pub(crate) fn change_members(&mut self) {
+        let now_ms = self.now_ms();
+        match &mut self.leadership {
+            Some(leadership) if now_ms >= leadership.members_due_ms => {
+                leadership.members_due_ms = now_ms + MEMBERS_INTERVAL_MS;
+            }
+            _ => return,
+        }
+        self.tell_members();
+        let desired = match (
+            self.settings.membership,
+            self.ledger.query(&Query::Records(Kind::StoreMember)),
+        ) {
+            (Membership::Joining { .. }, _) => self.joining.values().cloned().collect(),
+            (Membership::Records, QueryReply::Records(records)) => membership::of_records(&records),
+            (Membership::Records, _) => Vec::new(),
+        };
+        let is_caught_up = |member| self.node.is_caught_up(member);
+        let change = membership::next_change(&desired, self.node.members(), MAX_VOTERS, is_caught_up);
+        if let Some(change) = change {
+            let _ = self.node.propose_members(change);
+            self.peers.learn_all(self.node.members());
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/runtime_node.rs
@@ -0,0 +1,194 @@
+//! The runtime's work for the node: messages, syncs, applied entries, snapshots.
+
+use {
+    crate::{event::Event, runtime::Runtime, writer::Job},
+    fuchsiatack_consensus::{Entry, Envelope, Payload, Ready, Role, Snapshot},
+    fuchsiatack_ledger::{Addressed, Command, Ledger, Reply},
+    std::sync::{Arc, PoisonError},
+};
+
+impl Runtime {
+    /// Carries out the node's work until there is none.
+    pub(crate) fn advance(&mut self) {
+        if self.failure.is_none() && !self.forming {
+            self.follow_role();
+            self.confirm_reads();
+            self.propose_jobs();
+            loop {
+                let ready = self.node.take_ready();
+                if ready.is_empty() {
+                    break;
+                }
+                self.run_ready(ready);
+                self.follow_role();
+            }
+            self.take_snapshot();
+            self.release_effects();
+        }
+        if self.node.is_formed()
+            && let Some(formation) = self.formation.take()
+        {
+            formation.abort();
+        }
+        self.update_status();
+        // A caller that was answered must find its command in the status.
+        for (reply, response) in self.answers.drain(..) {
+            let _ = reply.send(response);
+        }
+    }
+
+    /// Asks for a confirmation for the reads that came since the last one.
+    ///
+    /// Renewals alone ask at most once in each heartbeat interval. Each confirmation is a round of
+    /// heartbeats, so they cost no messages beyond those of an idle leader.
+    pub(crate) fn confirm_reads(&mut self) {
+        let now_ms = self.now_ms();
+        let is_urgent = self.calls.has_urgent_reads() || self.stop_due_ms.is_some();
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if !is_urgent && now_ms < leadership.confirmation_due_ms {
+            return;
+        }
+        if let Some(token) = self.calls.next_token() {
+            leadership.confirmation_due_ms = now_ms + self.settings.heartbeat_ms;
+            // `leadership` follows the role of the node, so this cannot fail.
+            let _ = self.node.confirm_leadership(token);
+        }
+    }
+
+    pub(crate) fn run_ready(&mut self, mut ready: Ready) {
+        let immediate = std::mem::take(&mut ready.immediate);
+        let committed = std::mem::take(&mut ready.committed);
+        let confirmed = std::mem::take(&mut ready.confirmed);
+        let installed = ready.snapshot.clone().filter(|_| ready.install_snapshot);
+        let has_members = |entry: &Arc<Entry>| matches!(entry.payload, Payload::Members(_));
+        if installed.is_some() || ready.entries.iter().any(has_members) {
+            self.peers.learn_all(self.node.members());
+        }
+        self.send_all(immediate);
+        if ready.needs_sync() || !ready.after_sync.is_empty() {
+            self.writer.push(Job::Persist(Box::new(ready)));
+        }
+        if let Some(snapshot) = installed {
+            self.install(&snapshot);
+        }
+        self.apply(committed);
+        for token in confirmed {
+            for read in self.calls.confirmed(token) {
+                self.answer(read);
+            }
+        }
+    }
+
+    pub(crate) fn send_all(&mut self, messages: Vec<Envelope>) {
+        for message in messages {
+            self.peers.send(message);
+        }
+    }
+
+    pub(crate) fn install(&mut self, snapshot: &Snapshot) {
+        match decode_ledger(Some(snapshot)) {
+            Ok(ledger) => {
+                self.ledger = ledger;
+                self.snapshot = snapshot.index;
+            }
+            Err(error) => self.fail(error.to_string()),
+        }
+    }
+
+    pub(crate) fn apply(&mut self, entries: Vec<Arc<Entry>>) {
+        let Some(last) = entries.last().map(|entry| entry.index) else {
+            return;
+        };
+        let mut changes = Vec::new();
+        for entry in entries {
+            if self.failure.is_some() {
+                return;
+            }
+            let reply = match &entry.payload {
+                Payload::Command(command) => self.apply_command(&entry, command, &mut changes),
+                Payload::Members(_) => Reply::Applied,
+            };
+            let answer = self.calls.applied(entry.index, entry.term, reply);
+            self.answers.extend(answer);
+        }
+        let now_ms = self.now_ms();
+        self.followers.push(now_ms, &changes, last);
+    }
+
+    pub(crate) fn apply_command(
+        &mut self,
+        entry: &Entry,
+        command: &[u8],
+        changes: &mut Vec<Addressed>,
+    ) -> Reply {
+        if command.is_empty() {
+            return Reply::Applied;
+        }
+        self.snapshot_lag_bytes += command.len() as u64;
+        match postcard::from_bytes(command) {
+            Ok(Command::Noop) => Reply::Applied,
+            Ok(command) => {
+                let applied = self.ledger.apply(entry.index, command);
+                changes.extend(applied.changes);
+                applied.reply
+            }
+            Err(error) => {
+                // Skipping it would let this member's state differ from that of the others.
+                self.fail(format!("entry {} cannot be decoded: {error}", entry.index.0));
+                Reply::Applied
+            }
+        }
+    }
+
+    pub(crate) fn take_snapshot(&mut self) {
+        let applied = self.node.applied();
+        let is_due = applied.0 >= self.snapshot.0 + self.settings.snapshot_entries
+            || self.snapshot_lag_bytes >= self.settings.snapshot_bytes;
+        if !is_due || self.snapshot_running {
+            return;
+        }
+        self.snapshot = applied;
+        self.snapshot_lag_bytes = 0;
+        self.snapshot_running = true;
+        let ledger = self.ledger.clone();
+        let events = self.events.clone();
+        tokio::task::spawn_blocking(move || {
+            let data = encode_ledger(&ledger);
+            let _ = events.send(Event::SnapshotEncoded { data, index: applied });
+        });
+    }
+
+    pub(crate) fn update_status(&self) {
+        let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        status.applied = self.node.applied();
+        status.commit = self.node.commit();
+        status.disk_failure.clone_from(&self.failure);
+        status.formed = self.node.is_formed();
+        status.leader = self.leader_address();
+        status.role = match self.failure {
+            Some(_) => Role::Follower,
+            None => self.node.role(),
+        };
+        status.term = self.node.term();
+        if status.members != self.node.members() {
+            status.members = self.node.members().to_vec();
+        }
+    }
+}
+
+/// Encodes the ledger as `Some`, so that no ledger has the empty encoding of the initial snapshot.
+fn encode_ledger(ledger: &Ledger) -> Vec<u8> {
+    postcard::to_stdvec(&Some(ledger)).unwrap_or_default()
+}
+
+pub(crate) fn decode_ledger(snapshot: Option<&Snapshot>) -> Result<Ledger, postcard::Error> {
+    match snapshot {
+        Some(snapshot) if !snapshot.data.is_empty() => {
+            let ledger: Option<Ledger> = postcard::from_bytes(&snapshot.data)?;
+            Ok(ledger.unwrap_or_default())
+        }
+        _ => Ok(Ledger::default()),
+    }
+}
