jobs: bound what is kept of a step's durations; cell: log members that are back

Cause, found in reading the change: every end of a run sorted the durations of all tasks of its step, which for a step of thousands of tasks grows with their square; the range of a step's tasks was written in three places; a member that calls workers again after a failure left no line, although each dependency that is regained has to.

Change: the last 32 durations are kept, ends are judged by these alone; StepId::tasks; the line "calls go through a core member again". Test: routes.rs (return noted once).

--- a/crates/cell/src/executor.rs
+++ b/crates/cell/src/executor.rs
@@ -90,10 +90,11 @@
         };
         match self.peers.carry(member, order.clone()).await {
             Carried::Replied(reply) => {
-                let mut routes = self.routes();
-                routes.member_answered(steady_ms(), member);
+                if self.routes().member_answered(steady_ms(), member) {
+                    log(Note::new("calls go through a core member again").with("member", member));
+                }
                 if is_silent(&reply) {
-                    routes.worker_failed(steady_ms(), &order.to().worker);
+                    self.routes().worker_failed(steady_ms(), &order.to().worker);
                 }
                 reply
             }
--- a/crates/cell/src/routes.rs
+++ b/crates/cell/src/routes.rs
@@ -93,9 +93,10 @@
         }
     }
 
-    /// Notes that a member has answered a call.
-    pub fn member_answered(&mut self, now_ms: u64, member: SocketAddr) {
+    /// Notes that a member has answered a call. Returns whether it had failed before.
+    pub fn member_answered(&mut self, now_ms: u64, member: SocketAddr) -> bool {
         self.answered_ms.insert(member, now_ms);
+        self.paused_until_ms.remove(&member).is_some()
     }
 
     /// Notes that a member did not answer a call that was sent at `sent_ms`. It has failed if it
--- a/crates/cell/tests/routes.rs
+++ b/crates/cell/tests/routes.rs
@@ -69,6 +69,8 @@
             .all(|worker| routes.choose(12, worker) != Some(failed))
     );
     assert_eq!(routes.choose(9_000, worker), Some(failed));
+    assert!(routes.member_answered(9_001, failed), "it is back");
+    assert!(!routes.member_answered(9_002, failed), "its return is noted once");
 }
 
 /// Guards against members that are all passed over because a busy leader reads their answers late.
--- a/crates/jobs/src/ids.rs
+++ b/crates/jobs/src/ids.rs
@@ -2,7 +2,10 @@
 
 use {
     fuchsiatack_derives::key,
-    std::fmt::{Display, Formatter, Result},
+    std::{
+        fmt::{Display, Formatter, Result},
+        ops::RangeInclusive,
+    },
 };
 
 /// Hexadecimal digits of a job's identifier.
@@ -41,6 +44,14 @@
     pub step: u32,
 }
 
+impl StepId {
+    /// Range of the step's tasks.
+    pub fn tasks(self) -> RangeInclusive<TaskKey> {
+        let task = |index| TaskKey { index, step: self };
+        task(0)..=task(u32::MAX)
+    }
+}
+
 impl Display for StepId {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> Result {
         write!(formatter, "{}.{}.{}", self.job, self.occurrence, self.step)
--- a/crates/jobs/src/plan_ahead.rs
+++ b/crates/jobs/src/plan_ahead.rs
@@ -4,7 +4,7 @@
 //! time that such a step takes, and a long step's answer takes half a second. It is asked for while
 //! the steps before are still at work, so that the tasks start as soon as their turn has come.
 
-use crate::{Planner, StepId, TaskKey, step_view::StepView};
+use crate::{Planner, StepId, step_view::StepView};
 
 /// Interval in which steps that come soon are looked for, in milliseconds.
 const INTERVAL_MS: u64 = 50;
@@ -98,14 +98,9 @@
 
     /// Expected time until the last run of a step is over.
     fn step_left_ms(&self, step: StepId) -> u64 {
-        let first = TaskKey { index: 0, step };
-        let last = TaskKey {
-            index: u32::MAX,
-            step,
-        };
         let left_ms = self
             .runs
-            .range(first..=last)
+            .range(step.tasks())
             .filter_map(|(task, _)| self.expected_left_ms(*task));
         left_ms.max().unwrap_or(0)
     }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -258,7 +258,7 @@
     fn stop_gang(&mut self, run: RunId) {
         let members: Vec<_> = self
             .runs
-            .range(first_task(run)..=last_task(run))
+            .range(run.task.step.tasks())
             .filter(|(_, view)| view.run.number == run.number)
             .map(|(task, _)| *task)
             .collect();
@@ -337,20 +337,9 @@
         let ran_ms = self.now_ms.saturating_sub(started_ms);
         let slowness = self.slowness_of(worker);
         if let Some(step) = self.steps.get_mut(&run.task.step) {
-            step.durations_ms.push(ran_ms * UNKNOWN_SLOWNESS / slowness);
+            step.add_duration(ran_ms * UNKNOWN_SLOWNESS / slowness);
         }
         let kind = SmolStr::new(entry.kind());
         self.kinds.entry(kind).or_default().learn(ran_ms, estimated_ms);
     }
 }
-
-fn first_task(run: RunId) -> TaskKey {
-    TaskKey { index: 0, ..run.task }
-}
-
-fn last_task(run: RunId) -> TaskKey {
-    TaskKey {
-        index: u32::MAX,
-        ..run.task
-    }
-}
--- a/crates/jobs/src/plan_stalls.rs
+++ b/crates/jobs/src/plan_stalls.rs
@@ -133,24 +133,16 @@
 
     /// Median duration of the tasks of a step that are done or whose pace is known.
     fn usual_duration_ms(&self, step: StepId) -> Option<u64> {
-        let done_ms = self.steps.get(&step).map(|view| view.durations_ms.as_slice());
-        let first = TaskKey { index: 0, step };
-        let last = TaskKey {
-            index: u32::MAX,
-            step,
-        };
-        let running_ms = self.runs.range(first..=last).filter_map(|(_, view)| {
+        let running_ms = self.runs.range(step.tasks()).filter_map(|(_, view)| {
             let whole_ms = view.progress.whole_ms()?;
             Some(whole_ms * UNKNOWN_SLOWNESS / self.slowness_of(&view.worker))
         });
-        let mut all_ms: Vec<_> = done_ms
-            .unwrap_or_default()
-            .iter()
-            .copied()
-            .chain(running_ms)
-            .collect();
-        all_ms.sort_unstable();
-        (all_ms.len() >= MIN_SIBLINGS).then(|| all_ms[all_ms.len() / 2])
+        median(self.done_durations_ms(step).iter().copied().chain(running_ms))
+    }
+
+    fn done_durations_ms(&self, step: StepId) -> &[u64] {
+        let view = self.steps.get(&step);
+        view.map_or(&[], |view| view.durations_ms.as_slice())
     }
 
     /// Returns whether a run that took this long was slow.
@@ -159,8 +151,8 @@
         let Some(spec) = job.and_then(|job| job.step(task.step.step)) else {
             return false;
         };
-        let usual_ms = self.usual_duration_ms(task.step).unwrap_or(spec.estimated_ms);
-        let expected_ms = usual_ms * self.slowness_of(worker) / UNKNOWN_SLOWNESS;
+        let usual_ms = median(self.done_durations_ms(task.step).iter().copied());
+        let expected_ms = usual_ms.unwrap_or(spec.estimated_ms) * self.slowness_of(worker) / UNKNOWN_SLOWNESS;
         ran_ms * 1_000 > expected_ms * SLOW_THOUSANDTHS + OVERDUE_MS * 1_000
     }
 
@@ -218,6 +210,13 @@
     }
 }
 
+/// Median of the durations, if there are enough to tell what is usual.
+fn median(durations_ms: impl Iterator<Item = u64>) -> Option<u64> {
+    let mut all_ms: Vec<_> = durations_ms.collect();
+    all_ms.sort_unstable();
+    (all_ms.len() >= MIN_SIBLINGS).then(|| all_ms[all_ms.len() / 2])
+}
+
 fn stands_still(view: &RunView, spec: &StepSpec, expected_ms: u64) -> bool {
     let resumes = spec.checkpoints && view.run.number > 1;
     let limit_ms = STILL_MS.max(expected_ms * STILL_PERCENT / 100) + if resumes { RESTORE_MS } else { 0 };
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -44,7 +44,7 @@
     pub(crate) advice: StepAdvice,
     /// Latency objective of its job, by the planner's clock in milliseconds.
     pub(crate) due_ms: u64,
-    /// Durations of tasks that are done, as on a worker of a kind that is neither fast nor slow.
+    /// Durations of the last tasks that are done, as on a worker of a kind that is neither fast nor slow.
     pub(crate) durations_ms: Vec<u64>,
     /// Workers on which a task has failed, by its number.
     pub(crate) failed_on: BTreeMap<u32, BTreeSet<WorkerName>>,
@@ -59,3 +59,16 @@
     /// Tasks that have no present run and are not done.
     pub(crate) waiting: BTreeSet<u32>,
 }
+
+/// Durations of a step that are kept; a step may have thousands of tasks.
+const MAX_DURATIONS: usize = 32;
+
+impl StepView {
+    /// Keeps the duration of a task that is done, in place of the oldest one.
+    pub(crate) fn add_duration(&mut self, duration_ms: u64) {
+        if self.durations_ms.len() >= MAX_DURATIONS {
+            self.durations_ms.remove(0);
+        }
+        self.durations_ms.push(duration_ms);
+    }
+}
