cell: refuse calls for the leader that were held up

Direct calls of the leader end with the connection to the earlier life. Ruled out: sending that number by the leader alone (renewals wait only if they carry it); the worker's start time as a condition (no call takes one).

Test: call_ages.rs.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -79,6 +79,7 @@
         };
         let handler = Arc::new(PeerHandler {
             adviser,
+            ages: Mutex::default(),
             caller: Some(caller),
             store: Some(store.clone()),
         });
--- a/crates/cell/src/entry_role.rs
+++ b/crates/cell/src/entry_role.rs
@@ -18,7 +18,7 @@
     http::StatusCode,
     std::{
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
@@ -67,6 +67,7 @@
         let adviser = Adviser::new(settings.cell.advice, dialect.clone(), metrics.clone())?;
         let handler = Arc::new(PeerHandler {
             adviser: Arc::new(adviser),
+            ages: Mutex::default(),
             caller: None,
             store: None,
         });
--- a/crates/cell/src/executor.rs
+++ b/crates/cell/src/executor.rs
@@ -88,7 +88,7 @@
         let Some(member) = member else {
             return self.caller.call(order).await;
         };
-        match self.peers.carry(member, order.clone()).await {
+        match self.peers.carry(member, order.clone(), now_ms).await {
             Carried::Replied(reply) => {
                 if self.routes().member_answered(steady_ms(), member) {
                     log(Note::new("calls go through a core member again").with("member", member));
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -4,6 +4,7 @@
 //! How callers, workers and operators speak is a `Dialect`, which lives elsewhere.
 
 mod adviser;
+mod call_ages;
 mod cell_port;
 mod core_role;
 mod dialect;
@@ -22,6 +23,7 @@
 mod worker_caller;
 
 pub use self::{
+    call_ages::CallAges,
     core_role::CoreRole,
     dialect::{Dialect, HttpAnswer, HttpQuestion, WorkerRequest},
     entry_role::EntryRole,
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        CellSettings,
+        CallAges, CellSettings,
         adviser::Adviser,
+        log,
         worker_caller::{WorkerCaller, order_limit},
     },
     fuchsiatack_consensus::Envelope,
-    fuchsiatack_jobs::{AdviceReply, AdviceRequest, CellAnswer, CellCall, WorkerOrder, WorkerReply},
-    fuchsiatack_store::Store,
+    fuchsiatack_jobs::{AdviceReply, AdviceRequest, CellAnswer, CellCall, Note, WorkerOrder, WorkerReply},
+    fuchsiatack_store::{Store, steady_ms},
     fuchsiatack_wire::{
         Caller, CellSecret, Handler, NotLeader, PeerClient, PeerClientSettings, Request, Response,
     },
@@ -67,9 +68,10 @@
     }
 
     /// Has another core member call a worker.
-    pub(crate) async fn carry(&self, address: SocketAddr, order: WorkerOrder) -> Carried {
+    pub(crate) async fn carry(&self, address: SocketAddr, order: WorkerOrder, sent_ms: u64) -> Carried {
         let limit = order_limit(&order) + CARRY_MARGIN;
-        let call = Request::Cell(Box::new(CellCall::Work(Box::new(order))));
+        let order = Box::new(order);
+        let call = Request::Cell(Box::new(CellCall::Work { order, sent_ms }));
         match self.client(address).call(call, limit).await {
             Ok(Response::Cell(answer)) => match *answer {
                 CellAnswer::Work(reply) => Carried::Replied(*reply),
@@ -97,15 +99,28 @@
 /// Answers calls of other daemons.
 pub(crate) struct PeerHandler {
     pub(crate) adviser: Arc<Adviser>,
+    pub(crate) ages: Mutex<CallAges>,
     /// Set on core members.
     pub(crate) caller: Option<Arc<WorkerCaller>>,
     pub(crate) store: Option<Store>,
 }
 
 impl PeerHandler {
-    async fn carry(&self, order: &WorkerOrder) -> CellAnswer {
+    async fn carry(&self, order: &WorkerOrder, sent_ms: u64) -> CellAnswer {
+        let is_recent = self
+            .ages
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_recent(steady_ms(), order.to().fence, sent_ms);
         match &self.caller {
-            Some(caller) => CellAnswer::Work(Box::new(caller.call(order).await)),
+            Some(caller) if is_recent => CellAnswer::Work(Box::new(caller.call(order).await)),
+            Some(_) => {
+                log(Note::new("call for the leader refused as too old")
+                    .with("call", order.as_str())
+                    .with("worker", &order.to().worker)
+                    .with("fence", order.to().fence));
+                CellAnswer::Failed(SmolStr::new_static("the call was held up"))
+            }
             None => CellAnswer::Failed(SmolStr::new_static("this daemon does not call workers")),
         }
     }
@@ -118,7 +133,9 @@
                 (CellCall::Advise(request), _) => {
                     Response::Cell(Box::new(self.adviser.answer(&request).await))
                 }
-                (CellCall::Work(order), _) => Response::Cell(Box::new(self.carry(&order).await)),
+                (CellCall::Work { order, sent_ms }, _) => {
+                    Response::Cell(Box::new(self.carry(&order, sent_ms).await))
+                }
                 (call, Some(store)) => store.call(caller, Request::Cell(Box::new(call))).await,
                 (_, None) => Response::NotLeader(NotLeader { leader: None }),
             },
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -152,7 +152,12 @@
     /// Starts a wave.
     StartWave(Wave),
     /// Calls a worker on behalf of the leader; any core member does it.
-    Work(Box<WorkerOrder>),
+    Work {
+        /// The call.
+        order: Box<WorkerOrder>,
+        /// When the leader sent it, by its steady clock in milliseconds.
+        sent_ms: u64,
+    },
 }
 
 /// Answer to a `CellCall`. Variants are sorted by name.
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -17,7 +17,7 @@
 impl Planner {
     pub(crate) fn called(&mut self, id: CallId, call: CellCall) {
         match call {
-            CellCall::Advise(_) | CellCall::Work(_) => {
+            CellCall::Advise(_) | CellCall::Work { .. } => {
                 let reason = SmolStr::new_static("the planner does not call others");
                 self.answer(id, CellAnswer::Failed(reason));
             }
