--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -13,8 +13,8 @@
 const HOLD_RETRY_MS: u64 = 100;
 /// Longest pause after a failed renewal in milliseconds.
 const HOLD_RETRY_LIMIT_MS: u64 = 1_000;
-/// Time after which a worker without runs is told which ends were seen, in milliseconds. It is
-/// shorter than `SAME_LIFE_MS`.
+/// Time after which a worker without runs is told which ends were seen, in milliseconds. With the
+/// pause after a renewal that brought ends it is shorter than `SAME_LIFE_MS`.
 const IDLE_ACKNOWLEDGEMENT_MS: u64 = 300;
 /// Time after an answer in which a worker cannot have crashed and started again, in milliseconds.
 /// Numbers of ends begin anew in each life, so a number of the earlier life would make the new one
