jobs, store: log what tells the causes of a run after a cancel apart

Cause: three hypotheses for UNASKED could not be told apart from logs. A cancel that found no job left no line, a cancel did not say what was running, and neither the log index of an acknowledged cancel nor that from which a later leader starts was written. Change: the events 'cancel of an unknown job', 'cancel acknowledged' (index, term) and 'planner started' (applied index, term); the number of runs in 'job cancelled'; the time since the end of the job in 'run failed or interrupted'; the state of the job and its present run in 'superseded run stopped'. No decision changes.

--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -118,7 +118,10 @@
                     .is_some()
                 {
                     true => self.cancel(job),
-                    false => JobResponse::NoSuchJob,
+                    false => {
+                        self.log_unknown_cancel(job, &queue.name, team.as_ref());
+                        JobResponse::NoSuchJob
+                    }
                 }
             }
             (JobAction::Submit(_), None) => JobResponse::Invalid("the path names no job".into()),
@@ -182,12 +185,30 @@
         JobResponse::Accepted
     }
 
+    /// Logs a request to cancel a job that the caller cannot see. `present_queue` and `present_team` are
+    /// those of a job with this identifier; both are empty if there is none.
+    fn log_unknown_cancel(&mut self, id: crate::JobId, queue: &QueueName, team: Option<&TeamName>) {
+        let present = self.store.jobs.get(&id);
+        let present_team = present.and_then(|job| job.team.as_ref());
+        let event = LogEvent::new("cancel of an unknown job")
+            .job(id)
+            .with("queue", queue)
+            .with("team", team.map_or("", TeamName::as_str))
+            .with("present_queue", present.map_or("", |job| job.queue.as_str()))
+            .with("present_team", present_team.map_or("", TeamName::as_str));
+        self.log(event);
+    }
+
     fn cancel(&mut self, id: crate::JobId) -> JobResponse {
         let has_ended = self.store.jobs.get(&id).is_some_and(|job| job.ended.is_some());
+        let runs = self.runs_of(id).count();
+        let confirmed = self.runs_of(id).filter(|task| self.is_confirmed(*task)).count();
         self.log(
             LogEvent::new("job cancelled")
                 .job(id)
-                .with("had_ended", has_ended),
+                .with("had_ended", has_ended)
+                .with("runs", runs)
+                .with("confirmed_runs", confirmed),
         );
         if !has_ended {
             self.propose(JobCommand::Cancel {
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -311,12 +311,17 @@
         let Some(to) = self.callee(worker) else {
             return;
         };
-        self.log(
-            LogEvent::new("superseded run stopped")
-                .job(run.task.step.job)
-                .with("run", run)
-                .with("worker", worker),
-        );
+        let job = self.store.jobs.get(&run.task.step.job);
+        let job_state = job.map_or("unknown", |job| job.state().as_str());
+        let present = self.runs.get(&run.task);
+        let event = LogEvent::new("superseded run stopped")
+            .job(run.task.step.job)
+            .with("run", run)
+            .with("worker", worker)
+            .with("job_state", job_state)
+            .with("present_run", present.map_or(0, |view| view.run.number))
+            .with("present_worker", present.map_or("", |view| view.worker.as_str()));
+        self.log(event);
         self.send_order(WorkerOrder::Stop { run, to });
     }
 }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -191,7 +191,8 @@
                     .with("worker", &view.worker)
                     .with("end", end.as_str())
                     .with("reason", reason)
-                    .with("ran_ms", self.now_ms.saturating_sub(view.started_ms)),
+                    .with("ran_ms", self.now_ms.saturating_sub(view.started_ms))
+                    .with("job_ended_ms_ago", self.job_ended_ms_ago(run.task.step.job)),
             );
         }
         let checkpoint = match checkpoint {
@@ -234,6 +235,14 @@
         }
     }
 
+    /// Returns the time since the end of a job in milliseconds, for logs; empty if it has not ended.
+    fn job_ended_ms_ago(&self, id: JobId) -> SmolStr {
+        let ended = self.store.jobs.get(&id).and_then(|job| job.ended.as_ref());
+        ended.map_or(SmolStr::default(), |ended| {
+            SmolStr::new(self.now_unix_ms.saturating_sub(ended.unix_ms).to_string())
+        })
+    }
+
     fn is_long_running(&self, run: RunId) -> bool {
         let job = self.store.jobs.get(&run.task.step.job);
         job.and_then(|job| job.step(run.task.step.step))
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -264,6 +264,24 @@
         self.runs.insert(run.task, view);
     }
 
+    /// Returns the tasks of a job that have a present run.
+    pub(crate) fn runs_of(&self, job: JobId) -> impl Iterator<Item = TaskKey> {
+        let step = |occurrence, step| StepId {
+            job,
+            occurrence,
+            step,
+        };
+        let first = TaskKey {
+            index: 0,
+            step: step(0, 0),
+        };
+        let last = TaskKey {
+            index: u32::MAX,
+            step: step(u32::MAX, u32::MAX),
+        };
+        self.runs.range(first..=last).map(|(task, _)| *task)
+    }
+
     /// Removes a run and its use of its worker and its team.
     pub(crate) fn remove_run(&mut self, task: TaskKey) -> Option<RunView> {
         let view = self.runs.remove(&task)?;
--- a/crates/store/src/jobs_role.rs
+++ b/crates/store/src/jobs_role.rs
@@ -12,7 +12,8 @@
     },
     fuchsiatack_consensus::Term,
     fuchsiatack_jobs::{
-        CallId, CellCall, CellResponse, Effect, JobCommand, JobEvent, JobStore, LogEvent, Planner,
+        CallId, CellCall, CellResponse, Effect, JobCommand, JobEvent, JobResponse, JobStore, LogEvent,
+        Planner,
     },
     fuchsiatack_model::LogIndex,
     fuchsiatack_wire::Response,
@@ -31,18 +32,31 @@
     planner: Planner,
     responders: HashMap<CallId, oneshot::Sender<Response>>,
     settings: JobsSettings,
+    term: Term,
     /// Effects in order, each with the log index that must be applied first.
     deferred: VecDeque<(LogIndex, Effect)>,
 }
 
 impl JobsRole {
-    pub(crate) fn new(settings: &JobsSettings, store: &JobStore, term: Term, now_ms: u64) -> Self {
+    /// Starts the planner of a leader whose state is applied up to `applied`.
+    pub(crate) fn new(
+        settings: &JobsSettings,
+        store: &JobStore,
+        term: Term,
+        applied: LogIndex,
+        now_ms: u64,
+    ) -> Self {
+        let log_event = LogEvent::new("planner started")
+            .with("applied", applied.0)
+            .with("term", term.0);
+        let _ = settings.log_events.send(log_event);
         let planner = Planner::new(settings.planner.clone(), store.clone(), term.0, now_ms, unix_ms());
         Self {
             last_call: 0,
             planner,
             responders: HashMap::new(),
             settings: settings.clone(),
+            term,
             deferred: VecDeque::new(),
         }
     }
@@ -99,7 +113,8 @@
             && *index <= applied
         {
             match self.deferred.pop_front() {
-                Some((_, Effect::Respond { response, id })) => {
+                Some((index, Effect::Respond { response, id })) => {
+                    self.log_cancellation(index, &response);
                     responses.extend(self.complete_call(id, response))
                 }
                 Some((_, effect)) => {
@@ -111,6 +126,17 @@
         responses
     }
 
+    /// Logs the log index up to which a cancel is committed when it is acknowledged, so that it can be
+    /// compared with the index from which a later leader starts.
+    fn log_cancellation(&self, index: LogIndex, response: &CellResponse) {
+        if let CellResponse::Job(JobResponse::Cancelled) = response {
+            let log_event = LogEvent::new("cancel acknowledged")
+                .with("index", index.0)
+                .with("term", self.term.0);
+            let _ = self.settings.log_events.send(log_event);
+        }
+    }
+
     /// Fails all calls after leadership was lost. Whether they take effect is unknown.
     pub(crate) fn fail_all(self) {
         for responder in self.responders.into_values() {
--- a/crates/store/src/runtime_leader.rs
+++ b/crates/store/src/runtime_leader.rs
@@ -31,7 +31,13 @@
             && self.node.applied() == self.node.commit()
         {
             let now_ms = self.now_ms();
-            let jobs = JobsRole::new(settings, self.ledger.jobs(), self.node.term(), now_ms);
+            let jobs = JobsRole::new(
+                settings,
+                self.ledger.jobs(),
+                self.node.term(),
+                self.node.applied(),
+                now_ms,
+            );
             self.jobs = Some(jobs);
             self.update_planner_members();
         }
