--- /dev/null
+++ b/crates/jobs/tests/cancellation/cell.rs
@@ -0,0 +1,810 @@
+//! Simulation of clients that cancel jobs, leaders, a replicated log and workers.
+
+use {
+    crate::{
+        clients::{Client, ClientCall},
+        common::{self, UNIX_START_MS},
+        faults::Faults,
+        worker::{Run, Worker},
+    },
+    fuchsiatack_jobs::{
+        CallId, CellCall, CellResponse, Effect, HoldKind, HoldReport, JobAction, JobCall, JobCommand,
+        JobEvent, JobId, JobResponse, JobSpec, JobStore, Planner, PlannerSettings, RunId, TaskKey,
+        WorkerCallError, WorkerOrder, WorkerReport,
+    },
+    fuchsiatack_model::{DataCenter, Resources, WorkerName},
+    smol_str::SmolStr,
+    std::collections::BTreeMap,
+};
+
+const STEP_MS: u64 = 5;
+const TICK_MS: u64 = 25;
+const COMMIT_MS: u64 = 15;
+const RESPONSE_TIMEOUT_MS: u64 = 350;
+const HEARTBEAT_MS: u64 = 500;
+/// Time in which a disruption counts as near, in milliseconds (`contactMs` of the rules).
+const CONTACT_MS: u64 = 3_000;
+/// Time after an acknowledged cancel in which its tasks may still start, in milliseconds.
+const CANCEL_MS: u64 = 3_000;
+/// Time that a stop may take, in milliseconds.
+const STOP_MS: u64 = 200;
+const LATE_ORDER_MS: std::ops::Range<u64> = 2_000..12_000;
+
+#[derive(Debug)]
+enum Scheduled {
+    Arrive {
+        effect: Effect,
+        has_response: bool,
+        is_late: bool,
+        sent_ms: u64,
+        term: u64,
+    },
+    Call(ClientCall),
+    Event {
+        event: JobEvent,
+        term: u64,
+    },
+    Response {
+        client: usize,
+        response: JobResponse,
+    },
+}
+
+/// A renewal that waits at its worker for the end of a run.
+struct WaitingHold {
+    born_ms: u64,
+    has_response: bool,
+    kind: HoldKind,
+    last_seen: u64,
+    sent_ms: u64,
+    term: u64,
+    until_ms: u64,
+    worker: WorkerName,
+}
+
+pub struct Cell {
+    acknowledged_cancels: BTreeMap<JobId, u64>,
+    calls: BTreeMap<CallId, usize>,
+    clients: Vec<Client>,
+    committing: Vec<(u64, Vec<JobCommand>, Vec<Effect>)>,
+    faults: Faults,
+    last_disruption_ms: u64,
+    next_id: u64,
+    now_ms: u64,
+    /// `None` between two leaders.
+    planner: Option<Planner>,
+    elected_ms: u64,
+    random: u64,
+    scheduled: BTreeMap<(u64, u64), Scheduled>,
+    sequence: u64,
+    specs: BTreeMap<JobId, JobSpec>,
+    store: JobStore,
+    term: u64,
+    waiting_holds: Vec<WaitingHold>,
+    workers: BTreeMap<WorkerName, Worker>,
+    /// Longest time that a run of a cancelled job continued beyond the limit, in milliseconds.
+    pub overruns: BTreeMap<RunId, u64>,
+    pub trace: Vec<String>,
+    pub violations: Vec<String>,
+}
+
+impl Cell {
+    pub fn new(seed: u64, faults: Faults, jobs: u64, workers: usize) -> Self {
+        let mut store = JobStore::default();
+        store.apply(&JobCommand::Configure(Box::new(common::configuration(
+            common::queue(),
+        ))));
+        let planner = Planner::new(PlannerSettings::default(), store.clone(), 1, 0, UNIX_START_MS);
+        let capacity = |number: usize| Resources {
+            memory_bytes: 64 << 30,
+            processors_millis: [16_000, 32_000, 64_000][number % 3],
+            ..Resources::NONE
+        };
+        let workers = (0..workers).map(|number| {
+            let rate_percent = 98 + number as u64 % 3;
+            (
+                WorkerName::new(format!("w-{number}")),
+                Worker::new(0, rate_percent, capacity(number)),
+            )
+        });
+        let mut cell = Self {
+            acknowledged_cancels: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            clients: Vec::new(),
+            committing: Vec::new(),
+            faults,
+            last_disruption_ms: 0,
+            next_id: 0,
+            now_ms: 0,
+            planner: Some(planner),
+            elected_ms: 0,
+            random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            scheduled: BTreeMap::new(),
+            sequence: 0,
+            specs: BTreeMap::new(),
+            store,
+            term: 1,
+            waiting_holds: Vec::new(),
+            workers: workers.collect(),
+            overruns: BTreeMap::new(),
+            trace: Vec::new(),
+            violations: Vec::new(),
+        };
+        (0..20).for_each(|_| {
+            cell.random_below(2);
+        });
+        for number in 1..=jobs {
+            let client = Client::random(number, &faults, &mut |bound| cell.random_below(bound));
+            cell.add_client(client);
+        }
+        cell
+    }
+
+    pub fn add_client(&mut self, client: Client) {
+        self.specs.insert(client.job, client.spec.clone());
+        let number = self.clients.len();
+        for (at_ms, is_cancel) in client.sends() {
+            let call = ClientCall {
+                client: number,
+                is_cancel,
+                is_repeat: false,
+            };
+            self.schedule(at_ms, Scheduled::Call(call));
+        }
+        self.clients.push(client);
+    }
+
+    pub fn run_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    pub fn end_faults(&mut self) {
+        self.faults = Faults::default();
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let now_ms = self.now_ms;
+        self.workers
+            .values_mut()
+            .for_each(|worker| worker.advance_to(now_ms));
+        self.inject_faults();
+        if self.planner.is_none() && now_ms >= self.elected_ms {
+            self.start_leader();
+        }
+        if now_ms.is_multiple_of(HEARTBEAT_MS) || now_ms == STEP_MS {
+            let names: Vec<_> = self.workers.keys().cloned().collect();
+            names.iter().for_each(|name| self.heartbeat(name));
+        }
+        self.deliver();
+        self.complete_holds();
+        if now_ms.is_multiple_of(TICK_MS) {
+            self.handle(JobEvent::Tick);
+        }
+        self.take_output();
+        self.commit();
+        self.check_runs();
+    }
+
+    fn unix_ms(&self) -> u64 {
+        UNIX_START_MS + self.now_ms
+    }
+
+    pub fn random_below(&mut self, bound: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        (self.random >> 11) % bound
+    }
+
+    fn chance(&mut self, is_enabled: bool, one_in: u64) -> bool {
+        let drawn = self.random_below(one_in) == 0;
+        is_enabled && drawn
+    }
+
+    fn schedule(&mut self, at_ms: u64, item: Scheduled) {
+        self.next_id += 1;
+        self.scheduled.insert((at_ms, self.next_id), item);
+    }
+
+    fn note(&mut self, text: String) {
+        let now_ms = self.now_ms;
+        self.trace.push(format!("{now_ms:>6} {text}"));
+    }
+
+    fn handle(&mut self, event: JobEvent) {
+        let (now_ms, unix_ms) = (self.now_ms, self.unix_ms());
+        if let Some(planner) = &mut self.planner {
+            planner.handle(now_ms, unix_ms, event);
+        }
+    }
+
+    fn inject_faults(&mut self) {
+        let number = self.random_below(self.workers.len() as u64) as usize;
+        let name = self
+            .workers
+            .keys()
+            .nth(number)
+            .cloned()
+            .expect("the number is in range");
+        if self.chance(self.faults.crashes, 800) {
+            let delay_ms = 600 + self.random_below(1_500);
+            self.crash(&name, delay_ms);
+        }
+        if self.chance(self.faults.partitions, 800) {
+            let duration_ms = 200 + self.random_below(7_000);
+            let until_ms = self.now_ms + duration_ms;
+            self.note(format!("{name} partitioned until {until_ms}"));
+            self.disrupt(until_ms);
+            let worker = self.workers.get_mut(&name).expect("workers stay");
+            worker.unreachable_until_ms = worker.unreachable_until_ms.max(until_ms);
+        }
+        if self.chance(self.faults.leaves, 800) && self.workers[&name].leaves_ms.is_none() {
+            let leaves_ms = self.now_ms + 500 + self.random_below(6_000);
+            self.note(format!("{name} drains until {leaves_ms}"));
+            self.workers.get_mut(&name).expect("workers stay").leaves_ms = Some(leaves_ms);
+            self.heartbeat(&name);
+        }
+        self.leave_due();
+        if self.chance(self.faults.leader_changes, 1_000) && self.planner.is_some() {
+            let gap_ms = self.random_below(1_200);
+            self.lose_leader(gap_ms);
+        }
+    }
+
+    fn disrupt(&mut self, until_ms: u64) {
+        self.last_disruption_ms = self.last_disruption_ms.max(until_ms);
+    }
+
+    /// Replaces a worker by its next incarnation, which is reachable `delay_ms` later.
+    pub fn crash(&mut self, name: &WorkerName, delay_ms: u64) {
+        let born_ms = self.now_ms + delay_ms;
+        self.note(format!("{name} crashes, born again at {born_ms}"));
+        self.disrupt(born_ms);
+        self.replace(name, born_ms);
+    }
+
+    fn replace(&mut self, name: &WorkerName, born_ms: u64) {
+        let restarted = self.workers[name].restarted(born_ms);
+        self.workers.insert(name.clone(), restarted);
+        self.waiting_holds.retain(|hold| hold.worker != *name);
+    }
+
+    /// Ends workers whose shutdown is due; each starts again under its name.
+    fn leave_due(&mut self) {
+        let now_ms = self.now_ms;
+        let due: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.leaves_ms.is_some_and(|leaves_ms| leaves_ms <= now_ms))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            let born_ms = now_ms + 600 + self.random_below(3_000);
+            self.note(format!("{name} leaves, born again at {born_ms}"));
+            self.call(CellCall::Leave(name.clone()));
+            self.replace(&name, born_ms);
+        }
+    }
+
+    /// Ends the leader's term. A prefix of its uncommitted commands survives.
+    pub fn lose_leader(&mut self, gap_ms: u64) {
+        let survivors = self.random_below(self.committing.len() as u64 + 1) as usize;
+        let committing = std::mem::take(&mut self.committing);
+        for (_, commands, _) in committing.into_iter().take(survivors) {
+            commands.iter().for_each(|command| self.store.apply(command));
+        }
+        self.calls.clear();
+        self.planner = None;
+        self.elected_ms = self.now_ms + gap_ms;
+        self.disrupt(self.elected_ms);
+        self.note(format!("leader of term {} lost", self.term));
+        self.term += 1;
+    }
+
+    fn start_leader(&mut self) {
+        let store = self.store.clone();
+        let settings = PlannerSettings::default();
+        self.planner = Some(Planner::new(
+            settings,
+            store,
+            self.term,
+            self.now_ms,
+            self.unix_ms(),
+        ));
+        self.note(format!("leader of term {} starts", self.term));
+    }
+
+    fn call(&mut self, call: CellCall) -> CallId {
+        self.next_id += 1;
+        let id = CallId(self.next_id);
+        self.handle(JobEvent::Called { call, id });
+        id
+    }
+
+    fn heartbeat(&mut self, name: &WorkerName) {
+        let (now_ms, worker) = (self.now_ms, &self.workers[name]);
+        if worker.unreachable_until_ms > now_ms {
+            return;
+        }
+        self.sequence += 1;
+        let report = WorkerReport {
+            address: "127.0.0.1:1".parse().expect("the address is valid"),
+            started_unix_ms: UNIX_START_MS + worker.born_ms,
+            capacity: worker.capacity,
+            clock_ms: worker.clock_ms(now_ms),
+            data_center: DataCenter::new("a"),
+            draining: worker.leaves_ms.is_some(),
+            labels: vec!["kind".into(), "rack".into()],
+            machine: SmolStr::default(),
+            name: name.clone(),
+            remaining_ms: worker.leaves_ms.map(|leaves_ms| leaves_ms.saturating_sub(now_ms)),
+            sequence: self.sequence,
+            service: "service".into(),
+        };
+        self.call(CellCall::Heartbeat(Box::new(report)));
+    }
+
+    fn take_output(&mut self) {
+        let Some(planner) = &mut self.planner else {
+            return;
+        };
+        let output = planner.take_output();
+        for event in output.log_events {
+            self.trace.push(format!("{:>6}   log {event:?}", self.now_ms));
+        }
+        if !output.commands.is_empty() || !output.after_commit.is_empty() {
+            let due_ms = self.now_ms + COMMIT_MS;
+            self.committing
+                .push((due_ms, output.commands, output.after_commit));
+        }
+    }
+
+    fn commit(&mut self) {
+        let now_ms = self.now_ms;
+        while self
+            .committing
+            .first()
+            .is_some_and(|(due_ms, ..)| *due_ms <= now_ms)
+        {
+            let (_, commands, effects) = self.committing.remove(0);
+            commands.iter().for_each(|command| self.store.apply(command));
+            effects.into_iter().for_each(|effect| self.send(effect));
+        }
+    }
+
+    fn send(&mut self, effect: Effect) {
+        let order = match &effect {
+            Effect::Advise { .. } => return,
+            Effect::Respond { response, id } => return self.respond(*id, response.clone()),
+            Effect::Order(order) => order.clone(),
+        };
+        let (term, sent_ms) = (self.term, self.now_ms);
+        let (is_lost, is_late) = match self.random_below(40) {
+            0 if self.faults.lost_orders => (true, false),
+            1 if self.faults.late_orders => (true, true),
+            2 if self.faults.lost_orders => (false, false),
+            _ => return self.transmit(effect, true, false, 1, sent_ms, term),
+        };
+        let event = order
+            .clone()
+            .event(sent_ms, order.failed(WorkerCallError::Unanswered));
+        let timeout_ms = match &order {
+            WorkerOrder::Hold { wait_ms, .. } => RESPONSE_TIMEOUT_MS + wait_ms,
+            _ => RESPONSE_TIMEOUT_MS,
+        };
+        self.schedule(sent_ms + timeout_ms, Scheduled::Event { event, term });
+        match (is_lost, is_late) {
+            (_, true) => {
+                let delay_ms =
+                    LATE_ORDER_MS.start + self.random_below(LATE_ORDER_MS.end - LATE_ORDER_MS.start);
+                self.note(format!("late by {delay_ms}: {}", describe(&order)));
+                self.transmit(effect, false, true, delay_ms, sent_ms, term);
+            }
+            (false, false) => self.transmit(effect, false, false, 1, sent_ms, term),
+            (true, false) => self.note(format!("lost: {}", describe(&order))),
+        }
+    }
+
+    fn transmit(
+        &mut self,
+        effect: Effect,
+        has_response: bool,
+        is_late: bool,
+        delay_ms: u64,
+        sent_ms: u64,
+        term: u64,
+    ) {
+        let at_ms = sent_ms + delay_ms + self.random_below(5);
+        self.schedule(
+            at_ms,
+            Scheduled::Arrive {
+                effect,
+                has_response,
+                is_late,
+                sent_ms,
+                term,
+            },
+        );
+    }
+
+    fn respond(&mut self, id: CallId, response: CellResponse) {
+        let (Some(client), CellResponse::Job(response)) = (self.calls.remove(&id), response) else {
+            return;
+        };
+        if !self.chance(self.faults.lost_responses, 10) {
+            let at_ms = self.now_ms + 1 + self.random_below(5);
+            self.schedule(at_ms, Scheduled::Response { client, response });
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.scheduled.first_entry()
+            && entry.key().0 <= self.now_ms
+        {
+            match entry.remove() {
+                Scheduled::Arrive {
+                    effect: Effect::Order(order),
+                    has_response,
+                    is_late,
+                    sent_ms,
+                    term,
+                } => {
+                    self.arrive(order, has_response, is_late, sent_ms, term);
+                }
+                Scheduled::Arrive { .. } => {}
+                Scheduled::Call(call) => self.client_call(call),
+                Scheduled::Event { event, term } if term == self.term || self.faults.regained_leadership => {
+                    self.handle(event);
+                }
+                Scheduled::Event { .. } => {}
+                Scheduled::Response { client, response } => self.client_response(client, &response),
+            }
+        }
+    }
+
+    fn client_call(&mut self, call: ClientCall) {
+        let client = &self.clients[call.client];
+        let is_answered = match call.is_cancel {
+            true => client.is_cancelled,
+            false => client.is_accepted,
+        };
+        if call.is_repeat && is_answered {
+            return;
+        }
+        let job = client.job;
+        let action = match call.is_cancel {
+            true => JobAction::Cancel,
+            false => JobAction::Submit(Box::new(client.spec.clone())),
+        };
+        self.note(format!(
+            "call {} {job}",
+            if call.is_cancel { "DELETE" } else { "POST" }
+        ));
+        let repeat_ms = self.now_ms + 400 + self.random_below(600);
+        self.schedule(
+            repeat_ms,
+            Scheduled::Call(ClientCall {
+                is_repeat: true,
+                ..call
+            }),
+        );
+        if self.planner.is_none() {
+            return;
+        }
+        let id = self.call(CellCall::Job(JobCall {
+            action,
+            host: "host".into(),
+            key: Some("key".into()),
+            path: SmolStr::new(format!("/q/{job}")),
+        }));
+        self.calls.insert(id, call.client);
+    }
+
+    fn client_response(&mut self, client: usize, response: &JobResponse) {
+        let now_ms = self.now_ms;
+        let client = &mut self.clients[client];
+        let job = client.job;
+        match response {
+            JobResponse::Accepted => client.is_accepted = true,
+            JobResponse::Cancelled | JobResponse::NoSuchJob => {
+                client.is_cancelled = true;
+                self.acknowledged_cancels.entry(job).or_insert(now_ms);
+            }
+            _ => {}
+        }
+        self.note(format!("response {response:?} on {job}"));
+    }
+
+    fn unanswered_later(&mut self, order: WorkerOrder, sent_ms: u64, term: u64) {
+        let response = order.failed(WorkerCallError::Unanswered);
+        let event = order.event(sent_ms, response);
+        self.schedule(
+            self.now_ms + RESPONSE_TIMEOUT_MS,
+            Scheduled::Event { event, term },
+        );
+    }
+
+    fn arrive(&mut self, order: WorkerOrder, has_response: bool, is_late: bool, sent_ms: u64, term: u64) {
+        let now_ms = self.now_ms;
+        let name = order.to().worker.clone();
+        let worker = self.workers.get_mut(&name).expect("workers stay");
+        // Without `orders_to_restarted`, orders in flight to a crashed worker are lost.
+        let is_other = worker.born_ms > sent_ms && !self.faults.orders_to_restarted;
+        if worker.unreachable_until_ms > now_ms || is_other {
+            if worker.born_ms > now_ms && is_late && self.faults.orders_to_restarted {
+                // The connection is established anew once the worker is back.
+                let at_ms = worker.born_ms + 1;
+                let effect = Effect::Order(order);
+                self.schedule(
+                    at_ms,
+                    Scheduled::Arrive {
+                        effect,
+                        has_response,
+                        is_late,
+                        sent_ms,
+                        term,
+                    },
+                );
+            } else if has_response {
+                self.unanswered_later(order, sent_ms, term);
+            }
+            return;
+        }
+        let description = describe(&order);
+        let event = match order.clone() {
+            WorkerOrder::Hold {
+                deadline_ms,
+                kind,
+                last_seen,
+                to,
+                wait_ms,
+            } => match worker.renew(now_ms, to.fencing_token, deadline_ms, last_seen) {
+                Ok(()) => {
+                    let born_ms = worker.born_ms;
+                    self.waiting_holds.push(WaitingHold {
+                        born_ms,
+                        has_response,
+                        kind,
+                        last_seen,
+                        sent_ms,
+                        term,
+                        until_ms: now_ms + wait_ms,
+                        worker: name,
+                    });
+                    return;
+                }
+                Err(error) => held(name, kind, sent_ms, Err(error)),
+            },
+            WorkerOrder::Start {
+                checkpoint,
+                deadline_ms,
+                payload,
+                run,
+                to,
+                ..
+            } => {
+                let result = self.start(&name, to.fencing_token, deadline_ms, run, is_late);
+                self.note(format!("{description}: {result:?}"));
+                if let Ok((_, true)) = result {
+                    self.check_start(run, &checkpoint, &payload, is_late, sent_ms, term);
+                }
+                let result = result.map(|(clock_ms, _)| clock_ms);
+                JobEvent::Started {
+                    result,
+                    run,
+                    worker: name,
+                }
+            }
+            WorkerOrder::Stop { run, to } => {
+                let result = worker.stop(now_ms, to.fencing_token, run);
+                self.note(format!("{description}: {result:?}"));
+                JobEvent::Stopped {
+                    result,
+                    run,
+                    worker: name,
+                }
+            }
+        };
+        if has_response {
+            let at_ms = now_ms + 1 + self.random_below(5);
+            self.schedule(at_ms, Scheduled::Event { event, term });
+        }
+    }
+
+    fn start(
+        &mut self,
+        name: &WorkerName,
+        fencing_token: u64,
+        deadline_ms: u64,
+        id: RunId,
+        is_late: bool,
+    ) -> Result<(u64, bool), WorkerCallError> {
+        let now_ms = self.now_ms;
+        let step = self
+            .specs
+            .get(&id.task.step.job)
+            .and_then(|spec| spec.steps.get(id.task.step.step as usize));
+        let Some(step) = step.cloned() else {
+            self.violations
+                .push(format!("(a) {id} starts, which no client sent"));
+            return Err(WorkerCallError::Unanswered);
+        };
+        let duration_ms = step.estimated_ms / 2 + self.random_below(step.estimated_ms.max(1));
+        let run = Run {
+            ends_ms: (!step.long_running).then_some(now_ms + duration_ms),
+            is_late,
+            number: id.number,
+            reserved: step.demand,
+            saves: step.checkpoints,
+            started_ms: now_ms,
+        };
+        let worker = self.workers.get_mut(name).expect("workers stay");
+        worker.start(now_ms, fencing_token, deadline_ms, id, run)
+    }
+
+    fn complete_holds(&mut self) {
+        let now_ms = self.now_ms;
+        for hold in std::mem::take(&mut self.waiting_holds) {
+            let worker = &self.workers[&hold.worker];
+            if worker.born_ms != hold.born_ms || worker.unreachable_until_ms > now_ms {
+                if hold.has_response {
+                    let event = held(
+                        hold.worker,
+                        hold.kind,
+                        hold.sent_ms,
+                        Err(WorkerCallError::Unanswered),
+                    );
+                    self.schedule(
+                        now_ms + RESPONSE_TIMEOUT_MS,
+                        Scheduled::Event {
+                            event,
+                            term: hold.term,
+                        },
+                    );
+                }
+                continue;
+            }
+            if now_ms < hold.until_ms && !worker.has_unseen_ends(hold.last_seen) {
+                self.waiting_holds.push(hold);
+                continue;
+            }
+            if hold.has_response {
+                let report = worker.report(now_ms, UNIX_START_MS);
+                let listed: Vec<_> = report
+                    .running
+                    .iter()
+                    .map(|listed| listed.run.to_string())
+                    .collect();
+                let (worker, kind) = (&hold.worker, hold.kind);
+                self.note(format!("{kind:?} of {worker} lists {listed:?}"));
+                let event = held(hold.worker, hold.kind, hold.sent_ms, Ok(report));
+                let at_ms = now_ms + 1 + self.random_below(5);
+                self.schedule(
+                    at_ms,
+                    Scheduled::Event {
+                        event,
+                        term: hold.term,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Checks what a worker was told to start against what the clients sent.
+    fn check_start(
+        &mut self,
+        run: RunId,
+        checkpoint: &str,
+        payload: &str,
+        is_late: bool,
+        sent_ms: u64,
+        term: u64,
+    ) {
+        let job = run.task.step.job;
+        if payload != self.specs[&job].payload {
+            self.violations
+                .push(format!("(b) {run} starts with the payload {payload}"));
+        }
+        if !checkpoint.is_empty() && !is_checkpoint_of(checkpoint, run, self.is_gang(run.task)) {
+            self.violations
+                .push(format!("(c) {run} starts from {checkpoint}"));
+        }
+        let acknowledged_ms = self.acknowledged_cancels.get(&job).copied();
+        if let Some(acknowledged_ms) = acknowledged_ms
+            && !is_late
+            && term == self.term
+            && sent_ms > acknowledged_ms + CANCEL_MS
+        {
+            let now_ms = self.now_ms;
+            self.violations.push(format!(
+                "(d) {run} starts at {now_ms}, cancelled at {acknowledged_ms}"
+            ));
+        }
+    }
+
+    fn is_gang(&self, task: TaskKey) -> bool {
+        self.specs[&task.step.job].steps[task.step.step as usize].gang
+    }
+
+    /// Checks that the runs of cancelled jobs end in time if no disruption is near.
+    fn check_runs(&mut self) {
+        let now_ms = self.now_ms;
+        let calm_ms = match self.last_disruption_ms {
+            0 => 0,
+            disruption_ms => disruption_ms + CONTACT_MS + CANCEL_MS,
+        };
+        for (name, worker) in &self.workers {
+            for (task, run) in &worker.running {
+                let Some(acknowledged_ms) = self.acknowledged_cancels.get(&task.step.job) else {
+                    continue;
+                };
+                let late_ms = if run.is_late {
+                    run.started_ms + CONTACT_MS
+                } else {
+                    0
+                };
+                let limit_ms = (acknowledged_ms + CANCEL_MS).max(calm_ms).max(late_ms) + STOP_MS;
+                if now_ms <= limit_ms {
+                    continue;
+                }
+                let id = RunId {
+                    number: run.number,
+                    task: *task,
+                };
+                if !self.overruns.contains_key(&id) {
+                    let (started_ms, is_late) = (run.started_ms, run.is_late);
+                    self.violations.push(format!(
+                        "(e) {id} runs on {name} at {now_ms}, cancelled at {acknowledged_ms}, started at \
+                         {started_ms} (late: {is_late}), last disruption at {}",
+                        self.last_disruption_ms
+                    ));
+                }
+                self.overruns.insert(id, now_ms - limit_ms);
+            }
+        }
+    }
+}
+
+fn is_checkpoint_of(checkpoint: &str, run: RunId, is_gang: bool) -> bool {
+    let Some((task, rest)) = checkpoint.split_once('#') else {
+        return false;
+    };
+    let number = rest
+        .split_once('@')
+        .and_then(|(number, _)| number.parse::<u32>().ok());
+    let is_task = match is_gang {
+        true => task
+            .rsplit_once('.')
+            .is_some_and(|(step, _)| step == run.task.step.to_string()),
+        false => task == run.task.to_string(),
+    };
+    is_task && number.is_some_and(|number| number < run.number)
+}
+
+fn describe(order: &WorkerOrder) -> String {
+    let (worker, token) = (&order.to().worker, order.to().fencing_token);
+    match order {
+        WorkerOrder::Hold {
+            kind, deadline_ms, ..
+        } => format!("{kind:?} to {worker} [{token}] {deadline_ms:?}"),
+        WorkerOrder::Start { run, .. } => format!("start {run} on {worker} [{token}]"),
+        WorkerOrder::Stop { run, .. } => format!("stop {run} on {worker} [{token}]"),
+    }
+}
+
+fn held(
+    worker: WorkerName,
+    kind: HoldKind,
+    sent_ms: u64,
+    result: Result<HoldReport, WorkerCallError>,
+) -> JobEvent {
+    JobEvent::Held {
+        kind,
+        result,
+        sent_ms,
+        worker,
+    }
+}
