jobs: test late starts and lost stops of cancelled jobs

All four tests of cancelled_runs fail on the present planner: a run that is listed after a confirmed stop is not stopped again, an idle worker is not asked again after a restart, a lost stop of a superseded run is not repeated, and a job whose cancel was answered with NoSuchJob starts when its submission arrives later.

--- a/crates/jobs/tests/cancellation/cell.rs
+++ b/crates/jobs/tests/cancellation/cell.rs
@@ -64,6 +64,8 @@
 
 pub struct Cell {
     acknowledged_cancels: BTreeMap<JobId, u64>,
+    /// Whether cancels that were answered with `NoSuchJob` count as acknowledged.
+    pub counts_unknown_jobs: bool,
     calls: BTreeMap<CallId, usize>,
     clients: Vec<Client>,
     committing: Vec<(u64, Vec<JobCommand>, Vec<Effect>)>,
@@ -109,6 +111,7 @@
         });
         let mut cell = Self {
             acknowledged_cancels: BTreeMap::new(),
+            counts_unknown_jobs: true,
             calls: BTreeMap::new(),
             clients: Vec::new(),
             committing: Vec::new(),
@@ -511,7 +514,9 @@
             JobResponse::Accepted => client.is_accepted = true,
             JobResponse::Cancelled | JobResponse::NoSuchJob => {
                 client.is_cancelled = true;
-                self.acknowledged_cancels.entry(job).or_insert(now_ms);
+                if *response == JobResponse::Cancelled || self.counts_unknown_jobs {
+                    self.acknowledged_cancels.entry(job).or_insert(now_ms);
+                }
             }
             _ => {}
         }
--- a/crates/jobs/tests/cancellation/main.rs
+++ b/crates/jobs/tests/cancellation/main.rs
@@ -20,7 +20,12 @@
 const WORKERS: usize = 6;
 
 fn run(seed: u64, faults: Faults) -> Cell {
+    run_counting(seed, faults, true)
+}
+
+fn run_counting(seed: u64, faults: Faults, counts_unknown_jobs: bool) -> Cell {
     let mut cell = Cell::new(seed, faults, JOBS, WORKERS);
+    cell.counts_unknown_jobs = counts_unknown_jobs;
     cell.run_until(FAULTY_MS);
     cell.end_faults();
     cell.run_until(FAULTY_MS + QUIET_MS);
@@ -37,7 +42,7 @@
 }
 
 /// Runs the seeds of `SEEDS` (as FIRST..LAST) with the faults whose bits are set in `FAULTS`, and
-/// prints each seed with a violation. `TRACE` prints the trace lines that contain its text.
+/// prints each seed with a violation. `COUNT_410=0` ignores cancels of unknown jobs. `TRACE` prints the trace lines that contain its text.
 #[test]
 #[ignore = "started by hand"]
 fn explore() {
@@ -49,7 +54,7 @@
     let trace = variable("TRACE");
     let mut failed = 0;
     for seed in seeds {
-        let cell = run(seed, Faults::from_bits(bits));
+        let cell = run_counting(seed, Faults::from_bits(bits), !variable("COUNT_410").eq("0"));
         if cell.violations.is_empty() {
             continue;
         }
--- /dev/null
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -0,0 +1,152 @@
+//! Runs of cancelled jobs that a worker begins or lists after the leader takes them as gone.
+
+mod common;
+
+use {
+    common::{Leader, Sent, UNIX_START_MS, queue, step},
+    fuchsiatack_jobs::{
+        CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, ListedRun, RunId, StepSpec,
+        WorkerCallError,
+    },
+    fuchsiatack_model::WorkerName,
+    smol_str::{SmolStr, format_smolstr},
+};
+
+const JOB: JobId = JobId(1);
+
+fn lasting_step() -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(1, 600)
+    }
+}
+
+fn cancel(leader: &mut Leader) {
+    leader.call(CellCall::Job(JobCall {
+        action: JobAction::Cancel,
+        host: "host".into(),
+        key: Some("key".into()),
+        path: format_smolstr!("/q/{JOB}"),
+    }));
+}
+
+/// Report of the incarnation of a worker that started at `started_unix_ms`.
+fn report(leader: &mut Leader, kind: HoldKind, started_unix_ms: u64, running: &[RunId]) {
+    let running = running.iter().map(|run| ListedRun {
+        checkpoint: SmolStr::default(),
+        percent: 100,
+        run: *run,
+        usage: 0,
+    });
+    let report = HoldReport {
+        started_unix_ms: Some(started_unix_ms),
+        clock_ms: leader.now_ms,
+        ended: Vec::new(),
+        running: running.collect(),
+    };
+    leader.complete_hold("a", kind, Ok(report));
+}
+
+/// Starts a lasting task on worker `a`, whose start order has no response and is stopped. Returns
+/// the run when the worker has confirmed the stop.
+fn stop_unanswered_start(leader: &mut Leader) -> RunId {
+    leader.submit(JOB, vec![lasting_step()]);
+    let (run, worker) = leader.take_starts().remove(0);
+    leader.advance(350);
+    leader.started(&worker, run, Err(WorkerCallError::Unanswered));
+    leader.advance(3);
+    leader.report_runs("a", HoldKind::Check, &[], &[]);
+    leader.advance(3);
+    leader.stopped(&worker, run);
+    leader.take_calls();
+    run
+}
+
+/// Returns the calls of the leader in the next `duration_ms`, to which no worker responds.
+fn calls_during(leader: &mut Leader, duration_ms: u64) -> Vec<Sent> {
+    const TICK_MS: u64 = 25;
+    let mut calls = Vec::new();
+    for _ in 0..duration_ms / TICK_MS {
+        leader.advance(TICK_MS);
+        calls.extend(leader.take_calls());
+    }
+    calls
+}
+
+fn stops(calls: &[Sent], run: RunId) -> bool {
+    calls.contains(&Sent::Stop {
+        run,
+        worker: WorkerName::new("a"),
+    })
+}
+
+fn asks(calls: &[Sent]) -> bool {
+    calls
+        .iter()
+        .any(|call| matches!(call, Sent::Check(_) | Sent::Renew { .. }))
+}
+
+/// Guards against a run that is never stopped: the stop was confirmed by the incarnation of the
+/// worker that crashed, and the next one began the run on the late start order.
+#[test]
+fn run_listed_after_a_confirmed_stop_is_stopped_again() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    let run = stop_unanswered_start(&mut leader);
+    leader.complete_hold("a", HoldKind::Check, Err(WorkerCallError::Unanswered));
+    leader.advance(1_000);
+
+    report(&mut leader, HoldKind::Check, UNIX_START_MS, &[run]);
+    cancel(&mut leader);
+
+    assert!(stops(&calls_during(&mut leader, 1_000), run));
+}
+
+/// Guards against a late start order that a restarted worker carries out unnoticed: the leader asked
+/// the worker once after the restart, and never again while it expects no run there.
+#[test]
+fn idle_worker_is_asked_again_after_a_restart() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    stop_unanswered_start(&mut leader);
+    report(&mut leader, HoldKind::Check, 1, &[]);
+    cancel(&mut leader);
+    leader.advance(1_000);
+
+    report(&mut leader, HoldKind::Renewal, UNIX_START_MS, &[]);
+    leader.take_calls();
+
+    assert!(asks(&calls_during(&mut leader, 3_000)));
+}
+
+/// Guards against a superseded run that continues because the only order to stop it was lost.
+#[test]
+fn lost_stop_of_a_superseded_run_is_repeated() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    let run = stop_unanswered_start(&mut leader);
+    report(&mut leader, HoldKind::Check, 1, &[]);
+    cancel(&mut leader);
+    leader.advance(1_000);
+    report(&mut leader, HoldKind::Renewal, UNIX_START_MS, &[run]);
+    assert!(stops(&leader.take_calls(), run));
+
+    leader.handle(JobEvent::Stopped {
+        result: Err(WorkerCallError::Unanswered),
+        run,
+        worker: WorkerName::new("a"),
+    });
+    let calls = calls_during(&mut leader, 1_000);
+
+    assert!(asks(&calls) || stops(&calls, run));
+}
+
+/// Guards against the start of a job whose cancel was answered with `NoSuchJob` before a delayed
+/// submission of the job arrived.
+#[test]
+fn job_cancelled_before_its_submission_does_not_start() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    cancel(&mut leader);
+    leader.advance(3_500);
+
+    leader.submit(JOB, vec![lasting_step()]);
+
+    assert_eq!(leader.take_starts(), Vec::new());
+}
