jobs: stop a run again that is listed after a confirmed stop

What callers saw: a task of a cancelled job could run on without end, its lease renewed by the leader. Cause: a confirmed stop was trusted for ever. It holds for the incarnation that confirmed it: a worker that restarts under its name forgets the stop, and can carry out the start order late. The report that lists the run was then ignored, confirmed stops are not resent, and a cancel does not stop a run that is already being stopped. Change: a restart of the worker withdraws the confirmation of a stop, and a report that was requested more than 300 ms after the confirmation and still lists the run does so too; the stop is then sent again. Why it works: the state of the run follows the latest evidence of the worker, not the first.

--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -20,6 +20,8 @@
 /// are numbered anew in each incarnation, so that a number of an earlier incarnation would make the
 /// new one forget ends that were never recorded.
 const SAME_INCARNATION_MS: u64 = 500;
+/// Time after a confirmed stop from which the run may no longer be listed as running, in milliseconds.
+const STOP_LIMIT_MS: u64 = 300;
 
 impl Planner {
     /// Sends the hold orders of kind `Check` that are due.
@@ -245,6 +247,7 @@
     /// ones.
     fn compare_runs(&mut self, worker: &WorkerName, sent_ms: u64, report: &HoldReport) {
         let listed: BTreeMap<RunId, _> = report.running.iter().map(|listed| (listed.run, listed)).collect();
+        let mut unstopped = Vec::new();
         for (run, present) in &listed {
             let view = self
                 .runs
@@ -259,6 +262,11 @@
                 view.checkpoint = present.checkpoint.clone();
             }
             match view.state {
+                // The worker has forgotten a stop that it confirmed, as after a restart.
+                RunState::Stopping {
+                    confirmed_ms: Some(confirmed_ms),
+                    ..
+                } if sent_ms > confirmed_ms + STOP_LIMIT_MS => unstopped.push(run.task),
                 RunState::Stopping { .. } => {}
                 _ => {
                     view.state = RunState::Confirmed {
@@ -267,6 +275,9 @@
                 }
             }
         }
+        for task in unstopped {
+            self.repeat_stop(task);
+        }
         let Some(view) = self.workers.get(worker) else {
             return;
         };
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -142,6 +142,27 @@
         self.send_stop(run, &worker);
     }
 
+    /// Sends the stop order of a run again although its worker has confirmed one.
+    pub(crate) fn repeat_stop(&mut self, task: TaskKey) {
+        let retry_ms = self.now_ms + STOP_RETRY_MS;
+        let Some(view) = self.runs.get_mut(&task) else {
+            return;
+        };
+        view.state = RunState::Stopping {
+            is_start_unconfirmed: true,
+            retry_ms,
+            confirmed_ms: None,
+        };
+        let (run, worker) = (view.run, view.worker.clone());
+        self.log(
+            LogEvent::new("run listed after a confirmed stop")
+                .job(task.step.job)
+                .with("run", run)
+                .with("worker", &worker),
+        );
+        self.send_stop(run, &worker);
+    }
+
     fn send_stop(&mut self, run: RunId, worker: &WorkerName) {
         if let Some(to) = self.callee(worker) {
             self.send_order(WorkerOrder::Stop { run, to });
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -73,10 +73,22 @@
         };
         view.reset(now_ms, leases_until_ms);
         for task in view.runs.clone() {
-            if let Some(run) = self.runs.get_mut(&task)
-                && matches!(run.state, RunState::Confirmed { .. })
-            {
-                run.state = RunState::Unverified { since_ms: now_ms };
+            let Some(run) = self.runs.get_mut(&task) else {
+                continue;
+            };
+            match &mut run.state {
+                RunState::Confirmed { .. } => run.state = RunState::Unverified { since_ms: now_ms },
+                // The new incarnation does not know the stop and may still receive the start order.
+                RunState::Stopping {
+                    is_start_unconfirmed,
+                    retry_ms,
+                    confirmed_ms,
+                } => {
+                    *is_start_unconfirmed = true;
+                    *retry_ms = now_ms;
+                    *confirmed_ms = None;
+                }
+                RunState::Ordered | RunState::Unanswered { .. } | RunState::Unverified { .. } => {}
             }
         }
         for step in self.steps.values_mut() {
