jobs: keep a cancel of an unknown job for its later submission

What callers saw: a cancel was acknowledged with 410, and the job started and ran on afterwards. Cause: a cancel of a job that the leader does not know left nothing behind. A submission of the same job that was still on its way (held in an entry over an election, or sent again to the next leader) was accepted as new. Change: such a cancel stores a cancelled job without steps for its queue and team. It is not shown to callers. A submission of the job by the same team is answered as accepted, stored as cancelled, and does not start; one by another team starts. Only commands that earlier builds know are used, so that members of both builds have the same state. Why it works: the acknowledgement follows the commit of the placeholder, so that each later leader knows the cancel.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns whether it stands for a job that was cancelled before it was submitted.
+    pub(crate) fn is_placeholder(&self) -> bool {
+        self.spec.steps.is_empty()
+    }
+
     /// Returns how many times the steps run; 1 without a schedule.
     pub fn occurrence_count(&self) -> u32 {
         self.spec.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/crates/jobs/src/job_spec.rs
+++ b/crates/jobs/src/job_spec.rs
@@ -27,3 +27,15 @@
     /// Steps in order. A step depends only on earlier ones.
     pub steps: Vec<StepSpec>,
 }
+
+impl JobSpec {
+    /// Creates the specification of a job that was cancelled before it was submitted. It has no steps, so
+    /// that no submitted job equals it.
+    pub(crate) fn placeholder() -> Self {
+        Self {
+            payload: SmolStr::default(),
+            schedule: None,
+            steps: Vec::new(),
+        }
+    }
+}
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -119,7 +119,7 @@
                 {
                     true => self.cancel(job),
                     false => {
-                        self.log_unknown_cancel(job, &queue.name, team.as_ref());
+                        self.cancel_unknown(job, &queue.name, team.as_ref());
                         JobResponse::NoSuchJob
                     }
                 }
@@ -136,7 +136,10 @@
         team: Option<&TeamName>,
         is_open: bool,
     ) -> Option<&crate::Job> {
-        let is_own = |job: &&crate::Job| job.queue == *queue && (is_open || job.team.as_ref() == team);
+        let is_own = |job: &&crate::Job| {
+            let is_visible = is_open || job.team.as_ref() == team;
+            job.queue == *queue && is_visible && !job.is_placeholder()
+        };
         self.store.jobs.get(&job).filter(is_own)
     }
 
@@ -147,10 +150,15 @@
         team: Option<TeamName>,
         spec: JobSpec,
     ) -> JobResponse {
-        if self.store.jobs.contains_key(&job) {
-            self.log(LogEvent::new("job already submitted").job(job));
-            return JobResponse::Accepted;
-        }
+        let is_own = |present: &crate::Job| present.queue == *queue && present.team == team;
+        let was_cancelled = match self.store.jobs.get(&job) {
+            None => false,
+            Some(present) if present.is_placeholder() => is_own(present),
+            Some(_) => {
+                self.log(LogEvent::new("job already submitted").job(job));
+                return JobResponse::Accepted;
+            }
+        };
         if let Some(reason) = rejection_reason(&spec) {
             self.log(
                 LogEvent::new("job rejected as invalid")
@@ -159,13 +167,31 @@
             );
             return JobResponse::Invalid(reason);
         }
+        let submission = Submission {
+            accepted_unix_ms: self.now_unix_ms,
+            job,
+            queue: queue.clone(),
+            spec,
+            team,
+        };
+        if self.store.jobs.contains_key(&job) {
+            self.propose(JobCommand::RemoveJobs(vec![job]));
+        }
+        if was_cancelled {
+            self.log(LogEvent::new("job submitted after its cancel").job(job));
+            self.propose_cancelled(submission);
+            return JobResponse::Accepted;
+        }
         self.log(
             LogEvent::new("job accepted")
                 .job(job)
                 .with("queue", queue)
-                .with("team", team.as_ref().map_or("", TeamName::as_str))
-                .with("steps", spec.steps.len())
-                .with("tasks", spec.steps.iter().map(|step| step.tasks).sum::<u32>())
+                .with("team", submission.team.as_ref().map_or("", TeamName::as_str))
+                .with("steps", submission.spec.steps.len())
+                .with(
+                    "tasks",
+                    submission.spec.steps.iter().map(|step| step.tasks).sum::<u32>(),
+                )
                 .with(
                     "configuration",
                     self.store
@@ -174,20 +200,16 @@
                         .map_or(0, |present| present.version),
                 ),
         );
-        self.propose(JobCommand::Submit(Box::new(Submission {
-            accepted_unix_ms: self.now_unix_ms,
-            job,
-            queue: queue.clone(),
-            spec,
-            team,
-        })));
+        self.propose(JobCommand::Submit(Box::new(submission)));
         self.refresh_job(job);
         JobResponse::Accepted
     }
 
-    /// Logs a request to cancel a job that the caller cannot see. `present_queue` and `present_team` are
-    /// those of a job with this identifier; both are empty if there is none.
-    fn log_unknown_cancel(&mut self, id: crate::JobId, queue: &QueueName, team: Option<&TeamName>) {
+    /// Handles a request to cancel a job that the caller cannot see. If there is no job with this
+    /// identifier, a placeholder is stored, so that a submission of the job by the same team that arrives
+    /// later does not start it. `present_queue` and `present_team` in the log are those of a job with this
+    /// identifier.
+    fn cancel_unknown(&mut self, id: crate::JobId, queue: &QueueName, team: Option<&TeamName>) {
         let present = self.store.jobs.get(&id);
         let present_team = present.and_then(|job| job.team.as_ref());
         let event = LogEvent::new("cancel of an unknown job")
@@ -197,6 +219,25 @@
             .with("present_queue", present.map_or("", |job| job.queue.as_str()))
             .with("present_team", present_team.map_or("", TeamName::as_str));
         self.log(event);
+        if !self.store.jobs.contains_key(&id) {
+            self.propose_cancelled(Submission {
+                accepted_unix_ms: self.now_unix_ms,
+                job: id,
+                queue: queue.clone(),
+                spec: JobSpec::placeholder(),
+                team: team.cloned(),
+            });
+        }
+    }
+
+    /// Stores a job that is cancelled from the beginning.
+    fn propose_cancelled(&mut self, submission: Submission) {
+        let job = submission.job;
+        self.propose(JobCommand::Submit(Box::new(submission)));
+        self.propose(JobCommand::Cancel {
+            job,
+            unix_ms: self.now_unix_ms,
+        });
     }
 
     fn cancel(&mut self, id: crate::JobId) -> JobResponse {
--- a/crates/jobs/tests/cancellation/main.rs
+++ b/crates/jobs/tests/cancellation/main.rs
@@ -58,6 +58,23 @@
     }
 }
 
+/// Guards against jobs that start although their cancel was answered with `NoSuchJob`, because their
+/// submission was delayed or sent again to a later leader.
+#[test]
+fn jobs_cancelled_before_their_submission_stay_cancelled() {
+    for bits in [8, 120, 512] {
+        for seed in 1..=60 {
+            let cell = run(seed, Faults::from_bits(bits));
+
+            assert_eq!(
+                cell.violations,
+                Vec::<String>::new(),
+                "faults {bits}, seed {seed}"
+            );
+        }
+    }
+}
+
 /// Runs the seeds of `SEEDS` (as FIRST..LAST) with the faults whose bits are set in `FAULTS`, and
 /// prints each seed with a violation. `COUNT_410=0` ignores cancels of unknown jobs. `TRACE` prints the
 /// trace lines that contain its text.
--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -5,10 +5,10 @@
 use {
     common::{Leader, Sent, UNIX_START_MS, queue, step},
     fuchsiatack_jobs::{
-        CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, ListedRun, RunId, StepSpec,
-        WorkerCallError,
+        CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, JobResponse, JobState,
+        ListedRun, RunId, StepSpec, Team, WorkerCallError,
     },
-    fuchsiatack_model::WorkerName,
+    fuchsiatack_model::{Resources, TeamName, WorkerName},
     smol_str::{SmolStr, format_smolstr},
 };
 
@@ -21,13 +21,24 @@
     }
 }
 
-fn cancel(leader: &mut Leader) {
-    leader.call(CellCall::Job(JobCall {
-        action: JobAction::Cancel,
+fn job_call(action: JobAction, key: &str) -> CellCall {
+    CellCall::Job(JobCall {
+        action,
         host: "host".into(),
-        key: Some("key".into()),
+        key: Some(key.into()),
         path: format_smolstr!("/q/{JOB}"),
-    }));
+    })
+}
+
+fn cancel(leader: &mut Leader) {
+    leader.call(job_call(JobAction::Cancel, "key"));
+}
+
+/// Returns the response to a read of the job.
+fn read(leader: &mut Leader) -> JobResponse {
+    leader.take_calls();
+    leader.call(job_call(JobAction::Read, "key"));
+    leader.take_responses().remove(0)
 }
 
 /// Report of the incarnation of a worker that started at `started_unix_ms`.
@@ -171,3 +182,37 @@
 
     assert_eq!(leader.take_starts(), Vec::new());
 }
+
+/// Guards against a job that is shown although nobody has submitted it, and against one of which the
+/// submission is shown as running after its cancel was acknowledged.
+#[test]
+fn job_cancelled_before_its_submission_is_unknown_and_then_cancelled() {
+    let mut leader = Leader::new(queue(), &["a"]);
+
+    cancel(&mut leader);
+    assert_eq!(read(&mut leader), JobResponse::NoSuchJob);
+    leader.submit(JOB, vec![lasting_step()]);
+
+    assert_eq!(read(&mut leader), JobResponse::State(JobState::Cancelled));
+}
+
+/// Guards against a team that keeps the jobs of another team from starting by cancelling them in
+/// advance.
+#[test]
+fn cancel_of_an_unknown_job_does_not_concern_other_teams() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    let mut configuration = common::configuration(queue());
+    configuration.version = 2;
+    configuration.teams.push(Team {
+        keys: vec!["other".into()],
+        limit: Resources::NONE,
+        name: TeamName::new("other"),
+        weight: 1,
+    });
+    leader.call(CellCall::Configure(Box::new(configuration)));
+    leader.call(job_call(JobAction::Cancel, "other"));
+
+    leader.submit(JOB, vec![lasting_step()]);
+
+    assert_eq!(leader.take_starts().len(), 1);
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -5,10 +5,10 @@
 
 use {
     fuchsiatack_jobs::{
-        AdvicePolicy, AdviceRequest, AdviceResponse, CallId, CellCall, Configuration, Effect, EndedRun,
-        HoldKind, HoldReport, JobAction, JobCall, JobCommand, JobEvent, JobId, JobSpec, JobStore, ListedEnd,
-        ListedRun, OrderResult, Planner, PlannerSettings, Queue, RunId, StepId, StepSpec, Team,
-        WorkerCallError, WorkerOrder, WorkerReport,
+        AdvicePolicy, AdviceRequest, AdviceResponse, CallId, CellCall, CellResponse, Configuration, Effect,
+        EndedRun, HoldKind, HoldReport, JobAction, JobCall, JobCommand, JobEvent, JobId, JobResponse,
+        JobSpec, JobStore, ListedEnd, ListedRun, OrderResult, Planner, PlannerSettings, Queue, RunId, StepId,
+        StepSpec, Team, WorkerCallError, WorkerOrder, WorkerReport,
     },
     fuchsiatack_model::{DataCenter, QueueName, Resources, TeamName, WorkerName},
     smol_str::SmolStr,
@@ -86,6 +86,20 @@
         effects.filter_map(sent).collect()
     }
 
+    /// Returns the responses to calls on jobs since the last `take_calls`, and drops all other calls.
+    pub fn take_responses(&mut self) -> Vec<JobResponse> {
+        let effects = self.planner.take_output().after_commit.into_iter();
+        effects
+            .filter_map(|effect| match effect {
+                Effect::Respond {
+                    response: CellResponse::Job(response),
+                    ..
+                } => Some(response),
+                _ => None,
+            })
+            .collect()
+    }
+
     /// Returns the runs that were started since the last `take_calls`, with their workers. Drops all
     /// other calls since then.
     pub fn take_starts(&mut self) -> Vec<(RunId, WorkerName)> {
