jobs: ask an idle worker again after it failed a call

Cause: a worker that failed a call gets no run until it has responded, but a worker without runs was not called. If the renewal that acknowledges its last end had no response, it stayed unused for good; heartbeats keep it registered. The class is that of UNASKED: the leader keeps a belief about an idle worker that nothing checks. Change: a worker with failed calls is called until it responds or is removed as silent. Evidence: idle_worker_is_used_again_after_a_missed_renewal failed on the code before and passes now.

--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -56,7 +56,9 @@
     fn needs_hold(&self, view: &WorkerView) -> bool {
         let is_idle_due = view.last_acknowledged < view.last_seen
             && self.now_ms >= view.hold_due_ms + IDLE_ACKNOWLEDGEMENT_MS;
-        let is_wanted = !view.is_verified || view.has_left || !view.runs.is_empty() || is_idle_due;
+        // A worker that failed a call gets no run until it has responded again.
+        let needs_response = !view.is_verified || view.failures > 0 || view.has_left;
+        let is_wanted = needs_response || !view.runs.is_empty() || is_idle_due;
         !view.hold_in_flight && self.now_ms >= view.hold_due_ms && is_wanted
     }
 
