soak: check orders, checkpoints and cancelled jobs

The soak checked no clause of that rule: all jobs had one payload, no checkpoints were produced, and runs after an acknowledged cancellation were not checked. An order to stop a run also counted as its end where the worker rejected the order.

Change: each job has its own payload. Worker stubs produce checkpoints for steps that save progress, leave one start order in 15 without a response and carry it out up to 6 s later, also after a restart, and shorten leases to maxHoldMs. Callers cancel about half of the jobs: promptly, after a pause, twice, lasting ones, and ones whose submission is in doubt and sent again afterwards. `unasked` reports starts of unknown tasks, other payloads, foreign checkpoints, and starts and runs after an acknowledged cancellation in calm times. Faults come in series with 9 s of calm between them. A start beside another run on the same worker is a violation as well.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        cancellations::CancellationPlan,
         checker::{Checker, KnownJob},
         operator::{HOST, KEY, PREFIX},
     },
@@ -15,12 +16,12 @@
 };
 
 const SUBMIT_ATTEMPTS: usize = 5;
-const ATTEMPT_LIMIT: Duration = Duration::from_secs(3);
+pub(crate) const ATTEMPT_LIMIT: Duration = Duration::from_secs(3);
 /// Pause between jobs and between attempts to submit one.
-const PAUSE: Duration = Duration::from_millis(150);
+pub(crate) const PAUSE: Duration = Duration::from_millis(150);
 const POLL_PERIOD: Duration = Duration::from_millis(250);
-/// One accepted job in this many is cancelled, on average.
-const JOBS_PER_CANCELLATION: u32 = 8;
+/// One job in this many has a last step that runs until the job is cancelled, on average.
+const JOBS_PER_LASTING_JOB: u32 = 6;
 /// Time after an acknowledged submission from which every entry must know the job, in milliseconds.
 const VISIBILITY_DELAY_MS: u64 = 3_000;
 
@@ -45,18 +46,19 @@
     }
 }
 
-struct Caller {
+pub(crate) struct Caller {
     client: reqwest::Client,
     entries: Vec<SocketAddr>,
-    random: StdRng,
-    checker: Arc<Checker>,
+    pub(crate) random: StdRng,
+    pub(crate) checker: Arc<Checker>,
 }
 
 impl Caller {
     /// Submits a job, may cancel it, and polls it until it ends, at most until `end_ms`.
     async fn submit_and_poll(&mut self, end_ms: u64) {
         let id = JobId(self.random.random());
-        let spec = self.spec();
+        let spec = self.spec(id);
+        let plan = CancellationPlan::choose(&mut self.random, &spec);
         let body = job_json(&spec).to_string();
         let known = KnownJob {
             in_doubt: true,
@@ -64,33 +66,25 @@
             ..KnownJob::default()
         };
         self.checker.observations().jobs.insert(id, known);
+        if plan == CancellationPlan::InDoubt {
+            return self.cancel_in_doubt(id, &body, end_ms).await;
+        }
         if !self.submit(id, &body).await {
             return;
         }
-        let accepted_ms = self.checker.now_ms();
-        let is_cancelling = self.random.random_range(0..JOBS_PER_CANCELLATION) == 0;
-        if is_cancelling {
-            sleep(POLL_PERIOD).await;
-            if self
-                .send(reqwest::Method::DELETE, id, String::new())
-                .await
-                .map(|(status, _)| status)
-                == Some(200)
-            {
-                let now_ms = self.checker.now_ms();
-                if let Some(job) = self.checker.observations().jobs.get_mut(&id) {
-                    job.cancelled_ms = Some(now_ms);
-                    job.ended = true;
-                }
-                return;
-            }
+        if let CancellationPlan::After(pause) = plan {
+            sleep(pause).await;
+            return self.cancel_job(id, &body, end_ms).await;
         }
+        let accepted_ms = self.checker.now_ms();
         while self.checker.now_ms() < end_ms {
             sleep(POLL_PERIOD).await;
-            let response = self.send(reqwest::Method::GET, id, String::new()).await;
+            let response = self
+                .send(reqwest::Method::GET, id, String::new(), ATTEMPT_LIMIT)
+                .await;
             let is_late = self.checker.now_ms() > accepted_ms + VISIBILITY_DELAY_MS;
             match response {
-                Some((200, body)) if self.check_state(id, &body, is_cancelling) => return,
+                Some((200, body)) if self.check_state(id, &body) => return,
                 Some((410, _)) if is_late => {
                     self.checker
                         .record_violation(format!("job {id} was accepted but is unknown"));
@@ -102,7 +96,7 @@
     }
 
     /// Checks the state of a job in a response. Returns whether it has ended.
-    fn check_state(&self, id: JobId, body: &Value, is_cancelling: bool) -> bool {
+    fn check_state(&self, id: JobId, body: &Value) -> bool {
         let state = body["state"].as_str().unwrap_or_default();
         let mut observed = self.checker.observations();
         let spec = observed.jobs.get(&id).and_then(|job| job.spec.clone());
@@ -121,7 +115,6 @@
         };
         match state {
             "completed" | "failed" => job.ended = true,
-            "cancelled" if is_cancelling => job.ended = true,
             _ => {}
         }
         let ended = job.ended;
@@ -130,7 +123,7 @@
             "completed" if !all_done => self.checker.record_violation(format!(
                 "job {id} was reported as completed before all its tasks were done"
             )),
-            "cancelled" if !is_cancelling => self.checker.record_violation(format!(
+            "cancelled" => self.checker.record_violation(format!(
                 "job {id} was reported as cancelled without a request to cancel it"
             )),
             _ => {}
@@ -142,7 +135,10 @@
     async fn submit(&mut self, id: JobId, body: &str) -> bool {
         let mut in_doubt = false;
         for _ in 0..SUBMIT_ATTEMPTS {
-            match self.send(reqwest::Method::POST, id, body.to_owned()).await {
+            match self
+                .send(reqwest::Method::POST, id, body.to_owned(), ATTEMPT_LIMIT)
+                .await
+            {
                 Some((200, _)) => {
                     if let Some(job) = self.checker.observations().jobs.get_mut(&id) {
                         job.accepted = true;
@@ -168,7 +164,13 @@
     }
 
     /// Sends a request to a random entry. Returns the status and body, or `None` if no response came.
-    async fn send(&mut self, method: reqwest::Method, id: JobId, body: String) -> Option<(u16, Value)> {
+    pub(crate) async fn send(
+        &mut self,
+        method: reqwest::Method,
+        id: JobId,
+        body: String,
+        limit: Duration,
+    ) -> Option<(u16, Value)> {
         let entry = self.entries[self.random.random_range(0..self.entries.len())];
         let request = self
             .client
@@ -176,7 +178,7 @@
             .header("host", HOST)
             .header("authorization", format!("Token {KEY}"))
             .header("fuchsiatack-deadline-ms", ATTEMPT_LIMIT.as_millis() as u64)
-            .timeout(ATTEMPT_LIMIT)
+            .timeout(limit)
             .body(body);
         let response = request.send().await.ok()?;
         let status = response.status().as_u16();
@@ -185,22 +187,25 @@
     }
 
     /// Makes a random job whose steps each depend on all earlier ones.
-    fn spec(&mut self) -> JobSpec {
+    fn spec(&mut self, id: JobId) -> JobSpec {
         let steps = self.random.random_range(1..=3);
+        let is_lasting = self.random.random_range(0..JOBS_PER_LASTING_JOB) == 0;
         let steps = (0..steps).map(|number| StepSpec {
             demand: Resources {
                 memory_bytes: 64 << 20,
                 processors_millis: self.random.random_range(500..8_000),
                 ..Resources::NONE
             },
+            checkpoints: self.random.random_range(0..2) == 0,
             depends_on: (0..number).collect(),
-            estimated_ms: self.random.random_range(50..1_500),
-            gang: self.random.random_range(0..6) == 0,
+            estimated_ms: self.random.random_range(50..2_500),
+            gang: self.random.random_range(0..6) == 0 && !is_lasting,
+            long_running: is_lasting && number + 1 == steps,
             tasks: self.random.random_range(1..=5),
             ..StepSpec::default()
         });
         JobSpec {
-            payload: "soak".into(),
+            payload: format!("soak-{id}").into(),
             schedule: None,
             steps: steps.collect(),
         }
@@ -215,6 +220,7 @@
             json!({
                 "count": step.tasks, "cpu": step.demand.processors_millis, "memMb": step.demand.memory_bytes >> 20,
                 "estimatedMs": step.estimated_ms, "dependsOn": step.depends_on, "gang": step.gang,
+                "savesProgress": step.checkpoints, "longRunning": step.long_running,
             })
         })
         .collect();
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,10 @@
 //! Collects what callers and workers observe and checks the scheduler's guarantees against it.
 
 use {
+    crate::{
+        checkpoints::IssuedCheckpoint,
+        unasked::{Execution, FaultTimes, RecordedRun, RecordedRuns, late_start},
+    },
     fuchsiatack_jobs::{JobId, JobSpec, RunId, StepId, StepSpec, TaskKey},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -14,6 +18,8 @@
 pub(crate) struct KnownJob {
     /// Whether the submission was acknowledged.
     pub(crate) accepted: bool,
+    /// Status of the first acknowledgement of the cancellation.
+    pub(crate) cancel_status: u16,
     /// Time at which the cancellation was acknowledged, in milliseconds of the checker's clock.
     pub(crate) cancelled_ms: Option<u64>,
     /// Whether the cell may have accepted it without an acknowledgement that reached the caller. False only
@@ -27,13 +33,18 @@
 /// Everything observed in a soak run.
 #[derive(Default)]
 pub(crate) struct Observations {
+    /// Checkpoints that workers produced.
+    pub(crate) checkpoints: BTreeMap<String, IssuedCheckpoint>,
     /// Tasks that a worker completed, whether or not the cell has recorded their end.
     pub(crate) done: BTreeSet<TaskKey>,
+    pub(crate) faults: FaultTimes,
     pub(crate) jobs: BTreeMap<JobId, KnownJob>,
     /// Completed tasks whose end the cell has recorded.
     pub(crate) recorded: BTreeSet<TaskKey>,
     /// Workers on which each task is running.
     pub(crate) running: BTreeMap<TaskKey, BTreeSet<usize>>,
+    /// Each run that a worker started.
+    pub(crate) runs: RecordedRuns,
     /// Number of runs that workers started.
     pub(crate) starts: u64,
     pub(crate) violations: Vec<String>,
@@ -42,6 +53,14 @@
 }
 
 impl Observations {
+    /// Records the end of the runs of a task on a worker.
+    fn end_runs(&mut self, worker: usize, task: TaskKey, now_ms: u64) {
+        let runs = [0, u32::MAX].map(|number| (worker, RunId { number, task }));
+        for (_, record) in self.runs.range_mut(runs[0]..=runs[1]) {
+            record.ended_ms.get_or_insert(now_ms);
+        }
+    }
+
     /// Returns whether workers completed all tasks of a step. A gang counts as completed
     /// with its first completed task.
     pub(crate) fn is_step_done(&self, step: StepId, spec: &StepSpec) -> bool {
@@ -77,7 +96,7 @@
     }
 
     /// Records the start of a run on a worker and checks that the run may start.
-    pub(crate) fn record_start(&self, worker: usize, run: RunId) {
+    pub(crate) fn record_start(&self, worker: usize, run: RunId, execution: Execution) {
         let now_ms = self.now_ms();
         let mut observed = self.observations();
         let task = run.task;
@@ -90,6 +109,14 @@
         {
             violations.push("started while another worker runs the same task");
         }
+        if observed
+            .running
+            .get(&task)
+            .is_some_and(|workers| workers.contains(&worker))
+        {
+            violations.push("started while the same worker has another run of the task");
+            observed.end_runs(worker, task, now_ms);
+        }
         if observed.recorded.contains(&task) {
             violations.push("started after the end of its task was recorded");
         }
@@ -112,26 +139,44 @@
         if has_open_dependency {
             violations.push("started before the steps that its step depends on were done");
         }
+        let is_prompt = execution == Execution::Prompt;
+        let late_start = is_prompt.then(|| late_start(&observed, run, now_ms)).flatten();
+        let record = RecordedRun::new(now_ms, execution);
+        observed.runs.insert((worker, run), record);
         observed.starts += 1;
         observed.running.entry(task).or_default().insert(worker);
-        for violation in violations {
-            observed
-                .violations
-                .push(format!("{now_ms} ms: run {run} {violation} (worker {worker})"));
-        }
+        let note = execution.note();
+        let violations = violations.into_iter().map(str::to_owned).chain(late_start);
+        observed.violations.extend(
+            violations.map(|violation| format!("{now_ms} ms: run {run} {violation} (worker {worker}{note})")),
+        );
     }
 
     /// Records that a task no longer runs on a worker, and whether it completed there.
     pub(crate) fn record_stop(&self, worker: usize, task: TaskKey, is_done: bool) {
+        let now_ms = self.now_ms();
         let mut observed = self.observations();
         if let Some(workers) = observed.running.get_mut(&task) {
             workers.remove(&worker);
         }
+        observed.end_runs(worker, task, now_ms);
         if is_done {
             observed.done.insert(task);
         }
     }
 
+    /// Records that the cancellation of a job was acknowledged.
+    pub(crate) fn record_cancellation(&self, job: JobId, status: u16) {
+        let now_ms = self.now_ms();
+        if let Some(job) = self.observations().jobs.get_mut(&job)
+            && job.cancelled_ms.is_none()
+        {
+            job.cancel_status = status;
+            job.cancelled_ms = Some(now_ms);
+            job.ended = true;
+        }
+    }
+
     /// Records a violated guarantee, or a fault of the soak test itself, with the current time.
     pub(crate) fn record_violation(&self, violation: String) {
         let now_ms = self.now_ms();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,6 +15,12 @@
 /// Time for which a core daemon still counts as lost after its return, in milliseconds.
 const CATCH_UP_MS: u64 = 4_000;
 
+/// Least time without faults after each series of faults, in milliseconds. It lasts longer than machines
+/// need to be in touch and a cancelled job to stop.
+const CALM_MS: u64 = 9_000;
+/// Most faults in one series.
+const MAX_SERIES: u32 = 8;
+
 /// Injects faults until `until_ms`, in at most one core daemon at a time. On return every daemon has been
 /// restarted or resumed, while a worker may stay cut off or mute for the rest of its fault. Returns a
 /// description of each fault.
@@ -29,6 +35,7 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut log = Vec::new();
     let mut next_core_fault_ms = 0;
+    let mut series = random.random_range(3..=MAX_SERIES);
     while checker.now_ms() < until_ms {
         sleep(Duration::from_millis(random.random_range(50..MAX_PAUSE_MS))).await;
         let duration = Duration::from_millis(random.random_range(100..MAX_DURATION_MS));
@@ -41,6 +48,7 @@
         };
         let name = daemons[index].name().to_owned();
         let now_ms = checker.now_ms();
+        checker.observations().faults.begin();
         let fault = match kind {
             0..=1 => {
                 daemons[index].process.kill();
@@ -89,6 +97,15 @@
             next_core_fault_ms = checker.now_ms() + CATCH_UP_MS;
         }
         log.push(format!("{now_ms} ms: {fault}"));
+        let faulty_until_ms = workers.iter().map(|worker| worker.faulty_until_ms()).max();
+        let end_ms = checker.now_ms().max(faulty_until_ms.unwrap_or(0));
+        checker.observations().faults.end(end_ms);
+        series -= 1;
+        if series == 0 {
+            series = random.random_range(3..=MAX_SERIES);
+            let calm_ms = (end_ms + CALM_MS).saturating_sub(checker.now_ms());
+            sleep(Duration::from_millis(calm_ms)).await;
+        }
     }
     log
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,12 +4,15 @@
 
 mod advice;
 mod callers;
+mod cancellations;
 mod checker;
+mod checkpoints;
 mod daemons;
 mod faults;
 mod operator;
 mod soak;
 mod stub_server;
+mod unasked;
 mod workers;
 
 pub use self::soak::{SoakReport, SoakSettings, run};
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -8,6 +8,7 @@
         daemons::{CALLERS_PORT, CONTROL_PORT, Daemon, ip},
         faults, operator,
         stub_server::serve,
+        unasked,
         workers::WorkerStub,
     },
     std::{
@@ -32,7 +33,9 @@
 const STUB_PORT: u16 = 8_746;
 /// Time for the cell to form before callers and faults start, in milliseconds.
 const FORMATION_MS: u64 = 3_000;
-/// Time after the fault period within which every accepted job must end, in milliseconds.
+/// Time after the fault period in which callers still submit and cancel jobs, in milliseconds.
+const FINAL_CALM_MS: u64 = 8_000;
+/// Time after the last submission within which every accepted job must end, in milliseconds.
 const COMPLETION_MS: u64 = 25_000;
 
 /// Settings of one run.
@@ -96,7 +99,7 @@
     let mut workers = Vec::new();
     for number in 0..WORKER_COUNT {
         let address = SocketAddr::new(ip(cell, FIRST_WORKER_HOST + number), STUB_PORT);
-        let worker = WorkerStub::start(number.into(), address, checker.clone()).await;
+        let worker = WorkerStub::start(number.into(), address, settings.seed, checker.clone()).await;
         background.spawn(worker.clone().advance_runs());
         background.spawn(worker.clone().send_heartbeats(control.clone()));
         workers.push(worker);
@@ -107,7 +110,9 @@
         daemon.mark_formed()?;
     }
     let until_ms = checker.now_ms() + settings.fault_period_ms;
-    let end_ms = until_ms + COMPLETION_MS;
+    let submit_until_ms = until_ms + FINAL_CALM_MS;
+    let end_ms = submit_until_ms + COMPLETION_MS;
+    background.spawn(unasked::watch_cancelled_runs(checker.clone()));
     let mut caller_tasks = JoinSet::new();
     for number in 0..CALLER_COUNT {
         let seed = settings.seed.wrapping_mul(31).wrapping_add(number);
@@ -115,7 +120,7 @@
             checker.clone(),
             entries.clone(),
             seed,
-            until_ms,
+            submit_until_ms,
             end_ms,
         ));
     }
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -5,11 +5,14 @@
     crate::{
         advice::ticket,
         checker::Checker,
+        checkpoints::Checkpoints,
         stub_server::{StubResponse, StubService, serve},
+        unasked::{Execution, StartOrder, order_violation},
     },
     fuchsiatack_jobs::{JobId, ListedEnd, OrderRejection, RunId, StepId, TaskKey, WorkerCallError},
     fuchsiatack_model::Resources,
     fuchsiatack_testkit::{JobRun, JobWorker},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
     serde_json::{Value, json},
     std::{
         net::SocketAddr,
@@ -25,10 +28,30 @@
 const ADVANCE_PERIOD: Duration = Duration::from_millis(5);
 /// Time from a crash until the restarted worker handles requests, in milliseconds.
 const RESTART_MS: u64 = 800;
+/// One order to start a run in this many gets no response and is carried out later, on average.
+const ORDERS_PER_LATE_ORDER: u32 = 15;
+/// Longest time after which an order without a response is carried out, in milliseconds.
+const MAX_ORDER_DELAY_MS: u64 = 6_000;
+/// `maxHoldMs` of the platform; a longer lease is shortened to it.
+const MAX_LEASE_MS: u64 = 10_000;
+/// Run time of a task that lasts until its job is cancelled, in milliseconds.
+const LASTING_MS: u64 = 3_600_000;
 /// Time after which a heartbeat without a response is sent to the next daemon.
 const HEARTBEAT_LIMIT: Duration = Duration::from_secs(1);
 
+/// An order to start a run that got no response.
+struct LateOrder {
+    body: Value,
+    due_ms: u64,
+    /// Incarnation that received it.
+    started_unix_ms: u64,
+}
+
 struct State {
+    checkpoints: Checkpoints,
+    /// Orders to carry out later, also by a later incarnation.
+    late_orders: Vec<LateOrder>,
+    random: StdRng,
     /// Time until which no request gets a response; about every second one is still carried out.
     mute_until_ms: u64,
     /// Number of attempts to handle a request; a waiting request counts once each `ADVANCE_PERIOD`.
@@ -47,7 +70,12 @@
 }
 
 impl WorkerStub {
-    pub(crate) async fn start(number: usize, address: SocketAddr, checker: Arc<Checker>) -> Arc<Self> {
+    pub(crate) async fn start(
+        number: usize,
+        address: SocketAddr,
+        seed: u64,
+        checker: Arc<Checker>,
+    ) -> Arc<Self> {
         let capacity = Resources {
             memory_bytes: 64 << 30,
             processors_millis: PROCESSORS_MILLIS[number % PROCESSORS_MILLIS.len()],
@@ -57,6 +85,9 @@
             address,
             number,
             state: Mutex::new(State {
+                checkpoints: Checkpoints::default(),
+                late_orders: Vec::new(),
+                random: StdRng::seed_from_u64(seed.wrapping_mul(37).wrapping_add(number as u64)),
                 attempts: 0,
                 is_failing: false,
                 mute_until_ms: 0,
@@ -86,6 +117,7 @@
                 let now_ms = self.checker.now_ms();
                 let mut state = self.state();
                 self.advance_to(&mut state, now_ms);
+                self.start_late_runs(&mut state, now_ms);
             }
             sleep(ADVANCE_PERIOD).await;
         }
@@ -93,17 +125,68 @@
 
     /// Advances the runs to `now_ms` and records those that ended.
     fn advance_to(&self, state: &mut State, now_ms: u64) {
-        let before: Vec<_> = state.worker.running.keys().copied().collect();
+        let before = running_runs(state);
         let done = state.worker.advance_to(now_ms);
-        for task in before
-            .iter()
-            .filter(|task| !state.worker.running.contains_key(task))
-        {
-            let is_done = done.iter().any(|run| run.task == *task);
-            self.checker.record_stop(self.number, *task, is_done);
+        for run in &before {
+            let ends = !state.worker.running.contains_key(&run.task);
+            state.checkpoints.save(&self.checker, *run, now_ms, ends);
+            if ends {
+                let is_done = done.contains(run);
+                self.checker.record_stop(self.number, run.task, is_done);
+            }
+        }
+    }
+
+    /// Carries out the late orders that are due, unless the worker is down or cut off.
+    fn start_late_runs(&self, state: &mut State, now_ms: u64) {
+        if state.worker.partitioned_until_ms > now_ms {
+            return;
+        }
+        let due: Vec<_> = state
+            .late_orders
+            .extract_if(.., |order| order.due_ms <= now_ms)
+            .collect();
+        for order in due {
+            let execution = match order.started_unix_ms == state.worker.started_unix_ms {
+                true => Execution::Late,
+                false => Execution::LateAfterRestart,
+            };
+            self.start_run(state, &order.body, now_ms, execution);
         }
     }
 
+    /// Handles a request to start a run, or keeps it for later without a response.
+    fn start_or_delay(&self, state: &mut State, body: &Value, now_ms: u64) -> StubResponse {
+        if state.random.random_range(0..ORDERS_PER_LATE_ORDER) != 0 {
+            return self.start_run(state, body, now_ms, Execution::Prompt);
+        }
+        let order = LateOrder {
+            body: body.clone(),
+            due_ms: now_ms + state.random.random_range(0..MAX_ORDER_DELAY_MS),
+            started_unix_ms: state.worker.started_unix_ms,
+        };
+        state.late_orders.push(order);
+        None
+    }
+
+    /// Handles a request to stop a run.
+    fn stop_run(&self, state: &mut State, body: &Value, now_ms: u64) -> StubResponse {
+        let run = parse_run(body)?;
+        let before = running_runs(state);
+        let result = state.worker.stop(now_ms, u64_field(body, "fencingToken"), run);
+        if before.contains(&run) && !state.worker.running.contains_key(&run.task) {
+            state.checkpoints.save(&self.checker, run, now_ms, true);
+            self.checker.record_stop(self.number, run.task, false);
+        }
+        Some(order_response(state.worker.clock_ms(now_ms), result))
+    }
+
+    /// Time at which all faults of the worker are over.
+    pub(crate) fn faulty_until_ms(&self) -> u64 {
+        let state = self.state();
+        state.mute_until_ms.max(state.worker.partitioned_until_ms)
+    }
+
     /// Sends heartbeats to one control address, and to the next after a failure. Never returns.
     pub(crate) async fn send_heartbeats(self: Arc<Self>, control: Vec<SocketAddr>) {
         let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
@@ -157,6 +240,7 @@
             self.checker.record_stop(self.number, *task, false);
         }
         let capacity = state.worker.capacity;
+        state.checkpoints = Checkpoints::default();
         state.worker = JobWorker::new(now_ms, capacity);
         state.worker.partitioned_until_ms = now_ms + RESTART_MS;
     }
@@ -178,8 +262,21 @@
     }
 
     /// Handles a request to start a run.
-    fn start_run(&self, state: &mut State, body: &Value, now_ms: u64) -> StubResponse {
+    fn start_run(&self, state: &mut State, body: &Value, now_ms: u64, execution: Execution) -> StubResponse {
         let run = parse_run(body)?;
+        let order = StartOrder {
+            checkpoint: body["lastCheckpoint"].as_str().unwrap_or_default(),
+            payload: body["spec"].as_str().unwrap_or_default(),
+            run,
+        };
+        let violation = order_violation(&self.checker.observations(), &order);
+        if let Some(violation) = violation {
+            self.checker.record_violation(format!(
+                "run {run} {violation} (worker {}{})",
+                self.number,
+                execution.note()
+            ));
+        }
         let step = self
             .checker
             .observations()
@@ -187,8 +284,6 @@
             .get(&run.task.step.job)
             .and_then(|job| job.spec.as_ref()?.steps.get(run.task.step.step as usize).cloned());
         let Some(step) = step else {
-            self.checker
-                .record_violation(format!("run {run} is not part of a submitted job"));
             return Some((400, json!({})));
         };
         let expected = ticket(&run.task.step.to_string(), &self.name());
@@ -198,20 +293,29 @@
                 json!({ "clockMs": state.worker.clock_ms(now_ms), "reason": "ticket" }),
             ));
         }
+        let is_present = |state: &State| running_runs(state).contains(&run);
+        let was_present = is_present(state);
+        let ends_ms = match step.checkpoints && !was_present {
+            _ if step.long_running && !state.is_failing => now_ms + LASTING_MS,
+            true => state
+                .checkpoints
+                .start(&self.checker, run, order.checkpoint, now_ms, step.estimated_ms),
+            false => now_ms + step.estimated_ms,
+        };
         let job_run = JobRun {
-            ends_ms: now_ms + step.estimated_ms,
+            ends_ms,
             fails: state.is_failing,
             number: run.number,
             reserved: step.demand,
             started_ms: now_ms,
         };
-        let before = state.worker.running.len();
-        let (fencing_token, deadline_ms) = (u64_field(body, "fencingToken"), u64_field(body, "deadlineMs"));
+        let fencing_token = u64_field(body, "fencingToken");
+        let deadline_ms = shortened(state.worker.clock_ms(now_ms), u64_field(body, "deadlineMs"));
         let result = state
             .worker
             .start(now_ms, fencing_token, deadline_ms, run, job_run);
-        if state.worker.running.len() > before {
-            self.checker.record_start(self.number, run);
+        if is_present(state) && !was_present {
+            self.checker.record_start(self.number, run, execution);
         }
         if !state.worker.capacity.covers(&state.worker.used()) {
             self.checker
@@ -223,12 +327,13 @@
     /// Handles a renewal of the worker's lease.
     fn hold(&self, state: &mut State, body: &Value, now_ms: u64) -> StubResponse {
         let fencing_token = u64_field(body, "fencingToken");
-        let result = state.worker.hold(
-            now_ms,
-            fencing_token,
-            body["deadlineMs"].as_u64(),
-            u64_field(body, "lastSeen"),
-        );
+        let clock_ms = state.worker.clock_ms(now_ms);
+        let deadline_ms = body["deadlineMs"]
+            .as_u64()
+            .map(|deadline_ms| shortened(clock_ms, deadline_ms));
+        let result = state
+            .worker
+            .hold(now_ms, fencing_token, deadline_ms, u64_field(body, "lastSeen"));
         let recorded = std::mem::take(&mut state.worker.acknowledged);
         self.checker
             .observations()
@@ -240,7 +345,15 @@
         };
         let running = report.running.iter();
         let running: Vec<_> = running
-            .map(|listed| json!([listed.run.task.to_string(), listed.run.number, "", 100, 0]))
+            .map(|listed| {
+                json!([
+                    listed.run.task.to_string(),
+                    listed.run.number,
+                    state.checkpoints.value(listed.run),
+                    100,
+                    0
+                ])
+            })
             .collect();
         let ended = report.ended.iter();
         let ended: Vec<_> = ended
@@ -250,7 +363,7 @@
                     ended.run.task.to_string(),
                     ended.run.number,
                     end_name(ended.end),
-                    ""
+                    state.checkpoints.value(ended.run)
                 ])
             })
             .collect();
@@ -288,13 +401,8 @@
                     && !state.worker.has_unseen_ends(u64_field(&body, "lastSeen"));
                 if !is_waiting {
                     let response = match path.as_str() {
-                        "/run-start" => self.start_run(&mut state, &body, now_ms),
-                        "/run-stop" => {
-                            let run = parse_run(&body)?;
-                            let result = state.worker.stop(now_ms, u64_field(&body, "fencingToken"), run);
-                            self.checker.record_stop(self.number, run.task, false);
-                            Some(order_response(state.worker.clock_ms(now_ms), result))
-                        }
+                        "/run-start" => self.start_or_delay(&mut state, &body, now_ms),
+                        "/run-stop" => self.stop_run(&mut state, &body, now_ms),
                         "/hold" => self.hold(&mut state, &body, now_ms),
                         _ => Some((404, json!({}))),
                     };
@@ -306,6 +414,22 @@
     }
 }
 
+/// Runs in progress on a worker.
+fn running_runs(state: &State) -> Vec<RunId> {
+    let running = state.worker.running.iter();
+    running
+        .map(|(task, run)| RunId {
+            number: run.number,
+            task: *task,
+        })
+        .collect()
+}
+
+/// Shortens a lease to `MAX_LEASE_MS`.
+fn shortened(clock_ms: u64, deadline_ms: u64) -> u64 {
+    deadline_ms.min(clock_ms + MAX_LEASE_MS)
+}
+
 fn u64_field(body: &Value, field: &str) -> u64 {
     body[field].as_u64().unwrap_or(0)
 }
