soak: carry out orders that reach a worker while it is down, report coverage

Cause: a start order sent to a worker that is restarting or cut off was dropped, so few late orders met a later incarnation. The output of a passed run did not show whether its checks had met cancelled jobs, late orders and checkpoints.

A passed run prints its cancelled jobs, late starts and checkpoints.

--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -8,7 +8,7 @@
         daemons::{CALLERS_PORT, CONTROL_PORT, Daemon, ip},
         faults, operator,
         stub_server::serve,
-        unasked,
+        unasked::{self, Execution},
         workers::WorkerStub,
     },
     std::{
@@ -59,8 +59,14 @@
 pub struct SoakReport {
     /// Number of jobs that the cell accepted.
     pub accepted: usize,
+    /// Number of jobs whose cancellation was acknowledged.
+    pub cancelled: usize,
+    /// Number of checkpoints that workers produced.
+    pub checkpoints: usize,
     /// Injected faults in order of time, each with its start in milliseconds.
     pub faults: Vec<String>,
+    /// Number of runs that workers started on orders that they carried out late.
+    pub late_starts: usize,
     /// Number of runs that workers started.
     pub starts: u64,
     /// Violated guarantees; empty if the run passed.
@@ -140,7 +146,18 @@
     violations.extend(unfinished.map(|(id, _)| format!("job {id} was accepted but did not end")));
     Ok(SoakReport {
         accepted: observed.jobs.values().filter(|job| job.accepted).count(),
+        cancelled: observed
+            .jobs
+            .values()
+            .filter(|job| job.cancelled_ms.is_some())
+            .count(),
+        checkpoints: observed.checkpoints.len(),
         faults,
+        late_starts: observed
+            .runs
+            .values()
+            .filter(|run| run.execution != Execution::Prompt)
+            .count(),
         starts: observed.starts,
         violations,
     })
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -160,13 +160,18 @@
         if state.random.random_range(0..ORDERS_PER_LATE_ORDER) != 0 {
             return self.start_run(state, body, now_ms, Execution::Prompt);
         }
+        Self::delay(state, body, now_ms);
+        None
+    }
+
+    /// Keeps an order to start a run for later.
+    fn delay(state: &mut State, body: &Value, now_ms: u64) {
         let order = LateOrder {
             body: body.clone(),
             due_ms: now_ms + state.random.random_range(0..MAX_ORDER_DELAY_MS),
             started_unix_ms: state.worker.started_unix_ms,
         };
         state.late_orders.push(order);
-        None
     }
 
     /// Handles a request to stop a run.
@@ -389,6 +394,10 @@
                 if state.worker.partitioned_until_ms > now_ms
                     || state.worker.started_unix_ms != started_unix_ms
                 {
+                    // An order that is sent to a worker that is down or cut off may arrive afterwards.
+                    if path == "/run-start" {
+                        Self::delay(&mut state, &body, now_ms);
+                    }
                     return None;
                 }
                 let is_mute = state.mute_until_ms > now_ms;
