testkit: keep the sockets of a proxy bound from the probe on

The proxy released the probed port and bound it again. A process that another test of the same program starts in between (identifies_the_sender_by_its_process starts bash without the lock of block_probing) holds copies of all sockets until it executes its program, so that the port is still bound. Change: the proxy uses the sockets of the probe.

--- a/crates/testkit/src/ports.rs
+++ b/crates/testkit/src/ports.rs
@@ -35,12 +35,22 @@
 /// No address is returned twice in a process.
 pub fn free_address() -> io::Result<SocketAddr> {
     let mut allocated = block_probing();
+    let (listener, _) = probe(&mut allocated)?;
+    listener.local_addr()
+}
+
+/// Binds a TCP and a UDP socket to the same free port of [`test_ip`].
+pub(crate) fn bind_free_port() -> io::Result<(TcpListener, UdpSocket)> {
+    probe(&mut block_probing())
+}
+
+fn probe(allocated: &mut HashSet<SocketAddr>) -> io::Result<(TcpListener, UdpSocket)> {
     let mut last = io::Error::other("no attempt was made");
     for _ in 0..ATTEMPTS {
         let listener = TcpListener::bind((test_ip(), 0))?;
         let address = listener.local_addr()?;
         match UdpSocket::bind(address) {
-            Ok(_) if allocated.insert(address) => return Ok(address),
+            Ok(socket) if allocated.insert(address) => return Ok((listener, socket)),
             Ok(_) => {}
             Err(error) => last = error,
         }
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        LinkFaults, free_address, proxy_stream, proxy_udp,
+        LinkFaults,
+        ports::bind_free_port,
+        proxy_stream, proxy_udp,
         socket_owner::{Protocol, owner_of},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -192,9 +194,13 @@
         to: &str,
         target: SocketAddr,
     ) -> io::Result<SocketAddr> {
-        let listen_address = free_address()?;
-        let listener = TcpListener::bind(listen_address).await?;
-        let socket = UdpSocket::bind(listen_address).await?;
+        // The sockets stay bound: a process that a test starts meanwhile holds copies of all sockets until
+        // it executes its program, so that a released port could not be bound again.
+        let (listener, socket) = bind_free_port()?;
+        listener.set_nonblocking(true)?;
+        socket.set_nonblocking(true)?;
+        let (listener, socket) = (TcpListener::from_std(listener)?, UdpSocket::from_std(socket)?);
+        let listen_address = listener.local_addr()?;
         let route = Route {
             from,
             shared: self.shared.clone(),
