--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -335,8 +335,24 @@
             .filter(is_old)
             .map(|job| job.id)
             .collect();
+        for id in &old {
+            self.log_removal(*id);
+        }
         if !old.is_empty() {
             self.propose(JobCommand::RemoveJobs(old));
         }
     }
+
+    fn log_removal(&mut self, id: JobId) {
+        let ended = self.store.jobs.get(&id).and_then(|job| job.ended.as_ref());
+        let Some((state, ended_unix_ms)) = ended.map(|ended| (ended.state, ended.unix_ms)) else {
+            return;
+        };
+        self.log(
+            LogEvent::new("ended job removed")
+                .job(id)
+                .with("state", state.as_str())
+                .with("wall_age_ms", self.now_unix_ms.saturating_sub(ended_unix_ms)),
+        );
+    }
 }
