jobs: count the retention of ended jobs by the planner's clock

Cause: the leader removed an ended job once its end was 150 s ago by the wall clock. A step forward, or a new leader whose clock is ahead, removed all ended jobs at once. A submission that is repeated seconds after its response was then accepted as a new job. Change: the retention counts from when this leader first knew the end, by the clock that also orders leases and time-outs. A new leader counts it anew, so that a job may stay longer but never shorter. Why it works: no decision on the removal depends on the wall clock any more.

--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -175,7 +175,7 @@
             team,
         };
         if self.store.jobs.contains_key(&job) {
-            self.propose(JobCommand::RemoveJobs(vec![job]));
+            self.remove_jobs(vec![job]);
         }
         if was_cancelled {
             self.log(LogEvent::new("job submitted after its cancel").job(job));
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -40,6 +40,8 @@
     pub(crate) needs_placement: bool,
     pub(crate) fencing_token: u64,
     pub(crate) cleanup_due_ms: u64,
+    /// Time from which the planner has known that a job has ended, for jobs that it may remove.
+    pub(crate) ended_since_ms: BTreeMap<JobId, u64>,
     /// Mean share of requested workers that may run a queue's steps, in thousandths.
     pub(crate) eligible_shares: BTreeMap<QueueName, u64>,
     /// Whether a check was scheduled that `take_output` must send.
@@ -85,6 +87,7 @@
             fencing_token,
             cleanup_due_ms: now_ms,
             eligible_shares: BTreeMap::new(),
+            ended_since_ms: BTreeMap::new(),
             is_check_scheduled: false,
             kinds: BTreeMap::new(),
             late_starts: BTreeMap::new(),
@@ -317,30 +320,47 @@
         self.needs_placement = true;
     }
 
+    /// Removes jobs that have been known as ended for the retention period.
+    ///
+    /// The period is counted by the planner's clock, because a step of the wall clock must not shorten it: a
+    /// repeated submission of a removed job is accepted as a new job. A new leader counts it anew.
     fn remove_old_jobs(&mut self) {
         const INTERVAL_MS: u64 = 5_000;
         if self.now_ms < self.cleanup_due_ms {
             return;
         }
         self.cleanup_due_ms = self.now_ms + INTERVAL_MS;
-        let limit_unix_ms = self.now_unix_ms.saturating_sub(self.settings.retention_ms);
-        let is_old = |job: &&crate::Job| {
-            let ended = job.ended.as_ref();
-            ended.is_some_and(|ended| ended.unix_ms < limit_unix_ms) && job.runs().next().is_none()
+        let ended = self.store.jobs.values().filter(|job| job.ended.is_some());
+        for job in ended {
+            self.ended_since_ms.entry(job.id).or_insert(self.now_ms);
+        }
+        let limit_ms = self.now_ms.saturating_sub(self.settings.retention_ms);
+        let is_idle = |id: &&JobId| {
+            let job = self.store.jobs.get(*id);
+            job.is_none_or(|job| job.runs().next().is_none())
         };
         let old: Vec<_> = self
-            .store
-            .jobs
-            .values()
-            .filter(is_old)
-            .map(|job| job.id)
+            .ended_since_ms
+            .iter()
+            .filter(|(_, since_ms)| **since_ms < limit_ms)
+            .map(|(id, _)| id)
+            .filter(is_idle)
+            .copied()
             .collect();
         for id in &old {
             self.log_removal(*id);
         }
         if !old.is_empty() {
-            self.propose(JobCommand::RemoveJobs(old));
+            self.remove_jobs(old);
+        }
+    }
+
+    /// Removes jobs and what the planner knows of their ends.
+    pub(crate) fn remove_jobs(&mut self, jobs: Vec<JobId>) {
+        for job in &jobs {
+            self.ended_since_ms.remove(job);
         }
+        self.propose(JobCommand::RemoveJobs(jobs));
     }
 
     fn log_removal(&mut self, id: JobId) {
@@ -348,10 +368,12 @@
         let Some((state, ended_unix_ms)) = ended.map(|ended| (ended.state, ended.unix_ms)) else {
             return;
         };
+        let since_ms = self.ended_since_ms.get(&id).copied().unwrap_or(self.now_ms);
         self.log(
             LogEvent::new("ended job removed")
                 .job(id)
                 .with("state", state.as_str())
+                .with("known_ms", self.now_ms - since_ms)
                 .with("wall_age_ms", self.now_unix_ms.saturating_sub(ended_unix_ms)),
         );
     }
--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -6,7 +6,7 @@
     common::{Leader, Sent, UNIX_START_MS, queue, step},
     fuchsiatack_jobs::{
         CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, JobResponse, JobState,
-        ListedRun, RunId, StepSpec, Team, WorkerCallError,
+        ListedRun, PlannerSettings, RunId, StepSpec, Team, WorkerCallError,
     },
     fuchsiatack_model::{Resources, TeamName, WorkerName},
     smol_str::{SmolStr, format_smolstr},
@@ -216,3 +216,35 @@
 
     assert_eq!(leader.take_starts().len(), 1);
 }
+
+/// Guards against a cancelled job that a repeated submission starts: a step of the wall clock made the job
+/// look old enough to be removed.
+#[test]
+fn cancelled_job_is_kept_when_the_wall_clock_steps() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    leader.submit(JOB, vec![lasting_step()]);
+    cancel(&mut leader);
+
+    leader.unix_step_ms = 400_000;
+    leader.advance(5_000);
+    leader.submit(JOB, vec![lasting_step()]);
+
+    assert_eq!(leader.take_starts(), Vec::new());
+    assert_eq!(read(&mut leader), JobResponse::State(JobState::Cancelled));
+}
+
+/// Guards against ended jobs that fill the memory because they are never removed.
+#[test]
+fn ended_job_is_removed_after_the_retention_period() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    let retention_ms = PlannerSettings::default().retention_ms;
+    leader.submit(JOB, vec![lasting_step()]);
+    cancel(&mut leader);
+    leader.advance(5_000);
+
+    leader.advance(retention_ms - 10_000);
+    assert_eq!(read(&mut leader), JobResponse::State(JobState::Cancelled));
+    leader.advance(20_000);
+
+    assert_eq!(read(&mut leader), JobResponse::NoSuchJob);
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -23,6 +23,8 @@
     pub now_ms: u64,
     planner: Planner,
     sequence: u64,
+    /// Time by which the wall clock has been stepped forward, in milliseconds.
+    pub unix_step_ms: u64,
 }
 
 /// A call of the leader to a worker or to the advice service.
@@ -57,6 +59,7 @@
             now_ms: 0,
             planner: Planner::new(PlannerSettings::default(), store, 1, 0, UNIX_START_MS),
             sequence: 0,
+            unix_step_ms: 0,
         };
         for worker in workers {
             leader.heartbeat(worker);
@@ -69,7 +72,7 @@
     }
 
     pub fn handle(&mut self, event: JobEvent) {
-        let unix_ms = UNIX_START_MS + self.now_ms;
+        let unix_ms = UNIX_START_MS + self.now_ms + self.unix_step_ms;
         self.planner.handle(self.now_ms, unix_ms, event);
     }
 
