jobs: test a late start on a restarted worker that responds after its leases

Cause: the leader gives a run up when the leases on an unreachable worker expire, and sends no stop when the worker responds again. After a restart the deadline in the start order is on another clock, so that the order can still start the run. Change: a test with a cancelled job.

--- /dev/null
+++ b/crates/jobs/tests/late_starts.rs
@@ -0,0 +1,122 @@
+//! Start orders without a response that a restarted worker may still carry out.
+
+mod common;
+
+use {
+    common::{Leader, Sent, UNIX_START_MS, queue, step},
+    fuchsiatack_jobs::{
+        CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, RunId, StepSpec,
+        WorkerCallError, WorkerReport,
+    },
+    fuchsiatack_model::{DataCenter, Resources, WorkerName},
+    smol_str::{SmolStr, format_smolstr},
+};
+
+const JOB: JobId = JobId(1);
+/// Longer than every lease on a restarted worker, in milliseconds.
+const LEASE_EXPIRY_MS: u64 = 12_000;
+const TICK_MS: u64 = 25;
+
+fn lasting_step() -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(1, 600)
+    }
+}
+
+fn cancel(leader: &mut Leader) {
+    leader.call(CellCall::Job(JobCall {
+        action: JobAction::Cancel,
+        host: "host".into(),
+        key: Some("key".into()),
+        path: format_smolstr!("/q/{JOB}"),
+    }));
+}
+
+/// Heartbeat of the second incarnation of worker `a`.
+fn heartbeat_after_restart(leader: &mut Leader, sequence: u64) {
+    let report = WorkerReport {
+        address: "127.0.0.1:1".parse().expect("the address is valid"),
+        started_unix_ms: UNIX_START_MS,
+        capacity: Resources {
+            memory_bytes: 64 << 30,
+            processors_millis: 16_000,
+            ..Resources::NONE
+        },
+        clock_ms: leader.now_ms,
+        data_center: DataCenter::new("a"),
+        draining: false,
+        labels: vec!["kind".into(), "rack".into()],
+        machine: SmolStr::default(),
+        name: WorkerName::new("a"),
+        remaining_ms: None,
+        sequence,
+        service: "service".into(),
+    };
+    leader.call(CellCall::Heartbeat(Box::new(report)));
+}
+
+/// Report of the second incarnation of worker `a`, on which nothing runs.
+fn report_after_restart(leader: &mut Leader) {
+    let report = HoldReport {
+        started_unix_ms: Some(UNIX_START_MS),
+        clock_ms: leader.now_ms,
+        ended: Vec::new(),
+        running: Vec::new(),
+    };
+    leader.complete_hold("a", HoldKind::Renewal, Ok(report));
+}
+
+/// Advances the time while worker `a` sends heartbeats and responds to no call.
+fn advance_without_responses(leader: &mut Leader, duration_ms: u64) {
+    for number in 0..duration_ms / TICK_MS {
+        leader.advance(TICK_MS);
+        for call in leader.take_calls() {
+            fail(leader, call);
+        }
+        heartbeat_after_restart(leader, number + 2);
+    }
+}
+
+fn fail(leader: &mut Leader, call: Sent) {
+    match call {
+        Sent::Check(_) => leader.complete_hold("a", HoldKind::Check, Err(WorkerCallError::Unanswered)),
+        Sent::Renew { .. } => leader.complete_hold("a", HoldKind::Renewal, Err(WorkerCallError::Unanswered)),
+        Sent::Stop { run, worker } => leader.handle(JobEvent::Stopped {
+            result: Err(WorkerCallError::Unanswered),
+            run,
+            worker,
+        }),
+        Sent::Advise { .. } | Sent::Start { .. } => {}
+    }
+}
+
+fn stops_during(leader: &mut Leader, duration_ms: u64, run: RunId) -> bool {
+    let worker = WorkerName::new("a");
+    let stop = Sent::Stop { run, worker };
+    let mut calls = Vec::new();
+    for _ in 0..duration_ms / TICK_MS {
+        leader.advance(TICK_MS);
+        calls.extend(leader.take_calls());
+    }
+    calls.contains(&stop)
+}
+
+/// Guards against a run that starts and continues after its job was cancelled: the worker restarted, its
+/// new incarnation responded to no stop until the leases had expired, and the leader sent it none when it
+/// responded again. The deadline in the start order is on the clock of the earlier incarnation.
+#[test]
+fn late_start_is_stopped_on_a_restarted_worker_that_responds_after_its_leases() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    leader.submit(JOB, vec![lasting_step()]);
+    let (run, worker) = leader.take_starts().remove(0);
+    leader.advance(350);
+    leader.started(&worker, run, Err(WorkerCallError::Unanswered));
+    heartbeat_after_restart(&mut leader, 1);
+    cancel(&mut leader);
+    advance_without_responses(&mut leader, LEASE_EXPIRY_MS);
+
+    report_after_restart(&mut leader);
+
+    assert!(stops_during(&mut leader, 500, run));
+}
