jobs: stop late starts on a worker that responds after its leases

Cause: when the leases on an unreachable worker expire, the leader ends its runs and keeps those whose start order may still be carried out, but no stop of them was due. The worker's next incarnation, which may have caused the silence, had confirmed none, and could start such a run after the leader had taken it as idle. Change: the first report of a worker that was unverified schedules the stops of its late starts.

--- a/crates/jobs/src/plan_late_starts.rs
+++ b/crates/jobs/src/plan_late_starts.rs
@@ -50,7 +50,8 @@
         self.send_stop(run, worker);
     }
 
-    /// Schedules the stops of all late starts on a new incarnation of a worker.
+    /// Schedules the stops of all late starts on a worker: on a new incarnation, and on one that responds
+    /// again after the leader had given its runs up.
     pub(crate) fn stop_late_starts_on(&mut self, worker: &WorkerName) {
         let now_ms = self.now_ms;
         let mut runs = 0;
@@ -62,7 +63,7 @@
         }
         if runs > 0 {
             self.log(
-                LogEvent::new("late starts stopped on a new incarnation")
+                LogEvent::new("stops of late starts scheduled")
                     .with("worker", worker)
                     .with("runs", runs),
             );
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -193,7 +193,8 @@
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
-        let was_unreachable = view.failures > 0 || !view.is_verified;
+        let was_unverified = !view.is_verified;
+        let was_unreachable = view.failures > 0 || was_unverified;
         let failures = std::mem::take(&mut view.failures);
         view.last_response_ms = now_ms;
         view.is_verified = true;
@@ -209,6 +210,10 @@
                     .with("ended", report.ended.len()),
             );
         }
+        // The leases on the worker may have expired before it confirmed the stops of late starts.
+        if was_unverified {
+            self.stop_late_starts_on(worker);
+        }
         for ended in &report.ended {
             self.record_end(worker, ended);
         }
