jobs: apply cancels on open queues to submissions with any key

Cause: a placeholder stopped only a submission of its own team, while find_job lets any caller cancel a job of an open queue. An early cancel and its submission differ in the team if only one of them carries a key, or if the queue is opened or closed in between. For the same reason a job that came without a key was unknown to every caller once its queue was closed: its cancel was answered as that of an unknown job, and it ran on. Change: one function decides which callers a job or a placeholder concerns: all on an open queue, all for a job without a team, else its team.

--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         CallId, CellCall, CellResponse, Configuration, EntryReport, JobAction, JobCall, JobCommand,
-        JobResponse, JobSpec, LogEvent, Planner, Submission, Wave, calls::parse_job_id,
+        JobResponse, JobSpec, LogEvent, Planner, Queue, Submission, Wave, calls::parse_job_id,
     },
-    fuchsiatack_model::{QueueName, TeamName, WorkerName},
+    fuchsiatack_model::{TeamName, WorkerName},
     smol_str::SmolStr,
 };
 
@@ -105,55 +105,38 @@
             (JobAction::Read, None) if rest.is_empty() => {
                 JobResponse::Pending(self.store.pending(&queue.name))
             }
-            (JobAction::Submit(spec), Some(job)) => self.submit(job, &queue.name, team, *spec),
-            (JobAction::Read, Some(job)) => {
-                match self.find_job(job, &queue.name, team.as_ref(), queue.is_open) {
-                    Some(job) => JobResponse::State(job.state()),
-                    None => JobResponse::NoSuchJob,
-                }
-            }
-            (JobAction::Cancel, Some(job)) => {
-                match self
-                    .find_job(job, &queue.name, team.as_ref(), queue.is_open)
-                    .is_some()
-                {
-                    true => self.cancel(job),
-                    false => {
-                        self.cancel_unknown(job, &queue.name, team.as_ref());
-                        JobResponse::NoSuchJob
-                    }
+            (JobAction::Submit(spec), Some(job)) => self.submit(job, queue, team, *spec),
+            (JobAction::Read, Some(job)) => match self.find_job(job, queue, team.as_ref()) {
+                Some(job) => JobResponse::State(job.state()),
+                None => JobResponse::NoSuchJob,
+            },
+            (JobAction::Cancel, Some(job)) => match self.find_job(job, queue, team.as_ref()).is_some() {
+                true => self.cancel(job),
+                false => {
+                    self.cancel_unknown(job, queue, team.as_ref());
+                    JobResponse::NoSuchJob
                 }
-            }
+            },
             (JobAction::Submit(_), None) => JobResponse::Invalid("the path names no job".into()),
             (JobAction::Cancel | JobAction::Read, None) => JobResponse::NoSuchJob,
         }
     }
 
-    fn find_job(
-        &self,
-        job: crate::JobId,
-        queue: &QueueName,
-        team: Option<&TeamName>,
-        is_open: bool,
-    ) -> Option<&crate::Job> {
-        let is_own = |job: &&crate::Job| {
-            let is_visible = is_open || job.team.as_ref() == team;
-            job.queue == *queue && is_visible && !job.is_placeholder()
-        };
-        self.store.jobs.get(&job).filter(is_own)
+    fn find_job(&self, job: crate::JobId, queue: &Queue, team: Option<&TeamName>) -> Option<&crate::Job> {
+        let is_visible = |job: &&crate::Job| concerns(job, queue, team) && !job.is_placeholder();
+        self.store.jobs.get(&job).filter(is_visible)
     }
 
     fn submit(
         &mut self,
         job: crate::JobId,
-        queue: &QueueName,
+        queue: &Queue,
         team: Option<TeamName>,
         spec: JobSpec,
     ) -> JobResponse {
-        let is_own = |present: &crate::Job| present.queue == *queue && present.team == team;
         let was_cancelled = match self.store.jobs.get(&job) {
             None => false,
-            Some(present) if present.is_placeholder() => is_own(present),
+            Some(present) if present.is_placeholder() => concerns(present, queue, team.as_ref()),
             Some(_) => {
                 self.log(LogEvent::new("job already submitted").job(job));
                 return JobResponse::Accepted;
@@ -170,7 +153,7 @@
         let submission = Submission {
             accepted_unix_ms: self.now_unix_ms,
             job,
-            queue: queue.clone(),
+            queue: queue.name.clone(),
             spec,
             team,
         };
@@ -185,7 +168,7 @@
         self.log(
             LogEvent::new("job accepted")
                 .job(job)
-                .with("queue", queue)
+                .with("queue", &queue.name)
                 .with("team", submission.team.as_ref().map_or("", TeamName::as_str))
                 .with("steps", submission.spec.steps.len())
                 .with(
@@ -206,15 +189,15 @@
     }
 
     /// Handles a request to cancel a job that the caller cannot see. If there is no job with this
-    /// identifier, a placeholder is stored, so that a submission of the job by the same team that arrives
-    /// later does not start it. `present_queue` and `present_team` in the log are those of a job with this
+    /// identifier, a placeholder is stored, so that a submission of the job that arrives later and that the
+    /// caller may cancel does not start it. `present_queue` and `present_team` in the log are those of a job with this
     /// identifier.
-    fn cancel_unknown(&mut self, id: crate::JobId, queue: &QueueName, team: Option<&TeamName>) {
+    fn cancel_unknown(&mut self, id: crate::JobId, queue: &Queue, team: Option<&TeamName>) {
         let present = self.store.jobs.get(&id);
         let present_team = present.and_then(|job| job.team.as_ref());
         let event = LogEvent::new("cancel of an unknown job")
             .job(id)
-            .with("queue", queue)
+            .with("queue", &queue.name)
             .with("team", team.map_or("", TeamName::as_str))
             .with("present_queue", present.map_or("", |job| job.queue.as_str()))
             .with("present_team", present_team.map_or("", TeamName::as_str));
@@ -223,7 +206,7 @@
             self.propose_cancelled(Submission {
                 accepted_unix_ms: self.now_unix_ms,
                 job: id,
-                queue: queue.clone(),
+                queue: queue.name.clone(),
                 spec: JobSpec::placeholder(),
                 team: team.cloned(),
             });
@@ -297,6 +280,13 @@
     }
 }
 
+/// Returns whether a call on a queue with a key of `team` may concern a job. Any caller may read and cancel
+/// the jobs of an open queue, and a job without a team was submitted or cancelled while its queue was open.
+fn concerns(job: &crate::Job, queue: &Queue, team: Option<&TeamName>) -> bool {
+    let is_permitted = queue.is_open || job.team.is_none() || job.team.as_ref() == team;
+    job.queue == queue.name && is_permitted
+}
+
 /// Returns why a job is invalid, or `None` if it can be accepted.
 fn rejection_reason(spec: &JobSpec) -> Option<SmolStr> {
     let tasks = spec
