jobs: keep the early cancels of two teams for one identifier

Cause: an early cancel stored nothing if there was a placeholder of another team. Its caller had the response that the job is unknown, and the job started when it was submitted afterwards. Change: the second cancel replaces the placeholder by one without a team, which concerns all teams.

--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -201,16 +201,26 @@
             .with("team", team.map_or("", TeamName::as_str))
             .with("present_queue", present.map_or("", |job| job.queue.as_str()))
             .with("present_team", present_team.map_or("", TeamName::as_str));
+        let placeholder_team = match present {
+            None => team.cloned(),
+            // The placeholder of another team is replaced by one that concerns all teams.
+            Some(job) if job.is_placeholder() && job.queue == queue.name && !concerns(job, queue, team) => {
+                None
+            }
+            Some(_) => return self.log(event),
+        };
+        let is_replaced = present.is_some();
         self.log(event);
-        if !self.store.jobs.contains_key(&id) {
-            self.propose_cancelled(Submission {
-                accepted_unix_ms: self.now_unix_ms,
-                job: id,
-                queue: queue.name.clone(),
-                spec: JobSpec::placeholder(),
-                team: team.cloned(),
-            });
+        if is_replaced {
+            self.propose(JobCommand::RemoveJobs(vec![id]));
         }
+        self.propose_cancelled(Submission {
+            accepted_unix_ms: self.now_unix_ms,
+            job: id,
+            queue: queue.name.clone(),
+            spec: JobSpec::placeholder(),
+            team: placeholder_team,
+        });
     }
 
     /// Stores a job that is cancelled from the beginning.
