jobs: remove old jobs in time proportional to their number

Cause: RemoveJobs compared every present job with every removed one, on every member. Change: the jobs are removed by key; the resulting state is the same.

--- a/crates/jobs/src/job_store.rs
+++ b/crates/jobs/src/job_store.rs
@@ -52,7 +52,11 @@
                     self.update_job(*run, *end, *is_final, *unix_ms);
                 }
             }
-            JobCommand::RemoveJobs(jobs) => self.jobs.retain(|id, _| !jobs.contains(id)),
+            JobCommand::RemoveJobs(jobs) => {
+                for job in jobs {
+                    self.jobs.remove(job);
+                }
+            }
             JobCommand::RecordMaintenance { machine, wave } => {
                 if let Some(entry) = self.waves.get_mut(wave) {
                     entry.ordered.insert(machine.clone());
