jobs: notice a restart that reports an earlier start time

Cause: reports and heartbeats with an earlier start time than the known one were ignored for good. If the clock of a worker is set back between two starts under one name, its runs stayed present for the leader, their tasks did not start again (LOST), late starts on the new incarnation were not stopped (UNASKED), and the worker was called at every tick. Change: a report that was requested after the present incarnation was known comes from the process that is there now, so that any other start time is a restart. A heartbeat with an earlier start time makes the leader request a report, since a heartbeat may be delayed.

--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -177,10 +177,16 @@
             .get(worker)
             .map_or(0, |entry| entry.started_unix_ms);
         let started_unix_ms = report.started_unix_ms.unwrap_or(known_unix_ms);
-        if started_unix_ms < known_unix_ms {
+        let known_since_ms = self
+            .workers
+            .get(worker)
+            .map_or(now_ms, |view| view.incarnation_known_ms);
+        // The clock of the worker may have been set back between two starts. Only a report that was requested
+        // before the present incarnation was known can come from the one before it.
+        if started_unix_ms < known_unix_ms && sent_ms <= known_since_ms {
             return;
         }
-        if started_unix_ms > known_unix_ms {
+        if started_unix_ms != known_unix_ms {
             self.handle_restart(worker, started_unix_ms);
             if let Some(mut entry) = self.store.workers.get(worker).cloned() {
                 entry.started_unix_ms = started_unix_ms;
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -15,21 +15,29 @@
 const SILENCE_LIMIT_MS: u64 = 15_000;
 
 impl Planner {
-    /// Handles a heartbeat. Heartbeats of an earlier incarnation, and those that arrive out of
-    /// order, are ignored.
+    /// Handles a heartbeat. Those that arrive out of order are ignored. One with an earlier start time than
+    /// that of the present incarnation only makes the leader request a report.
     pub(crate) fn handle_heartbeat(&mut self, report: &WorkerReport) {
         let now_ms = self.now_ms;
         let entry = WorkerEntry::from(report);
         let present = self.store.workers.get(&report.name);
         let is_restarted = present.is_some_and(|present| entry.started_unix_ms > present.started_unix_ms);
         let is_stale = present.is_some_and(|present| entry.started_unix_ms < present.started_unix_ms);
+        let has_start_time = entry.started_unix_ms > 0;
         let is_new = present.is_none();
         let is_changed = present.is_none_or(|present| *present != entry);
         let view = self
             .workers
             .entry(report.name.clone())
             .or_insert_with(|| WorkerView::new(now_ms, 0));
-        if is_stale || (!is_restarted && !is_new && report.sequence <= view.sequence) {
+        if is_stale {
+            // It was delayed, or the clock of the worker was set back before it restarted; a report tells.
+            if has_start_time {
+                view.schedule_check(now_ms);
+            }
+            return;
+        }
+        if !is_restarted && !is_new && report.sequence <= view.sequence {
             return;
         }
         if is_restarted {
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -26,6 +26,8 @@
     pub(crate) health: WorkerHealth,
     pub(crate) hold_due_ms: u64,
     pub(crate) hold_in_flight: bool,
+    /// Time from which the leader knows its present incarnation.
+    pub(crate) incarnation_known_ms: u64,
     /// Time at which leases granted by earlier leaders, or to its earlier incarnation, have
     /// certainly expired.
     pub(crate) inherited_until_ms: u64,
@@ -60,6 +62,7 @@
             health: WorkerHealth::default(),
             hold_due_ms: now_ms,
             hold_in_flight: false,
+            incarnation_known_ms: now_ms,
             inherited_until_ms,
             last_seen: 0,
             has_left: false,
@@ -82,6 +85,7 @@
         self.granted_until_ms = 0;
         self.health = WorkerHealth::default();
         self.hold_due_ms = now_ms;
+        self.incarnation_known_ms = now_ms;
         self.inherited_until_ms = leases_until_ms;
         self.last_seen = 0;
         self.has_left = false;
