jobs: forget when a replaced early cancel ended

Cause: replacing the early cancel of another team proposed RemoveJobs itself, so that the planner kept the time at which the first one ended. The retention of the second one would count from it. Change: it uses remove_jobs, like the submission that replaces an early cancel.

--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -190,8 +190,8 @@
 
     /// Handles a request to cancel a job that the caller cannot see. If there is no job with this
     /// identifier, a placeholder is stored, so that a submission of the job that arrives later and that the
-    /// caller may cancel does not start it. `present_queue` and `present_team` in the log are those of a job with this
-    /// identifier.
+    /// caller may cancel does not start it. `present_queue` and `present_team` in the log are those of a job
+    /// with this identifier.
     fn cancel_unknown(&mut self, id: crate::JobId, queue: &Queue, team: Option<&TeamName>) {
         let present = self.store.jobs.get(&id);
         let present_team = present.and_then(|job| job.team.as_ref());
@@ -212,7 +212,7 @@
         let is_replaced = present.is_some();
         self.log(event);
         if is_replaced {
-            self.propose(JobCommand::RemoveJobs(vec![id]));
+            self.remove_jobs(vec![id]);
         }
         self.propose_cancelled(Submission {
             accepted_unix_ms: self.now_unix_ms,
