jobs: answer renewals that wait at a crashed worker in the simulation

Cause: in the simulation of cancelled jobs a worker that crashed dropped the renewals that waited there without a result, while the executor always reports one. The planner took the renewal as in flight until the next change of leader and sent the new incarnation none.

Change: such renewals end without an answer after the response timeout.

--- a/crates/jobs/tests/cancellation/cell.rs
+++ b/crates/jobs/tests/cancellation/cell.rs
@@ -272,7 +272,6 @@
     fn replace(&mut self, name: &WorkerName, born_ms: u64) {
         let restarted = self.workers[name].restarted(born_ms);
         self.workers.insert(name.clone(), restarted);
-        self.waiting_holds.retain(|hold| hold.worker != *name);
     }
 
     /// Ends workers whose shutdown is due; each starts again under its name.
--- a/crates/jobs/tests/cancellation/main.rs
+++ b/crates/jobs/tests/cancellation/main.rs
@@ -41,12 +41,12 @@
     }
 }
 
-/// Guards against late starts of cancelled jobs on restarted workers. Each set of faults led to such runs
-/// before the stops of late starts were sent to new incarnations.
+/// Guards against late starts of cancelled jobs on restarted workers. Each set of faults but the last led
+/// to such runs before the stops of late starts were sent to new incarnations.
 #[test]
 fn late_starts_of_cancelled_jobs_are_stopped() {
-    for bits in [97, 100, 113, 118, 1_023] {
-        for seed in 1..=60 {
+    for (bits, first) in [(97, 1), (100, 1), (113, 1), (118, 1), (118, 150), (1_023, 1)] {
+        for seed in first..first + 60 {
             let cell = run_counting(seed, Faults::from_bits(bits), false);
 
             assert_eq!(
