jobs: simulate calls that links, paused leaders and late heartbeats delay

The simulation of cancelled jobs gets eight faults (bits 10 to 17): orders that the network holds until a cut ends, workers cut off from the leader alone, leaders that are paused and reorder their events or send committed orders after they were replaced, late and reordered heartbeats and repeated leaves, changed addresses, leases of late starts counted from their arrival, jobs removed after their retention and submitted again, and bursts of faults. Clause (d) is also checked when a worker begins a run.

--- a/crates/jobs/tests/cancellation/cell.rs
+++ b/crates/jobs/tests/cancellation/cell.rs
@@ -1,5 +1,7 @@
 //! Simulation of clients that cancel jobs, leaders, a replicated log and workers.
 
+mod disturbances;
+
 use {
     crate::{
         clients::{Client, ClientCall},
@@ -28,6 +30,12 @@
 const CANCEL_MS: u64 = 3_000;
 /// Time that a stop may take, in milliseconds.
 const STOP_MS: u64 = 200;
+/// Interval and length of bursts of faults, in milliseconds.
+const BURST_INTERVAL_MS: u64 = 14_000;
+const BURST_MS: u64 = 3_000;
+/// Retention of ended jobs that are submitted again, in milliseconds. It exceeds the delay of late orders,
+/// like the default retention.
+const SHORT_RETENTION_MS: u64 = 16_000;
 const LATE_ORDER_MS: std::ops::Range<u64> = 2_000..12_000;
 
 #[derive(Debug)]
@@ -40,6 +48,8 @@
         term: u64,
     },
     Call(ClientCall),
+    /// A heartbeat or leave that arrives late.
+    CellCall(Box<CellCall>),
     Event {
         event: JobEvent,
         term: u64,
@@ -86,6 +96,11 @@
     workers: BTreeMap<WorkerName, Worker>,
     /// Longest time that a run of a cancelled job continued beyond the limit, in milliseconds.
     pub overruns: BTreeMap<RunId, u64>,
+    /// Events that wait for the end of a pause of the leader.
+    paused_events: Vec<JobEvent>,
+    paused_until_ms: u64,
+    /// Time of the last change or pause of the leader, in milliseconds.
+    leader_disrupted_ms: u64,
     pub trace: Vec<String>,
     pub violations: Vec<String>,
 }
@@ -96,7 +111,7 @@
         store.apply(&JobCommand::Configure(Box::new(common::configuration(
             common::queue(),
         ))));
-        let planner = Planner::new(PlannerSettings::default(), store.clone(), 1, 0, UNIX_START_MS);
+        let planner = Planner::new(settings(faults), store.clone(), 1, 0, UNIX_START_MS);
         let capacity = |number: usize| Resources {
             memory_bytes: 64 << 30,
             processors_millis: [16_000, 32_000, 64_000][number % 3],
@@ -130,6 +145,9 @@
             waiting_holds: Vec::new(),
             workers: workers.collect(),
             overruns: BTreeMap::new(),
+            paused_events: Vec::new(),
+            paused_until_ms: 0,
+            leader_disrupted_ms: 0,
             trace: Vec::new(),
             violations: Vec::new(),
         };
@@ -174,6 +192,7 @@
             .values_mut()
             .for_each(|worker| worker.advance_to(now_ms));
         self.inject_faults();
+        self.end_pause();
         if self.planner.is_none() && now_ms >= self.elected_ms {
             self.start_leader();
         }
@@ -186,8 +205,10 @@
         if now_ms.is_multiple_of(TICK_MS) {
             self.handle(JobEvent::Tick);
         }
-        self.take_output();
-        self.commit();
+        if !self.is_paused() {
+            self.take_output();
+            self.commit();
+        }
         self.check_runs();
     }
 
@@ -203,6 +224,11 @@
     }
 
     fn chance(&mut self, is_enabled: bool, one_in: u64) -> bool {
+        let one_in = match self.faults.bursts {
+            false => one_in,
+            true if self.now_ms % BURST_INTERVAL_MS < BURST_MS => one_in / 8 + 1,
+            true => one_in * 8,
+        };
         let drawn = self.random_below(one_in) == 0;
         is_enabled && drawn
     }
@@ -218,6 +244,10 @@
     }
 
     fn handle(&mut self, event: JobEvent) {
+        if self.is_paused() {
+            self.paused_events.push(event);
+            return;
+        }
         let (now_ms, unix_ms) = (self.now_ms, self.unix_ms());
         if let Some(planner) = &mut self.planner {
             planner.handle(now_ms, unix_ms, event);
@@ -255,6 +285,7 @@
             let gap_ms = self.random_below(1_200);
             self.lose_leader(gap_ms);
         }
+        self.disturb(&name);
     }
 
     fn disrupt(&mut self, until_ms: u64) {
@@ -287,6 +318,7 @@
             let born_ms = now_ms + 600 + self.random_below(3_000);
             self.note(format!("{name} leaves, born again at {born_ms}"));
             self.call(CellCall::Leave(name.clone()));
+            self.repeat_leave(&name);
             self.replace(&name, born_ms);
         }
     }
@@ -295,10 +327,13 @@
     pub fn lose_leader(&mut self, gap_ms: u64) {
         let survivors = self.random_below(self.committing.len() as u64 + 1) as usize;
         let committing = std::mem::take(&mut self.committing);
-        for (_, commands, _) in committing.into_iter().take(survivors) {
+        for (_, commands, effects) in committing.into_iter().take(survivors) {
             commands.iter().for_each(|command| self.store.apply(command));
+            self.send_after_pause(effects);
         }
         self.calls.clear();
+        self.forget_pause();
+        self.leader_disrupted_ms = self.now_ms + gap_ms;
         self.planner = None;
         self.elected_ms = self.now_ms + gap_ms;
         self.disrupt(self.elected_ms);
@@ -308,14 +343,16 @@
 
     fn start_leader(&mut self) {
         let store = self.store.clone();
-        let settings = PlannerSettings::default();
         self.planner = Some(Planner::new(
-            settings,
+            settings(self.faults),
             store,
             self.term,
             self.now_ms,
             self.unix_ms(),
         ));
+        self.workers
+            .values_mut()
+            .for_each(|worker| worker.cut_until_ms = 0);
         self.note(format!("leader of term {} starts", self.term));
     }
 
@@ -333,7 +370,7 @@
         }
         self.sequence += 1;
         let report = WorkerReport {
-            address: "127.0.0.1:1".parse().expect("the address is valid"),
+            address: worker.address,
             started_unix_ms: UNIX_START_MS + worker.born_ms,
             capacity: worker.capacity,
             clock_ms: worker.clock_ms(now_ms),
@@ -346,7 +383,7 @@
             sequence: self.sequence,
             service: "service".into(),
         };
-        self.call(CellCall::Heartbeat(Box::new(report)));
+        self.send_heartbeat(report);
     }
 
     fn take_output(&mut self) {
@@ -458,6 +495,9 @@
                 }
                 Scheduled::Arrive { .. } => {}
                 Scheduled::Call(call) => self.client_call(call),
+                Scheduled::CellCall(call) => {
+                    self.call(*call);
+                }
                 Scheduled::Event { event, term } if term == self.term || self.faults.regained_leadership => {
                     self.handle(event);
                 }
@@ -493,7 +533,7 @@
                 ..call
             }),
         );
-        if self.planner.is_none() {
+        if self.planner.is_none() || self.is_paused() {
             return;
         }
         let id = self.call(CellCall::Job(JobCall {
@@ -534,10 +574,21 @@
     fn arrive(&mut self, order: WorkerOrder, has_response: bool, is_late: bool, sent_ms: u64, term: u64) {
         let now_ms = self.now_ms;
         let name = order.to().worker.clone();
+        let Some(order) = self.hold_order(order, has_response, is_late, sent_ms, term) else {
+            return;
+        };
         let worker = self.workers.get_mut(&name).expect("workers stay");
+        if worker.address != order.to().address {
+            if has_response {
+                let response = order.failed(WorkerCallError::Unreachable);
+                let event = order.event(sent_ms, response);
+                self.schedule(now_ms + 1, Scheduled::Event { event, term });
+            }
+            return;
+        }
         // Without `orders_to_restarted`, orders in flight to a crashed worker are lost.
         let is_other = worker.born_ms > sent_ms && !self.faults.orders_to_restarted;
-        if worker.unreachable_until_ms > now_ms || is_other {
+        if worker.cut_off_until_ms() > now_ms || is_other {
             if worker.born_ms > now_ms && is_late && self.faults.orders_to_restarted {
                 // The connection is established anew once the worker is back.
                 let at_ms = worker.born_ms + 1;
@@ -594,6 +645,7 @@
                 self.note(format!("{description}: {result:?}"));
                 if let Ok((_, true)) = result {
                     self.check_start(run, &checkpoint, &payload, is_late, sent_ms, term);
+                    self.check_arrival(&name, run, is_late, term);
                 }
                 let result = result.map(|(clock_ms, _)| clock_ms);
                 JobEvent::Started {
@@ -646,6 +698,10 @@
             started_ms: now_ms,
         };
         let worker = self.workers.get_mut(name).expect("workers stay");
+        let deadline_ms = match is_late && self.faults.fresh_leases {
+            true => deadline_ms.max(worker.fresh_deadline_ms(now_ms)),
+            false => deadline_ms,
+        };
         worker.start(now_ms, fencing_token, deadline_ms, id, run)
     }
 
@@ -653,7 +709,7 @@
         let now_ms = self.now_ms;
         for hold in std::mem::take(&mut self.waiting_holds) {
             let worker = &self.workers[&hold.worker];
-            if worker.born_ms != hold.born_ms || worker.unreachable_until_ms > now_ms {
+            if worker.born_ms != hold.born_ms || worker.cut_off_until_ms() > now_ms {
                 if hold.has_response {
                     let event = held(
                         hold.worker,
@@ -772,6 +828,17 @@
     }
 }
 
+fn settings(faults: Faults) -> PlannerSettings {
+    let default = PlannerSettings::default();
+    match faults.resubmissions {
+        false => default,
+        true => PlannerSettings {
+            retention_ms: SHORT_RETENTION_MS,
+            ..default
+        },
+    }
+}
+
 fn is_checkpoint_of(checkpoint: &str, run: RunId, is_gang: bool) -> bool {
     let Some((task, rest)) = checkpoint.split_once('#') else {
         return false;
--- a/crates/jobs/tests/cancellation/clients.rs
+++ b/crates/jobs/tests/cancellation/clients.rs
@@ -8,6 +8,9 @@
 };
 
 const JOB_INTERVAL_MS: u64 = 250;
+/// Time after which a job that was not cancelled is submitted again, in milliseconds. It exceeds the
+/// retention period.
+const RESUBMISSION_MS: std::ops::Range<u64> = 20_000..26_000;
 
 /// A call that is due. A repeat is sent only if the earlier ones had no response.
 #[derive(Clone, Copy, Debug)]
@@ -81,6 +84,12 @@
                 _ => {}
             }
         }
+        if faults.resubmissions && cancels_ms.is_empty() {
+            let span_ms = RESUBMISSION_MS.end - RESUBMISSION_MS.start;
+            let again_ms = submit_ms + RESUBMISSION_MS.start + below(span_ms);
+            submits_ms.push(again_ms);
+            cancels_ms.push(again_ms + below(6_000));
+        }
         Self::new(number, steps, submits_ms, cancels_ms)
     }
 
--- a/crates/jobs/tests/cancellation/faults.rs
+++ b/crates/jobs/tests/cancellation/faults.rs
@@ -19,11 +19,28 @@
     pub lost_responses: bool,
     /// Submissions are repeated or handled seconds late, also after a cancel.
     pub delayed_submissions: bool,
+    /// Orders to a worker that is cut off are delivered up to 1.5 s after the cut ends.
+    pub held_orders: bool,
+    /// Workers that only the leader cannot reach; their heartbeats arrive through other members.
+    pub leader_cuts: bool,
+    /// A leader is paused and handles its events in another order, or sends its committed orders after it
+    /// was replaced.
+    pub leader_pauses: bool,
+    /// Heartbeats arrive late and out of order, and leaves are repeated late.
+    pub late_heartbeats: bool,
+    /// Workers change their address while runs are on them.
+    pub address_changes: bool,
+    /// Workers count the lease of a late start from its arrival.
+    pub fresh_leases: bool,
+    /// Ended jobs are removed after 16 s, submitted again under their identifier, and cancelled.
+    pub resubmissions: bool,
+    /// Faults come in bursts with calm periods between them.
+    pub bursts: bool,
 }
 
 impl Faults {
     /// Names of the faults in the order of their bits.
-    pub const NAMES: [&str; 10] = [
+    pub const NAMES: [&str; 18] = [
         "crashes",
         "partitions",
         "leaves",
@@ -34,6 +51,14 @@
         "regained_leadership",
         "lost_responses",
         "delayed_submissions",
+        "held_orders",
+        "leader_cuts",
+        "leader_pauses",
+        "late_heartbeats",
+        "address_changes",
+        "fresh_leases",
+        "resubmissions",
+        "bursts",
     ];
 
     pub fn from_bits(bits: u32) -> Self {
@@ -49,6 +74,14 @@
             regained_leadership: has(7),
             lost_responses: has(8),
             delayed_submissions: has(9),
+            held_orders: has(10),
+            leader_cuts: has(11),
+            leader_pauses: has(12),
+            late_heartbeats: has(13),
+            address_changes: has(14),
+            fresh_leases: has(15),
+            resubmissions: has(16),
+            bursts: has(17),
         }
     }
 }
--- a/crates/jobs/tests/cancellation/main.rs
+++ b/crates/jobs/tests/cancellation/main.rs
@@ -75,6 +75,23 @@
     }
 }
 
+/// Guards against starts and runs of cancelled jobs after calls that links, paused leaders or late
+/// heartbeats delay, and against checkpoints of an earlier job with the same identifier.
+#[test]
+fn delayed_calls_start_no_cancelled_jobs() {
+    for bits in [131_071, 134_241, 138_250, 139_365, 196_711, 262_143] {
+        for seed in 1..=20 {
+            let cell = run(seed, Faults::from_bits(bits));
+
+            assert_eq!(
+                cell.violations,
+                Vec::<String>::new(),
+                "faults {bits}, seed {seed}"
+            );
+        }
+    }
+}
+
 /// Runs the seeds of `SEEDS` (as FIRST..LAST) with the faults whose bits are set in `FAULTS`, and
 /// prints each seed with a violation. `COUNT_410=0` ignores cancels of unknown jobs. `TRACE` prints the
 /// trace lines that contain its text.
--- a/crates/jobs/tests/cancellation/worker.rs
+++ b/crates/jobs/tests/cancellation/worker.rs
@@ -6,11 +6,13 @@
     },
     fuchsiatack_model::Resources,
     smol_str::{SmolStr, format_smolstr},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Longest lease that a worker grants, in milliseconds of its own clock.
 const MAX_LEASE_MS: u64 = 10_000;
+/// Lease of a late start that is counted from its arrival, in milliseconds.
+const FRESH_LEASE_MS: u64 = 4_000;
 /// Work that produces a new checkpoint, in milliseconds.
 const CHECKPOINT_MS: u64 = 300;
 
@@ -39,8 +41,11 @@
 /// One incarnation of a worker. Times are in milliseconds of the simulation's clock.
 #[derive(Clone, Debug)]
 pub struct Worker {
+    pub address: SocketAddr,
     pub capacity: Resources,
     pub born_ms: u64,
+    /// The leader cannot reach it before this time, but others can.
+    pub cut_until_ms: u64,
     pub ended: Vec<EndedRun>,
     fencing_token: u64,
     highest_run: BTreeMap<TaskKey, u32>,
@@ -58,8 +63,10 @@
 impl Worker {
     pub fn new(born_ms: u64, rate_percent: u64, capacity: Resources) -> Self {
         Self {
+            address: "127.0.0.1:1".parse().expect("the address is valid"),
             capacity,
             born_ms,
+            cut_until_ms: 0,
             ended: Vec::new(),
             fencing_token: 0,
             highest_run: BTreeMap::new(),
@@ -75,11 +82,22 @@
     /// Returns the next incarnation under the same name.
     pub fn restarted(&self, born_ms: u64) -> Self {
         Self {
+            address: self.address,
             unreachable_until_ms: born_ms,
             ..Self::new(born_ms, self.rate_percent, self.capacity)
         }
     }
 
+    /// Returns the time from which orders of the leader reach it.
+    pub fn cut_off_until_ms(&self) -> u64 {
+        self.unreachable_until_ms.max(self.cut_until_ms)
+    }
+
+    /// Returns the end of the lease of a late start that is counted from its arrival, by its clock.
+    pub fn fresh_deadline_ms(&self, now_ms: u64) -> u64 {
+        self.clock_ms(now_ms) + FRESH_LEASE_MS
+    }
+
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.born_ms) * self.rate_percent / 100
     }
