--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -248,3 +248,34 @@
 
     assert_eq!(read(&mut leader), JobResponse::NoSuchJob);
 }
+
+/// Guards against a member of a gang that runs on after the cancel of its job because another member was
+/// done.
+#[test]
+fn gang_members_of_a_cancelled_job_are_stopped_after_one_is_done() {
+    let mut leader = Leader::new(queue(), &["a", "b"]);
+    let gang = StepSpec {
+        gang: true,
+        max_per_worker: Some(1),
+        ..step(2, 600)
+    };
+    let next = StepSpec {
+        depends_on: vec![0],
+        ..lasting_step()
+    };
+    leader.submit(JOB, vec![gang, next]);
+    let members = leader.take_starts();
+    for (run, worker) in &members {
+        leader.started(worker, *run, Ok(leader.now_ms));
+    }
+    let run_on = |name: &str| {
+        let on = |(_, worker): &&(RunId, WorkerName)| *worker == WorkerName::new(name);
+        members.iter().find(on).expect("each worker has a member").0
+    };
+    leader.advance(25);
+    leader.report_runs("b", HoldKind::Renewal, &[], &[(1, run_on("b"))]);
+
+    cancel(&mut leader);
+
+    assert!(stops(&calls_during(&mut leader, 100), run_on("a")));
+}
