jobs: stop gang members of a cancelled job after one is done

Cause: the first end `done` of a gang member marks all members as done, and close_job left out the runs of tasks that are done. A member that runs on after that got no stop order when its job was cancelled, and ran to its own end. This needs neither a disruption nor a restarted worker, only members that do not end within stopMs of each other.

Change: the members of a cancelled job are stopped whether their task is done or not. A stop of a run that has ended has no effect. Completed and failed jobs are unchanged.

--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        JobCommand, JobId, LogEvent, OrderRejection, OrderResult, Planner, RunEnd, RunId, TaskKey,
+        JobCommand, JobId, JobState, LogEvent, OrderRejection, OrderResult, Planner, RunEnd, RunId, TaskKey,
         WorkerCallError, WorkerOrder, kind_speed::NEUTRAL_SLOWNESS_THOUSANDTHS, run_view::RunState,
     },
     fuchsiatack_model::WorkerName,
@@ -316,12 +316,14 @@
         let Some(job) = self.store.jobs.get(&id) else {
             return;
         };
-        // Members of a gang that is done end without a stop order.
+        // Members of a gang that is done end without a stop order. Those of a cancelled job get one, since
+        // a member that ends late would run beyond the cancel.
+        let is_cancelled = job.state() == JobState::Cancelled;
         let is_done = |task: TaskKey| job.task(task).is_some_and(|task| task.done);
         let runs: Vec<_> = job
             .runs()
             .map(|(run, _)| run.task)
-            .filter(|task| !is_done(*task))
+            .filter(|task| is_cancelled || !is_done(*task))
             .collect();
         for task in runs {
             self.stop_run(task);
