soak: let workers check the life and age of tickets

Cause: the stub, not the daemons. All jobs were in a queue with advice, and the stub started a task with a ticket of the earlier incarnation, over 3 s old. PROTOCOL.md: 'The ticket is valid for all tasks of the step during this life of the worker, for validMs. Otherwise, the start is rejected (409, ticket).' Change: a ticket carries the time of its issue, and a worker rejects one that is older than validMs or than the worker. About half of the jobs are in a second queue without advice, so that late orders still start runs on restarted workers.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -5,7 +5,7 @@
     crate::{
         cancellations::CancellationPlan,
         checker::{Checker, KnownJob},
-        operator::{HOST, KEY, PREFIX},
+        operator::{HOST, KEY, job_path},
     },
     fuchsiatack_jobs::{JobId, JobSpec, StepId, StepSpec},
     fuchsiatack_model::Resources,
@@ -174,7 +174,7 @@
         let entry = self.entries[self.random.random_range(0..self.entries.len())];
         let request = self
             .client
-            .request(method, format!("http://{entry}{PREFIX}{id}"))
+            .request(method, format!("http://{entry}{}", job_path(id)))
             .header("host", HOST)
             .header("authorization", format!("Token {KEY}"))
             .header("fuchsiatack-deadline-ms", ATTEMPT_LIMIT.as_millis() as u64)
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::checker::Checker,
+    fuchsiatack_jobs::JobId,
     serde_json::json,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -17,8 +18,23 @@
 pub(crate) const HOST: &str = "soak.example";
 /// Key of the only team.
 pub(crate) const KEY: &str = "soak-key";
-/// Path prefix of the only route; the ID of a job follows.
-pub(crate) const PREFIX: &str = "/jobs/";
+/// Path prefix of the queue with advice; the ID of a job follows.
+const ADVISED_PREFIX: &str = "/jobs/";
+/// Path prefix of the queue without advice, on which workers start late orders without a valid ticket.
+const PLAIN_PREFIX: &str = "/plain/";
+
+/// Returns whether a job belongs to the queue with advice. The caller's random ID decides.
+pub(crate) fn is_advised(job: JobId) -> bool {
+    job.0.is_multiple_of(2)
+}
+
+/// Returns the path of a job.
+pub(crate) fn job_path(job: JobId) -> String {
+    match is_advised(job) {
+        true => format!("{ADVISED_PREFIX}{job}"),
+        false => format!("{PLAIN_PREFIX}{job}"),
+    }
+}
 
 /// Sends configurations with increasing versions and reads them back, from each daemon in turn.
 /// Never returns.
@@ -81,11 +97,18 @@
 fn configuration(version: u64) -> serde_json::Value {
     json!({
         "version": version,
-        "routes": [{
-            "name": "r-soak", "host": HOST, "pathPrefix": PREFIX, "type": "unsafe", "timeoutMs": 3000,
-            "targetLatencyMs": 250, "priority": 0, "service": "service", "maxAttempts": 4, "stretch": 1.5,
-            "advice": { "decideMs": 15.0, "periodMs": 0.1, "validMs": 2500 }, "public": false,
-        }],
+        "routes": [
+            {
+                "name": "r-soak", "host": HOST, "pathPrefix": ADVISED_PREFIX, "type": "unsafe", "timeoutMs": 3000,
+                "targetLatencyMs": 250, "priority": 0, "service": "service", "maxAttempts": 4, "stretch": 1.5,
+                "advice": { "decideMs": 15.0, "periodMs": 0.1, "validMs": 2500 }, "public": false,
+            },
+            {
+                "name": "r-plain", "host": HOST, "pathPrefix": PLAIN_PREFIX, "type": "unsafe", "timeoutMs": 3000,
+                "targetLatencyMs": 250, "priority": 0, "service": "service", "maxAttempts": 4, "stretch": 1.5,
+                "public": false,
+            },
+        ],
         "services": [{ "name": "service", "healthCheckPath": "/health", "maxConnections": 64 }],
         "limits": {},
         "tenants": [{ "name": "tenant", "apiKeys": [KEY], "weight": 1, "cap": { "cpu": 0, "memMb": 0, "gpu": 0 } }],
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -81,7 +81,10 @@
     let checker = Arc::new(Checker::new());
     let cell = settings.cell;
     let advice = SocketAddr::new(ip(cell, ADVICE_HOST), STUB_PORT);
-    if serve(advice, Arc::new(AdviceStub::default())).await.is_none() {
+    if serve(advice, Arc::new(AdviceStub::new(checker.clone())))
+        .await
+        .is_none()
+    {
         return Err(io::Error::other(format!("cannot bind {advice}")));
     }
     let core: Vec<_> = (1..=CORE_COUNT).map(|host| ip(cell, host)).collect();
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -3,9 +3,10 @@
 
 use {
     crate::{
-        advice::ticket,
+        advice::is_valid_ticket,
         checker::Checker,
         checkpoints::Checkpoints,
+        operator::is_advised,
         stub_server::{StubResponse, StubService, serve},
         unasked::{Execution, StartOrder, order_violation},
     },
@@ -291,8 +292,11 @@
         let Some(step) = step else {
             return Some((400, json!({})));
         };
-        let expected = ticket(&run.task.step.to_string(), &self.name());
-        if body["ticket"].as_str() != Some(expected.as_str()) {
+        let has_valid_ticket = body["ticket"].as_str().is_some_and(|ticket| {
+            let step = run.task.step.to_string();
+            is_valid_ticket(ticket, &step, &self.name(), state.worker.started_unix_ms, now_ms)
+        });
+        if is_advised(run.task.step.job) && !has_valid_ticket {
             return Some((
                 409,
                 json!({ "clockMs": state.worker.clock_ms(now_ms), "reason": "ticket" }),
