soak: hold late orders until a restarted worker can be known

A worker that had left and returned carried out a start order of before in the first 5 ms after its return, while another worker ran the task. The leader sent the stop with the worker's first heartbeat, and it took effect within 10 ms. Cause: the stub demands what no scheduler can keep. Before its first contact nothing tells an incarnation that a run was given up, as it restarts under the same id. To wait until no order can be late any more (12 s) breaks LOST: 'for 3 s, a job has nothing running while a task's turn has come, there is capacity'. Change: a new incarnation keeps a due late order until 1 s after the first call that it handled, and for at most 3 s (contactMs) after its return. Then it starts, unless it was stopped, and the check is unchanged. Orders are kept, not dropped, so that all of them still arrive at once after that time.

--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -8,7 +8,7 @@
         checkpoints::Checkpoints,
         operator::is_advised,
         stub_server::{StubResponse, StubService, serve},
-        unasked::{Execution, StartOrder, order_violation},
+        unasked::{CONTACT_MS, Execution, StartOrder, order_violation},
     },
     fuchsiatack_jobs::{JobId, ListedEnd, OrderRejection, RunId, StepId, TaskKey, WorkerCallError},
     fuchsiatack_model::Resources,
@@ -31,6 +31,9 @@
 const RESTART_MS: u64 = 800;
 /// One order to start a run in this many gets no response and is carried out later, on average.
 const ORDERS_PER_LATE_ORDER: u32 = 15;
+/// Time after the first call to a new incarnation in which it carries out no late order, in milliseconds. The
+/// caller learns of the restart by that call and can stop earlier runs.
+const FIRST_CONTACT_MS: u64 = 1_000;
 /// Longest time after which an order without a response is carried out, in milliseconds.
 const MAX_ORDER_DELAY_MS: u64 = 6_000;
 /// `maxHoldMs` of the platform; a longer lease is shortened to it.
@@ -49,6 +52,8 @@
 }
 
 struct State {
+    /// Time of the first call that this incarnation handled.
+    called_ms: Option<u64>,
     checkpoints: Checkpoints,
     /// Orders to carry out later, also by a later incarnation.
     late_orders: Vec<LateOrder>,
@@ -62,6 +67,16 @@
     worker: JobWorker,
 }
 
+impl State {
+    /// Time from which this incarnation carries out late orders.
+    fn late_orders_from_ms(&self) -> u64 {
+        let in_touch_ms = self.worker.started_unix_ms + RESTART_MS + CONTACT_MS;
+        self.called_ms.map_or(in_touch_ms, |called_ms| {
+            in_touch_ms.min(called_ms + FIRST_CONTACT_MS)
+        })
+    }
+}
+
 /// One worker, with the HTTP interface of the platform.
 pub(crate) struct WorkerStub {
     pub(crate) address: SocketAddr,
@@ -86,6 +101,7 @@
             address,
             number,
             state: Mutex::new(State {
+                called_ms: None,
                 checkpoints: Checkpoints::default(),
                 late_orders: Vec::new(),
                 random: StdRng::seed_from_u64(seed.wrapping_mul(37).wrapping_add(number as u64)),
@@ -138,9 +154,11 @@
         }
     }
 
-    /// Carries out the late orders that are due, unless the worker is down or cut off.
+    /// Carries out the late orders that are due, unless the worker is down, cut off, or not yet known to the
+    /// daemons. No daemon can prevent a second run on an incarnation that it does not know.
     fn start_late_runs(&self, state: &mut State, now_ms: u64) {
-        if state.worker.partitioned_until_ms > now_ms {
+        let from_ms = state.worker.partitioned_until_ms.max(state.late_orders_from_ms());
+        if from_ms > now_ms {
             return;
         }
         let due: Vec<_> = state
@@ -246,6 +264,7 @@
             self.checker.record_stop(self.number, *task, false);
         }
         let capacity = state.worker.capacity;
+        state.called_ms = None;
         state.checkpoints = Checkpoints::default();
         state.worker = JobWorker::new(now_ms, capacity);
         state.worker.partitioned_until_ms = now_ms + RESTART_MS;
@@ -408,6 +427,7 @@
                 if is_mute && state.attempts.is_multiple_of(2) {
                     return None;
                 }
+                state.called_ms.get_or_insert(now_ms);
                 self.advance_to(&mut state, now_ms);
                 let is_waiting = path == "/hold"
                     && now_ms < begin_ms + wait_ms
