soak: let workers leave gracefully while jobs are cancelled

No worker of the soak left gracefully. Change: while faults are injected, one worker after the other reports that it drains, deregisters after 1 to 3 s and returns under its name. The leaves have random numbers of their own, so that the faults of a seed stay the same, and are not counted as faults: the checks of cancelled jobs apply around them.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -75,7 +75,7 @@
                 format!("wipe {name}")
             }
             5 | 6 => {
-                worker.crash();
+                worker.restart();
                 format!("crash {}", worker.name())
             }
             7 => {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod checker;
 mod checkpoints;
 mod daemons;
+mod departures;
 mod faults;
 mod operator;
 mod soak;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -76,12 +76,13 @@
     match run(&settings).await {
         Ok(report) if report.violations.is_empty() => {
             println!(
-                "seed {seed}: {} jobs, {} cancelled, {} starts, {} late, {} checkpoints, {} faults",
+                "seed {seed}: {} jobs, {} cancelled, {} starts, {} late, {} checkpoints, {} leaves, {} faults",
                 report.accepted,
                 report.cancelled,
                 report.starts,
                 report.late_starts,
                 report.checkpoints,
+                report.leaves,
                 report.faults.len()
             );
             let _ = std::fs::remove_dir_all(&folder);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -6,7 +6,7 @@
         callers,
         checker::Checker,
         daemons::{CALLERS_PORT, CONTROL_PORT, Daemon, ip},
-        faults, operator,
+        departures, faults, operator,
         stub_server::serve,
         unasked::{self, Execution},
         workers::WorkerStub,
@@ -65,6 +65,8 @@
     pub checkpoints: usize,
     /// Injected faults in order of time, each with its start in milliseconds.
     pub faults: Vec<String>,
+    /// Number of times that a worker left gracefully.
+    pub leaves: usize,
     /// Number of runs that workers started on orders that they carried out late.
     pub late_starts: usize,
     /// Number of runs that workers started.
@@ -113,7 +115,7 @@
         background.spawn(worker.clone().send_heartbeats(control.clone()));
         workers.push(worker);
     }
-    background.spawn(operator::change_configurations(checker.clone(), control));
+    background.spawn(operator::change_configurations(checker.clone(), control.clone()));
     sleep(Duration::from_millis(FORMATION_MS)).await;
     for daemon in &daemons {
         daemon.mark_formed()?;
@@ -133,6 +135,13 @@
             end_ms,
         ));
     }
+    let departures = tokio::spawn(departures::let_workers_leave(
+        checker.clone(),
+        workers.clone(),
+        control,
+        settings.seed,
+        until_ms,
+    ));
     let faults = faults::inject(
         &checker,
         &mut daemons,
@@ -143,6 +152,7 @@
     )
     .await;
     while caller_tasks.join_next().await.is_some() {}
+    let leaves = departures.await.map_err(io::Error::other)?;
     let observed = checker.observations();
     let mut violations = observed.violations.clone();
     let unfinished = observed.jobs.iter().filter(|(_, job)| job.accepted && !job.ended);
@@ -156,6 +166,7 @@
             .count(),
         checkpoints: observed.checkpoints.len(),
         faults,
+        leaves,
         late_starts: observed
             .runs
             .values()
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -51,6 +51,18 @@
     started_unix_ms: u64,
 }
 
+/// Part of the life of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Ready,
+    /// It reports that it leaves. Its runs continue until then.
+    Draining {
+        until_ms: u64,
+    },
+    /// It deregisters and sends no more heartbeats.
+    Leaving,
+}
+
 struct State {
     /// Time of the first call that this incarnation handled.
     called_ms: Option<u64>,
@@ -64,6 +76,7 @@
     attempts: u64,
     /// Whether new runs fail.
     is_failing: bool,
+    phase: Phase,
     worker: JobWorker,
 }
 
@@ -108,6 +121,7 @@
                 attempts: 0,
                 is_failing: false,
                 mute_until_ms: 0,
+                phase: Phase::Ready,
                 worker: JobWorker::new(checker.now_ms(), capacity),
             }),
             checker,
@@ -222,7 +236,7 @@
                 let state = self.state();
                 let now_ms = self.checker.now_ms();
                 (
-                    state.worker.partitioned_until_ms > now_ms,
+                    state.worker.partitioned_until_ms > now_ms || state.phase == Phase::Leaving,
                     self.heartbeat(&state, sequence, now_ms),
                 )
             };
@@ -247,17 +261,40 @@
     }
 
     fn heartbeat(&self, state: &State, sequence: u64, now_ms: u64) -> Value {
+        let (phase, remaining_ms) = match state.phase {
+            Phase::Ready => ("ready", None),
+            Phase::Draining { until_ms } => ("draining", Some(until_ms.saturating_sub(now_ms))),
+            Phase::Leaving => ("draining", Some(0)),
+        };
         json!({
             "service": "service", "address": self.address.to_string(), "zone": "zone", "version": "v1",
-            "slots": 8, "state": "ready", "coldRemainingMs": 0,
+            "slots": 8, "state": phase, "remainingMs": remaining_ms, "coldRemainingMs": 0,
             "capacity": { "cpu": state.worker.capacity.processors_millis, "memMb": 65_536, "gpu": 0 },
             "labels": ["a", "r-1"], "clockMs": state.worker.clock_ms(now_ms), "sequence": sequence,
             "born": state.worker.started_unix_ms + 1,
         })
     }
 
-    /// Crashes the worker and restarts it under the same name after `RESTART_MS`.
-    pub(crate) fn crash(&self) {
+    /// Leaves gracefully: reports that it drains for `drain_ms`, deregisters at the first control address
+    /// that acknowledges it, and restarts.
+    pub(crate) async fn leave(&self, control: &[SocketAddr], drain_ms: u64) {
+        let until_ms = self.checker.now_ms() + drain_ms;
+        self.state().phase = Phase::Draining { until_ms };
+        sleep(Duration::from_millis(drain_ms)).await;
+        self.state().phase = Phase::Leaving;
+        let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+        for address in control {
+            let url = format!("http://{address}/instances/{}", self.name());
+            let response = client.delete(url).timeout(HEARTBEAT_LIMIT).send().await;
+            if response.is_ok_and(|response| response.status().is_success()) {
+                break;
+            }
+        }
+        self.restart();
+    }
+
+    /// Ends the worker and all its runs, and restarts it under the same name after `RESTART_MS`.
+    pub(crate) fn restart(&self) {
         let now_ms = self.checker.now_ms();
         let mut state = self.state();
         for task in state.worker.running.keys() {
@@ -266,6 +303,7 @@
         let capacity = state.worker.capacity;
         state.called_ms = None;
         state.checkpoints = Checkpoints::default();
+        state.phase = Phase::Ready;
         state.worker = JobWorker::new(now_ms, capacity);
         state.worker.partitioned_until_ms = now_ms + RESTART_MS;
     }
