soak: keep the seeds that failed, choose the cells of a program

Cause: no list held the seeds that failed in long runs, and two soak programs at the same time used the same addresses.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,3 +17,6 @@
 mod workers;
 
 pub use self::soak::{SoakReport, SoakSettings, run};
+
+/// Seeds that failed on an earlier version of the daemons or of the soak test.
+pub const REGRESSION_SEEDS: [u64; 9] = [3, 13, 33, 60, 302, 304, 307, 308, 318];
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,7 +1,7 @@
 //! `fuchsiatack-soak`: runs the randomized soak test from the command line.
 
 use {
-    fuchsiatack_soak::{SoakSettings, run},
+    fuchsiatack_soak::{REGRESSION_SEEDS, SoakSettings, run},
     gumdrop::Options,
     std::{path::PathBuf, process::ExitCode},
     tokio::task::JoinSet,
@@ -9,12 +9,17 @@
 
 /// Upper bound of `--parallel`.
 const MAX_PARALLEL: u64 = 8;
+/// Highest number of a cell; the tests in CI use higher ones.
+const MAX_CELL: u64 = 200;
 
 /// Runs the randomized soak test with consecutive seeds.
 ///
 /// Example: `fuchsiatack-soak --program target/release/fuchsiatackd --seed 1 --runs 50`
 #[derive(Debug, Options)]
 struct Arguments {
+    /// Number of the first run's cell; each run adds 1. Programs that run at the same time need different cells.
+    #[options(no_short, help = "cell of the first run, 1 to 200", default = "1")]
+    first_cell: u64,
     /// Prints the help and exits.
     #[options(help = "print this help")]
     help: bool,
@@ -24,6 +29,9 @@
     /// Path of the `fuchsiatackd` program.
     #[options(no_short, meta = "FILE", help = "path of the fuchsiatackd program", required)]
     program: PathBuf,
+    /// Runs `REGRESSION_SEEDS` first.
+    #[options(no_short, help = "first run the seeds that failed before")]
+    regressions: bool,
     /// Number of runs; each run adds 1 to the seed.
     #[options(no_short, help = "number of runs, with consecutive seeds", default = "1")]
     runs: u64,
@@ -41,14 +49,20 @@
     let parallel = arguments.parallel.clamp(1, MAX_PARALLEL);
     let mut runs = JoinSet::new();
     let mut failed = 0;
-    for number in 0..arguments.runs {
+    let regressions = match arguments.regressions {
+        true => REGRESSION_SEEDS.as_slice(),
+        false => &[],
+    };
+    let end = arguments.seed + arguments.runs;
+    let seeds: Vec<_> = regressions.iter().copied().chain(arguments.seed..end).collect();
+    for (seed, number) in seeds.iter().zip(arguments.first_cell.max(1)..) {
         if runs.len() as u64 >= parallel {
             failed += runs.join_next().await.map_or(0, |failed| failed.unwrap_or(1));
         }
-        let cell = (number % 200) as u8 + 1;
+        let cell = ((number - 1) % MAX_CELL) as u8 + 1;
         runs.spawn(run_seed(
             arguments.program.clone(),
-            arguments.seed + number,
+            *seed,
             arguments.seconds,
             cell,
         ));
@@ -56,7 +70,7 @@
     while let Some(result) = runs.join_next().await {
         failed += result.unwrap_or(1);
     }
-    println!("{} runs, {failed} failed", arguments.runs);
+    println!("{} runs, {failed} failed", seeds.len());
     match failed {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
