soak: send overlapping series of signals to an entry

Cause: the soak hit one daemon at a time and never sent SIGHUP. Change: during each fault, a fourth entry gets one to three signals in series: SIGKILL, SIGSTOP, SIGHUP or SIGTERM. Callers use it like the others and keep their connections until the process is gone. The series has random numbers of its own, so that the other faults of a seed keep their order; fewer of them fit into the fault period. Seed 9003 joins the regression seeds.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,4 +19,4 @@
 pub use self::soak::{SoakReport, SoakSettings, run};
 
 /// Seeds that failed on an earlier version of the daemons or of the soak test.
-pub const REGRESSION_SEEDS: [u64; 9] = [3, 13, 33, 60, 302, 304, 307, 308, 318];
+pub const REGRESSION_SEEDS: [u64; 10] = [3, 13, 33, 60, 302, 304, 307, 308, 318, 9003];
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -22,7 +22,8 @@
 };
 
 const CORE_COUNT: u8 = 3;
-const ENTRY_COUNT: u8 = 3;
+/// The last one gets signals while another daemon or a worker is faulty.
+const ENTRY_COUNT: u8 = 4;
 const WORKER_COUNT: u8 = 6;
 const CALLER_COUNT: u64 = 6;
 /// Host part of the first entry's address. Core daemons start at 1.
--- a/crates/testkit/src/child_process.rs
+++ b/crates/testkit/src/child_process.rs
@@ -113,6 +113,11 @@
         self.signal(Signal::CONT)
     }
 
+    /// Sends SIGHUP and returns at once.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Sends SIGTERM and returns at once.
     pub fn terminate(&self) -> io::Result<()> {
         self.signal(Signal::TERM)
