--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -279,3 +279,21 @@
 
     assert!(stops(&calls_during(&mut leader, 100), run_on("a")));
 }
+
+/// Guards against a late start on a worker that was unreachable until the lease had expired and that counts
+/// the lease from the arrival of the order.
+#[test]
+fn late_start_is_stopped_on_a_worker_that_is_reachable_again() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    leader.submit(JOB, vec![lasting_step()]);
+    let (run, worker) = leader.take_starts().remove(0);
+    leader.advance(350);
+    leader.started(&worker, run, Err(WorkerCallError::Unanswered));
+    leader.complete_hold("a", HoldKind::Check, Err(WorkerCallError::Unanswered));
+    calls_during(&mut leader, 6_000);
+    cancel(&mut leader);
+
+    report(&mut leader, HoldKind::Renewal, 1, &[]);
+
+    assert!(stops(&calls_during(&mut leader, 100), run));
+}
