jobs: test a cancel without a key before a submission to an open queue

The test fails on the present planner: the submission carries the key of a team, so that the job that was cancelled without a key is not recognized and starts.

--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -6,7 +6,7 @@
     common::{Leader, Sent, UNIX_START_MS, queue, step},
     fuchsiatack_jobs::{
         CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, JobResponse, JobState,
-        ListedRun, PlannerSettings, RunId, StepSpec, Team, WorkerCallError,
+        ListedRun, PlannerSettings, Queue, RunId, StepSpec, Team, WorkerCallError,
     },
     fuchsiatack_model::{Resources, TeamName, WorkerName},
     smol_str::{SmolStr, format_smolstr},
@@ -297,3 +297,24 @@
 
     assert!(stops(&calls_during(&mut leader, 100), run));
 }
+
+/// Guards against the start of a job in an open queue whose cancel carried no key and arrived before the
+/// submission.
+#[test]
+fn job_of_an_open_queue_cancelled_before_its_submission_does_not_start() {
+    let open = Queue {
+        is_open: true,
+        ..queue()
+    };
+    let mut leader = Leader::new(open, &["a"]);
+    leader.call(CellCall::Job(JobCall {
+        action: JobAction::Cancel,
+        host: "host".into(),
+        key: None,
+        path: format_smolstr!("/q/{JOB}"),
+    }));
+
+    leader.submit(JOB, vec![lasting_step()]);
+
+    assert_eq!(leader.take_starts(), Vec::new());
+}
