--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -73,6 +73,29 @@
     run
 }
 
+/// Starts a job whose first step is a gang on workers `a` and `b`, and reports the member on `b` as done.
+/// Returns the run on `a`.
+fn end_one_gang_member(leader: &mut Leader, following: Vec<StepSpec>) -> RunId {
+    let gang = StepSpec {
+        gang: true,
+        max_per_worker: Some(1),
+        ..step(2, 600)
+    };
+    let steps = std::iter::once(gang).chain(following).collect();
+    leader.submit(JOB, steps);
+    let members = leader.take_starts();
+    for (run, worker) in &members {
+        leader.started(worker, *run, Ok(leader.now_ms));
+    }
+    let run_on = |name: &str| {
+        let on = |(_, worker): &&(RunId, WorkerName)| *worker == WorkerName::new(name);
+        members.iter().find(on).expect("each worker has a member").0
+    };
+    leader.advance(25);
+    leader.report_runs("b", HoldKind::Renewal, &[], &[(1, run_on("b"))]);
+    run_on("a")
+}
+
 /// Returns the calls of the leader in the next `duration_ms`, to which no worker responds.
 fn calls_during(leader: &mut Leader, duration_ms: u64) -> Vec<Sent> {
     const TICK_MS: u64 = 25;
@@ -254,30 +277,15 @@
 #[test]
 fn gang_members_of_a_cancelled_job_are_stopped_after_one_is_done() {
     let mut leader = Leader::new(queue(), &["a", "b"]);
-    let gang = StepSpec {
-        gang: true,
-        max_per_worker: Some(1),
-        ..step(2, 600)
-    };
     let next = StepSpec {
         depends_on: vec![0],
         ..lasting_step()
     };
-    leader.submit(JOB, vec![gang, next]);
-    let members = leader.take_starts();
-    for (run, worker) in &members {
-        leader.started(worker, *run, Ok(leader.now_ms));
-    }
-    let run_on = |name: &str| {
-        let on = |(_, worker): &&(RunId, WorkerName)| *worker == WorkerName::new(name);
-        members.iter().find(on).expect("each worker has a member").0
-    };
-    leader.advance(25);
-    leader.report_runs("b", HoldKind::Renewal, &[], &[(1, run_on("b"))]);
+    let run = end_one_gang_member(&mut leader, vec![next]);
 
     cancel(&mut leader);
 
-    assert!(stops(&calls_during(&mut leader, 100), run_on("a")));
+    assert!(stops(&calls_during(&mut leader, 100), run));
 }
 
 /// Guards against a late start on a worker that was unreachable until the lease had expired and that counts
@@ -318,3 +326,16 @@
 
     assert_eq!(leader.take_starts(), Vec::new());
 }
+
+/// Guards against a gang member that runs on after a cancel because the job had ended with the first member
+/// that was done.
+#[test]
+fn gang_members_of_a_completed_job_are_stopped_by_a_cancel() {
+    let mut leader = Leader::new(queue(), &["a", "b"]);
+    let run = end_one_gang_member(&mut leader, Vec::new());
+    assert!(!stops(&calls_during(&mut leader, 100), run));
+
+    cancel(&mut leader);
+
+    assert!(stops(&calls_during(&mut leader, 100), run));
+}
