jobs: stop the runs of a completed job when it is cancelled

Cause: a job completes with the first end `done` of its last gang, and its other members are not stopped. A cancel of an ended job was acknowledged without any stop order, so that such a member ran to its own end after the acknowledged cancel.

Change: every cancel stops the runs that the job still has.

Result: gang_members_of_a_completed_job_are_stopped_by_a_cancel fails before and passes after; the other tests of crates/jobs pass.

--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -235,13 +235,13 @@
 
     fn cancel(&mut self, id: crate::JobId) -> JobResponse {
         let has_ended = self.store.jobs.get(&id).is_some_and(|job| job.ended.is_some());
-        let runs = self.runs_of(id).count();
+        let runs: Vec<_> = self.runs_of(id).collect();
         let confirmed = self.runs_of(id).filter(|task| self.is_confirmed(*task)).count();
         self.log(
             LogEvent::new("job cancelled")
                 .job(id)
                 .with("had_ended", has_ended)
-                .with("runs", runs)
+                .with("runs", runs.len())
                 .with("confirmed_runs", confirmed),
         );
         if !has_ended {
@@ -251,6 +251,10 @@
             });
             self.close_job(id);
         }
+        // A job that completed with the first end of a gang may still have runs.
+        for task in runs {
+            self.stop_run(task);
+        }
         JobResponse::Cancelled
     }
 
