jobs: simulate steps of the leader's wall clock

Cause: the simulation of cancelled jobs had one clock. It could not show that ended jobs were forgotten by the wall clock. Change: a fault (bit 18) that steps the leader's wall clock by up to 600 s, and a test with submissions that are repeated after a cancel.

--- a/crates/jobs/tests/cancellation/cell.rs
+++ b/crates/jobs/tests/cancellation/cell.rs
@@ -99,6 +99,8 @@
     /// Events that wait for the end of a pause of the leader.
     paused_events: Vec<JobEvent>,
     paused_until_ms: u64,
+    /// Time by which the leader's wall clock is ahead of that of the simulation's start, in milliseconds.
+    wall_clock_step_ms: u64,
     /// Time of the last change or pause of the leader, in milliseconds.
     leader_disrupted_ms: u64,
     pub trace: Vec<String>,
@@ -147,6 +149,7 @@
             overruns: BTreeMap::new(),
             paused_events: Vec::new(),
             paused_until_ms: 0,
+            wall_clock_step_ms: 0,
             leader_disrupted_ms: 0,
             trace: Vec::new(),
             violations: Vec::new(),
@@ -213,7 +216,7 @@
     }
 
     fn unix_ms(&self) -> u64 {
-        UNIX_START_MS + self.now_ms
+        UNIX_START_MS + self.now_ms + self.wall_clock_step_ms
     }
 
     pub fn random_below(&mut self, bound: u64) -> u64 {
--- a/crates/jobs/tests/cancellation/cell/disturbances.rs
+++ b/crates/jobs/tests/cancellation/cell/disturbances.rs
@@ -6,12 +6,16 @@
     fuchsiatack_model::WorkerName,
 };
 
+/// Largest time by which the leader's wall clock is ahead, in milliseconds. Steps between such times exceed the
+/// retention period of ended jobs.
+const MAX_CLOCK_LEAD_MS: u64 = 600_000;
 /// Longest time between the end of a cut and the delivery of an order that the network held, in
 /// milliseconds.
 const DELIVERY_MS: u64 = 1_500;
 
 impl Cell {
-    /// Cuts a worker off from the leader, pauses the leader, or changes the worker's address, at random.
+    /// Cuts a worker off from the leader, changes its address, pauses the leader, or steps the leader's wall clock,
+    /// at random.
     pub(super) fn disturb(&mut self, name: &WorkerName) {
         if self.faults.leader_cuts && self.chance(true, 800) {
             let until_ms = self.now_ms + 200 + self.random_below(7_000);
@@ -25,6 +29,10 @@
             worker.address.set_port(port);
             self.note(format!("{name} has port {port}"));
         }
+        if self.faults.clock_steps && self.chance(true, 600) {
+            self.wall_clock_step_ms = self.random_below(MAX_CLOCK_LEAD_MS);
+            self.note(format!("wall clock stepped to {} ms", self.wall_clock_step_ms));
+        }
         if self.faults.leader_pauses && self.chance(true, 1_000) && self.planner.is_some() {
             let until_ms = self.now_ms + 100 + self.random_below(2_500);
             self.note(format!("leader paused until {until_ms}"));
--- a/crates/jobs/tests/cancellation/faults.rs
+++ b/crates/jobs/tests/cancellation/faults.rs
@@ -36,11 +36,13 @@
     pub resubmissions: bool,
     /// Faults come in bursts with calm periods between them.
     pub bursts: bool,
+    /// The leader's wall clock steps by up to 600 s in either direction.
+    pub clock_steps: bool,
 }
 
 impl Faults {
     /// Names of the faults in the order of their bits.
-    pub const NAMES: [&str; 18] = [
+    pub const NAMES: [&str; 19] = [
         "crashes",
         "partitions",
         "leaves",
@@ -59,6 +61,7 @@
         "fresh_leases",
         "resubmissions",
         "bursts",
+        "clock_steps",
     ];
 
     pub fn from_bits(bits: u32) -> Self {
@@ -82,6 +85,7 @@
             fresh_leases: has(15),
             resubmissions: has(16),
             bursts: has(17),
+            clock_steps: has(18),
         }
     }
 }
--- a/crates/jobs/tests/cancellation/main.rs
+++ b/crates/jobs/tests/cancellation/main.rs
@@ -92,6 +92,19 @@
     }
 }
 
+/// Guards against cancelled jobs that are removed when the wall clock steps, so that a repeated submission
+/// starts them again.
+#[test]
+fn cancelled_jobs_stay_known_when_the_wall_clock_steps() {
+    const DELAYED_SUBMISSIONS: u32 = 1 << 9;
+    const CLOCK_STEPS: u32 = 1 << 18;
+    for seed in 1..=60 {
+        let cell = run(seed, Faults::from_bits(DELAYED_SUBMISSIONS | CLOCK_STEPS));
+
+        assert_eq!(cell.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// Runs the seeds of `SEEDS` (as FIRST..LAST) with the faults whose bits are set in `FAULTS`, and
 /// prints each seed with a violation. `COUNT_410=0` ignores cancels of unknown jobs. `TRACE` prints the
 /// trace lines that contain its text.
