jobs: share heartbeats and reports of an incarnation between tests

Cause: three test files built the same heartbeat and report of a worker's incarnation. Change: the leader of the tests has heartbeat_of and report_of. No assertion changed.

--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -5,11 +5,11 @@
 use {
     common::{Leader, Sent, UNIX_START_MS, queue, step},
     fuchsiatack_jobs::{
-        CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, JobResponse, JobState,
-        ListedRun, PlannerSettings, Queue, RunId, StepSpec, Team, WorkerCallError,
+        CellCall, HoldKind, JobAction, JobCall, JobEvent, JobId, JobResponse, JobState, PlannerSettings,
+        Queue, RunId, StepSpec, Team, WorkerCallError,
     },
     fuchsiatack_model::{Resources, TeamName, WorkerName},
-    smol_str::{SmolStr, format_smolstr},
+    smol_str::format_smolstr,
 };
 
 const JOB: JobId = JobId(1);
@@ -41,23 +41,6 @@
     leader.take_responses().remove(0)
 }
 
-/// Report of the incarnation of a worker that started at `started_unix_ms`.
-fn report(leader: &mut Leader, kind: HoldKind, started_unix_ms: u64, running: &[RunId]) {
-    let running = running.iter().map(|run| ListedRun {
-        checkpoint: SmolStr::default(),
-        percent: 100,
-        run: *run,
-        usage: 0,
-    });
-    let report = HoldReport {
-        started_unix_ms: Some(started_unix_ms),
-        clock_ms: leader.now_ms,
-        ended: Vec::new(),
-        running: running.collect(),
-    };
-    leader.complete_hold("a", kind, Ok(report));
-}
-
 /// Starts a lasting task on worker `a`, whose start order has no response and is stopped. Returns
 /// the run when the worker has confirmed the stop.
 fn stop_unanswered_start(leader: &mut Leader) -> RunId {
@@ -123,7 +106,7 @@
     leader.complete_hold("a", HoldKind::Check, Err(WorkerCallError::Unanswered));
     leader.advance(1_000);
 
-    report(&mut leader, HoldKind::Check, UNIX_START_MS, &[run]);
+    leader.report_of("a", HoldKind::Check, UNIX_START_MS, &[run]);
     cancel(&mut leader);
 
     assert!(stops(&calls_during(&mut leader, 1_000), run));
@@ -135,12 +118,12 @@
 fn late_start_is_stopped_on_a_restarted_worker() {
     let mut leader = Leader::new(queue(), &["a"]);
     let run = stop_unanswered_start(&mut leader);
-    report(&mut leader, HoldKind::Check, 1, &[]);
+    leader.report_of("a", HoldKind::Check, 1, &[]);
     cancel(&mut leader);
     leader.advance(1_000);
     leader.take_calls();
 
-    report(&mut leader, HoldKind::Renewal, UNIX_START_MS, &[]);
+    leader.report_of("a", HoldKind::Renewal, UNIX_START_MS, &[]);
 
     assert!(stops(&calls_during(&mut leader, 100), run));
     assert!(
@@ -160,7 +143,7 @@
 fn late_start_is_stopped_on_a_worker_that_registers_again() {
     let mut leader = Leader::new(queue(), &["a"]);
     let run = stop_unanswered_start(&mut leader);
-    report(&mut leader, HoldKind::Check, 1, &[]);
+    leader.report_of("a", HoldKind::Check, 1, &[]);
     leader.call(CellCall::Leave(WorkerName::new("a")));
     leader.advance(25);
     leader.complete_hold("a", HoldKind::Renewal, Err(WorkerCallError::Unreachable));
@@ -177,10 +160,10 @@
 fn lost_stop_of_a_superseded_run_is_repeated() {
     let mut leader = Leader::new(queue(), &["a"]);
     let run = stop_unanswered_start(&mut leader);
-    report(&mut leader, HoldKind::Check, 1, &[]);
+    leader.report_of("a", HoldKind::Check, 1, &[]);
     cancel(&mut leader);
     leader.advance(1_000);
-    report(&mut leader, HoldKind::Renewal, UNIX_START_MS, &[run]);
+    leader.report_of("a", HoldKind::Renewal, UNIX_START_MS, &[run]);
     assert!(stops(&leader.take_calls(), run));
 
     leader.handle(JobEvent::Stopped {
@@ -301,7 +284,7 @@
     calls_during(&mut leader, 6_000);
     cancel(&mut leader);
 
-    report(&mut leader, HoldKind::Renewal, 1, &[]);
+    leader.report_of("a", HoldKind::Renewal, 1, &[]);
 
     assert!(stops(&calls_during(&mut leader, 100), run));
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -117,9 +117,14 @@
 
     pub fn heartbeat(&mut self, worker: &str) {
         self.sequence += 1;
+        self.heartbeat_of(worker, 1, self.sequence);
+    }
+
+    /// Handles a heartbeat of the incarnation of a worker that started at `started_unix_ms`.
+    pub fn heartbeat_of(&mut self, worker: &str, started_unix_ms: u64, sequence: u64) {
         let report = WorkerReport {
             address: "127.0.0.1:1".parse().expect("the address is valid"),
-            started_unix_ms: 1,
+            started_unix_ms,
             capacity: Resources {
                 memory_bytes: 64 << 30,
                 processors_millis: 16_000,
@@ -132,7 +137,7 @@
             machine: SmolStr::default(),
             name: WorkerName::new(worker),
             remaining_ms: None,
-            sequence: self.sequence,
+            sequence,
             service: "service".into(),
         };
         self.call(CellCall::Heartbeat(Box::new(report)));
@@ -205,6 +210,24 @@
         self.complete_hold(worker, kind, Ok(report));
     }
 
+    /// Responds to a hold order for the incarnation of a worker that started at `started_unix_ms`, with
+    /// running runs.
+    pub fn report_of(&mut self, worker: &str, kind: HoldKind, started_unix_ms: u64, running: &[RunId]) {
+        let running = running.iter().map(|run| ListedRun {
+            checkpoint: SmolStr::default(),
+            percent: 100,
+            run: *run,
+            usage: 0,
+        });
+        let report = HoldReport {
+            started_unix_ms: Some(started_unix_ms),
+            clock_ms: self.now_ms,
+            ended: Vec::new(),
+            running: running.collect(),
+        };
+        self.complete_hold(worker, kind, Ok(report));
+    }
+
     pub fn complete_hold(
         &mut self,
         worker: &str,
--- a/crates/jobs/tests/late_starts.rs
+++ b/crates/jobs/tests/late_starts.rs
@@ -5,11 +5,10 @@
 use {
     common::{Leader, Sent, UNIX_START_MS, queue, step},
     fuchsiatack_jobs::{
-        CellCall, HoldKind, HoldReport, JobAction, JobCall, JobEvent, JobId, RunId, StepSpec,
-        WorkerCallError, WorkerReport,
+        CellCall, HoldKind, JobAction, JobCall, JobEvent, JobId, RunId, StepSpec, WorkerCallError,
     },
-    fuchsiatack_model::{DataCenter, Resources, WorkerName},
-    smol_str::{SmolStr, format_smolstr},
+    fuchsiatack_model::WorkerName,
+    smol_str::format_smolstr,
 };
 
 const JOB: JobId = JobId(1);
@@ -33,40 +32,6 @@
     }));
 }
 
-/// Heartbeat of the second incarnation of worker `a`.
-fn heartbeat_after_restart(leader: &mut Leader, sequence: u64) {
-    let report = WorkerReport {
-        address: "127.0.0.1:1".parse().expect("the address is valid"),
-        started_unix_ms: UNIX_START_MS,
-        capacity: Resources {
-            memory_bytes: 64 << 30,
-            processors_millis: 16_000,
-            ..Resources::NONE
-        },
-        clock_ms: leader.now_ms,
-        data_center: DataCenter::new("a"),
-        draining: false,
-        labels: vec!["kind".into(), "rack".into()],
-        machine: SmolStr::default(),
-        name: WorkerName::new("a"),
-        remaining_ms: None,
-        sequence,
-        service: "service".into(),
-    };
-    leader.call(CellCall::Heartbeat(Box::new(report)));
-}
-
-/// Report of the second incarnation of worker `a`, on which nothing runs.
-fn report_after_restart(leader: &mut Leader) {
-    let report = HoldReport {
-        started_unix_ms: Some(UNIX_START_MS),
-        clock_ms: leader.now_ms,
-        ended: Vec::new(),
-        running: Vec::new(),
-    };
-    leader.complete_hold("a", HoldKind::Renewal, Ok(report));
-}
-
 /// Advances the time while worker `a` sends heartbeats and responds to no call.
 fn advance_without_responses(leader: &mut Leader, duration_ms: u64) {
     for number in 0..duration_ms / TICK_MS {
@@ -74,7 +39,7 @@
         for call in leader.take_calls() {
             fail(leader, call);
         }
-        heartbeat_after_restart(leader, number + 2);
+        leader.heartbeat_of("a", UNIX_START_MS, number + 2);
     }
 }
 
@@ -112,11 +77,11 @@
     let (run, worker) = leader.take_starts().remove(0);
     leader.advance(350);
     leader.started(&worker, run, Err(WorkerCallError::Unanswered));
-    heartbeat_after_restart(&mut leader, 1);
+    leader.heartbeat_of("a", UNIX_START_MS, 1);
     cancel(&mut leader);
     advance_without_responses(&mut leader, LEASE_EXPIRY_MS);
 
-    report_after_restart(&mut leader);
+    leader.report_of("a", HoldKind::Renewal, UNIX_START_MS, &[]);
 
     assert!(stops_during(&mut leader, 500, run));
 }
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -5,54 +5,20 @@
 
 use {
     common::{Leader, Sent, UNIX_START_MS, queue, step},
-    fuchsiatack_jobs::{CellCall, HoldKind, HoldReport, JobId, WorkerReport},
-    fuchsiatack_model::{DataCenter, Resources, WorkerName},
-    smol_str::SmolStr,
+    fuchsiatack_jobs::{HoldKind, JobId},
+    fuchsiatack_model::WorkerName,
 };
 
 const FIRST_START_MS: u64 = UNIX_START_MS;
 const SECOND_START_MS: u64 = UNIX_START_MS - 2_000;
 const TICK_MS: u64 = 25;
 
-/// Report of an incarnation of worker `a` on which nothing runs.
-fn report_idle(leader: &mut Leader, kind: HoldKind, started_unix_ms: u64) {
-    let report = HoldReport {
-        started_unix_ms: Some(started_unix_ms),
-        clock_ms: leader.now_ms,
-        ended: Vec::new(),
-        running: Vec::new(),
-    };
-    leader.complete_hold("a", kind, Ok(report));
-}
-
-fn heartbeat(leader: &mut Leader, started_unix_ms: u64) {
-    let report = WorkerReport {
-        address: "127.0.0.1:1".parse().expect("the address is valid"),
-        started_unix_ms,
-        capacity: Resources {
-            memory_bytes: 64 << 30,
-            processors_millis: 16_000,
-            ..Resources::NONE
-        },
-        clock_ms: leader.now_ms,
-        data_center: DataCenter::new("a"),
-        draining: false,
-        labels: vec!["kind".into(), "rack".into()],
-        machine: SmolStr::default(),
-        name: WorkerName::new("a"),
-        remaining_ms: None,
-        sequence: 1,
-        service: "service".into(),
-    };
-    leader.call(CellCall::Heartbeat(Box::new(report)));
-}
-
 /// Guards against a leader that ignores all reports of the new incarnation: it took the run as present for
 /// ever, so that the task did not start again, and called the worker at every tick.
 #[test]
 fn run_is_started_again_after_a_restart_with_an_earlier_start_time() {
     let mut leader = Leader::new(queue(), &["a"]);
-    report_idle(&mut leader, HoldKind::Renewal, FIRST_START_MS);
+    leader.report_of("a", HoldKind::Renewal, FIRST_START_MS, &[]);
     leader.submit(JobId(1), vec![step(1, 600)]);
     let (run, worker) = leader.take_starts().remove(0);
     let now_ms = leader.now_ms;
@@ -63,8 +29,8 @@
         leader.advance(TICK_MS);
         for call in leader.take_calls() {
             match call {
-                Sent::Check(_) => report_idle(&mut leader, HoldKind::Check, SECOND_START_MS),
-                Sent::Renew { .. } => report_idle(&mut leader, HoldKind::Renewal, SECOND_START_MS),
+                Sent::Check(_) => leader.report_of("a", HoldKind::Check, SECOND_START_MS, &[]),
+                Sent::Renew { .. } => leader.report_of("a", HoldKind::Renewal, SECOND_START_MS, &[]),
                 Sent::Start { .. } => starts += 1,
                 Sent::Advise { .. } | Sent::Stop { .. } => {}
             }
@@ -79,11 +45,11 @@
 #[test]
 fn idle_worker_is_asked_after_a_heartbeat_with_an_earlier_start_time() {
     let mut leader = Leader::new(queue(), &["a"]);
-    report_idle(&mut leader, HoldKind::Renewal, FIRST_START_MS);
+    leader.report_of("a", HoldKind::Renewal, FIRST_START_MS, &[]);
     leader.advance(TICK_MS);
     leader.take_calls();
 
-    heartbeat(&mut leader, SECOND_START_MS);
+    leader.heartbeat_of("a", SECOND_START_MS, 1);
     leader.advance(TICK_MS);
 
     assert!(leader.take_calls().contains(&Sent::Check(WorkerName::new("a"))));
