--- a/crates/jobs/tests/cancellation/cell/disturbances.rs
+++ b/crates/jobs/tests/cancellation/cell/disturbances.rs
@@ -1,8 +1,8 @@
 //! Faults of links, leaders and heartbeats that delay calls without a fault of the worker.
 
 use {
-    super::{CANCEL_MS, CONTACT_MS, Cell, RESPONSE_TIMEOUT_MS, Scheduled, describe},
-    fuchsiatack_jobs::{CellCall, Effect, RunId, WorkerCallError, WorkerOrder, WorkerReport},
+    super::{Cell, RESPONSE_TIMEOUT_MS, Scheduled, orders::describe},
+    fuchsiatack_jobs::{CellCall, Effect, WorkerCallError, WorkerOrder, WorkerReport},
     fuchsiatack_model::WorkerName,
 };
 
@@ -139,24 +139,4 @@
         );
         None
     }
-
-    /// Checks that a run of a cancelled job does not begin after the limit, whenever its order was sent,
-    /// unless the worker, its link or the leader was disrupted.
-    pub(super) fn check_arrival(&mut self, name: &WorkerName, run: RunId, is_late: bool, term: u64) {
-        let now_ms = self.now_ms;
-        let worker = &self.workers[name];
-        let disrupted_ms = worker.cut_off_until_ms().max(self.leader_disrupted_ms);
-        let is_disrupted = disrupted_ms > 0 && now_ms <= disrupted_ms + CONTACT_MS;
-        if is_late || is_disrupted || term != self.term {
-            return;
-        }
-        let acknowledged_ms = self.acknowledged_cancels.get(&run.task.step.job).copied();
-        if let Some(acknowledged_ms) = acknowledged_ms
-            && now_ms > acknowledged_ms + CANCEL_MS
-        {
-            self.violations.push(format!(
-                "(d) {run} begins on {name} at {now_ms}, cancelled at {acknowledged_ms}"
-            ));
-        }
-    }
 }
