jobs: apply confirmations of orders to the incarnation that gave them only

Cause: the results of start and stop orders did not say when the order was sent. A response of an earlier incarnation that was handled after the leader had noticed the restart counted for the new one: a stop was not repeated there, so that a late start could run on (UNASKED), and a run counted as present until the clock of the new incarnation passed the reading of the old one (LOST). Change: the events carry the send time. An order that was sent before the present incarnation was known is taken as unanswered. Evidence: stop_that_an_earlier_incarnation_confirmed_is_repeated and start_that_an_earlier_incarnation_confirmed_is_checked failed without the comparison and pass now; the other tests of fuchsiatack-jobs pass.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -153,6 +153,8 @@
         result: OrderResult,
         /// Run that the order names.
         run: RunId,
+        /// Time at which the order was sent, by the planner's clock in milliseconds.
+        sent_ms: u64,
         /// Name of the worker.
         worker: WorkerName,
     },
@@ -162,6 +164,8 @@
         result: OrderResult,
         /// Run that the order names.
         run: RunId,
+        /// Time at which the order was sent, by the planner's clock in milliseconds.
+        sent_ms: u64,
         /// Name of the worker.
         worker: WorkerName,
     },
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -20,8 +20,19 @@
 
 impl Planner {
     /// Handles the result of a start order.
-    pub(crate) fn handle_start_result(&mut self, worker: &WorkerName, run: RunId, result: OrderResult) {
+    pub(crate) fn handle_start_result(
+        &mut self,
+        worker: &WorkerName,
+        run: RunId,
+        sent_ms: u64,
+        result: OrderResult,
+    ) {
         let now_ms = self.now_ms;
+        // What an earlier incarnation confirmed tells nothing about the run on the present one.
+        let result = match result {
+            Ok(_) if self.is_before_restart(worker, sent_ms) => Err(WorkerCallError::Unanswered),
+            result => result,
+        };
         let Some(view) = self.runs.get_mut(&run.task).filter(|view| view.run == run) else {
             return;
         };
@@ -86,8 +97,17 @@
     }
 
     /// Handles the result of a stop order.
-    pub(crate) fn handle_stop_result(&mut self, worker: &WorkerName, run: RunId, result: OrderResult) {
+    pub(crate) fn handle_stop_result(
+        &mut self,
+        worker: &WorkerName,
+        run: RunId,
+        sent_ms: u64,
+        result: OrderResult,
+    ) {
         let now_ms = self.now_ms;
+        if self.is_before_restart(worker, sent_ms) {
+            return;
+        }
         if let Ok(_) | Err(WorkerCallError::Rejected(OrderRejection::Outdated)) = result {
             self.confirm_late_stop(worker, run);
         }
@@ -121,6 +141,12 @@
         }
     }
 
+    /// Returns whether an order was sent before the present incarnation of its worker was known.
+    fn is_before_restart(&self, worker: &WorkerName, sent_ms: u64) -> bool {
+        let view = self.workers.get(worker);
+        view.is_some_and(|view| sent_ms < view.incarnation_known_ms)
+    }
+
     /// Returns whether the worker has confirmed the present run of a task.
     pub(crate) fn is_confirmed(&self, task: TaskKey) -> bool {
         let view = self.runs.get(&task);
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -123,8 +123,18 @@
                 sent_ms,
                 worker,
             } => self.handle_hold_result(&worker, kind, sent_ms, result),
-            JobEvent::Started { result, run, worker } => self.handle_start_result(&worker, run, result),
-            JobEvent::Stopped { result, run, worker } => self.handle_stop_result(&worker, run, result),
+            JobEvent::Started {
+                result,
+                run,
+                sent_ms,
+                worker,
+            } => self.handle_start_result(&worker, run, sent_ms, result),
+            JobEvent::Stopped {
+                result,
+                run,
+                sent_ms,
+                worker,
+            } => self.handle_stop_result(&worker, run, sent_ms, result),
             JobEvent::Tick => self.tick(),
         }
     }
--- a/crates/jobs/src/worker_order.rs
+++ b/crates/jobs/src/worker_order.rs
@@ -124,11 +124,13 @@
             (Self::Start { run, to, .. }, response) => JobEvent::Started {
                 result: outcome(response),
                 run,
+                sent_ms,
                 worker: to.worker,
             },
             (Self::Stop { run, to }, response) => JobEvent::Stopped {
                 result: outcome(response),
                 run,
+                sent_ms,
                 worker: to.worker,
             },
         }
--- a/crates/jobs/tests/cancellation/cell/orders.rs
+++ b/crates/jobs/tests/cancellation/cell/orders.rs
@@ -104,6 +104,7 @@
                 JobEvent::Started {
                     result,
                     run,
+                    sent_ms,
                     worker: name,
                 }
             }
@@ -113,6 +114,7 @@
                 JobEvent::Stopped {
                     result,
                     run,
+                    sent_ms,
                     worker: name,
                 }
             }
--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -169,6 +169,7 @@
     leader.handle(JobEvent::Stopped {
         result: Err(WorkerCallError::Unanswered),
         run,
+        sent_ms: leader.now_ms,
         worker: WorkerName::new("a"),
     });
     let calls = calls_during(&mut leader, 1_000);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -167,6 +167,7 @@
         self.handle(JobEvent::Started {
             result,
             run,
+            sent_ms: self.now_ms,
             worker: worker.clone(),
         });
     }
@@ -175,6 +176,7 @@
         self.handle(JobEvent::Stopped {
             result: Ok(self.now_ms),
             run,
+            sent_ms: self.now_ms,
             worker: worker.clone(),
         });
     }
--- a/crates/jobs/tests/late_starts.rs
+++ b/crates/jobs/tests/late_starts.rs
@@ -50,6 +50,7 @@
         Sent::Stop { run, worker } => leader.handle(JobEvent::Stopped {
             result: Err(WorkerCallError::Unanswered),
             run,
+            sent_ms: leader.now_ms,
             worker,
         }),
         Sent::Advise { .. } | Sent::Start { .. } => {}
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -1,11 +1,11 @@
-//! Workers whose clock was set back before they restarted, so that the new incarnation reports an earlier
-//! start time than the one that the leader knows.
+//! Restarts that the leader has to notice: of workers whose clock was set back, and while the response of the
+//! earlier incarnation to an order is on its way.
 
 mod common;
 
 use {
     common::{Leader, Sent, UNIX_START_MS, queue, step},
-    fuchsiatack_jobs::{HoldKind, JobId},
+    fuchsiatack_jobs::{HoldKind, JobEvent, JobId, WorkerCallError},
     fuchsiatack_model::WorkerName,
 };
 
@@ -54,3 +54,55 @@
 
     assert!(leader.take_calls().contains(&Sent::Check(WorkerName::new("a"))));
 }
+
+/// Guards against a stop that counts as confirmed by the new incarnation of a worker although only the earlier
+/// one confirmed it: the response was handled after the restart.
+#[test]
+fn stop_that_an_earlier_incarnation_confirmed_is_repeated() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    leader.submit(JobId(1), vec![step(1, 600)]);
+    let (run, worker) = leader.take_starts().remove(0);
+    leader.advance(350);
+    leader.started(&worker, run, Err(WorkerCallError::Unanswered));
+    leader.advance(3);
+    leader.report_runs("a", HoldKind::Check, &[], &[]);
+    let stop_sent_ms = leader.now_ms;
+    leader.advance(100);
+    leader.heartbeat_of("a", FIRST_START_MS, 1);
+    leader.take_calls();
+
+    leader.handle(JobEvent::Stopped {
+        result: Ok(leader.now_ms),
+        run,
+        sent_ms: stop_sent_ms,
+        worker: worker.clone(),
+    });
+    leader.advance(TICK_MS);
+
+    assert!(leader.take_calls().contains(&Sent::Stop { run, worker }));
+}
+
+/// Guards against a run that counts as present on the new incarnation of a worker because the earlier one
+/// confirmed its start: the response was handled after the restart.
+#[test]
+fn start_that_an_earlier_incarnation_confirmed_is_checked() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    leader.submit(JobId(1), vec![step(1, 600)]);
+    let (run, worker) = leader.take_starts().remove(0);
+    let start_sent_ms = leader.now_ms;
+    leader.advance(100);
+    leader.heartbeat_of("a", FIRST_START_MS, 1);
+    leader.take_calls();
+
+    leader.handle(JobEvent::Started {
+        result: Ok(1_000_000),
+        run,
+        sent_ms: start_sent_ms,
+        worker: worker.clone(),
+    });
+    leader.advance(TICK_MS);
+
+    assert!(leader.take_calls().contains(&Sent::Check(worker.clone())));
+    leader.report_of("a", HoldKind::Check, FIRST_START_MS, &[]);
+    assert!(leader.take_calls().contains(&Sent::Stop { run, worker }));
+}
--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -510,6 +510,7 @@
                 JobEvent::Started {
                     result,
                     run,
+                    sent_ms,
                     worker: name,
                 }
             }
@@ -519,6 +520,7 @@
                 JobEvent::Stopped {
                     result,
                     run,
+                    sent_ms,
                     worker: name,
                 }
             }
