jobs: test stops of a new leader and of a run listed by the same incarnation

Cause: mutations of the fixes showed two branches that no test needed: the rule of close_job for gang members of a cancelled job, which a new leader relies on, and the repeated stop of a run that the same incarnation lists after it confirmed the stop. Change: a test for each, and replace_planner in the leader of the tests.

--- a/crates/jobs/tests/cancelled_runs.rs
+++ b/crates/jobs/tests/cancelled_runs.rs
@@ -323,3 +323,36 @@
 
     assert!(stops(&calls_during(&mut leader, 100), run));
 }
+
+/// Guards against a gang member that runs on because the leader was replaced between the cancel of its job and
+/// the stop, and another member was done.
+#[test]
+fn new_leader_stops_gang_members_of_a_cancelled_job_after_one_is_done() {
+    let mut leader = Leader::new(queue(), &["a", "b"]);
+    let next = StepSpec {
+        depends_on: vec![0],
+        ..lasting_step()
+    };
+    let run = end_one_gang_member(&mut leader, vec![next]);
+    cancel(&mut leader);
+    leader.take_calls();
+
+    leader.replace_planner();
+
+    assert!(stops(&calls_during(&mut leader, 100), run));
+}
+
+/// Guards against a run that is never stopped although the same incarnation of its worker lists it long after
+/// it confirmed the stop.
+#[test]
+fn run_listed_by_the_same_incarnation_after_a_confirmed_stop_is_stopped_again() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    let run = stop_unanswered_start(&mut leader);
+    leader.complete_hold("a", HoldKind::Check, Err(WorkerCallError::Unanswered));
+    leader.advance(1_000);
+    leader.take_calls();
+
+    leader.report_of("a", HoldKind::Check, 1, &[run]);
+
+    assert!(stops(&calls_during(&mut leader, 1_000), run));
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -76,6 +76,13 @@
         self.planner.handle(self.now_ms, unix_ms, event);
     }
 
+    /// Replaces the planner by that of a later leader, which has the same state of jobs and workers.
+    pub fn replace_planner(&mut self) {
+        let store = self.planner.store().clone();
+        let unix_ms = UNIX_START_MS + self.now_ms + self.unix_step_ms;
+        self.planner = Planner::new(PlannerSettings::default(), store, 2, self.now_ms, unix_ms);
+    }
+
     /// Advances the time by `ms` milliseconds and sends a tick.
     pub fn advance(&mut self, ms: u64) {
         self.now_ms += ms;
