cell: let core daemons find the leader after their seeds are gone

Callers would see: heartbeats of workers and configurations of operators are rejected with 503 by every core daemon but the leader, for as long as the daemon runs.

Cause: a core daemon that does not lead forwards such calls through a client that knows only the seeds of its settings. It ignored the leader that its own store knows, and never learned the member list. Once the machines of all seeds are replaced, the client tries their addresses for ever. Entries are not affected, since the responses to their announcements carry the members.

Change: the leader that the local store names is called first, and the client gets the member list of the store.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -17,7 +17,7 @@
     },
     fuchsiatack_consensus::Role,
     fuchsiatack_jobs::{CellResponse, LogEvent},
-    fuchsiatack_session::CallLimits,
+    fuchsiatack_session::{CallLimits, CellClient},
     fuchsiatack_store::{InitialMember, JobsSettings, Membership, Store, StoreSettings},
     fuchsiatack_wire::PeerServer,
     smol_str::ToSmolStr,
@@ -88,11 +88,12 @@
         background.spawn(server.serve(handler));
         background.spawn(executor.run(effect_queue));
         background.spawn(write_log_events(log_event_queue));
-        background.spawn(watch_status(store.clone(), metrics.clone()));
+        let client = settings.cell.client();
+        background.spawn(watch_status(store.clone(), metrics.clone(), client.clone()));
         let handler = ControlHandler {
             codec,
             leader: LeaderClient {
-                client: settings.cell.client(),
+                client,
                 store: Some(store.clone()),
             },
             metrics: metrics.clone(),
@@ -138,8 +139,9 @@
     }
 }
 
-/// Logs changes of the store's status and updates the `leads` metric.
-async fn watch_status(store: Store, metrics: Arc<Metrics>) {
+/// Logs changes of the store's status, updates the `leads` metric, and passes the member list to the client of
+/// the leader, since all seeds of the settings may have been replaced.
+async fn watch_status(store: Store, metrics: Arc<Metrics>, client: CellClient) {
     let mut logged = None;
     loop {
         let status = store.status();
@@ -152,6 +154,8 @@
             status.disk_failure.clone(),
         );
         metrics.leads.set(i64::from(status.role == Role::Leader));
+        let addresses: Vec<_> = status.members.iter().map(|member| member.address).collect();
+        client.update_members(&addresses);
         if logged.as_ref() != Some(&current) {
             let leader = status.leader.map(|leader| leader.to_string()).unwrap_or_default();
             log(LogEvent::new("store state changed")
--- a/crates/cell/src/leader_client.rs
+++ b/crates/cell/src/leader_client.rs
@@ -4,7 +4,7 @@
     fuchsiatack_jobs::{CellCall, CellResponse},
     fuchsiatack_session::{CallLimits, CellClient, SessionError},
     fuchsiatack_store::Store,
-    fuchsiatack_wire::{PeerCaller, Request, Response},
+    fuchsiatack_wire::{NotLeader, PeerCaller, Request, Response},
     tokio::{sync::mpsc, time::timeout},
 };
 
@@ -29,7 +29,8 @@
             let (frames, _) = mpsc::channel(1);
             match timeout(limits.in_doubt, store.call(PeerCaller { frames }, request)).await {
                 Ok(Response::Cell(response)) => return Ok(*response),
-                Ok(Response::NotLeader(_)) => {}
+                Ok(Response::NotLeader(NotLeader { leader: Some(leader) })) => self.client.set_leader(leader),
+                Ok(Response::NotLeader(NotLeader { leader: None })) => {}
                 Ok(_) | Err(_) => return Err(SessionError::NoResponse),
             }
         }
--- a/crates/session/src/cell_client.rs
+++ b/crates/session/src/cell_client.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Sends the next call to `leader`, which another member of the cell named as the leader.
+    pub fn set_leader(&self, leader: SocketAddr) {
+        *lock(&self.shared.leader) = leader;
+    }
+
     /// Sets the supposed leader after `member` was not the leader or could not be reached.
     /// `leader` is the address that it named; without one, the next known member is tried.
     pub(crate) fn redirect(&self, member: SocketAddr, leader: Option<SocketAddr>) {
@@ -166,7 +171,7 @@
             Some(leader) if leader != member => leader,
             _ => self.next_member(member),
         };
-        *lock(&self.shared.leader) = next;
+        self.set_leader(next);
     }
 
     /// Peer address of the supposed leader.
