store: log member changes, loss of the quorum and the voters in contact

Without a leader, callers got 503 for the whole outage and the logs of the core did not say why: neither the voters in the member list, nor those with contact to the leader, nor the changes of the list were logged.

The leader logs each change that it appends (`member list changed`) and the loss of its quorum (`leader lost contact to the quorum`, with the voters that are out of contact). `store state changed` and two metrics show the voters and the voters in contact. No behaviour changes.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -139,8 +139,8 @@
     }
 }
 
-/// Logs changes of the store's status, updates the `leads` metric, and passes the member list to the client of
-/// the leader, since all seeds of the settings may have been replaced.
+/// Logs changes of the store's status, updates its metrics, and passes the member list to the client of the
+/// leader, since all seeds of the settings may have been replaced.
 async fn watch_status(store: Store, metrics: Arc<Metrics>, client: CellClient) {
     let mut logged = None;
     loop {
@@ -151,9 +151,14 @@
             status.leader,
             status.formed,
             members,
+            status.voters(),
+            status.voters_in_contact,
             status.disk_failure.clone(),
         );
+        let in_contact = status.voters_in_contact.unwrap_or_default();
         metrics.leads.set(i64::from(status.role == Role::Leader));
+        metrics.voters.set(gauge_value(status.voters()));
+        metrics.voters_in_contact.set(gauge_value(in_contact));
         let addresses: Vec<_> = status.members.iter().map(|member| member.address).collect();
         client.update_members(&addresses);
         if logged.as_ref() != Some(&current) {
@@ -164,6 +169,14 @@
                 .with("leader", leader)
                 .with("formed", status.formed)
                 .with("members", members)
+                .with("voters", status.voters())
+                .with(
+                    "voters_in_contact",
+                    status
+                        .voters_in_contact
+                        .map(|voters| voters.to_string())
+                        .unwrap_or_default(),
+                )
                 .with("applied", status.applied.0)
                 .with("disk_failure", status.disk_failure.unwrap_or_default()));
             logged = Some(current);
@@ -172,6 +185,10 @@
     }
 }
 
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 /// Handles requests of workers and operators.
 struct ControlHandler {
     codec: Arc<dyn HttpCodec>,
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) leads: Gauge,
     pub(crate) ready: Gauge,
     registry: Registry,
+    pub(crate) voters: Gauge,
+    pub(crate) voters_in_contact: Gauge,
 }
 
 impl Metrics {
@@ -55,6 +57,8 @@
             leads: Gauge::default(),
             ready: Gauge::default(),
             registry: Registry::with_prefix("fuchsiatack"),
+            voters: Gauge::default(),
+            voters_in_contact: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("calls", "Calls by kind and outcome", metrics.calls.clone());
@@ -73,6 +77,16 @@
             "1 while the daemon is ready for requests of callers",
             metrics.ready.clone(),
         );
+        registry.register(
+            "store_voters",
+            "Voters in the member list of the store",
+            metrics.voters.clone(),
+        );
+        registry.register(
+            "store_voters_in_contact",
+            "Voters that the leader of the store has contact to; 0 on other daemons",
+            metrics.voters_in_contact.clone(),
+        );
         metrics
     }
 
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -112,15 +112,7 @@
     }
 
     pub(crate) fn has_quorum_contact(&self) -> bool {
-        let own = self.settings.id;
-        let limit_ms = self.settings.election_maximum_ms;
-        self.is_quorum(|member| {
-            member == own
-                || self
-                    .progress
-                    .get(&member)
-                    .is_some_and(|progress| self.now_ms < progress.last_contact_ms + limit_ms)
-        })
+        self.is_quorum(|member| self.is_in_contact(member, self.now_ms))
     }
 
     pub(crate) fn require_leader(&self) -> Result<(), NotLeader> {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -188,14 +188,26 @@
     /// election timeout, and lacks at most `CAUGHT_UP_LAG_ENTRIES` committed entries. Always false
     /// on a member that does not lead.
     pub fn is_caught_up(&self, member: MemberId) -> bool {
-        let limit_ms = self.settings.election_maximum_ms;
         self.progress.get(&member).is_some_and(|progress| {
             progress.matching > LogIndex(0)
                 && progress.matching.0 + CAUGHT_UP_LAG_ENTRIES >= self.commit.0
-                && self.now_ms < progress.last_contact_ms + limit_ms
+                && self.is_in_contact(member, self.now_ms)
         })
     }
 
+    /// Returns whether this member leads and is `member`, or leads and got a message from `member`
+    /// within the longest election timeout before `now_ms`. A leader steps down without such contact
+    /// to a quorum.
+    pub fn is_in_contact(&self, member: MemberId, now_ms: u64) -> bool {
+        let limit_ms = self.settings.election_maximum_ms;
+        let is_own = member == self.settings.id;
+        match self.progress.get(&member) {
+            _ if self.role != Role::Leader => false,
+            Some(progress) => now_ms < progress.last_contact_ms + limit_ms,
+            None => is_own,
+        }
+    }
+
     /// Returns whether this member has a member list, from its disk or from the leader.
     pub fn is_formed(&self) -> bool {
         !self.members.is_empty()
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod pending_calls;
 mod runtime;
+mod runtime_contact;
 mod runtime_leader;
 mod runtime_node;
 mod runtime_reads;
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -91,6 +91,7 @@
             members: node.members().to_vec(),
             role: node.role(),
             term: node.term(),
+            voters_in_contact: None,
         };
         let mut runtime = Self {
             responses: Vec::new(),
@@ -184,7 +185,7 @@
             return;
         }
         let now_ms = self.now_ms();
-        self.node.tick(now_ms);
+        self.tick_node(now_ms);
         if let Some(jobs) = &mut self.jobs {
             jobs.handle(now_ms, JobEvent::Tick);
         }
--- a/crates/store/src/runtime_leader.rs
+++ b/crates/store/src/runtime_leader.rs
@@ -168,9 +168,13 @@
         };
         let is_caught_up = |member| self.node.is_caught_up(member);
         let change = membership::next_change(&desired, self.node.members(), MAX_VOTERS, is_caught_up);
-        if let Some(change) = change {
-            let _ = self.node.propose_members(change);
+        let Some(change) = change else {
+            return;
+        };
+        let event = self.member_change_event(&change);
+        if self.node.propose_members(change).is_ok() {
             self.peers.set_addresses(self.node.members());
+            self.log_member_change(event);
         }
     }
 }
--- a/crates/store/src/runtime_node.rs
+++ b/crates/store/src/runtime_node.rs
@@ -172,6 +172,10 @@
             None => self.node.role(),
         };
         status.term = self.node.term();
+        status.voters_in_contact = match (&self.failure, self.node.role()) {
+            (None, Role::Leader) => Some(self.voters_in_contact(self.now_ms()).count()),
+            _ => None,
+        };
         if status.members != self.node.members() {
             status.members = self.node.members().to_vec();
         }
--- a/crates/store/src/status.rs
+++ b/crates/store/src/status.rs
@@ -1,7 +1,7 @@
 //! Status of the store role.
 
 use {
-    fuchsiatack_consensus::{Member, MemberId, Role, Term},
+    fuchsiatack_consensus::{Member, MemberId, MemberRole, Role, Term},
     fuchsiatack_derives::value,
     fuchsiatack_model::LogIndex,
     std::net::SocketAddr,
@@ -28,4 +28,14 @@
     pub role: Role,
     /// Current consensus term.
     pub term: Term,
+    /// Voters, including this member, that this leader has contact to; `None` on other members.
+    pub voters_in_contact: Option<usize>,
+}
+
+impl StoreStatus {
+    /// Returns the number of voters in the member list.
+    pub fn voters(&self) -> usize {
+        let is_voter = |member: &&Member| member.role == MemberRole::Voter;
+        self.members.iter().filter(is_voter).count()
+    }
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -106,6 +106,7 @@
         if self.shared.inputs.is_closed() {
             status.leader = None;
             status.role = Role::Follower;
+            status.voters_in_contact = None;
         }
         status
     }
