store: log a failure when it is found

A failed write was visible only as `disk_failure` in `store state changed`, which polls the status every 250 ms and does not say which role the member had. The line is written when the failure is handled, with its cause, the role, the term and the index of the last entry.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 mod directory_followers;
 mod error;
 mod event;
+mod failure;
 mod formation;
 mod jobs_role;
 mod leadership;
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -336,6 +336,7 @@
     }
 
     pub(crate) fn fail(&mut self, message: String) {
+        self.log_failure(&message);
         self.failure = Some(message);
         self.end_leadership();
     }
--- a/crates/store/src/runtime_contact.rs
+++ b/crates/store/src/runtime_contact.rs
@@ -86,7 +86,8 @@
         self.log(contact.add_to(event));
     }
 
-    fn log(&self, event: LogEvent) {
+    /// Queues a log event. Does nothing without the job planner's settings, which have the queue.
+    pub(crate) fn log(&self, event: LogEvent) {
         if let Some(jobs) = &self.settings.jobs {
             // The receiver ends only with the process.
             let _ = jobs.log_events.send(event);
