jobs, cell: log why steps wait and why advice requests fail

A waiting step left no trace: the log did not say why the advice service gave no advice, which daemon had sent the request, or which steps a planning pass had not reached.

AdviceError names the cause of a failed request, also across daemons (CellResponse::AdviceFailed, the last variant). Each attempt to place a step records a WaitReason. Once a second the leader logs the longest waiting step of each priority that has waited for 1 s, one line for each of at most eight priorities, and sets the metrics longest_wait_ms, untried_steps and waiting_steps. waited_ms of "runs started" now counts from the time at which a task began to wait, and not from the time at which its step became ready.

--- a/crates/cell/src/advice_client.rs
+++ b/crates/cell/src/advice_client.rs
@@ -2,9 +2,8 @@
 
 use {
     crate::{CellError, HttpCodec, metrics::Metrics, worker_client::http_client},
-    fuchsiatack_jobs::{AdviceRequest, AdviceResponse, CellResponse},
+    fuchsiatack_jobs::{AdviceError, AdviceRequest, AdviceResponse, CellResponse},
     reqwest::{Client, header},
-    smol_str::SmolStr,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -16,7 +15,7 @@
 /// queue behind slow ones.
 const ADVICE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Client of the advice service. Without an address, every request returns `None` at once.
+/// Client of the advice service. Without an address, every request fails at once.
 pub(crate) struct AdviceClient {
     address: Option<SocketAddr>,
     client: Client,
@@ -38,10 +37,12 @@
         })
     }
 
-    /// Requests advice. Returns `None` if no service is configured, or if it did not respond in time or
-    /// rejected the request.
-    pub(crate) async fn request_advice(&self, request: &AdviceRequest) -> Option<AdviceResponse> {
-        let address = self.address?;
+    /// Requests advice.
+    pub(crate) async fn request_advice(
+        &self,
+        request: &AdviceRequest,
+    ) -> Result<AdviceResponse, AdviceError> {
+        let address = self.address.ok_or(AdviceError::NotConfigured)?;
         let started_at = Instant::now();
         let http_request = self.codec.encode_advice_request(request);
         let response = self
@@ -56,12 +57,15 @@
         let advice = match response {
             Ok(response) => {
                 let status = response.status();
-                let body = response.bytes().await.unwrap_or_default();
-                self.codec.decode_advice_response(status, &body)
+                match response.bytes().await {
+                    Ok(body) => self.codec.decode_advice_response(status, &body),
+                    Err(_) => Err(AdviceError::Unanswered),
+                }
             }
-            Err(_) => None,
+            Err(error) if error.is_connect() => Err(AdviceError::Unreachable),
+            Err(_) => Err(AdviceError::Unanswered),
         };
-        let outcome = if advice.is_some() { "ok" } else { "failed" };
+        let outcome = advice.as_ref().err().map_or("ok", |error| error.as_str());
         self.metrics.record_call("advice", outcome, started_at.elapsed());
         advice
     }
@@ -69,8 +73,8 @@
     /// Requests advice on behalf of another daemon.
     pub(crate) async fn advise_peer(&self, request: &AdviceRequest) -> CellResponse {
         match self.request_advice(request).await {
-            Some(advice) => CellResponse::Advice(advice),
-            None => CellResponse::Failed(SmolStr::new_static("the advice service did not answer")),
+            Ok(advice) => CellResponse::Advice(advice),
+            Err(error) => CellResponse::AdviceFailed(error),
         }
     }
 }
--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -16,7 +16,7 @@
         worker_client::WorkerClient,
     },
     fuchsiatack_consensus::Role,
-    fuchsiatack_jobs::{CellResponse, LogEvent},
+    fuchsiatack_jobs::{CellResponse, LogEvent, PriorityBacklog},
     fuchsiatack_session::{CallLimits, CellClient},
     fuchsiatack_store::{InitialMember, JobsSettings, Membership, Store, StoreSettings},
     fuchsiatack_wire::PeerServer,
@@ -25,7 +25,11 @@
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
-    tokio::{sync::mpsc::unbounded_channel, task::JoinSet, time::sleep},
+    tokio::{
+        sync::{mpsc::unbounded_channel, watch},
+        task::JoinSet,
+        time::sleep,
+    },
 };
 
 /// Longest wait for the leader. Workers and operators turn to another daemon after 1 s.
@@ -59,7 +63,9 @@
         let server = PeerServer::bind(settings.cell.peer_address, settings.cell.secret.clone()).await?;
         let (effects, effect_queue) = unbounded_channel();
         let (log_events, log_event_queue) = unbounded_channel();
+        let (backlog, backlog_reports) = watch::channel(Vec::new());
         let jobs = JobsSettings {
+            backlog,
             effects,
             log_events,
             planner: settings.planner.clone(),
@@ -89,7 +95,12 @@
         background.spawn(executor.run(effect_queue));
         background.spawn(write_log_events(log_event_queue));
         let client = settings.cell.client();
-        background.spawn(watch_status(store.clone(), metrics.clone(), client.clone()));
+        background.spawn(watch_status(
+            store.clone(),
+            metrics.clone(),
+            client.clone(),
+            backlog_reports,
+        ));
         let handler = ControlHandler {
             codec,
             leader: LeaderClient {
@@ -141,7 +152,12 @@
 
 /// Logs changes of the store's status, updates its metrics, and passes the member list to the client of the
 /// leader, since all seeds of the settings may have been replaced.
-async fn watch_status(store: Store, metrics: Arc<Metrics>, client: CellClient) {
+async fn watch_status(
+    store: Store,
+    metrics: Arc<Metrics>,
+    client: CellClient,
+    backlog_reports: watch::Receiver<Vec<PriorityBacklog>>,
+) {
     let mut logged = None;
     loop {
         let status = store.status();
@@ -161,6 +177,10 @@
         metrics.voters_in_contact.set(gauge_value(in_contact));
         let addresses: Vec<_> = status.members.iter().map(|member| member.address).collect();
         client.update_members(&addresses);
+        match status.role {
+            Role::Leader => metrics.set_backlog(&backlog_reports.borrow()),
+            _ => metrics.set_backlog(&[]),
+        }
         if logged.as_ref() != Some(&current) {
             let leader = status.leader.map(|leader| leader.to_string()).unwrap_or_default();
             log(LogEvent::new("store state changed")
--- a/crates/cell/src/http_codec.rs
+++ b/crates/cell/src/http_codec.rs
@@ -4,8 +4,8 @@
     bytes::Bytes,
     fuchsiatack_derives::value,
     fuchsiatack_jobs::{
-        AdviceRequest, AdviceResponse, CellCall, CellResponse, HoldReport, JobCall, JobResponse, OrderResult,
-        WorkerCallError, WorkerOrder,
+        AdviceError, AdviceRequest, AdviceResponse, CellCall, CellResponse, HoldReport, JobCall, JobResponse,
+        OrderResult, WorkerCallError, WorkerOrder,
     },
     http::{HeaderMap, HeaderName, Method, StatusCode},
     std::time::Duration,
@@ -117,5 +117,5 @@
 
     /// Decodes a response of the advice service. Returns `None` if the request failed or the response is
     /// malformed.
-    fn decode_advice_response(&self, status: StatusCode, body: &[u8]) -> Option<AdviceResponse>;
+    fn decode_advice_response(&self, status: StatusCode, body: &[u8]) -> Result<AdviceResponse, AdviceError>;
 }
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a daemon: call counters, latency histograms, and gauges for leadership and readiness.
 
 use {
+    fuchsiatack_jobs::PriorityBacklog,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -31,13 +32,22 @@
     call: &'static str,
 }
 
-/// Metrics of one daemon. Label values come from fixed sets, which bounds the number of series.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PriorityLabel {
+    priority: u32,
+}
+
+/// Metrics of one daemon. Label values come from fixed sets or are bounded in number, which bounds the
+/// number of series.
 pub(crate) struct Metrics {
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
     pub(crate) leads: Gauge,
+    longest_wait_ms: Family<PriorityLabel, Gauge>,
     pub(crate) ready: Gauge,
     registry: Registry,
+    untried_steps: Family<PriorityLabel, Gauge>,
+    waiting_steps: Family<PriorityLabel, Gauge>,
     pub(crate) voters: Gauge,
     pub(crate) voters_in_contact: Gauge,
 }
@@ -55,8 +65,11 @@
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
             leads: Gauge::default(),
+            longest_wait_ms: Family::default(),
             ready: Gauge::default(),
             registry: Registry::with_prefix("fuchsiatack"),
+            untried_steps: Family::default(),
+            waiting_steps: Family::default(),
             voters: Gauge::default(),
             voters_in_contact: Gauge::default(),
         };
@@ -87,6 +100,21 @@
             "Voters that the leader of the store has contact to; 0 on other daemons",
             metrics.voters_in_contact.clone(),
         );
+        registry.register(
+            "longest_wait_ms",
+            "Time for which the longest waiting step has waited, in milliseconds, by priority; on the leader",
+            metrics.longest_wait_ms.clone(),
+        );
+        registry.register(
+            "untried_steps",
+            "Waiting steps that no planning pass has tried in the last second, by priority; on the leader",
+            metrics.untried_steps.clone(),
+        );
+        registry.register(
+            "waiting_steps",
+            "Steps with waiting tasks by priority; on the leader",
+            metrics.waiting_steps.clone(),
+        );
         metrics
     }
 
@@ -97,6 +125,24 @@
         seconds.observe(duration.as_secs_f64());
     }
 
+    /// Replaces the report on waiting steps. Series of priorities that are not in it are removed.
+    pub(crate) fn set_backlog(&self, backlog: &[PriorityBacklog]) {
+        self.longest_wait_ms.clear();
+        self.untried_steps.clear();
+        self.waiting_steps.clear();
+        for entry in backlog {
+            let label = PriorityLabel {
+                priority: entry.priority,
+            };
+            let longest_wait_ms = self.longest_wait_ms.get_or_create(&label);
+            longest_wait_ms.set(entry.longest_wait_ms as i64);
+            let untried_steps = self.untried_steps.get_or_create(&label);
+            untried_steps.set(entry.untried_steps as i64);
+            let waiting_steps = self.waiting_steps.get_or_create(&label);
+            waiting_steps.set(entry.waiting_steps as i64);
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -9,7 +9,8 @@
     },
     fuchsiatack_consensus::Envelope,
     fuchsiatack_jobs::{
-        AdviceRequest, AdviceResponse, CellCall, CellResponse, LogEvent, WorkerOrder, WorkerResponse,
+        AdviceError, AdviceRequest, AdviceResponse, CellCall, CellResponse, LogEvent, WorkerOrder,
+        WorkerResponse,
     },
     fuchsiatack_store::{Store, steady_ms},
     fuchsiatack_wire::{
@@ -56,20 +57,21 @@
         }
     }
 
-    /// Requests advice through another daemon. Returns `None` if there was no response.
+    /// Requests advice through another daemon.
     pub(crate) async fn request_advice(
         &self,
         address: SocketAddr,
         request: AdviceRequest,
-    ) -> Option<AdviceResponse> {
+    ) -> Result<AdviceResponse, AdviceError> {
         let call = Request::Cell(Box::new(CellCall::Advise(request)));
         let response = self.client(address).call(call, ADVICE_TIMEOUT).await;
         match response {
             Ok(Response::Cell(response)) => match *response {
-                CellResponse::Advice(advice) => Some(advice),
-                _ => None,
+                CellResponse::Advice(advice) => Ok(advice),
+                CellResponse::AdviceFailed(error) => Err(error),
+                _ => Err(AdviceError::DaemonUnanswered),
             },
-            Ok(_) | Err(_) => None,
+            Ok(_) | Err(_) => Err(AdviceError::DaemonUnanswered),
         }
     }
 
--- a/crates/jobs/src/advice_senders.rs
+++ b/crates/jobs/src/advice_senders.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Returns the name of a daemon; empty for the leader itself.
+    pub(crate) fn name(&self, address: Option<SocketAddr>) -> Option<&SmolStr> {
+        self.all.get(&address).map(|sender| &sender.name)
+    }
+
     /// Removes daemons whose last announcement is too old, and returns their names.
     pub(crate) fn expire(&mut self, now_ms: u64) -> Vec<SmolStr> {
         let is_silent = |sender: &AdviceSender| {
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the leader of the cell and their responses.
 
 use {
-    crate::{Configuration, JobId, JobSpec, StepId, WorkerOrder, WorkerReport, WorkerResponse},
+    crate::{AdviceError, Configuration, JobId, JobSpec, StepId, WorkerOrder, WorkerReport, WorkerResponse},
     fuchsiatack_derives::{key, message},
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
@@ -190,6 +190,8 @@
     },
     /// Response of a worker to an order.
     Worker(Box<WorkerResponse>),
+    /// The advice service gave no advice.
+    AdviceFailed(AdviceError),
 }
 
 /// Number of a call, unique at one leader.
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that the planner handles, and the results of calls to workers.
 
 use {
-    crate::{AdviceResponse, CallId, CellCall, HoldKind, RunId, StepId},
+    crate::{AdviceError, AdviceResponse, CallId, CellCall, HoldKind, RunId, StepId},
     fuchsiatack_derives::{key, message, value},
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
@@ -124,8 +124,8 @@
     Advised {
         /// Peer address of the daemon that sent the request; `None` is the leader itself.
         by: Option<SocketAddr>,
-        /// Response; `None` if the request failed.
-        response: Option<AdviceResponse>,
+        /// Response, or why there is none.
+        response: Result<AdviceResponse, AdviceError>,
         /// Step of the request.
         step: StepId,
     },
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! replicate. `Planner` runs on the leader: it takes events and returns commands to replicate and
 //! effects to carry out.
 
+mod advice_error;
 mod advice_senders;
 mod calls;
 mod clock_sample;
@@ -19,6 +20,7 @@
 mod log_event;
 mod output;
 mod plan_advice;
+mod plan_backlog;
 mod plan_calls;
 mod plan_candidates;
 mod plan_evacuation;
@@ -36,6 +38,7 @@
 mod settings;
 mod step_spec;
 mod step_view;
+mod wait_reason;
 mod worker_entry;
 mod worker_health;
 mod worker_order;
@@ -45,6 +48,7 @@
 pub mod placement;
 
 pub use self::{
+    advice_error::AdviceError,
     calls::{
         AdviceRequest, AdviceResponse, CallId, CellCall, CellResponse, EntryReport, JobAction, JobCall,
         JobResponse, JobState, Wave,
@@ -62,10 +66,12 @@
     kind_speed::KindSpeed,
     log_event::LogEvent,
     output::Output,
+    plan_backlog::PriorityBacklog,
     planner::Planner,
     progress::Progress,
     settings::PlannerSettings,
     step_spec::StepSpec,
+    wait_reason::WaitReason,
     worker_entry::WorkerEntry,
     worker_health::WorkerHealth,
     worker_order::{Callee, HoldKind, WorkerOrder, WorkerResponse},
--- a/crates/jobs/src/output.rs
+++ b/crates/jobs/src/output.rs
@@ -1,7 +1,7 @@
 //! Output of the planner.
 
 use {
-    crate::{Effect, JobCommand, LogEvent},
+    crate::{Effect, JobCommand, LogEvent, PriorityBacklog},
     fuchsiatack_derives::value,
 };
 
@@ -11,6 +11,8 @@
 pub struct Output {
     /// Effects to carry out once `commands` and all earlier commands are committed.
     pub after_commit: Vec<Effect>,
+    /// Waiting steps by priority, if a report was due.
+    pub backlog: Option<Vec<PriorityBacklog>>,
     /// Commands to replicate, in order. The planner has already applied them to its own copy of the
     /// state.
     pub commands: Vec<JobCommand>,
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        AdvicePolicy, AdviceRequest, AdviceResponse, Effect, LogEvent, Planner, StepId, placement::Candidate,
+        AdviceError, AdvicePolicy, AdviceRequest, AdviceResponse, Effect, LogEvent, Planner, StepId,
+        WaitReason, placement::Candidate,
     },
     fuchsiatack_model::WorkerName,
     std::net::SocketAddr,
@@ -33,16 +34,17 @@
 const RESPONSE_TIMEOUT_MS: u64 = 6_000;
 
 impl Planner {
-    /// Handles the response to an advice request; `None` if the request failed.
+    /// Handles the result of an advice request.
     pub(crate) fn handle_advice_response(
         &mut self,
         by: Option<SocketAddr>,
-        response: Option<AdviceResponse>,
+        response: Result<AdviceResponse, AdviceError>,
         step: StepId,
     ) {
         let now_ms = self.now_ms;
         self.needs_placement = true;
-        self.advice_senders.request_ended(now_ms, by, response.is_some());
+        self.advice_senders.request_ended(now_ms, by, response.is_ok());
+        let sender = self.advice_senders.name(by).cloned().unwrap_or_default();
         let policy = self.queue_of(step.job).and_then(|queue| queue.advice.clone());
         let queue = self.store.jobs.get(&step.job).map(|job| job.queue.clone());
         let Some(view) = self.steps.get_mut(&step) else {
@@ -52,11 +54,18 @@
         view.advice.request_due_ms = 0;
         let requested = std::mem::take(&mut view.advice.requested_workers);
         let sent_ms = view.advice.request_sent_ms.take().unwrap_or(now_ms);
-        let Some(response) = response else {
-            let event = LogEvent::new("advice request failed")
-                .job(step.job)
-                .with("step", step);
-            return self.log(event.with("waited_ms", now_ms.saturating_sub(sent_ms)));
+        let response = match response {
+            Ok(response) => response,
+            Err(error) => {
+                let event = LogEvent::new("advice request failed")
+                    .job(step.job)
+                    .with("step", step)
+                    .with("asked", requested.len())
+                    .with("by", sender)
+                    .with("reason", error.as_str())
+                    .with("waited_ms", now_ms.saturating_sub(sent_ms));
+                return self.log(event);
+            }
         };
         let valid_ms = response
             .valid_ms
@@ -86,29 +95,36 @@
         }
     }
 
-    /// Returns whether an advice request for a step may be sent now.
-    pub(crate) fn may_request_advice(&self, step: StepId) -> bool {
-        let advice = self.steps.get(&step).map(|view| &view.advice);
-        advice.is_some_and(|advice| advice.request_sent_ms.is_none() && self.now_ms >= advice.request_due_ms)
+    /// Returns why no advice request for a step may be sent now, or `None` if one may be sent.
+    pub(crate) fn advice_pause(&self, step: StepId) -> Option<WaitReason> {
+        let advice = &self.steps.get(&step)?.advice;
+        match advice.request_sent_ms {
+            Some(_) => Some(WaitReason::AwaitsAdvice),
+            None if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
+            None => None,
+        }
     }
 
     /// Requests advice on which of the candidates may run a step. `candidates` are sorted, the best
     /// first. In the request, workers that were found eligible before come first, then those without
-    /// a response.
+    /// a response. Returns what the step waits for then.
     pub(crate) fn request_advice(
         &mut self,
         step: StepId,
         policy: &AdvicePolicy,
         tasks: usize,
         candidates: &[Candidate<WorkerName>],
-    ) {
+    ) -> WaitReason {
         let now_ms = self.now_ms;
         let Some(view) = self.steps.get_mut(&step) else {
-            return;
+            return WaitReason::NoCapacity;
         };
         view.advice.request_due_ms = now_ms + REQUEST_PAUSE_MS;
-        if view.advice.request_sent_ms.is_some() || candidates.is_empty() {
-            return;
+        if view.advice.request_sent_ms.is_some() {
+            return WaitReason::AwaitsAdvice;
+        }
+        if candidates.is_empty() {
+            return WaitReason::NoCapacity;
         }
         let known: Vec<_> = candidates
             .iter()
@@ -138,13 +154,13 @@
             .take(MAX_WORKERS_PER_REQUEST)
             .collect();
         if workers.is_empty() {
-            return;
+            return WaitReason::NoCapacity;
         }
         let Some(by) = self
             .advice_senders
             .choose(self.now_ms, policy.response_ms(workers.len()))
         else {
-            return;
+            return WaitReason::NoAdviceSender;
         };
         if let Some(view) = self.steps.get_mut(&step) {
             view.advice.request_sent_ms = Some(self.now_ms);
@@ -154,6 +170,7 @@
             by,
             request: AdviceRequest { step, workers },
         });
+        WaitReason::AwaitsAdvice
     }
 
     fn eligible_share(&self, step: StepId) -> u64 {
--- a/crates/jobs/src/plan_prefetch.rs
+++ b/crates/jobs/src/plan_prefetch.rs
@@ -58,7 +58,7 @@
     fn is_unevaluated(&self, step: StepId) -> bool {
         let view = self.steps.get(&step);
         view.is_none_or(|view| {
-            view.is_prefetch && view.advice.evaluated.is_empty() && self.may_request_advice(step)
+            view.is_prefetch && view.advice.evaluated.is_empty() && self.advice_pause(step).is_none()
         })
     }
 
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        JobCommand, LogEvent, Planner, RunId, StepId, StepSpec, TaskKey, WorkerOrder,
+        JobCommand, LogEvent, Planner, RunId, StepId, StepSpec, TaskKey, WaitReason, WorkerOrder,
         placement::{self, Candidate},
         run_view::RunState,
     },
@@ -30,6 +30,9 @@
     /// Starts the waiting tasks for which there is free capacity.
     pub(crate) fn place(&mut self) {
         let now_ms = self.now_ms;
+        for view in self.steps.values_mut() {
+            view.observe_waiting(now_ms);
+        }
         let mut order: Vec<_> = self
             .steps
             .iter()
@@ -47,7 +50,12 @@
                 true => 0,
                 false => self.settings.urgent_reserve_percent,
             };
-            if self.place_step(step, kept_free_percent) {
+            let result = self.place_step(step, kept_free_percent);
+            if let Some(view) = self.steps.get_mut(&step) {
+                view.tried_ms = now_ms;
+                view.wait_reason = result.err();
+            }
+            if result.is_ok() {
                 continue;
             }
             if let Some(view) = self.steps.get_mut(&step) {
@@ -65,26 +73,26 @@
         configuration.queues.iter().map(|queue| queue.priority).min()
     }
 
-    /// Tries to start the waiting tasks of a step. Returns whether none of them waits any more.
-    fn place_step(&mut self, step: StepId, kept_free_percent: u32) -> bool {
+    /// Tries to start the waiting tasks of a step. Fails if some of them still wait.
+    fn place_step(&mut self, step: StepId, kept_free_percent: u32) -> Result<(), WaitReason> {
         let (Some(job), Some(view)) = (self.store.jobs.get(&step.job), self.steps.get(&step)) else {
-            return true;
+            return Ok(());
         };
         let (job_spec, waiting_tasks) = (job.spec.clone(), view.waiting.clone());
         let Some(spec) = job_spec.steps.get(step.step as usize) else {
-            return true;
+            return Ok(());
         };
         let Some(queue) = self.queue_of(step.job) else {
-            return false;
+            return Err(WaitReason::NoQueue);
         };
         let (advice, service) = (queue.advice.clone(), queue.service.clone());
         // A gang starts only when none of its members has a present run.
         if spec.gang && waiting_tasks.len() < spec.tasks as usize {
-            return false;
+            return Err(WaitReason::GangEnding);
         }
         let allowed = self.allowed_by_limit(step, spec, waiting_tasks.len());
         if allowed == 0 || (spec.gang && allowed < spec.tasks as usize) {
-            return false;
+            return Err(WaitReason::TeamLimit);
         }
         let waiting: Vec<_> = waiting_tasks
             .iter()
@@ -104,12 +112,21 @@
             self.start(step, spec, starts);
         }
         let left = waiting.len() - placed;
-        if let (Some(policy), true) = (&advice, left > 0 && self.may_request_advice(step)) {
-            let candidates = self.candidates_for_advice(step, spec, &service, kept_free_percent);
-            let all = if spec.gang { spec.tasks as usize } else { left };
-            self.request_advice(step, policy, all, &candidates);
+        if left == 0 {
+            return match waiting_tasks.len() == placed {
+                true => Ok(()),
+                false => Err(WaitReason::TeamLimit),
+            };
         }
-        waiting_tasks.len() == placed
+        let Some(policy) = &advice else {
+            return Err(WaitReason::NoCapacity);
+        };
+        if let Some(reason) = self.advice_pause(step) {
+            return Err(reason);
+        }
+        let candidates = self.candidates_for_advice(step, spec, &service, kept_free_percent);
+        let all = if spec.gang { spec.tasks as usize } else { left };
+        Err(self.request_advice(step, policy, all, &candidates))
     }
 
     /// Returns how many of `tasks` tasks of a step the limit of its team allows now.
@@ -244,10 +261,8 @@
                 orders.push((worker.clone(), run, checkpoint));
             }
         }
-        let waited_ms = self
-            .steps
-            .get(&step)
-            .map_or(0, |view| self.now_ms.saturating_sub(view.opened_ms));
+        let view = self.steps.get(&step);
+        let waited_ms = view.and_then(|view| view.wait_ms(self.now_ms)).unwrap_or(0);
         self.log(
             LogEvent::new("runs started")
                 .job(step.job)
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -91,10 +91,12 @@
             failed_on: Default::default(),
             paused_until_ms: 0,
             is_prefetch: false,
-            opened_ms: self.now_ms,
             priority,
             remaining_ms: remaining_ms.min(chain_ms),
+            tried_ms: self.now_ms,
+            wait_reason: None,
             waiting: BTreeSet::new(),
+            waiting_since_ms: None,
         }
     }
 
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -33,6 +33,8 @@
 /// Scheduler of the leader: turns events into commands and effects.
 pub struct Planner {
     pub(crate) advice_senders: AdviceSenders,
+    /// Time of the next report of the waiting steps.
+    pub(crate) backlog_due_ms: u64,
     /// Time of the next search for steps whose advice is requested before they are ready.
     pub(crate) prefetch_due_ms: u64,
     pub(crate) store: JobStore,
@@ -81,6 +83,7 @@
     ) -> Self {
         let mut planner = Self {
             advice_senders: AdviceSenders::new(),
+            backlog_due_ms: now_ms,
             prefetch_due_ms: now_ms,
             store,
             needs_placement: true,
@@ -327,6 +330,7 @@
             self.log(LogEvent::new("daemon announcement expired").with("daemon", name));
         }
         self.remove_old_jobs();
+        self.report_backlog();
         self.needs_placement = true;
     }
 
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -1,6 +1,7 @@
 //! The leader's view of a step that is ready, or soon will be.
 
 use {
+    crate::WaitReason,
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
     std::collections::{BTreeMap, BTreeSet},
@@ -55,18 +56,37 @@
     pub(crate) paused_until_ms: u64,
     /// Whether the step is not ready yet and only advice is requested for it.
     pub(crate) is_prefetch: bool,
-    pub(crate) opened_ms: u64,
     pub(crate) priority: u32,
     /// Estimated time from the start of the step to the end of the job, in milliseconds.
     pub(crate) remaining_ms: u64,
+    /// Time of the last attempt to place its tasks.
+    pub(crate) tried_ms: u64,
+    /// Why the last attempt left tasks waiting; `None` before the first attempt.
+    pub(crate) wait_reason: Option<WaitReason>,
     /// Numbers of the tasks that have no present run and are not done.
     pub(crate) waiting: BTreeSet<u32>,
+    /// Time since which tasks have been waiting without a break; `None` if none waits.
+    pub(crate) waiting_since_ms: Option<u64>,
 }
 
 /// Maximum number of durations kept for a step, which may have thousands of tasks.
 const MAX_DURATIONS: usize = 32;
 
 impl StepView {
+    /// Returns the time for which tasks have been waiting, in milliseconds; `None` if none waits.
+    pub(crate) fn wait_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.waiting_since_ms.filter(|_| !self.waiting.is_empty())?;
+        Some(now_ms.saturating_sub(since_ms))
+    }
+
+    /// Updates the time since which tasks have been waiting.
+    pub(crate) fn observe_waiting(&mut self, now_ms: u64) {
+        self.waiting_since_ms = match self.waiting.is_empty() {
+            true => None,
+            false => self.waiting_since_ms.or(Some(now_ms)),
+        };
+    }
+
     /// Adds the duration of a task that is done; beyond the maximum it replaces the oldest one.
     pub(crate) fn add_duration(&mut self, duration_ms: u64) {
         if self.durations_ms.len() >= MAX_DURATIONS {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -260,7 +260,7 @@
         };
         self.handle(JobEvent::Advised {
             by,
-            response: Some(response),
+            response: Ok(response),
             step: request.step,
         });
     }
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -2,12 +2,12 @@
 
 use {
     fuchsiatack_consensus::disk::LogStoreSettings,
-    fuchsiatack_jobs::{Effect, LogEvent, PlannerSettings},
+    fuchsiatack_jobs::{Effect, LogEvent, PlannerSettings, PriorityBacklog},
     fuchsiatack_ledger::AllocatorSettings,
     fuchsiatack_wire::{CellSecret, PeerClientSettings},
     smol_str::SmolStr,
     std::{net::SocketAddr, path::PathBuf},
-    tokio::sync::mpsc::UnboundedSender,
+    tokio::sync::{mpsc::UnboundedSender, watch},
 };
 
 /// A member listed in the settings for the formation of the cell.
@@ -37,6 +37,8 @@
 /// Settings of the job planner, and the queues for its output.
 #[derive(Clone, Debug)]
 pub struct JobsSettings {
+    /// Latest report of this daemon as leader on the waiting steps.
+    pub backlog: watch::Sender<Vec<PriorityBacklog>>,
     /// Queue for effects to run outside the store.
     pub effects: UnboundedSender<Effect>,
     /// Queue for log events.
