store: the newest identity of a name joins, and requests to join expire

The leader kept each request to join by identity until its process ended. A member that lost its disk twice, or a member that led again, left requests of identities that no longer exist: they were added as learners and removed again at each check of the member list, without end. Each change is a replicated entry, and a change that another daemon waits for had to wait its turn.

Requests are kept by name, so that the newest identity wins; they expire 3 s after their last repetition and are forgotten when the leadership ends. A learner stops its requests once it is formed, so its promotion and the removal of the member that it replaces now follow from the member list. The decision is a pure function in the consensus crate, where the simulation can use it. `store_member` records of operators are handled as before.

`lost_identities_are_not_added_again` failed on the code before: 1 s after the second lost disk, the list had the first lost identity again as a learner.

--- /dev/null
+++ b/crates/consensus/src/joining.rs
@@ -0,0 +1,150 @@
+//! Member list of a cell whose members join by request.
+
+use {
+    crate::{Member, MemberChange, MemberId, MemberRole},
+    fuchsiatack_derives::value,
+    smol_str::SmolStr,
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Time in milliseconds for which a request counts. Daemons repeat it until they are members, so an
+/// older one is from a daemon that stopped or lost its disk again.
+const REQUEST_LIFETIME_MS: u64 = 3_000;
+/// Maximum number of voters. Learners beyond it are promoted only in place of a silent voter.
+const MAX_VOTERS: usize = 7;
+
+/// Request of a daemon to be a member. It replaces any other identity with the same name.
+#[value]
+pub struct JoinRequest {
+    /// Address at which other members connect to it.
+    pub address: SocketAddr,
+    /// Identity from its data folder.
+    pub id: MemberId,
+    /// Name, which stays the same when its disk is replaced.
+    pub name: SmolStr,
+}
+
+impl JoinRequest {
+    fn change(&self) -> MemberChange {
+        MemberChange::Add {
+            address: self.address,
+            id: self.id,
+            name: self.name.clone(),
+        }
+    }
+
+    fn matches(&self, member: &Member) -> bool {
+        member.id == self.id && member.address == self.address && member.name == self.name
+    }
+}
+
+/// What the leader knows about a member at the time of a decision.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberContact {
+    /// Whether the member has nearly the whole log; see `Node::is_caught_up`. True for the leader.
+    pub is_caught_up: bool,
+    /// Milliseconds since the member's last message, or since the leader's election or the member's
+    /// addition if there was none. 0 for the leader.
+    pub silent_ms: u64,
+}
+
+/// Requests to join that a leader has received. A leader starts without any.
+#[derive(Debug, Default)]
+pub struct JoinRequests {
+    /// Latest request and its time by name.
+    requests: BTreeMap<SmolStr, (JoinRequest, u64)>,
+}
+
+impl JoinRequests {
+    /// Stores a request. An earlier one with the same name is from an identity whose disk was lost.
+    pub fn insert(&mut self, now_ms: u64, request: JoinRequest) {
+        self.requests.insert(request.name.clone(), (request, now_ms));
+    }
+
+    /// Removes all requests.
+    pub fn clear(&mut self) {
+        self.requests.clear();
+    }
+
+    /// Returns the next change of the member list that the leader has to propose, given what it knows
+    /// about each member.
+    pub fn next_change(
+        &mut self,
+        now_ms: u64,
+        members: &[Member],
+        contact: impl Fn(MemberId) -> MemberContact,
+    ) -> Option<MemberChange> {
+        self.requests
+            .retain(|_, (_, requested_ms)| now_ms < *requested_ms + REQUEST_LIFETIME_MS);
+        let requests: Vec<_> = self.requests.values().map(|(request, _)| request).collect();
+        next_joining_change(&requests, members, contact)
+    }
+}
+
+/// Returns the next change of the member list. `requests` has at most one identity per name.
+///
+/// A new identity is added as a learner. It stops its requests once it has the member list, so all
+/// further changes follow from the list: a learner that has caught up first removes the member of the
+/// same name that it replaces, and then becomes a voter.
+pub fn next_joining_change(
+    requests: &[&JoinRequest],
+    members: &[Member],
+    contact: impl Fn(MemberId) -> MemberContact,
+) -> Option<MemberChange> {
+    let list = MemberList { contact, members };
+    list.addition(requests)
+        .or_else(|| list.removal_of_replaced())
+        .or_else(|| list.promotion())
+}
+
+struct MemberList<'a, Contact> {
+    contact: Contact,
+    members: &'a [Member],
+}
+
+impl<Contact: Fn(MemberId) -> MemberContact> MemberList<'_, Contact> {
+    fn addition(&self, requests: &[&JoinRequest]) -> Option<MemberChange> {
+        let is_listed = |request: &JoinRequest| self.members.iter().any(|member| request.matches(member));
+        let missing = requests.iter().find(|request| !is_listed(request));
+        missing.map(|request| request.change())
+    }
+
+    /// Removes a member that a learner of the same name replaces. The removal comes before the
+    /// promotion because the replaced member's disk is lost: if it stayed in a cell of three voters, the
+    /// quorum of four voters would need all other members.
+    fn removal_of_replaced(&self) -> Option<MemberChange> {
+        let replaced = self.caught_up_learners().find_map(|learner| {
+            let mut replaced = self.replaced_by(learner);
+            replaced.find(|member| !self.is_caught_up(member))
+        });
+        replaced.map(|member| MemberChange::Remove(member.id))
+    }
+
+    fn promotion(&self) -> Option<MemberChange> {
+        let has_room = self.voters().count() < MAX_VOTERS;
+        let learner = self
+            .caught_up_learners()
+            .find(|learner| has_room && self.replaced_by(learner).next().is_none());
+        learner.map(|learner| MemberChange::Promote(learner.id))
+    }
+
+    fn replaced_by(&self, learner: &Member) -> impl Iterator<Item = &Member> {
+        let members = self.members.iter();
+        members.filter(move |member| member.id != learner.id && member.name == learner.name)
+    }
+
+    fn caught_up_learners(&self) -> impl Iterator<Item = &Member> {
+        let is_learner = |member: &&Member| member.role == MemberRole::Learner;
+        let learners = self.members.iter().filter(is_learner);
+        learners.filter(|member| self.is_caught_up(member))
+    }
+
+    fn is_caught_up(&self, member: &Member) -> bool {
+        (self.contact)(member.id).is_caught_up
+    }
+
+    fn voters(&self) -> impl Iterator<Item = &Member> {
+        let members = self.members.iter();
+        members.filter(|member| member.role == MemberRole::Voter)
+    }
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -14,6 +14,7 @@
 mod files;
 mod follower;
 mod frames;
+mod joining;
 mod leader;
 mod log;
 mod member;
@@ -31,6 +32,7 @@
 pub use self::{
     entry::{Entry, Payload},
     error::{ChangeError, NotLeader},
+    joining::{JoinRequest, JoinRequests, MemberContact, next_joining_change},
     member::{Member, MemberChange, MemberId, MemberRole},
     message::{Body, Envelope},
     node::{Node, Role},
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        Body, ChangeError, Envelope, HardState, Member, MemberChange, MemberId, NodeSettings, NotLeader,
-        Payload, PersistMark, Ready, Snapshot, StoredState, Term, follower::IncomingSnapshot, log::Log,
-        progress::Progress,
+        Body, ChangeError, Envelope, HardState, Member, MemberChange, MemberContact, MemberId, NodeSettings,
+        NotLeader, Payload, PersistMark, Ready, Snapshot, StoredState, Term, follower::IncomingSnapshot,
+        log::Log, progress::Progress,
     },
     fuchsiatack_derives::key,
     fuchsiatack_model::LogIndex,
@@ -195,6 +195,25 @@
         })
     }
 
+    /// Returns what this leader knows about a member. Without a message from it, it counts as silent
+    /// since the leader's election or its addition.
+    pub fn contact(&self, member: MemberId) -> MemberContact {
+        let progress = self.progress.get(&member);
+        MemberContact {
+            is_caught_up: member == self.settings.id || self.is_caught_up(member),
+            silent_ms: progress.map_or(0, |progress| self.now_ms.saturating_sub(progress.last_contact_ms)),
+        }
+    }
+
+    /// Returns the time of the last message from a leader since this member's start: the present time
+    /// if it leads.
+    pub fn leader_contact_ms(&self) -> Option<u64> {
+        match self.role {
+            Role::Leader => Some(self.now_ms),
+            _ => self.leader_contact_ms,
+        }
+    }
+
     /// Returns whether this member leads and is `member`, or leads and got a message from `member`
     /// within the longest election timeout before `now_ms`. A leader steps down without such contact
     /// to a quorum.
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -9,19 +9,17 @@
         formation::{self, FormationDecision},
         jobs_role::JobsRole,
         leadership::Leadership,
-        membership::DesiredMember,
         peers::Peers,
         pending_calls::{OutgoingResponse, PendingCall, PendingCalls, failed_response},
         runtime_node::decode_ledger,
         writer::{WriteRequest, Writer},
     },
-    fuchsiatack_consensus::{MemberId, Node, NodeSettings, Role, StoredState},
+    fuchsiatack_consensus::{JoinRequest, JoinRequests, MemberId, Node, NodeSettings, Role, StoredState},
     fuchsiatack_jobs::JobEvent,
     fuchsiatack_ledger::{Command, Ledger},
     fuchsiatack_model::LogIndex,
     fuchsiatack_wire::{Formation, NotLeader, Request, Response},
     std::{
-        collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::Duration,
@@ -51,8 +49,8 @@
     pub(crate) forming: bool,
     pub(crate) identity: MemberId,
     pub(crate) jobs: Option<JobsRole>,
-    /// Daemons that requested to be store members, by identity.
-    pub(crate) joining: HashMap<MemberId, DesiredMember>,
+    /// Requests of daemons to be store members, while this member leads.
+    pub(crate) join_requests: JoinRequests,
     pub(crate) leadership: Option<Leadership>,
     pub(crate) ledger: Ledger,
     pub(crate) node: Node,
@@ -103,7 +101,7 @@
             forming: false,
             identity,
             jobs: None,
-            joining: HashMap::new(),
+            join_requests: JoinRequests::default(),
             leadership: None,
             ledger,
             peers: Peers::new(settings.secret.clone(), settings.peer.clone()),
@@ -261,12 +259,12 @@
                 identity,
                 name,
             } if is_leader && self.settings.membership != Membership::Records => {
-                let desired = DesiredMember {
+                let request = JoinRequest {
                     address,
                     id: identity,
                     name,
                 };
-                self.joining.insert(identity, desired);
+                self.join_requests.insert(self.now_ms(), request);
                 let _ = call.responder.send(Response::Joining);
             }
             Request::Propose(command) if is_leader => self.propose(*command, Some(call.responder)),
--- a/crates/store/src/runtime_leader.rs
+++ b/crates/store/src/runtime_leader.rs
@@ -4,7 +4,7 @@
     crate::{
         Membership, clock::unix_ms, jobs_role::JobsRole, leadership::Leadership, membership, runtime::Runtime,
     },
-    fuchsiatack_consensus::Role,
+    fuchsiatack_consensus::{MemberChange, Role},
     fuchsiatack_ledger::{Allocator, Command, Query, QueryReply},
     fuchsiatack_records::Kind,
     std::collections::HashMap,
@@ -14,7 +14,7 @@
 const EXPIRY_INTERVAL_MS: u64 = 60_000;
 /// Interval in milliseconds between reconciliations of the member list.
 const MEMBERS_INTERVAL_MS: u64 = 100;
-/// Maximum number of voters. Learners beyond it are not promoted.
+/// Maximum number of voters that operators' records lead to. Learners beyond it are not promoted.
 const MAX_VOTERS: usize = 7;
 /// Interval in milliseconds between plans of the allocator.
 const PLAN_INTERVAL_MS: u64 = 100;
@@ -98,6 +98,7 @@
 
     pub(crate) fn end_leadership(&mut self) {
         self.leadership = None;
+        self.join_requests.clear();
         if let Some(jobs) = self.jobs.take() {
             jobs.fail_all();
         }
@@ -158,16 +159,14 @@
             _ => return,
         }
         self.update_planner_members();
-        let desired = match (
-            self.settings.membership,
-            self.ledger.query(&Query::Records(Kind::StoreMember)),
-        ) {
-            (Membership::Joining { .. }, _) => self.joining.values().cloned().collect(),
-            (Membership::Records, QueryReply::Records(records)) => membership::from_records(&records),
-            (Membership::Records, _) => Vec::new(),
+        let change = match self.settings.membership {
+            Membership::Joining { .. } => {
+                let contact = |member| self.node.contact(member);
+                self.join_requests
+                    .next_change(now_ms, self.node.members(), contact)
+            }
+            Membership::Records => self.next_recorded_change(),
         };
-        let is_caught_up = |member| self.node.is_caught_up(member);
-        let change = membership::next_change(&desired, self.node.members(), MAX_VOTERS, is_caught_up);
         let Some(change) = change else {
             return;
         };
@@ -177,4 +176,14 @@
             self.log_member_change(event);
         }
     }
+
+    /// Returns the next change that brings the member list closer to the operators' records.
+    fn next_recorded_change(&self) -> Option<MemberChange> {
+        let desired = match self.ledger.query(&Query::Records(Kind::StoreMember)) {
+            QueryReply::Records(records) => membership::from_records(&records),
+            _ => Vec::new(),
+        };
+        let is_caught_up = |member| self.node.is_caught_up(member);
+        membership::next_change(&desired, self.node.members(), MAX_VOTERS, is_caught_up)
+    }
 }
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -4,11 +4,11 @@
 #![allow(dead_code)]
 
 use {
-    fuchsiatack_consensus::{Role, disk::DiskFaults},
+    fuchsiatack_consensus::{Member, MemberRole, Role, disk::DiskFaults},
     fuchsiatack_ledger::{Command, OperationId, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::LogIndex,
     fuchsiatack_records::{Record, Spec, StoreMemberSpec},
-    fuchsiatack_store::{InitialMember, Store, StoreSettings},
+    fuchsiatack_store::{InitialMember, Membership, Store, StoreSettings},
     fuchsiatack_wire::{CellSecret, Frame, PeerCaller, PeerServer, Request, Response},
     std::{fs::File, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
     tempfile::TempDir,
@@ -32,12 +32,27 @@
 pub struct Cell {
     pub members: Vec<Option<Running>>,
     folder: TempDir,
+    /// Whether members join by request.
+    is_joining: bool,
     listed: Vec<InitialMember>,
+    /// Whether members may form a cell.
+    may_form: bool,
 }
 
 impl Cell {
     /// Binds a port for each member and starts all of them.
     pub async fn start(size: usize) -> Self {
+        Self::start_with(size, false).await
+    }
+
+    /// Like `start`, with members that join by request. They can form the cell only at this start.
+    pub async fn start_joining(size: usize) -> Self {
+        let mut cell = Self::start_with(size, true).await;
+        cell.may_form = false;
+        cell
+    }
+
+    async fn start_with(size: usize, is_joining: bool) -> Self {
         let mut servers = Vec::new();
         for _ in 0..size {
             let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -50,6 +65,8 @@
         let mut cell = Self {
             listed: listed.collect(),
             folder: tempfile::tempdir().unwrap(),
+            is_joining,
+            may_form: true,
             members: Vec::new(),
         };
         for (member, server) in servers.into_iter().enumerate() {
@@ -64,6 +81,12 @@
         let mut settings = StoreSettings::new(name(member), folder, listed, secret());
         settings.log_store.faults = faults;
         settings.snapshot_entries = 50;
+        if self.is_joining {
+            settings.membership = Membership::Joining {
+                address: self.listed[member].address,
+                may_form: self.may_form,
+            };
+        }
         let store = Store::start(settings).unwrap();
         let server = tokio::spawn(server.serve(Arc::new(store.clone())));
         Running { server, store }
@@ -96,6 +119,25 @@
         self.members[member] = Some(self.run(member, server, faults));
     }
 
+    /// Ends a member and restarts it on its former address with an empty disk.
+    pub async fn restart_with_empty_disk(&mut self, member: usize) {
+        self.crash(member).await;
+        std::fs::remove_dir_all(self.data_folder(member)).unwrap();
+        self.restart(member, DiskFaults::default()).await;
+    }
+
+    /// Waits until a member is a voter in the leader's list under its current identity.
+    pub async fn becomes_voter(&self, member: usize) {
+        let identity = self.store(member).status().identity;
+        let leader = self.leader().await;
+        wait_for("the vote", || {
+            let members = self.store(leader).status().members;
+            let is_voter = |listed: &Member| listed.id == identity && listed.role == MemberRole::Voter;
+            members.iter().any(is_voter).then_some(())
+        })
+        .await;
+    }
+
     pub fn store(&self, member: usize) -> &Store {
         &self.members[member].as_ref().unwrap().store
     }
