consensus: voters of machines that are gone leave the quorum

A machine that is replaced comes back at another address and so under another name. It joined as a further voter, and the voter of the machine that was gone stayed in the list. After three replacements, three of seven voters were gone: the loss of a fourth machine left the five machines of the core without a leader until it was back, and from then on a successor found the list full. Callers were refused for that time, and accepted work did not run.

The leader removes a voter that it has not heard from for 3 s when the number of voters is even, as it is once a successor votes. That makes the quorum smaller by one and takes it from no running majority: n/2 of n - 1 voters are a quorum, and a majority of n machines has at least n/2 of the others. Every committed entry is on n/2 of the remaining voters, so each later quorum has it. At least three voters remain. At the maximum of seven, a successor is promoted if a voter is silent, and two voters that are silent for 10 s are removed from seven or more. Learners that are silent for 10 s are removed. `store_member` records of operators are handled as before.

The search replaces, wipes, adds, stops and cuts off machines in series and checks that a stable majority has a leader within 3 s, ten times the longest election timeout.

--- a/crates/consensus/src/joining.rs
+++ b/crates/consensus/src/joining.rs
@@ -12,6 +12,16 @@
 const REQUEST_LIFETIME_MS: u64 = 3_000;
 /// Maximum number of voters. Learners beyond it are promoted only in place of a silent voter.
 const MAX_VOTERS: usize = 7;
+/// Time in milliseconds without a message after which a voter is silent. Restarts of a process are
+/// shorter. A machine that is replaced stops counting when its successor is to count.
+const VOTER_SILENCE_MS: u64 = 3_000;
+/// Time in milliseconds without a message after which two silent voters are removed from a larger
+/// cell, and silent learners. They need not be replaced to be removed.
+const LONG_SILENCE_MS: u64 = 10_000;
+/// Fewest voters that the removal of silent ones leaves.
+const MIN_VOTERS: usize = 3;
+/// Fewest voters that the removal of two silent ones leaves.
+const MIN_VOTERS_AFTER_PAIR: usize = 5;
 
 /// Request of a daemon to be a member. It replaces any other identity with the same name.
 #[value]
@@ -86,6 +96,10 @@
 /// A new identity is added as a learner. It stops its requests once it has the member list, so all
 /// further changes follow from the list: a learner that has caught up first removes the member of the
 /// same name that it replaces, and then becomes a voter.
+///
+/// A machine at a new address is a new name, so the one that it replaces is known only by its silence. A
+/// silent voter is removed once the list has an even number of voters, which is the case when its
+/// successor is promoted. A removed member that was only unreachable asks to join again.
 pub fn next_joining_change(
     requests: &[&JoinRequest],
     members: &[Member],
@@ -95,6 +109,8 @@
     list.addition(requests)
         .or_else(|| list.removal_of_replaced())
         .or_else(|| list.promotion())
+        .or_else(|| list.removal_of_silent_voter())
+        .or_else(|| list.removal_of_silent_learner())
 }
 
 struct MemberList<'a, Contact> {
@@ -121,13 +137,48 @@
     }
 
     fn promotion(&self) -> Option<MemberChange> {
-        let has_room = self.voters().count() < MAX_VOTERS;
+        let voters = self.voters().count();
+        let has_silent = self.silent(MemberRole::Voter, VOTER_SILENCE_MS).next().is_some();
+        let has_room = voters < MAX_VOTERS || (voters == MAX_VOTERS && has_silent);
         let learner = self
             .caught_up_learners()
             .find(|learner| has_room && self.replaced_by(learner).next().is_none());
         learner.map(|learner| MemberChange::Promote(learner.id))
     }
 
+    /// Removes the voter that has been silent for the longest time, if no running majority loses its
+    /// quorum by that.
+    ///
+    /// With an even number of voters, the removal makes the quorum smaller by one. Half of the voters
+    /// then is a quorum, and a majority that includes the removed one has at least as many of the
+    /// others. With an odd number, the quorum stays the same, so two are removed one after the other,
+    /// and only after a longer time: if both return while others are lost, a majority of the machines
+    /// may lack a quorum until they are members again.
+    fn removal_of_silent_voter(&self) -> Option<MemberChange> {
+        let voters = self.voters().count();
+        let has_pair = self.silent(MemberRole::Voter, LONG_SILENCE_MS).count() >= 2;
+        let is_removable = match voters % 2 {
+            0 => voters > MIN_VOTERS,
+            _ => has_pair && voters >= MIN_VOTERS_AFTER_PAIR + 2,
+        };
+        let silent = self.silent(MemberRole::Voter, VOTER_SILENCE_MS);
+        let longest = silent.max_by_key(|member| (self.contact)(member.id).silent_ms);
+        longest
+            .filter(|_| is_removable)
+            .map(|member| MemberChange::Remove(member.id))
+    }
+
+    /// Removes a learner to which the leader would otherwise send messages for good.
+    fn removal_of_silent_learner(&self) -> Option<MemberChange> {
+        let learner = self.silent(MemberRole::Learner, LONG_SILENCE_MS).next();
+        learner.map(|member| MemberChange::Remove(member.id))
+    }
+
+    fn silent(&self, role: MemberRole, after_ms: u64) -> impl Iterator<Item = &Member> {
+        let members = self.members.iter().filter(move |member| member.role == role);
+        members.filter(move |member| (self.contact)(member.id).silent_ms >= after_ms)
+    }
+
     fn replaced_by(&self, learner: &Member) -> impl Iterator<Item = &Member> {
         let members = self.members.iter();
         members.filter(move |member| member.id != learner.id && member.name == learner.name)
--- a/crates/consensus/tests/joining.rs
+++ b/crates/consensus/tests/joining.rs
@@ -1,7 +1,14 @@
 //! Member lists of cells whose members join by request.
 
-use fuchsiatack_consensus::{
-    JoinRequest, JoinRequests, Member, MemberChange, MemberContact, MemberId, MemberRole, next_joining_change,
+mod network;
+
+use {
+    fuchsiatack_consensus::{
+        JoinRequest, JoinRequests, Member, MemberChange, MemberContact, MemberId, MemberRole,
+        next_joining_change,
+    },
+    network::machines::{Fault, Machines},
+    rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
 };
 
 const SILENT: MemberContact = MemberContact {
@@ -13,6 +20,12 @@
     silent_ms: 0,
 };
 
+/// Returns the number of random runs: `standard`, or the value of `FUCHSIATACK_RUNS`.
+fn runs(standard: u64) -> u64 {
+    let requested = std::env::var("FUCHSIATACK_RUNS").ok();
+    requested.and_then(|runs| runs.parse().ok()).unwrap_or(standard)
+}
+
 fn member(id: u64, name: u64, role: MemberRole) -> Member {
     Member {
         address: ([127, 0, 0, 1], name as u16).into(),
@@ -84,3 +97,88 @@
     assert!(matches!(change, Some(MemberChange::Add { id: MemberId(5), .. })));
     assert_eq!(expired, None);
 }
+
+/// Guards against a quorum that counts a replaced machine, and against the removal of a voter that
+/// does not lower the quorum or leaves too few voters.
+#[test]
+fn silent_voter_is_removed_from_an_even_number() {
+    let decisions = [2, 3, 4, 5, 6].map(|count| decide(&[], &voters(count), &[1]));
+
+    let removal = Some(MemberChange::Remove(MemberId(1)));
+    assert_eq!(decisions, [None, None, removal.clone(), None, removal]);
+}
+
+/// Guards against a full list of which some voters are gone: the successor of a lost machine must
+/// become a voter, and two voters that are gone must not stay in the quorum.
+#[test]
+fn full_list_makes_room_for_a_successor() {
+    let full = voters(7);
+    let with_learner = [full.clone(), vec![member(8, 8, MemberRole::Learner)]].concat();
+
+    let unneeded = decide(&[], &with_learner, &[]);
+    let successor = decide(&[], &with_learner, &[1]);
+    let pair = decide(&[], &full, &[1, 2]);
+
+    assert_eq!(unneeded, None);
+    assert_eq!(successor, Some(MemberChange::Promote(MemberId(8))));
+    assert!(matches!(pair, Some(MemberChange::Remove(MemberId(1 | 2)))));
+}
+
+/// Guards against messages to a lost learner for good.
+#[test]
+fn silent_learner_is_removed() {
+    let members = [voters(5), vec![member(6, 6, MemberRole::Learner)]].concat();
+
+    let change = decide(&[], &members, &[6]);
+
+    assert_eq!(change, Some(MemberChange::Remove(MemberId(6))));
+}
+
+/// Guards against a list that fills up with replaced machines, so that the loss of one more leaves
+/// no quorum. More machines are replaced than the list has room for.
+#[test]
+fn replaced_machines_do_not_count_in_the_quorum() {
+    let mut machines = Machines::new(1, 5);
+    machines.run(2_000);
+
+    for _ in 0..8 {
+        machines.replace(0);
+        machines.run(6_000);
+    }
+    let voters = machines.voters();
+    for position in [0, 1] {
+        machines.stop(position, 60_000);
+    }
+    machines.run(20_000);
+
+    assert_eq!(voters, (5, 5));
+    assert!(machines.network.leader().is_some());
+}
+
+/// Guards against a running majority that stays without a leader because the quorum counts members
+/// that are gone, or does not count members that are back. `Machines` checks after each step that a
+/// stable majority has a leader within ten election timeouts.
+#[test]
+fn stable_majority_has_a_leader_after_any_faults() {
+    for seed in 0..runs(4) {
+        println!("seed {seed}");
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut machines = Machines::new(seed, 3 + seed % 5);
+        machines.run(2_000);
+        for _ in 0..40 {
+            let kinds = [
+                Fault::Cut,
+                Fault::Dark,
+                Fault::Dark,
+                Fault::Replace,
+                Fault::Wipe,
+                Fault::Add,
+            ];
+            // Cells are small, and each machine that is added stays.
+            let count = if machines.len() < 8 { 6 } else { 5 };
+            let fault = *kinds[..count].choose(&mut random).unwrap();
+            machines.fault(fault);
+            machines.run(random.random_range(100..6_000));
+        }
+    }
+}
--- a/crates/consensus/tests/network/mod.rs
+++ b/crates/consensus/tests/network/mod.rs
@@ -1,6 +1,11 @@
 //! Simulated members with in-memory disks, on a network that loses, duplicates and reorders
 //! messages.
 
+// Not every test file uses all functions.
+#![allow(dead_code)]
+
+pub mod machines;
+
 use {
     fuchsiatack_consensus::{
         Entry, Envelope, HardState, Member, MemberChange, MemberId, MemberRole, Node, NodeSettings, Payload,
@@ -31,6 +36,8 @@
     isolated: BTreeSet<MemberId>,
     leaders: BTreeMap<Term, MemberId>,
     messages: Vec<Envelope>,
+    /// Members that exchange no messages with the others.
+    partition: BTreeSet<MemberId>,
     now_ms: u64,
     peers: BTreeMap<MemberId, Peer>,
     random: StdRng,
@@ -72,6 +79,7 @@
             leaders: BTreeMap::new(),
             loss_millis: 0,
             messages: Vec::new(),
+            partition: BTreeSet::new(),
             now_ms: 0,
             peers: peers.collect(),
             random,
@@ -195,7 +203,12 @@
         }
         let position = self.random.random_range(0..self.messages.len());
         let message = self.messages.swap_remove(position);
-        let is_isolated = self.isolated.contains(&message.from) || self.isolated.contains(&message.to);
+        if !self.peers.contains_key(&message.to) {
+            return;
+        }
+        let is_cut = self.partition.contains(&message.from) != self.partition.contains(&message.to);
+        let is_isolated =
+            is_cut || self.isolated.contains(&message.from) || self.isolated.contains(&message.to);
         if is_isolated || self.random.random_range(0..1_000) < self.loss_millis {
             return;
         }
