store: a member that hears no leader asks to join again

The leader removes silent voters. One that was only down, cut off or suspended came back formed, with a member list that no longer held: the leader sent it nothing, and it asked nobody to add it, since only a member without a list did. It ran and took part in nothing.

With `Membership::Joining`, a formed member without a message from a leader for 2 s polls the members of its list and the listed ones, once a second, and asks all that these list to add it, until it hears a leader. The leader ignores the request of a member that is in its list, so members that only wait for an election change nothing. Requests go to all known members at once: one to a machine that is gone lasts until its timeout of 1 s and held up the others, also those of a new machine.

--- a/crates/store/src/formation.rs
+++ b/crates/store/src/formation.rs
@@ -5,12 +5,18 @@
     fuchsiatack_consensus::{Member, MemberId, MemberRole},
     fuchsiatack_wire::{Formation, PeerClient, Request, Response},
     futures_util::future::join_all,
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::sync::mpsc::UnboundedSender,
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between polls of a member that hears no leader. All members poll while there is none.
+const REJOIN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Next step of a member without a member list.
 #[derive(Debug)]
@@ -21,13 +27,21 @@
     Wait,
 }
 
-/// Polls the other listed members for their identities until the receiver of `events` is dropped.
+/// Polls the other listed members, and those of the own member list, for their identities until the
+/// receiver of `events` is dropped. With `Membership::Joining`, also asks the members that they know to
+/// add this one.
 pub(crate) async fn poll_members(settings: StoreSettings, own: Formation, events: UnboundedSender<Event>) {
     let client = |address| PeerClient::new(address, settings.secret.clone(), settings.peer.clone(), None);
-    let clients: Vec<_> = membership::other_addresses(&settings.members, &settings.name)
+    let mut addresses: BTreeSet<_> = membership::other_addresses(&settings.members, &settings.name)
         .into_iter()
-        .map(client)
         .collect();
+    let known = own.members.iter().filter(|member| member.id != own.identity);
+    addresses.extend(known.map(|member| member.address));
+    let clients: Vec<_> = addresses.into_iter().map(client).collect();
+    let interval = match own.formed {
+        true => REJOIN_INTERVAL,
+        false => POLL_INTERVAL,
+    };
     let mut joined = HashMap::new();
     loop {
         let polls = clients
@@ -36,17 +50,18 @@
         let responses = join_all(polls).await;
         let responses: Vec<_> = clients.iter().map(PeerClient::address).zip(responses).collect();
         if let Membership::Joining { address, .. } = settings.membership {
-            for member in formed_members(&responses) {
-                let client = joined.entry(member).or_insert_with(|| client(member));
-                if join(client, address, &own).await {
-                    break;
-                }
+            let members = formed_members(&responses);
+            for member in members.iter().filter(|member| **member != address) {
+                joined.entry(*member).or_insert_with(|| client(*member));
             }
+            // A call to a member that is gone lasts until its timeout, so it must not delay the others.
+            let joins = joined.iter().filter(|(member, _)| members.contains(*member));
+            join_all(joins.map(|(_, client)| join(client, address, &own))).await;
         }
         if events.send(Event::Formation(responses)).is_err() {
             return;
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
 }
 
@@ -111,7 +126,7 @@
 }
 
 /// Returns the addresses of all members that the formed members list.
-fn formed_members(responses: &[(SocketAddr, Option<Formation>)]) -> Vec<SocketAddr> {
+fn formed_members(responses: &[(SocketAddr, Option<Formation>)]) -> BTreeSet<SocketAddr> {
     let formed = responses.iter().filter_map(|(_, response)| response.as_ref());
     let formed = formed.filter(|response| response.formed);
     formed
@@ -119,14 +134,14 @@
         .collect()
 }
 
-/// Asks a member to add this one to the cell. Returns whether it leads and accepted the request.
-async fn join(client: &PeerClient, address: SocketAddr, own: &Formation) -> bool {
+/// Asks a member to add this one to the cell. Only the leader accepts, and its messages show that it did.
+async fn join(client: &PeerClient, address: SocketAddr, own: &Formation) {
     let request = Request::Join {
         address,
         identity: own.identity,
         name: own.name.clone(),
     };
-    matches!(client.call(request, POLL_TIMEOUT).await, Ok(Response::Joining))
+    let _ = client.call(request, POLL_TIMEOUT).await;
 }
 
 async fn exchange_formation(client: &PeerClient, own: Formation) -> Option<Formation> {
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -35,6 +35,9 @@
 const MAX_INPUTS_PER_TURN: usize = 512;
 /// Maximum time in milliseconds that a planned stop waits for another leader.
 const STOP_TIMEOUT_MS: u64 = 2_000;
+/// Time in milliseconds without a message from a leader after which a member asks to join again. An
+/// election takes less.
+const REJOIN_AFTER_MS: u64 = 2_000;
 /// Number of node ticks in each heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 4;
 
@@ -51,6 +54,8 @@
     pub(crate) jobs: Option<JobsRole>,
     /// Requests of daemons to be store members, while this member leads.
     pub(crate) join_requests: JoinRequests,
+    /// Time of the last message from a leader, or of this member's start.
+    pub(crate) leader_contact_ms: u64,
     pub(crate) leadership: Option<Leadership>,
     pub(crate) ledger: Ledger,
     pub(crate) node: Node,
@@ -102,6 +107,7 @@
             identity,
             jobs: None,
             join_requests: JoinRequests::default(),
+            leader_contact_ms: steady_ms(),
             leadership: None,
             ledger,
             peers: Peers::new(settings.secret.clone(), settings.peer.clone()),
@@ -184,6 +190,7 @@
         }
         let now_ms = self.now_ms();
         self.tick_node(now_ms);
+        self.update_polling(now_ms);
         if let Some(jobs) = &mut self.jobs {
             jobs.handle(now_ms, JobEvent::Tick);
         }
@@ -339,6 +346,23 @@
         self.end_leadership();
     }
 
+    /// Starts to poll other members if this one is formed and hears no leader. A member that was removed
+    /// while it was out of contact gets no messages, and becomes a member again only by its request.
+    fn update_polling(&mut self, now_ms: u64) {
+        let contact_ms = self.node.leader_contact_ms().unwrap_or_default();
+        self.leader_contact_ms = self.leader_contact_ms.max(contact_ms);
+        if self.formation.is_none() && self.node.is_formed() && self.needs_polling(now_ms) {
+            self.start_formation();
+        }
+    }
+
+    /// Returns whether this member has no member list, or joins by request and hears no leader.
+    pub(crate) fn needs_polling(&self, now_ms: u64) -> bool {
+        let is_joining = self.settings.membership != Membership::Records;
+        let is_leaderless = now_ms >= self.leader_contact_ms + REJOIN_AFTER_MS;
+        !self.node.is_formed() || (is_joining && is_leaderless && self.stop_due_ms.is_none())
+    }
+
     pub(crate) fn start_formation(&mut self) {
         let polling =
             formation::poll_members(self.settings.clone(), self.own_formation(), self.events.clone());
--- a/crates/store/src/runtime_node.rs
+++ b/crates/store/src/runtime_node.rs
@@ -25,7 +25,7 @@
             self.take_snapshot();
             self.run_effects();
         }
-        if self.node.is_formed()
+        if !self.needs_polling(self.now_ms())
             && let Some(formation) = self.formation.take()
         {
             formation.abort();
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -126,6 +126,20 @@
         self.restart(member, DiskFaults::default()).await;
     }
 
+    /// Starts a further member on a new address. It knows the members that were started before.
+    pub async fn add(&mut self) -> usize {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = PeerServer::bind(address, secret()).await.unwrap();
+        let member = self.members.len();
+        self.listed.push(InitialMember {
+            address: server.local_address().unwrap(),
+            name: name(member).into(),
+        });
+        let running = self.run(member, server, DiskFaults::default());
+        self.members.push(Some(running));
+        member
+    }
+
     /// Waits until a member is a voter in the leader's list under its current identity.
     pub async fn becomes_voter(&self, member: usize) {
         let identity = self.store(member).status().identity;
