store: recover from a failed write without a restart

Callers saw a core without a leader for 50 s although all its machines but one ran. After a failed write or sync, as on a disk that is full for 2 s, the writer thread ended and the member took part in nothing until its process was restarted.

The writer thread now opens the folder again, after 0.1 s and then with delays that double up to 1 s, for as long as the process runs, and the runtime starts a new node and ledger from the stored state, as at a start of the process, with the time in which a member grants no votes. Only frames covered by a successful sync count: the current segment is first cut back to them, because reads return frames whose sync failed, and a segment without one is removed. Requests queued before the recovery belong to the old node and are discarded. A folder whose identity file is gone is not opened, since this process has voted under the old identity.

The vote grace is set also if the stored state has no term. A member may have acknowledged a heartbeat in a term that it could not store, and the leader's lease depends on it.

Without the cut, unsynced_frame_does_not_count_after_a_reopen and reopen_restores_the_synced_state_after_any_fault fail.

--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -7,18 +7,23 @@
 //! | `snapshot-INDEX` | latest snapshot |
 //! | `log-NUMBER` | segments of the log, see `frames` |
 
-pub use crate::{disk_error::DiskError, disk_faults::DiskFaults};
+pub use crate::{
+    disk_error::DiskError,
+    disk_faults::{DiskFaults, FullDisk},
+};
 
 use {
     crate::{
         HardState, Member, MemberId, Ready, Snapshot, StoredState, Term,
         file_writer::FileWriter,
         files::{
-            damaged, file_error, numbered_files, remove_file, remove_temporary_files, replace_file,
-            sync_folder, with_checksum, without_checksum,
+            damaged, file_error, numbered_files, remove_file, replace_file, sync_folder, with_checksum,
+            without_checksum,
         },
         frames::{self, Record},
-        scan::{ClosedSegment, Scan},
+        loaded::Loaded,
+        scan::ClosedSegment,
+        segment::Segment,
     },
     fuchsiatack_model::LogIndex,
     std::{
@@ -31,8 +36,10 @@
 
 const IDENTITY_FILE: &str = "identity";
 const LOCK_FILE: &str = "lock";
-const SEGMENT_PREFIX: &str = "log-";
-const SNAPSHOT_PREFIX: &str = "snapshot-";
+/// Start of the names of segments.
+pub(crate) const SEGMENT_PREFIX: &str = "log-";
+/// Start of the names of snapshots.
+pub(crate) const SNAPSHOT_PREFIX: &str = "snapshot-";
 
 /// Options for opening a `LogStore`.
 #[derive(Clone, Debug)]
@@ -60,15 +67,11 @@
     hard_state: HardState,
     identity: MemberId,
     _lock: File,
-    writer: FileWriter,
-    segment: File,
-    segment_bytes: u64,
-    segment_last: LogIndex,
-    segment_number: u64,
-    segment_path: PathBuf,
+    segment: Segment,
     sequence: u64,
     settings: LogStoreSettings,
     snapshot: Option<LogIndex>,
+    writer: FileWriter,
 }
 
 impl LogStore {
@@ -82,52 +85,61 @@
     pub fn open_with(folder: &Path, settings: LogStoreSettings) -> Result<(Self, StoredState), DiskError> {
         fs::create_dir_all(folder).map_err(file_error("create", folder))?;
         let lock = lock(folder)?;
-        remove_temporary_files(folder)?;
         let mut writer = FileWriter::default();
         let identity = load_identity(folder, &mut writer)?;
-        let snapshot = load_snapshot(folder)?;
-        let mut scan = Scan::default();
-        let segments = numbered_files(folder, SEGMENT_PREFIX)?;
-        if let (Some(snapshot), true) = (&snapshot, segments.is_empty()) {
-            let file = snapshot_path(folder, snapshot.index);
-            return Err(damaged(&file, 0, "snapshot found but no log segment"));
-        }
-        for (position, (_, path)) in segments.iter().enumerate() {
-            let is_last = position + 1 == segments.len();
-            scan.read_segment(path, is_last, &mut writer)?;
-        }
-        let first_path = segments.first().map_or(folder, |(_, path)| path);
-        let needs_reset = scan.align_to_snapshot(snapshot.as_deref(), first_path)?;
-        let number = segments.last().map_or(0, |(number, _)| *number) + 1;
-        let path = segment_path(folder, number);
-        let segment = File::create(&path).map_err(file_error("create", &path))?;
+        let loaded = Loaded::read(folder, &mut writer)?;
         let mut store = Self {
-            closed: scan.closed,
+            closed: Vec::new(),
             failed: false,
             folder: folder.to_owned(),
-            hard_state: scan.hard_state,
+            hard_state: HardState::default(),
             identity,
             _lock: lock,
-            writer,
-            segment,
-            segment_bytes: 0,
-            segment_last: LogIndex(0),
-            segment_number: number,
-            segment_path: path,
-            sequence: scan.sequence,
+            segment: Segment::create(folder, loaded.next_segment)?,
+            sequence: 0,
             settings,
-            snapshot: snapshot.as_ref().map(|snapshot| snapshot.index),
+            snapshot: None,
+            writer,
         };
-        store.write_first_frame(needs_reset)?;
-        store.remove_old_files()?;
+        let stored = store.start_from(loaded)?;
         store.writer = FileWriter::new(store.settings.faults.clone());
-        let stored = StoredState {
+        Ok((store, stored))
+    }
+
+    /// Reads the folder again after a failed write or sync, and returns the stored state. Only frames
+    /// covered by a successful sync count. The lock on the folder is kept. May be repeated if it
+    /// fails; until it succeeds, all other operations are rejected.
+    pub fn reopen(&mut self) -> Result<StoredState, DiskError> {
+        self.failed = true;
+        // A process that starts in an empty folder takes a new identity. This one must not, because
+        // it has voted under its present one.
+        if read_identity(&self.folder)? != Some(self.identity) {
+            let path = self.folder.join(IDENTITY_FILE);
+            return Err(damaged(&path, 0, "the identity file is missing or was replaced"));
+        }
+        self.segment.discard_unsynced(&mut self.writer)?;
+        let loaded = Loaded::read(&self.folder, &mut self.writer)?;
+        self.segment = Segment::create(&self.folder, loaded.next_segment)?;
+        let stored = self.start_from(loaded)?;
+        self.failed = false;
+        Ok(stored)
+    }
+
+    /// Takes over the state read from the folder and starts the segment created for it.
+    fn start_from(&mut self, loaded: Loaded) -> Result<StoredState, DiskError> {
+        let Loaded { scan, snapshot, .. } = loaded;
+        self.closed = scan.closed;
+        self.hard_state = scan.hard_state;
+        self.sequence = scan.sequence;
+        self.snapshot = snapshot.as_ref().map(|snapshot| snapshot.index);
+        self.write_first_frame(loaded.needs_reset)?;
+        self.remove_old_files()?;
+        Ok(StoredState {
             entries: scan.entries,
             hard_state: scan.hard_state,
-            identity,
+            identity: self.identity,
             snapshot,
-        };
-        Ok((store, stored))
+        })
     }
 
     /// Stores the initial member list as a snapshot at index 0 in a folder without a snapshot, and
@@ -148,7 +160,8 @@
         })
     }
 
-    /// Returns whether a write or sync has failed. All later operations are then rejected.
+    /// Returns whether a write or sync has failed. All later operations are then rejected until
+    /// `reopen` succeeds.
     pub fn is_failed(&self) -> bool {
         self.failed
     }
@@ -208,23 +221,21 @@
         if records.is_empty() {
             return Ok(());
         }
-        if self.segment_bytes >= self.settings.segment_bytes {
+        if self.segment.synced_bytes >= self.settings.segment_bytes {
             self.start_segment(false)?;
         }
         self.append_frame(&records)
     }
 
     fn append_frame(&mut self, records: &[Record]) -> Result<(), DiskError> {
-        let path = &self.segment_path;
+        let segment = &mut self.segment;
         let frame = frames::encode(self.sequence + 1, records)
-            .map_err(|_| damaged(path, self.segment_bytes, "a record cannot be encoded"))?;
-        self.writer.write(&mut self.segment, path, &frame)?;
-        self.writer.sync(&self.segment, path)?;
+            .map_err(|_| damaged(&segment.path, segment.synced_bytes, "a record cannot be encoded"))?;
+        segment.append(&frame, &mut self.writer)?;
         self.sequence += 1;
-        self.segment_bytes += frame.len() as u64;
         for record in records {
             match record {
-                Record::Entry(entry) => self.segment_last = self.segment_last.max(entry.index),
+                Record::Entry(entry) => segment.last = segment.last.max(entry.index),
                 Record::HardState(hard_state) => self.hard_state = *hard_state,
                 Record::Reset(_) => {}
             }
@@ -233,17 +244,12 @@
     }
 
     fn start_segment(&mut self, reset: bool) -> Result<(), DiskError> {
-        let number = self.segment_number + 1;
-        let path = segment_path(&self.folder, number);
-        let segment = File::create(&path).map_err(file_error("create", &path))?;
+        let next = Segment::create(&self.folder, self.segment.number + 1)?;
+        let closed = std::mem::replace(&mut self.segment, next);
         self.closed.push(ClosedSegment {
-            last: self.segment_last,
-            path: std::mem::replace(&mut self.segment_path, path),
+            last: closed.last,
+            path: closed.path,
         });
-        self.segment = segment;
-        self.segment_bytes = 0;
-        self.segment_last = LogIndex(0);
-        self.segment_number = number;
         self.write_first_frame(reset)
     }
 
@@ -305,16 +311,25 @@
     }
 }
 
+/// Returns the identity in the folder, and creates one in a new folder.
 fn load_identity(folder: &Path, writer: &mut FileWriter) -> Result<MemberId, DiskError> {
+    match read_identity(folder)? {
+        Some(identity) => Ok(identity),
+        None => create_identity(folder, writer),
+    }
+}
+
+/// Returns the identity in the folder; `None` if the file is missing.
+fn read_identity(folder: &Path) -> Result<Option<MemberId>, DiskError> {
     let path = folder.join(IDENTITY_FILE);
     let file = match fs::read(&path) {
         Ok(file) => file,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return create_identity(folder, writer),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(error) => return Err(file_error("read", &path)(error)),
     };
     let identity = without_checksum(&file).and_then(|body| body.try_into().ok());
     match identity {
-        Some(bytes) => Ok(MemberId(u64::from_le_bytes(bytes))),
+        Some(bytes) => Ok(Some(MemberId(u64::from_le_bytes(bytes)))),
         None => Err(damaged(&path, 0, "checksum or length is wrong")),
     }
 }
@@ -335,22 +350,6 @@
     Ok(identity)
 }
 
-fn load_snapshot(folder: &Path) -> Result<Option<Arc<Snapshot>>, DiskError> {
-    let Some((_, path)) = numbered_files(folder, SNAPSHOT_PREFIX)?.pop() else {
-        return Ok(None);
-    };
-    let file = fs::read(&path).map_err(file_error("read", &path))?;
-    let snapshot = without_checksum(&file).and_then(|body| postcard::from_bytes(body).ok());
-    match snapshot {
-        Some(snapshot) => Ok(Some(Arc::new(snapshot))),
-        None => Err(damaged(&path, 0, "checksum or length is wrong")),
-    }
-}
-
-fn segment_path(folder: &Path, number: u64) -> PathBuf {
-    folder.join(format!("{SEGMENT_PREFIX}{number:020}"))
-}
-
-fn snapshot_path(folder: &Path, index: LogIndex) -> PathBuf {
+pub(crate) fn snapshot_path(folder: &Path, index: LogIndex) -> PathBuf {
     folder.join(format!("{SNAPSHOT_PREFIX}{:020}", index.0))
 }
--- a/crates/consensus/src/disk_error.rs
+++ b/crates/consensus/src/disk_error.rs
@@ -17,7 +17,7 @@
         /// Which check failed.
         reason: &'static str,
     },
-    /// an earlier write or sync failed; the log store rejects all operations until the process restarts
+    /// an earlier write or sync failed; the log store rejects all operations until it is reopened
     Failed,
     /// cannot {action} {file:?}: {source}
     File {
--- a/crates/consensus/src/file_writer.rs
+++ b/crates/consensus/src/file_writer.rs
@@ -30,6 +30,7 @@
         self.writes += 1;
         let available_bytes = self.faults.no_space_after_bytes.map(|limit| limit - self.bytes);
         let (allowed_bytes, error) = match available_bytes {
+            _ if self.faults.full.is_full() => (0, Some(io::ErrorKind::StorageFull)),
             _ if self.faults.fail_write == Some(self.writes) => (0, Some(io::ErrorKind::Other)),
             _ if self.faults.short_write == Some(self.writes) => (data.len() / 2, Some(io::ErrorKind::Other)),
             Some(bytes) if bytes < data.len() as u64 => (bytes as usize, Some(io::ErrorKind::StorageFull)),
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -434,6 +434,12 @@
         }
     }
 
+    /// Grants no votes for the shortest election timeout from the next call with a time, also if the
+    /// stored state has no term. For a node that replaces one that has acknowledged heartbeats.
+    pub fn withhold_votes(&mut self) {
+        self.no_votes_until_ms = None;
+    }
+
     fn advance_clock(&mut self, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
         let no_votes_ms = self.settings.election_minimum_ms;
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -3,7 +3,7 @@
 use {
     fuchsiatack_consensus::{
         Entry, HardState, Member, MemberId, MemberRole, Payload, Ready, Snapshot, StoredState, Term,
-        disk::{DiskError, DiskFaults, LogStore, LogStoreSettings},
+        disk::{DiskError, DiskFaults, FullDisk, LogStore, LogStoreSettings},
     },
     fuchsiatack_model::LogIndex,
     std::{
@@ -260,3 +260,166 @@
     assert_eq!(indices(&stored), (1..=16).collect::<Vec<_>>());
     assert_eq!(stored.entries[14].term, Term(3));
 }
+
+/// Opens the folder with faults.
+fn open_with_faults(folder: &Path, faults: DiskFaults) -> LogStore {
+    let settings = LogStoreSettings {
+        faults,
+        ..LogStoreSettings::default()
+    };
+    LogStore::open_with(folder, settings).unwrap().0
+}
+
+/// Guards against a frame that counts after a reopen although its sync failed. Reads still return such
+/// a frame, but it may not be on the disk.
+#[test]
+fn unsynced_frame_does_not_count_after_a_reopen() {
+    let (folder, _) = folder_with_entries();
+    let faults = DiskFaults {
+        fail_sync: Some(2),
+        ..DiskFaults::default()
+    };
+    let mut store = open_with_faults(folder.path(), faults);
+    store.persist(&append(31, 40, 2)).unwrap();
+    store.persist(&append(41, 50, 3)).unwrap_err();
+
+    let reopened = store.reopen().unwrap();
+    store.persist(&append(41, 45, 4)).unwrap();
+    drop(store);
+    let restarted = reopen(folder.path());
+
+    assert_eq!(indices(&reopened), (1..=40).collect::<Vec<_>>());
+    assert_eq!(reopened.hard_state.term, Term(2));
+    assert_eq!(indices(&restarted), (1..=45).collect::<Vec<_>>());
+    assert_eq!(restarted.entries[40].term, Term(4));
+    assert_eq!(restarted.identity, reopened.identity);
+}
+
+/// Guards against a loss of synced state, or a store that cannot be reopened, wherever a write or sync
+/// fails. A snapshot counts from its rename on, so a failure after it may keep it.
+#[test]
+fn reopen_restores_the_synced_state_after_any_fault() {
+    let installed = Ready {
+        reset_log: true,
+        ..snapshot(60, 5)
+    };
+    let operations = [
+        append(31, 40, 2),
+        snapshot(35, 2),
+        append(41, 50, 3),
+        installed,
+        append(61, 70, 5),
+    ];
+    let faults = (1..=11)
+        .map(|number| DiskFaults {
+            fail_sync: Some(number),
+            ..DiskFaults::default()
+        })
+        .chain((1..=7).map(|number| DiskFaults {
+            fail_write: Some(number),
+            ..DiskFaults::default()
+        }))
+        .chain((1..=7).map(|number| DiskFaults {
+            short_write: Some(number),
+            ..DiskFaults::default()
+        }));
+    let (folder, _) = folder_with_entries();
+    let expected = states_between(folder.path(), &operations);
+    for faults in faults {
+        let name = format!("{faults:?}");
+        let copy = copy_folder(folder.path());
+        let mut store = open_with_faults(copy.path(), faults);
+        let mut failures = 0;
+        for (position, operation) in operations.iter().enumerate() {
+            if store.persist(operation).is_ok() {
+                continue;
+            }
+            failures += 1;
+            let found = store.reopen().unwrap();
+            let is_kept = operation.snapshot.is_some() && found == expected[position + 1];
+            if !is_kept {
+                assert_eq!(found, expected[position], "{name}");
+                store.persist(operation).unwrap();
+            }
+        }
+        drop(store);
+
+        let restarted = reopen(copy.path());
+
+        assert_eq!(failures, 1, "{name}");
+        assert_eq!(Some(&restarted), expected.last(), "{name}");
+    }
+}
+
+/// Returns the stored states before the first operation and after each one, without faults.
+fn states_between(folder: &Path, operations: &[Ready]) -> Vec<StoredState> {
+    let prefixes = (0..=operations.len()).map(|count| &operations[..count]);
+    let state_after = |prefix: &[Ready]| {
+        let copy = copy_folder(folder);
+        let (mut store, _) = LogStore::open(copy.path()).unwrap();
+        store.persist_all(prefix).unwrap();
+        drop(store);
+        reopen(copy.path())
+    };
+    prefixes.map(state_after).collect()
+}
+
+fn copy_folder(folder: &Path) -> TempDir {
+    let copy = tempdir().unwrap();
+    for file in files(folder, "") {
+        fs::copy(&file, copy.path().join(file.file_name().unwrap())).unwrap();
+    }
+    copy
+}
+
+/// Guards against attempts on a full disk that leave files behind, and against a store that cannot be
+/// reopened once there is space.
+#[test]
+fn reopen_on_a_full_disk_can_be_repeated() {
+    let (folder, _) = folder_with_entries();
+    let full = FullDisk::default();
+    let faults = DiskFaults {
+        full: full.clone(),
+        ..DiskFaults::default()
+    };
+    let mut store = open_with_faults(folder.path(), faults);
+    store.persist(&append(31, 40, 2)).unwrap();
+    full.set(true);
+    store.persist(&append(41, 50, 2)).unwrap_err();
+
+    let first = store.reopen();
+    let after_first = files(folder.path(), "").len();
+    for _ in 0..20 {
+        store.reopen().unwrap_err();
+    }
+    let after_last = files(folder.path(), "").len();
+    let rejected = store.persist(&append(41, 50, 2));
+    full.set(false);
+    let reopened = store.reopen().unwrap();
+
+    assert!(matches!(first, Err(DiskError::File { .. })));
+    assert!(matches!(rejected, Err(DiskError::Failed)));
+    assert_eq!(after_first, after_last);
+    assert_eq!(indices(&reopened), (1..=40).collect::<Vec<_>>());
+    store.persist(&append(41, 50, 2)).unwrap();
+}
+
+/// Guards against a process that goes on under another identity after its folder was emptied.
+#[test]
+fn reopen_rejects_an_emptied_folder() {
+    let (folder, _) = folder_with_entries();
+    let faults = DiskFaults {
+        fail_write: Some(1),
+        ..DiskFaults::default()
+    };
+    let mut store = open_with_faults(folder.path(), faults);
+    store.persist(&append(31, 40, 2)).unwrap_err();
+    for file in files(folder.path(), "") {
+        fs::remove_file(file).unwrap();
+    }
+
+    let rejected = store.reopen();
+
+    assert!(matches!(rejected, Err(DiskError::Damaged { .. })));
+    assert!(files(folder.path(), "").is_empty());
+}
--- a/crates/store/src/event.rs
+++ b/crates/store/src/event.rs
@@ -23,7 +23,10 @@
 
 /// Result of work that runs outside the runtime's task.
 pub(crate) enum Event {
+    /// A write or sync failed. The writer discards all requests until `WriteRequest::Resume`.
     DiskFailed(String),
+    /// The folder was opened again after a failure and has this state.
+    DiskReopened(Box<StoredState>),
     /// Responses of the listed members; `None` for members that cannot be reached.
     Formation(Vec<(SocketAddr, Option<Formation>)>),
     Formed(Box<StoredState>),
@@ -31,6 +34,8 @@
         mark: PersistMark,
         messages: Vec<Envelope>,
     },
+    /// The folder could not be opened again after a failure; the writer retries.
+    ReopenFailed(String),
     /// Empty `data` means that the ledger could not be encoded.
     SnapshotEncoded {
         data: Vec<u8>,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod peers;
 mod pending_calls;
+mod reopen_delays;
 mod runtime;
 mod runtime_contact;
 mod runtime_leader;
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -6,6 +6,7 @@
         clock::steady_ms,
         directory_followers::DirectoryFollowers,
         event::{Event, Input},
+        failure::{Failure, FailureKind},
         formation::{self, FormationDecision},
         jobs_role::JobsRole,
         leadership::Leadership,
@@ -46,7 +47,7 @@
     pub(crate) responses: Vec<OutgoingResponse>,
     pub(crate) calls: PendingCalls,
     pub(crate) events: mpsc::UnboundedSender<Event>,
-    pub(crate) failure: Option<String>,
+    pub(crate) failure: Option<Failure>,
     pub(crate) followers: DirectoryFollowers,
     pub(crate) formation: Option<AbortHandle>,
     pub(crate) forming: bool,
@@ -324,13 +325,15 @@
 
     fn handle_event(&mut self, event: Event) {
         match event {
-            Event::DiskFailed(message) => self.fail(message),
+            Event::DiskFailed(message) => self.fail(FailureKind::Disk, message),
+            Event::DiskReopened(stored) => self.handle_reopened(*stored),
             Event::Formation(responses) => self.handle_formation(&responses),
             Event::Formed(stored) => self.handle_formed(*stored),
             Event::Persisted { mark, messages } => {
                 self.node.persisted(mark);
                 self.send_all(messages);
             }
+            Event::ReopenFailed(error) => self.handle_reopen_failed(error),
             Event::SnapshotEncoded { data, index } => {
                 self.snapshot_running = false;
                 if !data.is_empty() {
@@ -340,12 +343,6 @@
         }
     }
 
-    pub(crate) fn fail(&mut self, message: String) {
-        self.log_failure(&message);
-        self.failure = Some(message);
-        self.end_leadership();
-    }
-
     /// Starts to poll other members if this one is formed and hears no leader. A member that was removed
     /// while it was out of contact gets no messages, and becomes a member again only by its request.
     fn update_polling(&mut self, now_ms: u64) {
@@ -404,7 +401,7 @@
     }
 }
 
-fn node_settings(settings: &StoreSettings, id: MemberId) -> NodeSettings {
+pub(crate) fn node_settings(settings: &StoreSettings, id: MemberId) -> NodeSettings {
     NodeSettings {
         election_maximum_ms: settings.election_maximum_ms,
         election_minimum_ms: settings.election_minimum_ms,
--- a/crates/store/src/runtime_node.rs
+++ b/crates/store/src/runtime_node.rs
@@ -1,7 +1,7 @@
 //! Node part of the runtime: messages, syncs, applied entries and snapshots.
 
 use {
-    crate::{event::Event, runtime::Runtime, writer::WriteRequest},
+    crate::{event::Event, failure::FailureKind, runtime::Runtime, writer::WriteRequest},
     fuchsiatack_consensus::{Entry, Envelope, Payload, Ready, Role, Snapshot},
     fuchsiatack_ledger::{AddressedChange, Command, Ledger, Reply},
     std::sync::{Arc, PoisonError},
@@ -93,7 +93,7 @@
                 self.ledger = ledger;
                 self.snapshot = snapshot.index;
             }
-            Err(error) => self.fail(error.to_string()),
+            Err(error) => self.fail(FailureKind::State, error.to_string()),
         }
     }
 
@@ -136,7 +136,8 @@
             }
             Err(error) => {
                 // Skipping the entry would make this member's state differ from the others'.
-                self.fail(format!("entry {} cannot be decoded: {error}", entry.index.0));
+                let cause = format!("entry {} cannot be decoded: {error}", entry.index.0);
+                self.fail(FailureKind::State, cause);
                 Reply::Applied
             }
         }
@@ -164,7 +165,7 @@
         let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
         status.applied = self.node.applied();
         status.commit = self.node.commit();
-        status.disk_failure.clone_from(&self.failure);
+        status.disk_failure = self.failure.as_ref().map(|failure| failure.cause.clone());
         status.formed = self.node.is_formed();
         status.leader = self.leader_address();
         status.role = match self.failure {
--- a/crates/store/src/status.rs
+++ b/crates/store/src/status.rs
@@ -14,7 +14,8 @@
     pub applied: LogIndex,
     /// Last index that is known to be committed.
     pub commit: LogIndex,
-    /// Error that made the member stop voting and acknowledging entries; `None` in normal operation.
+    /// Error that made the member stop voting and acknowledging entries; `None` in normal operation
+    /// and after the recovery from a failed write.
     pub disk_failure: Option<String>,
     /// Whether the member has a member list.
     pub formed: bool,
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -1,12 +1,13 @@
 //! Thread that runs the blocking writes and syncs of the log store.
 
 use {
-    crate::event::Event,
-    fuchsiatack_consensus::{Member, Ready, disk::LogStore},
+    crate::{event::Event, reopen_delays::ReopenDelays},
+    fuchsiatack_consensus::{Member, Ready, StoredState, disk::LogStore},
     std::{
         io,
-        sync::mpsc::{Receiver, Sender, channel},
+        sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel},
         thread::{Builder, JoinHandle},
+        time::{Duration, Instant},
     },
     tokio::sync::mpsc::UnboundedSender,
 };
@@ -18,6 +19,9 @@
 pub(crate) enum WriteRequest {
     Form(Vec<Member>),
     Persist(Box<Ready>),
+    /// Ends the discarding of requests after a failure. Requests before it belong to state that was
+    /// not stored.
+    Resume,
 }
 
 /// Handle of the writer thread. The thread ends once the handle is dropped and all queued requests
@@ -36,7 +40,7 @@
         Ok(Self { requests, thread })
     }
 
-    /// Queues a request. Does nothing if the thread has ended after a failure.
+    /// Queues a request.
     pub(crate) fn push(&self, request: WriteRequest) {
         let _ = self.requests.send(request);
     }
@@ -49,16 +53,64 @@
 }
 
 fn run(mut store: LogStore, queue: &Receiver<WriteRequest>, events: &UnboundedSender<Event>) {
+    let mut delays = ReopenDelays::default();
     while let Ok(first) = queue.recv() {
         let requests = std::iter::once(first).chain(queue.try_iter().take(MAX_BATCH - 1));
         let requests: Vec<_> = requests.collect();
         if let Err(message) = handle_requests(&mut store, requests, events) {
             let _ = events.send(Event::DiskFailed(message));
-            return;
+            let Some(stored) = reopen(&mut store, queue, events, &mut delays) else {
+                return;
+            };
+            let _ = events.send(Event::DiskReopened(Box::new(stored)));
+            discard_stale(queue);
         }
     }
 }
 
+/// Opens the folder again until that succeeds; a full disk may have space again at any time. Returns
+/// `None` if the handle is dropped first.
+fn reopen(
+    store: &mut LogStore,
+    queue: &Receiver<WriteRequest>,
+    events: &UnboundedSender<Event>,
+    delays: &mut ReopenDelays,
+) -> Option<StoredState> {
+    delays.begin();
+    loop {
+        let is_open = discard_for(queue, delays.next());
+        if !is_open {
+            return None;
+        }
+        match store.reopen() {
+            Ok(stored) => {
+                delays.end();
+                return Some(stored);
+            }
+            Err(error) => drop(events.send(Event::ReopenFailed(error.to_string()))),
+        }
+    }
+}
+
+/// Discards requests for a duration. Returns false if the handle is dropped.
+fn discard_for(queue: &Receiver<WriteRequest>, duration: Duration) -> bool {
+    let end = Instant::now() + duration;
+    loop {
+        match queue.recv_timeout(end.saturating_duration_since(Instant::now())) {
+            Ok(_) => {}
+            Err(RecvTimeoutError::Disconnected) => return false,
+            Err(RecvTimeoutError::Timeout) => return true,
+        }
+    }
+}
+
+/// Discards requests up to `Resume`, or until the handle is dropped.
+fn discard_stale(queue: &Receiver<WriteRequest>) {
+    let _ = queue
+        .iter()
+        .find(|request| matches!(request, WriteRequest::Resume));
+}
+
 fn handle_requests(
     store: &mut LogStore,
     requests: Vec<WriteRequest>,
@@ -73,6 +125,7 @@
                 let _ = events.send(Event::Formed(Box::new(stored)));
             }
             WriteRequest::Persist(ready) => batch.push(*ready),
+            WriteRequest::Resume => {}
         }
     }
     persist(store, batch, events)
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -42,19 +42,24 @@
 impl Cell {
     /// Binds a port for each member and starts all of them.
     pub async fn start(size: usize) -> Self {
-        Self::start_with(size, false).await
+        Self::start_with(vec![DiskFaults::default(); size], false).await
     }
 
     /// Like `start`, with members that join by request. They can form the cell only at this start.
     pub async fn start_joining(size: usize) -> Self {
-        let mut cell = Self::start_with(size, true).await;
+        let mut cell = Self::start_with(vec![DiskFaults::default(); size], true).await;
         cell.may_form = false;
         cell
     }
 
-    async fn start_with(size: usize, is_joining: bool) -> Self {
+    /// Starts a member for each of the given disk faults; see `start`.
+    pub async fn start_with_faults(faults: Vec<DiskFaults>) -> Self {
+        Self::start_with(faults, false).await
+    }
+
+    async fn start_with(faults: Vec<DiskFaults>, is_joining: bool) -> Self {
         let mut servers = Vec::new();
-        for _ in 0..size {
+        for _ in &faults {
             let address = SocketAddr::from(([127, 0, 0, 1], 0));
             servers.push(PeerServer::bind(address, secret()).await.unwrap());
         }
@@ -69,8 +74,8 @@
             may_form: true,
             members: Vec::new(),
         };
-        for (member, server) in servers.into_iter().enumerate() {
-            let running = cell.run(member, server, DiskFaults::default());
+        for (member, (server, faults)) in servers.into_iter().zip(faults).enumerate() {
+            let running = cell.run(member, server, faults);
             cell.members.push(Some(running));
         }
         cell
