store: wait for space at a start on a full disk

A process that started on a full disk ended by itself, and the platform started it again and again. For callers that is no better than a member that waits, and each end counts as a process that fails.

The start now tries again with the delays of a reopen, only if the error says that there is no space; any other error, such as a folder that cannot be created, ends the process as before.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -56,11 +56,11 @@
 }
 
 impl CoreRole {
-    /// Starts the role. Must be called in a tokio runtime. Fails if the store cannot start or an address
-    /// cannot be bound.
+    /// Starts the role, after waiting for space if the disk is full. Must be called in a tokio runtime.
+    /// Fails if the store cannot start for another reason or an address cannot be bound.
     pub async fn start(settings: CoreSettings, codec: Arc<dyn HttpCodec>) -> Result<Self, CellError> {
         let metrics = Arc::new(Metrics::new());
-        let server = PeerServer::bind(settings.cell.peer_address, settings.cell.secret.clone()).await?;
+        let mut background = JoinSet::new();
         let (effects, effect_queue) = unbounded_channel();
         let (log_events, log_event_queue) = unbounded_channel();
         let (backlog, backlog_reports) = watch::channel(Vec::new());
@@ -70,7 +70,10 @@
             log_events,
             planner: settings.planner.clone(),
         };
-        let store = Store::start(store_settings(&settings, jobs))?;
+        background.spawn(write_log_events(log_event_queue));
+        let store = Store::start_on_full_disk(store_settings(&settings, jobs)).await?;
+        // Bound after the wait for the disk, so that peers are refused at once until then.
+        let server = PeerServer::bind(settings.cell.peer_address, settings.cell.secret.clone()).await?;
         let advice_client = Arc::new(AdviceClient::new(
             settings.cell.advice_address,
             codec.clone(),
@@ -90,10 +93,8 @@
             store: Some(store.clone()),
             worker_client: Some(worker_client),
         });
-        let mut background = JoinSet::new();
         background.spawn(server.serve(handler));
         background.spawn(executor.run(effect_queue));
-        background.spawn(write_log_events(log_event_queue));
         let client = settings.cell.client();
         background.spawn(watch_status(
             store.clone(),
--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -85,7 +85,10 @@
     pub fn open_with(folder: &Path, settings: LogStoreSettings) -> Result<(Self, StoredState), DiskError> {
         fs::create_dir_all(folder).map_err(file_error("create", folder))?;
         let lock = lock(folder)?;
-        let mut writer = FileWriter::default();
+        let mut writer = FileWriter::new(DiskFaults {
+            full: settings.faults.full.clone(),
+            ..DiskFaults::default()
+        });
         let identity = load_identity(folder, &mut writer)?;
         let loaded = Loaded::read(folder, &mut writer)?;
         let mut store = Self {
--- a/crates/consensus/src/disk_error.rs
+++ b/crates/consensus/src/disk_error.rs
@@ -32,4 +32,17 @@
     Locked(PathBuf),
 }
 
+impl DiskError {
+    /// Returns whether the operation failed because the disk has no space.
+    pub fn is_disk_full(&self) -> bool {
+        match self {
+            Self::File { source, .. } => matches!(
+                source.kind(),
+                io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+            ),
+            Self::Damaged { .. } | Self::Failed | Self::Locked(_) => false,
+        }
+    }
+}
+
 impl std::error::Error for DiskError {}
--- a/crates/consensus/src/disk_faults.rs
+++ b/crates/consensus/src/disk_faults.rs
@@ -30,7 +30,7 @@
     pub fail_sync: Option<u64>,
     /// Number of the write that fails before its first byte.
     pub fail_write: Option<u64>,
-    /// Makes all writes fail before their first byte while it is set.
+    /// Makes all writes fail before their first byte while it is set, also those of the open.
     pub full: FullDisk,
     /// Bytes that can be written in total. The write that exceeds them fails as on a full disk,
     /// after writing the part that fits.
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -5,16 +5,18 @@
         Membership, StoreError, StoreSettings, StoreStatus,
         event::{Event, Input},
         pending_calls::failed_response,
+        reopen_delays::ReopenDelays,
         runtime::Runtime,
         writer::Writer,
     },
     fuchsiatack_consensus::{Envelope, Role, disk::LogStore},
-    fuchsiatack_jobs::JobEvent,
+    fuchsiatack_jobs::{JobEvent, LogEvent},
     fuchsiatack_wire::{Handler, NotLeader, PeerCaller, Request, Response},
     std::sync::{Arc, Mutex, PoisonError},
     tokio::{
         sync::{mpsc, oneshot},
         task::JoinHandle,
+        time::sleep,
     },
 };
 
@@ -69,6 +71,26 @@
         })
     }
 
+    /// Starts as `start` does, and waits for space as long as the disk is full.
+    pub async fn start_on_full_disk(settings: StoreSettings) -> Result<Self, StoreError> {
+        let mut delays = ReopenDelays::default();
+        let mut logged = false;
+        loop {
+            match Self::start(settings.clone()) {
+                Err(StoreError::Disk(error)) if error.is_disk_full() => {
+                    let event = LogEvent::new("store member cannot open its data folder; retrying")
+                        .with("cause", error);
+                    if let Some(jobs) = settings.jobs.as_ref().filter(|_| !logged) {
+                        let _ = jobs.log_events.send(event);
+                        logged = true;
+                    }
+                    sleep(delays.next()).await;
+                }
+                result => return result,
+            }
+        }
+    }
+
     /// Handles a call of a daemon: `Cell`, `Follow`, `Formation`, `Join`, `Propose`, `Query` or `Renew`.
     pub async fn call(&self, caller: PeerCaller, request: Request) -> Response {
         let (responder, response) = oneshot::channel();
