consensus: two silent voters stay in an odd number for 60 s

With an odd number of voters, the removal of one leaves the quorum as it is and takes a vote from a machine that may return. Two silent voters are now removed from an odd number only after 60 s. Voters of single replaced machines leave an even number and are not concerned.

--- a/crates/consensus/src/joining.rs
+++ b/crates/consensus/src/joining.rs
@@ -15,9 +15,11 @@
 /// Time in milliseconds without a message after which a voter is silent. Restarts of a process are
 /// shorter. A machine that is replaced stops counting when its successor is to count.
 const VOTER_SILENCE_MS: u64 = 3_000;
-/// Time in milliseconds without a message after which two silent voters are removed from a larger
-/// cell, and silent learners. They need not be replaced to be removed.
-const LONG_SILENCE_MS: u64 = 10_000;
+/// Time in milliseconds without a message after which a learner is silent.
+const LEARNER_SILENCE_MS: u64 = 10_000;
+/// Time in milliseconds without a message after which two silent voters are removed from an odd number.
+/// Longer than machines are usually down, because their votes may be needed when they return.
+const PAIR_SILENCE_MS: u64 = 60_000;
 /// Fewest voters that the removal of silent ones leaves.
 const MIN_VOTERS: usize = 3;
 /// Fewest voters that the removal of two silent ones leaves.
@@ -156,7 +158,7 @@
     /// may lack a quorum until they are members again.
     fn removal_of_silent_voter(&self) -> Option<MemberChange> {
         let voters = self.voters().count();
-        let has_pair = self.silent(MemberRole::Voter, LONG_SILENCE_MS).count() >= 2;
+        let has_pair = self.silent(MemberRole::Voter, PAIR_SILENCE_MS).count() >= 2;
         let is_removable = match voters % 2 {
             0 => voters > MIN_VOTERS,
             _ => has_pair && voters >= MIN_VOTERS_AFTER_PAIR + 2,
@@ -170,7 +172,7 @@
 
     /// Removes a learner to which the leader would otherwise send messages for good.
     fn removal_of_silent_learner(&self) -> Option<MemberChange> {
-        let learner = self.silent(MemberRole::Learner, LONG_SILENCE_MS).next();
+        let learner = self.silent(MemberRole::Learner, LEARNER_SILENCE_MS).next();
         learner.map(|member| MemberChange::Remove(member.id))
     }
 
--- a/crates/consensus/tests/joining.rs
+++ b/crates/consensus/tests/joining.rs
@@ -169,12 +169,12 @@
             let kinds = [
                 Fault::Cut,
                 Fault::Dark,
-                Fault::Dark,
+                Fault::Freeze,
                 Fault::Replace,
                 Fault::Wipe,
                 Fault::Add,
             ];
-            // Cells are small, and each machine that is added stays.
+            // A machine that is added stays, so large cells get no more.
             let count = if machines.len() < 8 { 6 } else { 5 };
             let fault = *kinds[..count].choose(&mut random).unwrap();
             machines.fault(fault);
--- a/crates/consensus/tests/network/machines.rs
+++ b/crates/consensus/tests/network/machines.rs
@@ -27,6 +27,8 @@
 struct Machine {
     /// State on the disk while the machine is stopped.
     disk: Option<StoredState>,
+    /// Time until which the machine stands still.
+    frozen_until_ms: u64,
     id: MemberId,
     name: u64,
     /// Names of the machines that it was given at its start.
@@ -48,6 +50,8 @@
     Cut,
     /// A machine is stopped for some time and keeps its disk.
     Dark,
+    /// A machine stands still for some time.
+    Freeze,
     /// A machine is gone for good, and an empty one starts under another name.
     Replace,
     /// A machine restarts with an empty disk.
@@ -72,6 +76,7 @@
         let machines = (1..=count).map(|id| Machine {
             changed_ms: 0,
             disk: None,
+            frozen_until_ms: 0,
             id: MemberId(id),
             leader_contact_ms: 0,
             name: id,
@@ -110,7 +115,7 @@
         for _ in 0..self.network.messages.len() {
             self.network.deliver_one();
         }
-        for id in self.network.ids() {
+        for id in self.running() {
             self.network.sync(id, usize::MAX);
         }
         self.end_faults();
@@ -143,6 +148,7 @@
                 let dark_ms = self.random.random_range(300..20_000);
                 self.stop(position, dark_ms);
             }
+            Fault::Freeze => self.freeze(position),
             Fault::Replace => self.replace(position),
             Fault::Wipe => self.wipe(position),
         }
@@ -153,6 +159,7 @@
         self.machines.push(Machine {
             changed_ms: self.now_ms(),
             disk: Some(empty_disk(self.last_id)),
+            frozen_until_ms: 0,
             id: MemberId(self.last_id),
             leader_contact_ms: 0,
             name: self.last_id,
@@ -166,6 +173,7 @@
     pub fn replace(&mut self, position: usize) {
         let gone = self.machines.remove(position);
         self.network.peers.remove(&gone.id);
+        self.network.frozen.remove(&gone.id);
         self.add();
         if let Some(machine) = self.machines.last_mut() {
             machine.start_due_ms += 1_000;
@@ -187,10 +195,21 @@
         let Some(peer) = self.network.peers.remove(&machine.id) else {
             return;
         };
+        self.network.frozen.remove(&machine.id);
         machine.disk = Some(peer.disk);
         machine.start_due_ms = now_ms + duration_ms;
     }
 
+    fn freeze(&mut self, position: usize) {
+        let frozen_ms = self.random.random_range(300..10_000);
+        let until_ms = self.now_ms() + frozen_ms;
+        let machine = &mut self.machines[position];
+        if machine.disk.is_none() {
+            machine.frozen_until_ms = until_ms;
+            self.network.frozen.insert(machine.id);
+        }
+    }
+
     fn cut(&mut self) {
         let size = self.random.random_range(1..=self.machines.len() / 2);
         let cut = self.machines.sample(&mut self.random, size);
@@ -208,6 +227,9 @@
             self.network.partition.clear();
         }
         for machine in &mut self.machines {
+            if now_ms >= machine.frozen_until_ms && self.network.frozen.remove(&machine.id) {
+                machine.changed_ms = now_ms;
+            }
             if now_ms < machine.start_due_ms {
                 continue;
             }
@@ -239,6 +261,9 @@
     fn send_requests(&mut self) {
         let now_ms = self.now_ms();
         for position in 0..self.machines.len() {
+            if !self.is_running(&self.machines[position]) {
+                continue;
+            }
             let machine = &mut self.machines[position];
             let Some(peer) = self.network.peers.get(&machine.id) else {
                 continue;
@@ -276,7 +301,7 @@
             let machines = self.machines.iter().filter(|machine| {
                 let is_cut = self.network.partition.contains(&machine.id)
                     != self.network.partition.contains(&sender.id);
-                !is_cut && machine.disk.is_none() && known.contains(&address(machine.name))
+                !is_cut && self.is_running(machine) && known.contains(&address(machine.name))
             });
             machines.map(|machine| machine.id).collect::<Vec<_>>()
         };
@@ -317,7 +342,7 @@
                 .checks
                 .entry(id)
                 .or_insert_with(|| (term, JoinRequests::default()));
-            if !is_due {
+            if !is_due || self.network.frozen.contains(&id) {
                 continue;
             }
             let node = &self.network.peers[&id].node;
@@ -351,12 +376,21 @@
         self.is_in_majority(machine) && self.now_ms() >= machine.changed_ms + CATCH_UP_MS
     }
 
+    fn is_running(&self, machine: &Machine) -> bool {
+        machine.disk.is_none() && !self.network.frozen.contains(&machine.id)
+    }
+
+    fn running(&self) -> Vec<MemberId> {
+        let machines = self.machines.iter().filter(|machine| self.is_running(machine));
+        machines.map(|machine| machine.id).collect()
+    }
+
     fn is_in_majority(&self, machine: &Machine) -> bool {
         let side = self.network.partition.contains(&machine.id);
         let is_connected =
-            |other: &&Machine| other.disk.is_none() && self.network.partition.contains(&other.id) == side;
+            |other: &&Machine| self.is_running(other) && self.network.partition.contains(&other.id) == side;
         let connected = self.machines.iter().filter(is_connected).count();
-        machine.disk.is_none() && connected > self.machines.len() / 2
+        self.is_running(machine) && connected > self.machines.len() / 2
     }
 
     fn check_leader(&mut self, before_ms: u64) {
--- a/crates/consensus/tests/network/mod.rs
+++ b/crates/consensus/tests/network/mod.rs
@@ -33,6 +33,8 @@
     /// Probability in thousandths that a message is lost, and that it is duplicated.
     pub loss_millis: u32,
     committed: BTreeMap<LogIndex, Arc<Entry>>,
+    /// Members that neither receive messages nor notice that time passes.
+    frozen: BTreeSet<MemberId>,
     isolated: BTreeSet<MemberId>,
     leaders: BTreeMap<Term, MemberId>,
     messages: Vec<Envelope>,
@@ -75,6 +77,7 @@
         Self {
             confirmed_reads: 0,
             committed: BTreeMap::new(),
+            frozen: BTreeSet::new(),
             isolated: BTreeSet::new(),
             leaders: BTreeMap::new(),
             loss_millis: 0,
@@ -181,7 +184,12 @@
 
     pub fn advance_time(&mut self) {
         self.now_ms += self.random.random_range(1..12);
-        for id in self.ids() {
+        for id in self
+            .ids()
+            .into_iter()
+            .filter(|id| !self.frozen.contains(id))
+            .collect::<Vec<_>>()
+        {
             let now_ms = self.now_ms;
             self.node_mut(id).tick(now_ms);
             self.process_ready(id);
@@ -207,8 +215,10 @@
             return;
         }
         let is_cut = self.partition.contains(&message.from) != self.partition.contains(&message.to);
-        let is_isolated =
-            is_cut || self.isolated.contains(&message.from) || self.isolated.contains(&message.to);
+        let is_isolated = is_cut
+            || self.frozen.contains(&message.to)
+            || self.isolated.contains(&message.from)
+            || self.isolated.contains(&message.to);
         if is_isolated || self.random.random_range(0..1_000) < self.loss_millis {
             return;
         }
