jobs: limit advice requests to what the advice service takes

During a burst of urgent jobs the leader sent an advice request for every waiting step at once. Each rejected request still counted as work of its daemon for its expected duration, so that all daemons seemed busy long after the burst, and slow requests, which need an idle daemon, were not sent at all.

A daemon now has at most eight requests in flight and takes another one only while the expected wait there is at most 100 ms; its load is cleared when the last response arrives. Some daemons are reserved for steps that are not urgent: urgent requests use them only while they are idle, and slow requests use only them while urgent requests queue. Priorities take turns on slow requests. While a step has no ticket, its request also names workers that are full, since in a full cell the few free workers are taken by others before the response arrives.

Without the full workers, advice_is_available_when_a_worker_becomes_free has no request to respond to.

--- a/crates/jobs/src/advice_senders.rs
+++ b/crates/jobs/src/advice_senders.rs
@@ -3,6 +3,12 @@
 //! The advice service handles one request at a time for each calling VM, and a request for a slow
 //! queue takes a large part of a second. Requests are therefore spread over all daemons, and some
 //! daemons take no slow requests, so that fast requests never wait behind slow ones.
+//!
+//! The service rejects requests when too many of a VM wait. A request for which no daemon has room
+//! stays with its step, where the most urgent one is chosen as soon as a daemon has room. Some daemons
+//! are reserved for steps that are not urgent: urgent requests use them only while they are idle, and slow
+//! requests use only them while urgent requests queue. An overload of either class therefore delays the
+//! other by a bounded time.
 
 use {
     smol_str::SmolStr,
@@ -13,47 +19,83 @@
 const SLOW_REQUEST_MS: u64 = 150;
 /// One daemon in this many takes no slow requests.
 const FAST_DAEMON_DIVISOR: usize = 4;
+/// One daemon in this many, but at least one of several, is reserved for requests that are not urgent.
+const RESERVED_DAEMON_DIVISOR: usize = 4;
+/// Longest time that a request waits at the service behind others of its daemon, in milliseconds.
+const MAX_QUEUE_MS: u64 = 100;
+/// Maximum number of requests without a response per daemon. The service rejects requests when 32
+/// wait; the requests of an earlier leader may still be among them.
+const MAX_IN_FLIGHT: u32 = 8;
+/// Time after an urgent request had to queue for which slow requests use the reserved daemons only, in
+/// milliseconds.
+const URGENT_QUEUE_MS: u64 = 500;
+/// Time for which a slow request without a daemon goes before those of later priorities, in milliseconds.
+/// Its step tries again sooner.
+const CLAIM_MS: u64 = 100;
 /// Time after its last announcement for which a daemon receives requests, in milliseconds.
 const ANNOUNCEMENT_LIFETIME_MS: u64 = 2_500;
 /// Time for which a daemon receives no requests after one of its requests failed, in milliseconds.
 const FAILURE_BACKOFF_MS: u64 = 1_000;
 
+/// An advice request for which a daemon is chosen.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestLoad {
+    /// Whether the step is in a queue of the first priority.
+    pub(crate) is_urgent: bool,
+    /// Priority of the queue.
+    pub(crate) priority: u32,
+    /// Expected response time without a queue, in milliseconds.
+    pub(crate) response_ms: u64,
+}
+
+impl RequestLoad {
+    fn is_slow(self) -> bool {
+        self.response_ms > SLOW_REQUEST_MS
+    }
+}
+
 #[derive(Clone, Debug)]
 struct AdviceSender {
     busy_until_ms: u64,
+    /// Number of requests without a response.
+    in_flight: u32,
     last_announced_ms: u64,
     name: SmolStr,
     paused_until_ms: u64,
+    /// Expected time of the response to its last slow request.
+    slow_until_ms: u64,
 }
 
 /// Known daemons by peer address; `None` is the leader itself.
 #[derive(Clone, Debug)]
 pub(crate) struct AdviceSenders {
     all: BTreeMap<Option<SocketAddr>, AdviceSender>,
+    /// Priorities with a slow request that found no daemon, and until when it goes before others.
+    claims: BTreeMap<u32, u64>,
+    /// Priority of the last slow request.
+    last_slow_priority: Option<u32>,
+    /// Time until which slow requests use the reserved daemons only.
+    reserved_only_until_ms: u64,
 }
 
 impl AdviceSenders {
     pub(crate) fn new() -> Self {
-        let own = AdviceSender {
-            busy_until_ms: 0,
-            last_announced_ms: u64::MAX,
-            name: SmolStr::default(),
-            paused_until_ms: 0,
-        };
+        let own = AdviceSender::new(u64::MAX, SmolStr::default());
         Self {
             all: BTreeMap::from([(None, own)]),
+            claims: BTreeMap::new(),
+            last_slow_priority: None,
+            reserved_only_until_ms: 0,
         }
     }
 
     /// Records an announcement of a daemon. Returns whether the daemon is new.
     pub(crate) fn announce(&mut self, now_ms: u64, address: SocketAddr, name: &SmolStr) -> bool {
         let is_new = !self.all.contains_key(&Some(address));
-        let sender = self.all.entry(Some(address)).or_insert_with(|| AdviceSender {
-            busy_until_ms: 0,
-            last_announced_ms: now_ms,
-            name: name.clone(),
-            paused_until_ms: 0,
-        });
+        let sender = self
+            .all
+            .entry(Some(address))
+            .or_insert_with(|| AdviceSender::new(now_ms, name.clone()));
         sender.last_announced_ms = now_ms;
         sender.name = name.clone();
         is_new
@@ -64,36 +106,76 @@
         self.all.remove(&Some(address));
     }
 
-    /// Chooses the daemon for a request with the expected response time `response_ms`, and adds the
-    /// request to its load. Returns `None` if all suitable daemons are busy.
-    pub(crate) fn choose(&mut self, now_ms: u64, response_ms: u64) -> Option<Option<SocketAddr>> {
-        let is_slow = response_ms > SLOW_REQUEST_MS;
-        let usable: Vec<_> = self
-            .all
-            .iter()
-            .filter(|(_, sender)| sender.is_usable(now_ms))
-            .map(|(address, sender)| (sender.busy_until_ms.max(now_ms), *address))
-            .collect();
-        let slow_limit = usable.len() - usable.len().div_ceil(FAST_DAEMON_DIVISOR);
-        let busy = usable
-            .iter()
-            .filter(|(busy_ms, _)| *busy_ms > now_ms + SLOW_REQUEST_MS)
-            .count();
-        let (busy_ms, address) = usable.into_iter().min()?;
-        if is_slow && (busy_ms > now_ms || busy >= slow_limit.max(1)) {
+    /// Chooses the daemon for a request, without adding the request to its load. Returns `None` if all
+    /// suitable daemons are busy.
+    pub(crate) fn find(&self, now_ms: u64, load: RequestLoad) -> Option<Option<SocketAddr>> {
+        let usable = || self.all.iter().filter(|(_, sender)| sender.is_usable(now_ms));
+        let count = usable().count();
+        let reserved = match count {
+            0 | 1 => 0,
+            _ => (count / RESERVED_DAEMON_DIVISOR).max(1),
+        };
+        let slow_limit = (count - count.div_ceil(FAST_DAEMON_DIVISOR)).max(1);
+        let slow = usable().filter(|(_, sender)| sender.slow_until_ms > now_ms);
+        if load.is_slow() && (slow.count() >= slow_limit || self.must_yield(now_ms, load)) {
             return None;
         }
-        if let Some(sender) = self.all.get_mut(&address) {
-            sender.busy_until_ms = busy_ms + response_ms;
+        let is_reserved_only = load.is_slow() && reserved > 0 && now_ms < self.reserved_only_until_ms;
+        // Daemons sort by address, so that the reserved ones stay the same while the set of daemons does.
+        usable()
+            .enumerate()
+            .map(|(position, (address, sender))| (position < reserved, address, sender))
+            .filter(|(is_reserved, ..)| *is_reserved || !is_reserved_only)
+            .filter(|(is_reserved, _, sender)| sender.has_room(now_ms, load, *is_reserved))
+            .min_by_key(|(is_reserved, _, sender)| {
+                (sender.busy_until_ms.max(now_ms), *is_reserved == load.is_urgent)
+            })
+            .map(|(_, address, _)| *address)
+    }
+
+    /// Chooses the daemon for a request and adds the request to its load. Returns `None` if all suitable
+    /// daemons are busy.
+    pub(crate) fn choose(&mut self, now_ms: u64, load: RequestLoad) -> Option<Option<SocketAddr>> {
+        let address = self.find(now_ms, load)?;
+        let sender = self.all.get_mut(&address)?;
+        if load.is_urgent && sender.busy_until_ms > now_ms {
+            self.reserved_only_until_ms = now_ms + URGENT_QUEUE_MS;
+        }
+        sender.busy_until_ms = sender.busy_until_ms.max(now_ms) + load.response_ms;
+        sender.in_flight += 1;
+        if load.is_slow() {
+            sender.slow_until_ms = sender.busy_until_ms;
+            self.last_slow_priority = Some(load.priority);
+            self.claims.remove(&load.priority);
         }
         Some(address)
     }
 
+    /// Records that no daemon was found for a request.
+    pub(crate) fn request_refused(&mut self, now_ms: u64, load: RequestLoad) {
+        if load.is_slow() {
+            self.claims.insert(load.priority, now_ms + CLAIM_MS);
+        }
+    }
+
+    /// Returns whether a slow request of an earlier priority goes first. Priorities take turns, so that many
+    /// steps of a later one do not keep those of an earlier one waiting, nor the other way round.
+    fn must_yield(&self, now_ms: u64, load: RequestLoad) -> bool {
+        let mut earlier = self.claims.range(..load.priority);
+        earlier.any(|(priority, until_ms)| now_ms < *until_ms && self.last_slow_priority != Some(*priority))
+    }
+
     /// Records the end of a request. A failure excludes the daemon for a while.
     pub(crate) fn request_ended(&mut self, now_ms: u64, address: Option<SocketAddr>, succeeded: bool) {
-        if let Some(sender) = self.all.get_mut(&address)
-            && !succeeded
-        {
+        let Some(sender) = self.all.get_mut(&address) else {
+            return;
+        };
+        sender.in_flight = sender.in_flight.saturating_sub(1);
+        if sender.in_flight == 0 {
+            sender.busy_until_ms = now_ms;
+            sender.slow_until_ms = now_ms;
+        }
+        if !succeeded {
             sender.paused_until_ms = now_ms + FAILURE_BACKOFF_MS;
         }
     }
@@ -116,7 +198,30 @@
 }
 
 impl AdviceSender {
+    fn new(last_announced_ms: u64, name: SmolStr) -> Self {
+        Self {
+            busy_until_ms: 0,
+            in_flight: 0,
+            last_announced_ms,
+            name,
+            paused_until_ms: 0,
+            slow_until_ms: 0,
+        }
+    }
+
     fn is_usable(&self, now_ms: u64) -> bool {
         now_ms >= self.paused_until_ms
     }
+
+    fn has_room(&self, now_ms: u64, load: RequestLoad, is_reserved: bool) -> bool {
+        let is_idle = self.in_flight == 0 && self.busy_until_ms <= now_ms;
+        let has_short_queue = self.in_flight < MAX_IN_FLIGHT && self.busy_until_ms <= now_ms + MAX_QUEUE_MS;
+        match (is_reserved, load.is_urgent, load.is_slow()) {
+            // A slow urgent request would block the daemon for as long as the requests that it is
+            // reserved for.
+            (true, true, true) => false,
+            (true, true, false) | (false, _, true) => is_idle,
+            (true, false, _) | (false, _, false) => has_short_queue,
+        }
+    }
 }
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AdviceError, AdvicePolicy, AdviceRequest, AdviceResponse, Effect, LogEvent, Planner, StepId,
-        WaitReason, placement::Candidate,
+        WaitReason, advice_senders::RequestLoad, placement::Candidate,
     },
     fuchsiatack_model::WorkerName,
     std::net::SocketAddr,
@@ -13,7 +13,7 @@
 const MAX_WORKERS_PER_REQUEST: usize = 100;
 /// Minimum number of workers in a request, if there are as many candidates. A second request costs
 /// far more time than more workers in the first.
-const MIN_WORKERS_PER_REQUEST: usize = 30;
+pub(crate) const MIN_WORKERS_PER_REQUEST: usize = 30;
 /// Minimum number of requested workers for a response to count towards the share of eligible ones.
 const MIN_SAMPLE: usize = 8;
 /// Time before the expiry of a ticket from which it is not used, in milliseconds. It covers the
@@ -96,15 +96,29 @@
     }
 
     /// Returns why no advice request for a step may be sent now, or `None` if one may be sent.
-    pub(crate) fn advice_pause(&self, step: StepId) -> Option<WaitReason> {
+    pub(crate) fn advice_pause(&mut self, step: StepId, policy: &AdvicePolicy) -> Option<WaitReason> {
         let advice = &self.steps.get(&step)?.advice;
+        let load = self.request_load(step, policy, MIN_WORKERS_PER_REQUEST);
         match advice.request_sent_ms {
             Some(_) => Some(WaitReason::AwaitsAdvice),
             None if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
+            None if self.advice_senders.find(self.now_ms, load).is_none() => {
+                self.advice_senders.request_refused(self.now_ms, load);
+                Some(WaitReason::NoAdviceSender)
+            }
             None => None,
         }
     }
 
+    fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
+        let priority = self.steps.get(&step).map(|view| view.priority);
+        RequestLoad {
+            is_urgent: priority.is_some() && priority == self.top_priority(),
+            priority: priority.unwrap_or(u32::MAX),
+            response_ms: policy.response_ms(workers),
+        }
+    }
+
     /// Requests advice on which of the candidates may run a step. `candidates` are sorted, the best
     /// first. In the request, workers that were found eligible before come first, then those without
     /// a response. Returns what the step waits for then.
@@ -156,10 +170,8 @@
         if workers.is_empty() {
             return WaitReason::NoCapacity;
         }
-        let Some(by) = self
-            .advice_senders
-            .choose(self.now_ms, policy.response_ms(workers.len()))
-        else {
+        let load = self.request_load(step, policy, workers.len());
+        let Some(by) = self.advice_senders.choose(now_ms, load) else {
             return WaitReason::NoAdviceSender;
         };
         if let Some(view) = self.steps.get_mut(&step) {
--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -14,23 +14,33 @@
 };
 
 impl Planner {
-    /// Returns the workers on which an advice request for the step is useful, the best first.
+    /// Returns the workers on which an advice request for the step is useful, the best first. While the
+    /// step has no ticket, workers that are full now follow, up to `at_least` workers: a request that
+    /// names only the few workers with free capacity in a full cell returns when others have taken it.
     pub(crate) fn candidates_for_advice(
         &self,
         step: StepId,
         spec: &StepSpec,
         service: &SmolStr,
         kept_free_percent: u32,
+        at_least: usize,
     ) -> Vec<Candidate<WorkerName>> {
         let Some(advice) = self.steps.get(&step).map(|view| &view.advice) else {
             return Vec::new();
         };
         let reserved = spec.reserved();
-        let mut candidates = self.all_candidates(step, spec, service);
-        candidates.retain(|candidate| {
-            candidate.fits(&reserved, kept_free_percent) && advice.needs_advice(&candidate.key, self.now_ms)
+        let suitable = self.workers.iter().filter_map(|(name, view)| {
+            let candidate = self.suitable_worker(step, spec, service, name, view)?;
+            advice.needs_advice(name, self.now_ms).then_some(candidate)
         });
+        let (mut candidates, mut full): (Vec<_>, Vec<_>) =
+            suitable.partition(|candidate| candidate.fits(&reserved, kept_free_percent));
         placement::sort(&mut candidates, &reserved);
+        if candidates.len() < at_least && !advice.has_ticket(self.now_ms) {
+            placement::sort(&mut full, &reserved);
+            full.truncate(at_least - candidates.len());
+            candidates.extend(full);
+        }
         candidates
     }
 
@@ -74,12 +84,26 @@
         service: &SmolStr,
         name: &WorkerName,
         view: &WorkerView,
+    ) -> Option<Candidate<WorkerName>> {
+        let entry = self.store.workers.get(name)?;
+        let has_room = entry.capacity.covers(&view.used.saturating_add(&spec.reserved()));
+        has_room.then(|| self.suitable_worker(step, spec, service, name, view))?
+    }
+
+    /// Returns a worker that may run a task of the step once it has the free capacity.
+    fn suitable_worker(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+        name: &WorkerName,
+        view: &WorkerView,
     ) -> Option<Candidate<WorkerName>> {
         if !view.accepts_runs(self.now_ms) {
             return None;
         }
         let entry = self.store.workers.get(name)?;
-        let is_excluded = !entry.capacity.covers(&view.used.saturating_add(&spec.reserved()))
+        let is_excluded = !entry.capacity.covers(&spec.reserved())
             || !is_suitable(spec, service, entry)
             || spec
                 .max_per_worker
--- a/crates/jobs/src/plan_prefetch.rs
+++ b/crates/jobs/src/plan_prefetch.rs
@@ -54,12 +54,10 @@
             .collect()
     }
 
-    /// Returns whether there is no advice on a step yet and it may be requested now.
+    /// Returns whether there is no advice on a step yet.
     fn is_unevaluated(&self, step: StepId) -> bool {
         let view = self.steps.get(&step);
-        view.is_none_or(|view| {
-            view.is_prefetch && view.advice.evaluated.is_empty() && self.advice_pause(step).is_none()
-        })
+        view.is_none_or(|view| view.is_prefetch && view.advice.evaluated.is_empty())
     }
 
     fn prefetch_step_advice(&mut self, step: StepId) {
@@ -97,8 +95,11 @@
             };
             self.steps.insert(step, view);
         }
-        let candidates = self.candidates_for_advice(step, &spec, &service, 0);
-        self.request_advice(step, &policy, spec.tasks as usize, &candidates);
+        if self.advice_pause(step, &policy).is_some() {
+            return;
+        }
+        let candidates = self.candidates_for_advice(step, &spec, &service, 0, 0);
+        let _ = self.request_advice(step, &policy, spec.tasks as usize, &candidates);
     }
 
     /// Expected time until the last run of a step ends, in milliseconds.
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -9,6 +9,7 @@
     crate::{
         JobCommand, LogEvent, Planner, RunId, StepId, StepSpec, TaskKey, WaitReason, WorkerOrder,
         placement::{self, Candidate},
+        plan_advice::MIN_WORKERS_PER_REQUEST,
         run_view::RunState,
     },
     fuchsiatack_model::{Resources, WorkerName},
@@ -53,7 +54,10 @@
             let result = self.place_step(step, kept_free_percent);
             if let Some(view) = self.steps.get_mut(&step) {
                 view.tried_ms = now_ms;
-                view.wait_reason = result.err();
+                // The pause after an attempt hides why that attempt failed.
+                if result != Err(WaitReason::AdvicePause) {
+                    view.wait_reason = result.err();
+                }
             }
             if result.is_ok() {
                 continue;
@@ -68,7 +72,8 @@
         }
     }
 
-    fn top_priority(&self) -> Option<u32> {
+    /// Returns the first priority of the configured queues.
+    pub(crate) fn top_priority(&self) -> Option<u32> {
         let configuration = self.store.configuration.as_ref()?;
         configuration.queues.iter().map(|queue| queue.priority).min()
     }
@@ -121,10 +126,11 @@
         let Some(policy) = &advice else {
             return Err(WaitReason::NoCapacity);
         };
-        if let Some(reason) = self.advice_pause(step) {
+        if let Some(reason) = self.advice_pause(step, policy) {
             return Err(reason);
         }
-        let candidates = self.candidates_for_advice(step, spec, &service, kept_free_percent);
+        let candidates =
+            self.candidates_for_advice(step, spec, &service, kept_free_percent, MIN_WORKERS_PER_REQUEST);
         let all = if spec.gang { spec.tasks as usize } else { left };
         Err(self.request_advice(step, policy, all, &candidates))
     }
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -30,6 +30,12 @@
         (now_ms < *valid_until_ms).then_some(ticket)
     }
 
+    /// Returns whether the step has a ticket that has not expired, for any worker.
+    pub(crate) fn has_ticket(&self, now_ms: u64) -> bool {
+        let mut tickets = self.eligible.values();
+        tickets.any(|(_, valid_until_ms)| now_ms < *valid_until_ms)
+    }
+
     /// Returns whether a response on a worker would bring anything new: the worker has no valid
     /// ticket and was not found ineligible.
     pub(crate) fn needs_advice(&self, worker: &WorkerName, now_ms: u64) -> bool {
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -94,3 +94,28 @@
     assert!(request.workers.len() >= 30, "{} workers", request.workers.len());
     assert_eq!(leader.take_starts().len(), 10);
 }
+
+/// Guards against steps that get no advice while the cell is full, so that capacity which becomes free is
+/// taken by others before the response arrives.
+#[test]
+fn advice_is_available_when_a_worker_becomes_free() {
+    let mut leader = Leader::new(advised_queue(), &["a"]);
+    leader.submit(JobId(1), vec![step(8, 600)]);
+    respond(&mut leader);
+    let started = leader.take_starts();
+    confirm(&mut leader, &started);
+    leader.advance(50);
+
+    leader.submit(JobId(2), vec![step(1, 600)]);
+    let request = respond(&mut leader);
+    assert_eq!(request.step.job, JobId(2));
+    assert!(leader.take_starts().is_empty(), "the worker is full");
+    leader.advance(50);
+    let (run, worker) = &started[0];
+    let others: Vec<_> = started[1..].iter().map(|(run, _)| (*run, 10)).collect();
+    leader.report_runs(worker.as_str(), HoldKind::Renewal, &others, &[(1, *run)]);
+
+    let next = leader.take_starts();
+    assert_eq!(next.len(), 1);
+    assert_eq!(next[0].0.task.step.job, JobId(2));
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -1,7 +1,11 @@
 //! A leader for tests. The test supplies the responses to its calls to workers and to the advice
 //! service.
 
-#![allow(dead_code, reason = "each test program uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test program uses a part of it")]
+
+mod advice_service;
+
+pub use advice_service::{AdviceService, ServiceResponse};
 
 use {
     fuchsiatack_jobs::{
@@ -151,6 +155,11 @@
     }
 
     pub fn submit(&mut self, job: JobId, steps: Vec<StepSpec>) {
+        self.submit_to("q", job, steps);
+    }
+
+    /// Submits a job to the queue whose path begins with `prefix`.
+    pub fn submit_to(&mut self, prefix: &str, job: JobId, steps: Vec<StepSpec>) {
         let spec = JobSpec {
             payload: "payload".into(),
             schedule: None,
@@ -160,7 +169,7 @@
             action: JobAction::Submit(Box::new(spec)),
             host: "host".into(),
             key: Some("key".into()),
-            path: SmolStr::new(format!("/q/{job}")),
+            path: SmolStr::new(format!("/{prefix}/{job}")),
         }));
     }
 
@@ -251,6 +260,15 @@
         });
     }
 
+    /// Handles a response of the advice service.
+    pub fn advice_ended(&mut self, by: Option<SocketAddr>, response: ServiceResponse) {
+        self.handle(JobEvent::Advised {
+            by,
+            response: response.result,
+            step: response.request.step,
+        });
+    }
+
     /// Responds to an advice request with a ticket for every requested worker.
     pub fn advised(&mut self, by: Option<SocketAddr>, request: &AdviceRequest) {
         let workers = request.workers.iter();
