jobs: try waiting steps of every priority, and lasting tasks, in turn

Accepted lasting tasks were not started again beside free capacity during and after a burst of urgent jobs (LOST). A step of a lasting task that had failed also counted as late, since its job was submitted long ago, and came last in its priority. Urgent steps took all capacity that became free, and kept the reserve of each worker.

After its 64 steps a pass now tries up to eight more of each priority, those that were not tried for the longest time first. A lasting step is due from the time at which it begins to wait. After 1 s it may use the reserve, and one lasting step each 100 ms is started before the urgent ones.

Tests of advice_overload that fail without a part of this change: lasting_task_gets_advice_beside_an_overload_of_urgent_steps and lasting_task_gets_advice_beside_many_steps_of_a_later_priority without the turns (requested after 1,005 ms), lasting_task_takes_its_turn_in_a_full_cell without the turn of lasting steps (not started), and lasting_task_uses_the_reserve_after_a_wait without the reserve (7 of 8 tasks started).

--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -17,9 +17,19 @@
     std::collections::BTreeMap,
 };
 
-/// Maximum number of steps that fail to be placed in one planning pass. It bounds the processor
-/// time that a long backlog takes.
+/// Number of steps that fail to be placed in one planning pass after which the others are tried in turn
+/// only. It bounds the processor time that a long backlog takes.
 const MAX_FAILED_STEPS: usize = 64;
+/// Maximum number of steps of each priority that one planning pass tries in turn, those that were not
+/// tried for the longest time first. A backlog of one priority never keeps others from being tried.
+const STEPS_IN_TURN: usize = 8;
+
+/// Wait from which a lasting step is tried before the urgent ones and may use the reserve for them, in
+/// milliseconds.
+const LASTING_WAIT_MS: u64 = 1_000;
+/// Interval between two lasting steps that are tried before the urgent ones, in milliseconds. It bounds
+/// what a backlog of lasting steps takes from urgent ones.
+const LASTING_TURN_MS: u64 = 100;
 
 /// Chosen starts by worker.
 type Starts = BTreeMap<WorkerName, Vec<TaskKey>>;
@@ -39,37 +49,93 @@
             .iter()
             .filter(|(_, view)| !view.waiting.is_empty() && now_ms >= view.paused_until_ms)
             .map(|(step, view)| {
-                let is_late = now_ms + view.remaining_ms > view.due_ms;
-                ((view.priority, is_late, view.due_ms), *step)
+                let (is_late, due_ms) = view.urgency(now_ms);
+                ((view.priority, is_late, due_ms), *step)
             })
             .collect();
         order.sort_unstable();
-        let top = self.top_priority().unwrap_or(0);
+        self.place_lasting_in_turn();
+        let mut order = order.into_iter();
         let mut failed = 0;
-        for ((priority, ..), step) in order {
-            let kept_free_percent = match priority == top {
-                true => 0,
-                false => self.settings.urgent_reserve_percent,
-            };
-            let result = self.place_step(step, kept_free_percent);
-            if let Some(view) = self.steps.get_mut(&step) {
-                view.tried_ms = now_ms;
-                // The pause after an attempt hides why that attempt failed.
-                if result != Err(WaitReason::AdvicePause) {
-                    view.wait_reason = result.err();
-                }
+        while failed < MAX_FAILED_STEPS
+            && let Some((_, step)) = order.next()
+        {
+            failed += usize::from(self.try_step(step).is_err());
+        }
+        self.place_in_turn(order.map(|(_, step)| step));
+    }
+
+    /// Tries the lasting steps that have waited longest, until a task of one is started. In a cell that
+    /// urgent steps keep full, they would take all capacity that becomes free.
+    fn place_lasting_in_turn(&mut self) {
+        let now_ms = self.now_ms;
+        if now_ms < self.lasting_turn_ms {
+            return;
+        }
+        let overdue = self.steps.iter().filter_map(|(step, view)| {
+            let wait_ms = view
+                .wait_ms(now_ms)
+                .filter(|wait_ms| *wait_ms >= LASTING_WAIT_MS)?;
+            view.is_long_running.then_some((wait_ms, *step))
+        });
+        let mut overdue: Vec<_> = overdue.collect();
+        overdue.sort_unstable_by(|left, right| right.cmp(left));
+        for (_, step) in overdue.into_iter().take(STEPS_IN_TURN) {
+            let waiting = self.waiting_tasks_of(step);
+            // The view records why a step still waits.
+            let _ = self.try_step(step);
+            if self.waiting_tasks_of(step) < waiting {
+                self.lasting_turn_ms = now_ms + LASTING_TURN_MS;
+                return;
+            }
+        }
+    }
+
+    fn waiting_tasks_of(&self, step: StepId) -> usize {
+        self.steps.get(&step).map_or(0, |view| view.waiting.len())
+    }
+
+    /// Tries a bounded number of steps of each priority, those that were not tried for the longest time
+    /// first.
+    fn place_in_turn(&mut self, untried: impl Iterator<Item = StepId>) {
+        let mut turns: BTreeMap<u32, Vec<(u64, StepId)>> = BTreeMap::new();
+        for step in untried {
+            if let Some(view) = self.steps.get(&step) {
+                let of_priority = turns.entry(view.priority).or_default();
+                of_priority.push((view.tried_ms, step));
             }
-            if result.is_ok() {
-                continue;
+        }
+        for mut of_priority in turns.into_values() {
+            of_priority.sort_unstable();
+            for (_, step) in of_priority.into_iter().take(STEPS_IN_TURN) {
+                // The view records why a step still waits.
+                let _ = self.try_step(step);
             }
-            if let Some(view) = self.steps.get_mut(&step) {
-                view.paused_until_ms = now_ms + NO_CAPACITY_PAUSE_MS;
+        }
+    }
+
+    /// Tries to start the waiting tasks of a step. A step that still waits is paused.
+    fn try_step(&mut self, step: StepId) -> Result<(), WaitReason> {
+        let view = self.steps.get(&step);
+        let priority = view.map(|view| view.priority);
+        let is_overdue = view
+            .is_some_and(|view| view.is_long_running && view.wait_ms(self.now_ms) >= Some(LASTING_WAIT_MS));
+        let kept_free_percent = match is_overdue || priority == self.top_priority() {
+            true => 0,
+            false => self.settings.urgent_reserve_percent,
+        };
+        let result = self.place_step(step, kept_free_percent);
+        if let Some(view) = self.steps.get_mut(&step) {
+            view.tried_ms = self.now_ms;
+            // The pause after an attempt hides why that attempt failed.
+            if result != Err(WaitReason::AdvicePause) {
+                view.wait_reason = result.err();
             }
-            failed += 1;
-            if failed >= MAX_FAILED_STEPS {
-                break;
+            if result.is_err() {
+                view.paused_until_ms = self.now_ms + NO_CAPACITY_PAUSE_MS;
             }
         }
+        result
     }
 
     /// Returns the first priority of the configured queues.
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -84,12 +84,14 @@
         });
         let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
         let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
+        let spec = self.store.jobs.get(&step.job).and_then(|job| job.step(step.step));
         StepView {
             advice: StepAdvice::default(),
             due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
             durations_ms: Vec::new(),
             failed_on: Default::default(),
             paused_until_ms: 0,
+            is_long_running: spec.is_some_and(|spec| spec.long_running),
             is_prefetch: false,
             priority,
             remaining_ms: remaining_ms.min(chain_ms),
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -52,6 +52,8 @@
     pub(crate) kinds: BTreeMap<SmolStr, KindSpeed>,
     /// Runs that have ended while their start orders may still be carried out.
     pub(crate) late_starts: BTreeMap<(WorkerName, RunId), LateStart>,
+    /// Time from which a lasting step may again be started before the urgent ones.
+    pub(crate) lasting_turn_ms: u64,
     pub(crate) members: Vec<SocketAddr>,
     pub(crate) now_ms: u64,
     pub(crate) now_unix_ms: u64,
@@ -94,6 +96,7 @@
             is_check_scheduled: false,
             kinds: BTreeMap::new(),
             late_starts: BTreeMap::new(),
+            lasting_turn_ms: now_ms,
             members: Vec::new(),
             now_ms,
             now_unix_ms,
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -62,6 +62,8 @@
     pub(crate) paused_until_ms: u64,
     /// Whether the step is not ready yet and only advice is requested for it.
     pub(crate) is_prefetch: bool,
+    /// Whether its tasks run until the job is cancelled.
+    pub(crate) is_long_running: bool,
     pub(crate) priority: u32,
     /// Estimated time from the start of the step to the end of the job, in milliseconds.
     pub(crate) remaining_ms: u64,
@@ -85,6 +87,16 @@
         Some(now_ms.saturating_sub(since_ms))
     }
 
+    /// Returns whether its job is late, and the time by which its tasks should start or its job should
+    /// end. Steps of a priority are placed in this order. A lasting task is never late: it is due when it
+    /// begins to wait, however long ago its job was submitted.
+    pub(crate) fn urgency(&self, now_ms: u64) -> (bool, u64) {
+        match (self.is_long_running, self.waiting_since_ms) {
+            (true, Some(since_ms)) => (false, since_ms),
+            _ => (now_ms + self.remaining_ms > self.due_ms, self.due_ms),
+        }
+    }
+
     /// Updates the time since which tasks have been waiting.
     pub(crate) fn observe_waiting(&mut self, now_ms: u64) {
         self.waiting_since_ms = match self.waiting.is_empty() {
--- a/crates/jobs/tests/advice_overload.rs
+++ b/crates/jobs/tests/advice_overload.rs
@@ -16,6 +16,8 @@
 const ORDER_MS: u64 = 5;
 /// Duration of an urgent task in milliseconds.
 const URGENT_MS: u64 = 200;
+/// Longest time until the advice request of a lasting task is sent, in milliseconds.
+const MAX_REQUEST_WAIT_MS: u64 = 1_000;
 /// Identifiers of lasting jobs begin here, those of urgent jobs at 1.
 const FIRST_LASTING: u64 = 1_000_000;
 /// Identifiers of background jobs begin here.
@@ -116,6 +118,12 @@
         self.leader.submit_to("lasting", JobId(job), vec![lasting_step()]);
     }
 
+    fn submit_background(&mut self, job: u64) {
+        self.submitted_ms.insert(JobId(job), self.leader.now_ms);
+        self.leader
+            .submit_to("background", JobId(job), vec![step(1, 60_000)]);
+    }
+
     /// Advances the time by one tick, and responds to the leader's calls.
     fn tick(&mut self, daemons: u16) {
         self.leader.advance(TICK_MS);
@@ -198,6 +206,31 @@
     }
 }
 
+/// Guards against advice requests of lasting tasks that wait for as long as urgent steps keep all daemons
+/// busy.
+#[test]
+fn lasting_task_gets_advice_beside_an_overload_of_urgent_steps() {
+    const DAEMONS: u16 = 7;
+    let mut cell = Cell::new(DAEMONS, 40);
+    cell.run(DAEMONS, 1_000, 600);
+    cell.submit_lasting(FIRST_LASTING);
+
+    cell.run(DAEMONS, 3_000, 600);
+
+    let lasting = JobId(FIRST_LASTING);
+    let submitted_ms = cell.submitted_ms[&lasting];
+    let requested_ms = cell.requested_ms.get(&lasting).map(|ms| ms - submitted_ms);
+    assert!(
+        requested_ms.is_some_and(|ms| ms <= MAX_REQUEST_WAIT_MS),
+        "requested after {requested_ms:?} ms"
+    );
+    let started_ms = cell.started_ms.get(&lasting).map(|ms| ms - submitted_ms);
+    assert!(
+        started_ms.is_some_and(|ms| ms <= 2_000),
+        "started after {started_ms:?} ms"
+    );
+}
+
 /// Guards against an overload that the leader causes itself: requests that the service rejects because too
 /// many wait there, and responses that arrive when the free workers in them are taken.
 #[test]
@@ -245,3 +278,90 @@
 
     assert_eq!(cell.service.busy_senders(), 8);
 }
+
+/// Guards against planning passes that end before they reach the steps behind a backlog of urgent ones that
+/// no worker can take.
+#[test]
+fn later_priorities_are_tried_beside_many_steps_that_fit_no_worker() {
+    const DAEMONS: u16 = 3;
+    let mut cell = Cell::new(DAEMONS, 2);
+    let mut too_large = step(1, URGENT_MS);
+    too_large.demand.processors_millis = 17_000;
+    for job in 1..=200 {
+        cell.leader.submit(JobId(job), vec![too_large.clone()]);
+    }
+    let background = JobId(FIRST_BACKGROUND);
+    cell.submit_background(background.0);
+
+    cell.run(DAEMONS, 1_000, 0);
+
+    assert!(cell.requested_ms.contains_key(&background));
+    assert!(cell.started_ms.contains_key(&background));
+}
+
+/// Guards against a lasting task that waits for as long as urgent steps take all capacity that becomes free.
+#[test]
+fn lasting_task_takes_its_turn_in_a_full_cell() {
+    const DAEMONS: u16 = 7;
+    const PER_SECOND: u64 = 200;
+    let mut cell = Cell::new(DAEMONS, 4);
+    cell.run(DAEMONS, 2_000, PER_SECOND);
+    let before = cell.started_ms.len();
+    cell.submit_lasting(FIRST_LASTING);
+
+    cell.run(DAEMONS, 3_000, PER_SECOND);
+
+    let lasting = JobId(FIRST_LASTING);
+    let started_ms = cell
+        .started_ms
+        .get(&lasting)
+        .map(|ms| ms - cell.submitted_ms[&lasting]);
+    assert!(
+        started_ms.is_some_and(|ms| ms <= 2_500),
+        "started after {started_ms:?} ms"
+    );
+    let urgent = cell.started_ms.len() - before;
+    assert!(urgent >= 380, "{urgent} urgent steps were started beside it");
+}
+
+/// Guards against a lasting task that waits beside capacity which is reserved for urgent steps.
+#[test]
+fn lasting_task_uses_the_reserve_after_a_wait() {
+    const DAEMONS: u16 = 3;
+    let mut cell = Cell::new(DAEMONS, 1);
+    let tasks = StepSpec {
+        tasks: 8,
+        ..lasting_step()
+    };
+    let job = JobId(FIRST_LASTING);
+    cell.submitted_ms.insert(job, cell.leader.now_ms);
+    cell.leader.submit_to("lasting", job, vec![tasks]);
+
+    cell.run(DAEMONS, 900, 0);
+    let early = cell.lasting_starts;
+    cell.run(DAEMONS, 2_100, 0);
+
+    assert_eq!((early, cell.lasting_starts), (7, 8));
+}
+
+/// Guards against many slow requests of a later priority that keep those of an earlier one waiting.
+#[test]
+fn lasting_task_gets_advice_beside_many_steps_of_a_later_priority() {
+    const DAEMONS: u16 = 7;
+    let mut cell = Cell::new(DAEMONS, 4);
+    for job in 0..60 {
+        cell.submit_background(FIRST_BACKGROUND + job);
+    }
+    cell.run(DAEMONS, 2_000, 200);
+    cell.submit_lasting(FIRST_LASTING);
+
+    cell.run(DAEMONS, 2_000, 200);
+
+    let lasting = JobId(FIRST_LASTING);
+    let submitted_ms = cell.submitted_ms[&lasting];
+    let requested_ms = cell.requested_ms.get(&lasting).map(|ms| ms - submitted_ms);
+    assert!(
+        requested_ms.is_some_and(|ms| ms <= MAX_REQUEST_WAIT_MS),
+        "requested after {requested_ms:?} ms"
+    );
+}
