jobs: log the loss of a worker with its evidence and its runs

'worker lost with runs' has the evidence (restart, successor at the address, leases expired in silence), the first failed call and the youngest runs. leader_events counts the events of the leader, also those that the log leaves out. The reason for the removal of a worker is now a type; one that had left is logged as 'left' instead of the error of its last call.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -70,7 +70,7 @@
             log_events,
             planner: settings.planner.clone(),
         };
-        background.spawn(write_log_events(log_event_queue));
+        background.spawn(write_log_events(log_event_queue, metrics.clone()));
         let store = Store::start_on_full_disk(store_settings(&settings, jobs)).await?;
         // Bound after the wait for the disk, so that peers are refused at once until then.
         let server = PeerServer::bind(settings.cell.peer_address, settings.cell.secret.clone()).await?;
--- a/crates/cell/src/logs.rs
+++ b/crates/cell/src/logs.rs
@@ -4,7 +4,7 @@
 //! so that logging never delays a scheduling decision.
 
 use {
-    crate::{CellError, LogBudget, LogDecision, log_budget::is_sampled},
+    crate::{CellError, LogBudget, LogDecision, log_budget::is_sampled, metrics::Metrics},
     fuchsiatack_jobs::LogEvent,
     serde_json::{Map, Value},
     smol_str::SmolStr,
@@ -16,7 +16,7 @@
     std::{
         fmt::Write,
         num::NonZeroUsize,
-        sync::{Mutex, OnceLock, PoisonError},
+        sync::{Arc, Mutex, OnceLock, PoisonError},
     },
     tokio::sync::mpsc::UnboundedReceiver,
 };
@@ -111,8 +111,9 @@
 }
 
 /// Writes the planner's log events until the channel closes.
-pub(crate) async fn write_log_events(mut events: UnboundedReceiver<LogEvent>) {
+pub(crate) async fn write_log_events(mut events: UnboundedReceiver<LogEvent>, metrics: Arc<Metrics>) {
     while let Some(event) = events.recv().await {
+        metrics.record_event(event.event);
         log(event);
     }
 }
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -32,6 +32,11 @@
     call: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EventLabel {
+    event: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PriorityLabel {
     priority: u32,
@@ -42,6 +47,7 @@
 pub(crate) struct Metrics {
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
+    events: Family<EventLabel, Counter>,
     pub(crate) leads: Gauge,
     longest_wait_ms: Family<PriorityLabel, Gauge>,
     pub(crate) ready: Gauge,
@@ -64,6 +70,7 @@
         let mut metrics = Self {
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
+            events: Family::default(),
             leads: Gauge::default(),
             longest_wait_ms: Family::default(),
             ready: Gauge::default(),
@@ -80,6 +87,11 @@
             "Duration of calls in seconds by kind",
             metrics.call_seconds.clone(),
         );
+        registry.register(
+            "leader_events",
+            "Log events of the leader by text, also those that the log leaves out",
+            metrics.events.clone(),
+        );
         registry.register(
             "leads",
             "1 while the daemon is the leader of the store",
@@ -125,6 +137,11 @@
         seconds.observe(duration.as_secs_f64());
     }
 
+    /// Counts a log event of the leader.
+    pub(crate) fn record_event(&self, event: &'static str) {
+        self.events.get_or_create(&EventLabel { event }).inc();
+    }
+
     /// Replaces the report on waiting steps. Series of priorities that are not in it are removed.
     pub(crate) fn set_backlog(&self, backlog: &[PriorityBacklog]) {
         self.longest_wait_ms.clear();
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,6 +25,7 @@
 mod plan_candidates;
 mod plan_evacuation;
 mod plan_late_starts;
+mod plan_losses;
 mod plan_prefetch;
 mod plan_renewals;
 mod plan_runs;
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         EndedRun, HoldKind, HoldReport, JobCommand, ListedEnd, LogEvent, Planner, RunEnd, RunId,
-        WorkerCallError, WorkerOrder, run_view::RunState, worker_view::WorkerView,
+        WorkerCallError, WorkerOrder, plan_losses::RemovalReason, run_view::RunState,
+        worker_view::WorkerView,
     },
     fuchsiatack_model::WorkerName,
     std::collections::BTreeMap,
@@ -146,7 +147,7 @@
                 self.handle_hold_report(worker, sent_ms, report);
             }
             (Err(error), _) => {
-                view.failures += 1;
+                view.record_failure(now_ms, error);
                 let retry_ms = now_ms + (HOLD_RETRY_MS * u64::from(view.failures)).min(HOLD_RETRY_LIMIT_MS);
                 match kind {
                     HoldKind::Check => view.schedule_check(retry_ms),
@@ -162,8 +163,12 @@
                             .with("sent_ms_ago", now_ms.saturating_sub(sent_ms)),
                     );
                 }
-                if error == WorkerCallError::WrongWorker || left {
-                    self.remove_worker(worker, error.as_str());
+                match error {
+                    _ if left => self.remove_worker(worker, RemovalReason::Left),
+                    WorkerCallError::WrongWorker => self.remove_worker(worker, RemovalReason::Successor),
+                    WorkerCallError::Rejected(_)
+                    | WorkerCallError::Unanswered
+                    | WorkerCallError::Unreachable => {}
                 }
             }
         }
@@ -202,6 +207,7 @@
         let was_unverified = !view.is_verified;
         let was_unreachable = view.failures > 0 || was_unverified;
         let failures = std::mem::take(&mut view.failures);
+        view.loss = None;
         view.last_response_ms = now_ms;
         view.is_verified = true;
         view.last_contact_ms = now_ms;
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         JobCommand, JobId, JobState, LogEvent, OrderRejection, OrderResult, Planner, RunEnd, RunId, TaskKey,
-        WorkerCallError, WorkerOrder, kind_speed::NEUTRAL_SLOWNESS_THOUSANDTHS, run_view::RunState,
+        WorkerCallError, WorkerOrder, kind_speed::NEUTRAL_SLOWNESS_THOUSANDTHS, plan_losses::RemovalReason,
+        run_view::RunState,
     },
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
@@ -60,10 +61,12 @@
     fn handle_start_rejection(&mut self, worker: &WorkerName, run: RunId, error: WorkerCallError) {
         let now_ms = self.now_ms;
         match error {
-            WorkerCallError::WrongWorker => return self.remove_worker(worker, error.as_str()),
+            WorkerCallError::WrongWorker => {
+                return self.remove_worker(worker, RemovalReason::Successor);
+            }
             WorkerCallError::Unreachable => {
                 if let Some(view) = self.workers.get_mut(worker) {
-                    view.failures += 1;
+                    view.record_failure(now_ms, error);
                     view.hold_due_ms = now_ms;
                 }
             }
@@ -135,7 +138,7 @@
                 }
             }
             (Err(WorkerCallError::WrongWorker), _) => {
-                self.remove_worker(worker, WorkerCallError::WrongWorker.as_str());
+                self.remove_worker(worker, RemovalReason::Successor);
             }
             (Ok(_) | Err(_), _) => {}
         }
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -5,7 +5,9 @@
 
 use {
     crate::{
-        JobCommand, LogEvent, Planner, RunEnd, WorkerEntry, WorkerReport, run_view::RunState,
+        JobCommand, LogEvent, Planner, RunEnd, WorkerEntry, WorkerReport,
+        plan_losses::{LossEvidence, RemovalReason},
+        run_view::RunState,
         worker_view::WorkerView,
     },
     fuchsiatack_model::WorkerName,
@@ -79,6 +81,8 @@
     pub(crate) fn handle_restart(&mut self, worker: &WorkerName, started_unix_ms: u64) {
         let now_ms = self.now_ms;
         let leases_until_ms = self.inherited_until_ms(self.settings.max_lease_ms);
+        let lost = self.lost_runs(worker);
+        self.log_loss(worker, LossEvidence::Restart, &lost);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
@@ -136,11 +140,13 @@
             .map(|(worker, _)| worker.clone())
             .collect();
         for worker in silent {
-            self.remove_worker(&worker, "silent");
+            self.remove_worker(&worker, RemovalReason::Silent);
         }
     }
 
     fn expire_leases(&mut self, worker: &WorkerName) {
+        let lost = self.lost_runs(worker);
+        self.log_loss(worker, LossEvidence::Silence, &lost);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
@@ -166,7 +172,11 @@
         }
     }
 
-    pub(crate) fn remove_worker(&mut self, worker: &WorkerName, reason: &str) {
+    pub(crate) fn remove_worker(&mut self, worker: &WorkerName, reason: RemovalReason) {
+        if reason == RemovalReason::Successor {
+            let lost = self.lost_runs(worker);
+            self.log_loss(worker, LossEvidence::Successor, &lost);
+        }
         let runs = self
             .workers
             .get(worker)
@@ -175,7 +185,7 @@
         self.log(
             LogEvent::new("worker removed")
                 .with("worker", worker)
-                .with("reason", reason)
+                .with("reason", reason.as_str())
                 .with("runs", runs.len()),
         );
         for task in runs {
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -30,6 +30,17 @@
 }
 
 impl RunState {
+    /// Returns whether its worker has confirmed a stop, so that the run is not at work any more.
+    pub(crate) fn is_stop_confirmed(self) -> bool {
+        matches!(
+            self,
+            Self::Stopping {
+                confirmed_ms: Some(_),
+                ..
+            }
+        )
+    }
+
     /// Returns whether the start order of the run may not have been carried out yet.
     pub(crate) fn is_start_pending(self) -> bool {
         match self {
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -1,11 +1,19 @@
 //! The leader's view of a worker.
 
 use {
-    crate::{TaskKey, WorkerHealth, clock_sample::ClockSample},
+    crate::{TaskKey, WorkerCallError, WorkerHealth, clock_sample::ClockSample},
     fuchsiatack_model::Resources,
     std::collections::BTreeSet,
 };
 
+/// The first failed call since a worker last responded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Loss {
+    pub(crate) error: WorkerCallError,
+    /// Time of the failure by the planner's clock in milliseconds.
+    pub(crate) since_ms: u64,
+}
+
 /// What the leader knows of a worker in addition to its replicated entry. Times are by the
 /// planner's clock in milliseconds.
 #[derive(Clone, Debug)]
@@ -31,6 +39,8 @@
     /// Time at which leases granted by earlier leaders, or to its earlier incarnation, have
     /// certainly expired.
     pub(crate) inherited_until_ms: u64,
+    /// First failed call since its last response; `None` if no call has failed since.
+    pub(crate) loss: Option<Loss>,
     /// Ends up to this number are recorded.
     pub(crate) last_seen: u64,
     /// Ends up to this number were acknowledged to the worker.
@@ -64,6 +74,7 @@
             hold_in_flight: false,
             incarnation_known_ms: now_ms,
             inherited_until_ms,
+            loss: None,
             last_seen: 0,
             has_left: false,
             runs: BTreeSet::new(),
@@ -87,6 +98,7 @@
         self.hold_due_ms = now_ms;
         self.incarnation_known_ms = now_ms;
         self.inherited_until_ms = leases_until_ms;
+        self.loss = None;
         self.last_seen = 0;
         self.has_left = false;
         self.sequence = 0;
@@ -94,6 +106,15 @@
         self.is_verified = false;
     }
 
+    /// Records a failed call.
+    pub(crate) fn record_failure(&mut self, now_ms: u64, error: WorkerCallError) {
+        self.failures += 1;
+        self.loss.get_or_insert(Loss {
+            error,
+            since_ms: now_ms,
+        });
+    }
+
     /// Schedules a check at `due_ms`, unless one is due earlier.
     pub(crate) fn schedule_check(&mut self, due_ms: u64) {
         self.check_due_ms = Some(self.check_due_ms.map_or(due_ms, |present| present.min(due_ms)));
