--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -111,6 +111,9 @@
     pub ended: Vec<EndedRun>,
     /// Runs that are present at the time of the report.
     pub running: Vec<ListedRun>,
+    /// Beginnings of rows that could not be decoded, at most a few. If there are any, a run that is not
+    /// listed may still be present.
+    pub unreadable_rows: Vec<SmolStr>,
 }
 
 /// Result of a start or stop order: the reading of the worker's monotonic clock in milliseconds, or
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -226,12 +226,29 @@
         if was_unverified {
             self.stop_late_starts_on(worker);
         }
+        self.log_unreadable_rows(worker, &report);
         for ended in &report.ended {
             self.record_end(worker, ended);
         }
         self.compare_runs(worker, sent_ms, &report);
     }
 
+    /// Logs unreadable rows in the reports of a worker once, until a report without any arrives.
+    fn log_unreadable_rows(&mut self, worker: &WorkerName, report: &HoldReport) {
+        let first = report.unreadable_rows.first();
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let had_unreadable_rows = std::mem::replace(&mut view.has_unreadable_rows, first.is_some());
+        if let (Some(row), false) = (first, had_unreadable_rows) {
+            self.log(
+                LogEvent::new("unreadable row in a worker's report")
+                    .with("worker", worker)
+                    .with("row", row),
+            );
+        }
+    }
+
     fn record_end(&mut self, worker: &WorkerName, ended: &EndedRun) {
         let Some(view) = self.workers.get_mut(worker) else {
             return;
@@ -297,6 +314,10 @@
         for task in unstopped {
             self.repeat_stop(task);
         }
+        // Any missing run may be in a row that could not be decoded.
+        if !report.unreadable_rows.is_empty() {
+            return;
+        }
         let Some(view) = self.workers.get(worker) else {
             return;
         };
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -47,6 +47,8 @@
     pub(crate) last_acknowledged: u64,
     /// Whether it reported that it has left.
     pub(crate) has_left: bool,
+    /// Whether its last report had rows that could not be decoded.
+    pub(crate) has_unreadable_rows: bool,
     /// Tasks whose present run is on the worker.
     pub(crate) runs: BTreeSet<TaskKey>,
     /// Highest heartbeat number in its present incarnation.
@@ -77,6 +79,7 @@
             loss: None,
             last_seen: 0,
             has_left: false,
+            has_unreadable_rows: false,
             runs: BTreeSet::new(),
             sequence: 0,
             paused_until_ms: 0,
--- a/crates/jobs/tests/cancellation/worker.rs
+++ b/crates/jobs/tests/cancellation/worker.rs
@@ -230,6 +230,7 @@
             clock_ms: self.clock_ms(now_ms),
             ended: self.ended.clone(),
             running: running.collect(),
+            unreadable_rows: Vec::new(),
         }
     }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -114,6 +114,12 @@
             .collect()
     }
 
+    /// Returns the names of the log events since the last `take_calls`, and drops all calls.
+    pub fn take_log_events(&mut self) -> Vec<String> {
+        let events = self.planner.take_output().log_events.into_iter();
+        events.map(|event| event.event.to_owned()).collect()
+    }
+
     /// Returns the runs that were started since the last `take_calls`, with their workers. Drops all
     /// other calls since then.
     pub fn take_starts(&mut self) -> Vec<(RunId, WorkerName)> {
@@ -224,6 +230,7 @@
             clock_ms: self.now_ms,
             ended: ended.collect(),
             running: running.collect(),
+            unreadable_rows: Vec::new(),
         };
         self.complete_hold(worker, kind, Ok(report));
     }
@@ -242,6 +249,7 @@
             clock_ms: self.now_ms,
             ended: Vec::new(),
             running: running.collect(),
+            unreadable_rows: Vec::new(),
         };
         self.complete_hold(worker, kind, Ok(report));
     }
--- a/crates/testkit/src/job_worker.rs
+++ b/crates/testkit/src/job_worker.rs
@@ -245,6 +245,7 @@
             clock_ms: self.clock_ms(now_ms),
             ended: self.ended.clone(),
             running: running.collect(),
+            unreadable_rows: Vec::new(),
         })
     }
 
