--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -115,6 +115,8 @@
     pub eligible: Vec<(WorkerName, SmolStr)>,
     /// Validity of the tickets in milliseconds; `None` if the service does not state it.
     pub valid_ms: Option<u64>,
+    /// Number of rows that could not be decoded.
+    pub unreadable_rows: u32,
 }
 
 /// Maintenance wave: machines that an operator wants to have maintained.
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -71,13 +71,20 @@
             .valid_ms
             .or(policy.map(|policy| policy.valid_ms))
             .unwrap_or(0);
-        let valid_until_ms = now_ms + valid_ms.saturating_sub(TICKET_MARGIN_MS);
-        let eligible = response.eligible.len();
+        let valid_until_ms = now_ms.saturating_add(valid_ms.saturating_sub(TICKET_MARGIN_MS));
+        let unreadable = response.unreadable_rows;
+        let workers = &self.workers;
+        let eligible: Vec<_> = response
+            .eligible
+            .into_iter()
+            .filter(|(worker, _)| workers.contains_key(worker))
+            .collect();
+        let eligible_workers = eligible.len();
         for worker in &requested {
             view.advice.eligible.remove(worker);
             view.advice.evaluated.insert(worker.clone());
         }
-        for (worker, ticket) in response.eligible {
+        for (worker, ticket) in eligible {
             view.advice.eligible.insert(worker, (ticket, valid_until_ms));
         }
         self.log(
@@ -85,11 +92,12 @@
                 .job(step.job)
                 .with("step", step)
                 .with("asked", requested.len())
-                .with("good", eligible)
+                .with("good", eligible_workers)
+                .with("unreadable", unreadable)
                 .with("waited_ms", now_ms.saturating_sub(sent_ms)),
         );
         if let Some(queue) = queue.filter(|_| requested.len() >= MIN_SAMPLE) {
-            let share = eligible as u64 * 1_000 / requested.len() as u64;
+            let share = eligible_workers as u64 * 1_000 / requested.len() as u64;
             let mean = self.eligible_shares.entry(queue).or_insert(share);
             *mean = (*mean * (SHARE_WINDOW - 1) + share) / SHARE_WINDOW;
         }
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Leader, Sent, advised_queue, step},
-    fuchsiatack_jobs::{AdviceRequest, HoldKind, JobId, RunId, StepSpec},
+    fuchsiatack_jobs::{AdviceRequest, AdviceResponse, HoldKind, JobEvent, JobId, RunId, StepSpec},
     fuchsiatack_model::WorkerName,
     std::net::SocketAddr,
 };
@@ -119,3 +119,31 @@
     assert_eq!(next.len(), 1);
     assert_eq!(next[0].0.task.step.job, JobId(2));
 }
+
+/// Guards against tickets that overflow the clock of the leader, and against names of unknown workers that
+/// fill its memory.
+#[test]
+fn odd_advice_costs_no_valid_ticket() {
+    let mut leader = Leader::new(advised_queue(), &["a"]);
+    leader.submit(JobId(1), vec![step(1, 600)]);
+    let (by, request) = requests(&mut leader).remove(0);
+    let names = ["", "unknown", "a"];
+    let response = AdviceResponse {
+        eligible: names
+            .map(|name| (WorkerName::new(name), "ticket".into()))
+            .to_vec(),
+        unreadable_rows: 1,
+        valid_ms: Some(u64::MAX),
+    };
+
+    leader.now_ms += 500;
+    leader.handle(JobEvent::Advised {
+        by,
+        response: Ok(response),
+        step: request.step,
+    });
+
+    let started = leader.take_starts();
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.as_str(), "a");
+}
--- a/crates/jobs/tests/common/advice_service.rs
+++ b/crates/jobs/tests/common/advice_service.rs
@@ -65,6 +65,7 @@
                 let eligible = waiting.request.workers.iter();
                 let response = AdviceResponse {
                     eligible: eligible.map(|worker| (worker.clone(), "ticket".into())).collect(),
+                    unreadable_rows: 0,
                     valid_ms: None,
                 };
                 let (request, result) = (waiting.request, Ok(response));
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -282,6 +282,7 @@
         let workers = request.workers.iter();
         let response = AdviceResponse {
             eligible: workers.map(|worker| (worker.clone(), "ticket".into())).collect(),
+            unreadable_rows: 0,
             valid_ms: None,
         };
         self.handle(JobEvent::Advised {
