jobs: test starts on workers whose capacity shrinks

A worker's capacity may shrink and grow again while it runs. The tests show that the leader places by the capacity of the last heartbeat in order, with all kinds of resources; that a worker over its capacity gets no start until its runs fit, also while they are being stopped; that advice on its way and the exception for empty workers do not get around it; that a new leader has the replicated capacity; and that placement resumes when it has grown.

All of them pass on the code before; they guard what already holds.

--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -22,6 +22,13 @@
 /// Time of the first event, in milliseconds since the Unix epoch.
 pub const UNIX_START_MS: u64 = 1_700_000_000_000;
 
+/// Capacity of a worker unless a test reports another one.
+pub const WORKER_CAPACITY: Resources = Resources {
+    memory_bytes: 64 << 30,
+    processors_millis: 16_000,
+    ..Resources::NONE
+};
+
 pub struct Leader {
     calls: u64,
     pub now_ms: u64,
@@ -139,14 +146,39 @@
 
     /// Handles a heartbeat of the incarnation of a worker that started at `started_unix_ms`.
     pub fn heartbeat_of(&mut self, worker: &str, started_unix_ms: u64, sequence: u64) {
-        let report = WorkerReport {
+        let report = self.report_with(worker, started_unix_ms, sequence, WORKER_CAPACITY);
+        self.heartbeat_report(report);
+    }
+
+    /// Handles the next heartbeat of a worker, with its present capacity.
+    pub fn heartbeat_with(&mut self, worker: &str, started_unix_ms: u64, capacity: Resources) {
+        self.sequence += 1;
+        let report = self.report_with(worker, started_unix_ms, self.sequence, capacity);
+        self.heartbeat_report(report);
+    }
+
+    /// Handles a heartbeat of the first incarnation of a worker with the given number.
+    pub fn heartbeat_sequence(&mut self, worker: &str, sequence: u64, capacity: Resources) {
+        let report = self.report_with(worker, 1, sequence, capacity);
+        self.heartbeat_report(report);
+    }
+
+    pub fn heartbeat_report(&mut self, report: WorkerReport) {
+        self.call(CellCall::Heartbeat(Box::new(report)));
+    }
+
+    /// Returns a heartbeat that the worker writes now.
+    pub fn report_with(
+        &self,
+        worker: &str,
+        started_unix_ms: u64,
+        sequence: u64,
+        capacity: Resources,
+    ) -> WorkerReport {
+        WorkerReport {
             address: "127.0.0.1:1".parse().expect("the address is valid"),
             started_unix_ms,
-            capacity: Resources {
-                memory_bytes: 64 << 30,
-                processors_millis: 16_000,
-                ..Resources::NONE
-            },
+            capacity,
             clock_ms: self.now_ms,
             data_center: DataCenter::new("a"),
             draining: false,
@@ -156,8 +188,16 @@
             remaining_ms: None,
             sequence,
             service: "service".into(),
-        };
-        self.call(CellCall::Heartbeat(Box::new(report)));
+        }
+    }
+
+    pub fn cancel(&mut self, job: JobId) {
+        self.call(CellCall::Job(JobCall {
+            action: JobAction::Cancel,
+            host: "host".into(),
+            key: Some("key".into()),
+            path: SmolStr::new(format!("/q/{job}")),
+        }));
     }
 
     pub fn submit(&mut self, job: JobId, steps: Vec<StepSpec>) {
