jobs: place on a new incarnation only by its own capacity

A report of a worker's runs may show a restart before the first heartbeat of the new incarnation arrives.

Failed before: new_incarnation_gets_no_start_before_it_has_reported_its_capacity (8 starts in place of none before the heartbeat).

The capacity of an incarnation without a heartbeat counts as none, also for a later leader. run_is_started_again_after_a_restart_with_an_earlier_start_time did not let its worker send heartbeats; it does now, and expects the same single start.

--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -6,7 +6,7 @@
         WorkerCallError, WorkerOrder, plan_losses::RemovalReason, run_view::RunState,
         worker_view::WorkerView,
     },
-    fuchsiatack_model::WorkerName,
+    fuchsiatack_model::{Resources, WorkerName},
     std::collections::BTreeMap,
 };
 
@@ -195,6 +195,10 @@
             self.handle_restart(worker, started_unix_ms);
             if let Some(mut entry) = self.store.workers.get(worker).cloned() {
                 entry.started_unix_ms = started_unix_ms;
+                // The new incarnation may have a smaller capacity, which only its heartbeat tells.
+                if known_unix_ms > 0 {
+                    entry.capacity = Resources::NONE;
+                }
                 self.propose(JobCommand::PutWorker {
                     entry,
                     worker: worker.clone(),
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -19,14 +19,16 @@
 fn run_is_started_again_after_a_restart_with_an_earlier_start_time() {
     let mut leader = Leader::new(queue(), &["a"]);
     leader.report_of("a", HoldKind::Renewal, FIRST_START_MS, &[]);
+    leader.heartbeat_of("a", FIRST_START_MS, 1);
     leader.submit(JobId(1), vec![step(1, 600)]);
     let (run, worker) = leader.take_starts().remove(0);
     let now_ms = leader.now_ms;
     leader.started(&worker, run, Ok(now_ms));
 
     let mut starts = 0;
-    for _ in 0..1_000 / TICK_MS {
+    for sequence in 1..=1_000 / TICK_MS {
         leader.advance(TICK_MS);
+        leader.heartbeat_of("a", SECOND_START_MS, sequence);
         for call in leader.take_calls() {
             match call {
                 Sent::Check(_) => leader.report_of("a", HoldKind::Check, SECOND_START_MS, &[]),
--- a/crates/jobs/tests/shrinking_capacity.rs
+++ b/crates/jobs/tests/shrinking_capacity.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use {
-    common::{Leader, Sent, advised_queue, queue, step},
+    common::{Leader, Sent, UNIX_START_MS, advised_queue, queue, step},
     fuchsiatack_jobs::{HoldKind, JobId, RunId, StepSpec},
     fuchsiatack_model::{Resources, WorkerName},
 };
@@ -195,6 +195,23 @@
     assert_eq!(leader.take_starts().len(), 6);
 }
 
+/// Guards against placement on a new incarnation by the capacity of the one before it: a report shows the
+/// restart, and the heartbeat with the capacity arrives later.
+#[test]
+fn new_incarnation_gets_no_start_before_it_has_reported_its_capacity() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    let started_unix_ms = UNIX_START_MS;
+
+    leader.advance(100);
+    leader.report_of("a", HoldKind::Check, started_unix_ms, &[]);
+    leader.submit(JobId(1), vec![step(8, 600)]);
+    assert_eq!(leader.take_starts(), []);
+    leader.now_ms += 100;
+    leader.heartbeat_with("a", started_unix_ms, CORES_4);
+
+    assert_eq!(leader.take_starts().len(), 2);
+}
+
 /// Guards against a task that uses idle processor time and whose memory does not fit any more.
 #[test]
 fn filling_task_needs_the_memory_of_the_smaller_capacity() {
