jobs: ignore heartbeats whose clock the worker cannot have

A heartbeat that another writer sent under the name of a live worker, with a clock far ahead, replaced the reading of its clock for good: later readings counted as older. Deadlines were then far in the future, the worker shortened them to its maximum, and the leader expected the leases to end earlier than they do, or the sums overflowed. And a new leader, which knows no number of an earlier heartbeat, took one that was delayed for seconds as the present state: a worker that had shrunk got starts by its earlier capacity (LIMIT).

A heartbeat of the present incarnation now counts only if its clock lies between 3 s behind and 5 s ahead of what the last reading allows, once a report has verified the worker; the report that verifies it replaces what heartbeats said of the clock. The first ignored heartbeat of a worker is logged.

--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -215,6 +215,10 @@
         view.last_response_ms = now_ms;
         view.is_verified = true;
         view.last_contact_ms = now_ms;
+        if was_unverified {
+            // Only the report certainly comes from the worker; a heartbeat may be from another writer.
+            view.clock = None;
+        }
         view.observe_clock(now_ms, report.clock_ms);
         if was_unreachable {
             self.needs_placement = true;
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -17,7 +17,8 @@
 const SILENCE_LIMIT_MS: u64 = 15_000;
 
 impl Planner {
-    /// Handles a heartbeat. Those that arrive out of order are ignored. One with an earlier start time than
+    /// Handles a heartbeat. Those that arrive out of order or very late, or
+    /// with a clock that the worker cannot have reached, are ignored. One with an earlier start time than
     /// that of the present incarnation only makes the leader request a report.
     pub(crate) fn handle_heartbeat(&mut self, report: &WorkerReport) {
         let now_ms = self.now_ms;
@@ -42,6 +43,9 @@
         if !is_restarted && !is_new && report.sequence <= view.sequence {
             return;
         }
+        if !is_restarted && !view.is_plausible_clock(now_ms, report.clock_ms) {
+            return self.log_ignored_heartbeat(report, "clock");
+        }
         if is_restarted {
             self.handle_restart(&report.name, entry.started_unix_ms);
         }
@@ -78,6 +82,23 @@
         }
     }
 
+    /// Logs the first of a series of heartbeats that do not come from the worker they name, or that were
+    /// delayed for long.
+    fn log_ignored_heartbeat(&mut self, report: &WorkerReport, field: &str) {
+        let Some(view) = self.workers.get_mut(&report.name) else {
+            return;
+        };
+        if !std::mem::replace(&mut view.has_ignored_heartbeats, true) {
+            self.log(
+                LogEvent::new("implausible heartbeat ignored")
+                    .with("worker", &report.name)
+                    .with("field", field)
+                    .with("address", report.address)
+                    .with("sequence", report.sequence),
+            );
+        }
+    }
+
     pub(crate) fn handle_restart(&mut self, worker: &WorkerName, started_unix_ms: u64) {
         let now_ms = self.now_ms;
         let leases_until_ms = self.inherited_until_ms(self.settings.max_lease_ms);
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -6,6 +6,12 @@
     std::collections::BTreeSet,
 };
 
+/// Delay of a heartbeat from which it does not count as the present state of its worker, in milliseconds.
+const MAX_HEARTBEAT_DELAY_MS: u64 = 3_000;
+/// Time by which the clock of a worker may be ahead of its last reading and the time since, in milliseconds.
+/// The reading may have been on its way for that long.
+const MAX_CLOCK_LEAD_MS: u64 = 5_000;
+
 /// The first failed call since a worker last responded.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Loss {
@@ -45,6 +51,8 @@
     pub(crate) last_seen: u64,
     /// Ends up to this number were acknowledged to the worker.
     pub(crate) last_acknowledged: u64,
+    /// Whether heartbeats under its name were ignored since its present incarnation is known.
+    pub(crate) has_ignored_heartbeats: bool,
     /// Whether it reported that it has left.
     pub(crate) has_left: bool,
     /// Whether its last report had rows that could not be decoded.
@@ -78,6 +86,7 @@
             inherited_until_ms,
             loss: None,
             last_seen: 0,
+            has_ignored_heartbeats: false,
             has_left: false,
             has_unreadable_rows: false,
             runs: BTreeSet::new(),
@@ -103,6 +112,7 @@
         self.inherited_until_ms = leases_until_ms;
         self.loss = None;
         self.last_seen = 0;
+        self.has_ignored_heartbeats = false;
         self.has_left = false;
         self.sequence = 0;
         self.last_acknowledged = 0;
@@ -137,6 +147,20 @@
         }
     }
 
+    /// Returns whether a heartbeat with this reading of its clock can come from the worker and was not
+    /// delayed for long. A new leader knows no number of an earlier heartbeat.
+    pub(crate) fn is_plausible_clock(&self, now_ms: u64, worker_ms: u64) -> bool {
+        let Some(clock) = self.clock.filter(|_| self.is_verified) else {
+            return true;
+        };
+        let elapsed_ms = now_ms.saturating_sub(clock.received_ms);
+        let latest_ms = clock.worker_ms + elapsed_ms + MAX_CLOCK_LEAD_MS;
+        let earliest_ms = clock
+            .lower_bound_ms(now_ms)
+            .saturating_sub(MAX_HEARTBEAT_DELAY_MS);
+        (earliest_ms..=latest_ms).contains(&worker_ms)
+    }
+
     /// Time by the planner's clock at which every lease on it has certainly expired.
     pub(crate) fn leases_end_ms(&self) -> u64 {
         let own_ms = match (self.clock, self.granted_until_ms) {
--- a/crates/jobs/tests/shrinking_capacity.rs
+++ b/crates/jobs/tests/shrinking_capacity.rs
@@ -181,6 +181,29 @@
     assert_eq!(leader.take_starts().len(), 2);
 }
 
+/// Guards against a delayed heartbeat that a new leader, which knows no earlier sequence number, takes for
+/// the present state of the worker.
+#[test]
+fn new_leader_ignores_a_heartbeat_from_before_the_worker_shrank() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    leader.now_ms = 60_000;
+    leader.heartbeat_with("a", 1, CORES_4);
+    leader.take_calls();
+    leader.replace_planner();
+    leader.advance(100);
+    leader.take_calls();
+    leader.report_runs("a", HoldKind::Renewal, &[], &[]);
+
+    let now_ms = leader.now_ms;
+    leader.now_ms = now_ms - 10_000;
+    let late = leader.report_with("a", 1, 7, CORES_16);
+    leader.now_ms = now_ms;
+    leader.heartbeat_report(late);
+    leader.submit(JobId(1), vec![step(8, 600)]);
+
+    assert_eq!(leader.take_starts().len(), 2);
+}
+
 /// Guards against waiting tasks that are not placed when a worker has grown again.
 #[test]
 fn placement_resumes_when_the_capacity_has_grown_again() {
