jobs: ignore heartbeats of another writer under a live worker's name

A heartbeat with the name and the start time of a live worker replaced its whole entry. With an unknown service the worker got no more starts. With another address the next order went there: a worker with another name rejects it, and the leader removed the live worker and ended its runs, which continued while their tasks started again (TWICE).

Failed before: heartbeat_of_another_writer_does_not_change_a_live_worker.

Address, service, data centre, machine and labels do not change within an incarnation. A heartbeat that differs in one of them is ignored and logged as long as the worker answers at its known address; otherwise it replaces the entry, so that an odd entry that came first does not lock a worker out (entry_of_another_writer_that_does_not_answer_is_replaced).

--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -18,7 +18,7 @@
 
 impl Planner {
     /// Handles a heartbeat. Those that arrive out of order or very late, or
-    /// with a clock that the worker cannot have reached, are ignored. One with an earlier start time than
+    /// with a clock or an identity that the worker cannot have, are ignored. One with an earlier start time than
     /// that of the present incarnation only makes the leader request a report.
     pub(crate) fn handle_heartbeat(&mut self, report: &WorkerReport) {
         let now_ms = self.now_ms;
@@ -29,6 +29,9 @@
         let has_start_time = entry.started_unix_ms > 0;
         let is_new = present.is_none();
         let is_changed = present.is_none_or(|present| *present != entry);
+        // Without a start time, a restart at another address could not be told from another writer.
+        let is_other_worker =
+            has_start_time && present.is_some_and(|present| !present.is_same_worker(&entry));
         let view = self
             .workers
             .entry(report.name.clone())
@@ -46,6 +49,9 @@
         if !is_restarted && !view.is_plausible_clock(now_ms, report.clock_ms) {
             return self.log_ignored_heartbeat(report, "clock");
         }
+        if !is_restarted && is_other_worker && view.is_reachable() {
+            return self.log_ignored_heartbeat(report, "identity");
+        }
         if is_restarted {
             self.handle_restart(&report.name, entry.started_unix_ms);
         }
--- a/crates/jobs/src/worker_entry.rs
+++ b/crates/jobs/src/worker_entry.rs
@@ -30,6 +30,15 @@
 }
 
 impl WorkerEntry {
+    /// Returns whether two entries of one incarnation agree in what does not change while it runs.
+    pub fn is_same_worker(&self, other: &Self) -> bool {
+        self.address == other.address
+            && self.data_center == other.data_center
+            && self.labels == other.labels
+            && self.machine == other.machine
+            && self.service == other.service
+    }
+
     /// Returns its kind; empty if it has no labels.
     pub fn kind(&self) -> &str {
         self.labels.first().map_or("", SmolStr::as_str)
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -172,10 +172,14 @@
         own_ms.max(self.inherited_until_ms)
     }
 
+    /// Returns whether it answered the last call in its present incarnation.
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.is_verified && self.failures == 0
+    }
+
     /// Returns whether new runs may be placed on the worker.
     pub(crate) fn accepts_runs(&self, now_ms: u64) -> bool {
-        self.is_verified
-            && self.failures == 0
+        self.is_reachable()
             && !self.has_left
             && self.clock.is_some()
             && now_ms >= self.paused_until_ms
