jobs: bound the sums of absurd amounts and times

The planner added estimates, due times and resources that callers and workers may choose freely. An estimate or the start of a schedule of 2^64-1 wrapped around in a release build: the priority of the job was arbitrary, and a later occurrence was due at once (ORDER). A worker with the largest number of processors got any number of the largest tasks, since the sum of their demands saturates at a value that the worker seems to cover (LIMIT).

Jobs with estimates or intervals above a year, or a start after the year 9999, are rejected as invalid. Free resources are compared by subtraction, which cannot overflow.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -36,9 +36,10 @@
                 / 100) as u32,
             ..Resources::NONE
         };
-        let needed = self.used.saturating_add(reserved);
         let is_empty = self.used.processors_millis == 0;
-        self.capacity.covers(&needed) && (is_empty || self.capacity.covers(&needed.saturating_add(&kept)))
+        let with_kept = reserved.saturating_add(&kept);
+        self.capacity.has_free(&self.used, reserved)
+            && (is_empty || self.capacity.has_free(&self.used, &with_kept))
     }
 
     /// Returns the expected duration in thousandths of the estimate, with the penalty for load.
@@ -48,7 +49,7 @@
         } else {
             REMOTE_DATA_THOUSANDTHS
         };
-        let used = u64::from(self.used.processors_millis + reserved.processors_millis);
+        let used = u64::from(self.used.processors_millis) + u64::from(reserved.processors_millis);
         let crowding = used * CROWDING_THOUSANDTHS / u64::from(self.capacity.processors_millis.max(1));
         self.slowness_thousandths * distance / 1_000 * (1_000 + crowding) / 1_000
     }
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CallId, CellCall, CellResponse, Configuration, EntryReport, JobAction, JobCall, JobCommand,
-        JobResponse, JobSpec, LogEvent, Planner, Queue, Submission, Wave, calls::parse_job_id,
+        JobResponse, JobSpec, LogEvent, Planner, Queue, Schedule, Submission, Wave, calls::parse_job_id,
     },
     fuchsiatack_model::{TeamName, WorkerName},
     smol_str::SmolStr,
@@ -13,6 +13,11 @@
 const MAX_TASKS: u32 = 20_000;
 /// Maximum number of occurrences of a job.
 const MAX_OCCURRENCES: u32 = 100_000;
+/// Maximum estimated duration of a task and maximum interval of a schedule in milliseconds, a year. Sums and
+/// products of such times stay in range.
+const MAX_DURATION_MS: u64 = 31_536_000_000;
+/// Latest start of a schedule in milliseconds since the Unix epoch, in the year 9999.
+const MAX_START_UNIX_MS: u64 = 253_402_300_799_000;
 
 impl Planner {
     pub(crate) fn handle_call(&mut self, id: CallId, call: CellCall) {
@@ -301,6 +306,10 @@
     job.queue == queue.name && is_permitted
 }
 
+fn is_in_range(schedule: Schedule) -> bool {
+    schedule.start_unix_ms <= MAX_START_UNIX_MS && schedule.interval_ms <= MAX_DURATION_MS
+}
+
 /// Returns why a job is invalid, or `None` if it can be accepted.
 fn rejection_reason(spec: &JobSpec) -> Option<SmolStr> {
     let tasks = spec
@@ -319,6 +328,10 @@
         None => "the job has too many tasks",
         Some(tasks) if tasks > MAX_TASKS => "the job has too many tasks",
         _ if occurrences == 0 || occurrences > MAX_OCCURRENCES => "the number of repetitions is out of range",
+        _ if spec.steps.iter().any(|step| step.estimated_ms > MAX_DURATION_MS) => {
+            "an estimated duration is out of range"
+        }
+        _ if spec.schedule.is_some_and(|schedule| !is_in_range(schedule)) => "the schedule is out of range",
         _ if !refers_back() => "a step depends on a step that does not precede it",
         _ => return None,
     };
--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -86,7 +86,7 @@
         view: &WorkerView,
     ) -> Option<Candidate<WorkerName>> {
         let entry = self.store.workers.get(name)?;
-        let has_room = entry.capacity.covers(&view.used.saturating_add(&spec.reserved()));
+        let has_room = entry.capacity.has_free(&view.used, &spec.reserved());
         has_room.then(|| self.suitable_worker(step, spec, service, name, view))?
     }
 
--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -38,6 +38,12 @@
             && self.slots >= needed.slots
     }
 
+    /// Returns whether `self` is at least the sum of `used` and `needed` in every resource. Sums beyond the
+    /// range of a type never fit.
+    pub fn has_free(&self, used: &Self, needed: &Self) -> bool {
+        self.covers(used) && self.saturating_sub(used).covers(needed)
+    }
+
     /// Adds each resource and saturates at the largest value of its type.
     pub fn saturating_add(&self, other: &Self) -> Self {
         Self {
