jobs: make the test of steps behind a backlog exceed what passes try without turns

With 200 unplaceable steps the passes of one pause reach all of them, and later_priorities_are_tried_beside_many_steps_that_fit_no_worker passed without the turns. With 2,000 it fails without them: the step behind the backlog gets no advice request.

--- a/crates/jobs/tests/advice_overload.rs
+++ b/crates/jobs/tests/advice_overload.rs
@@ -287,7 +287,7 @@
     let mut cell = Cell::new(DAEMONS, 2);
     let mut too_large = step(1, URGENT_MS);
     too_large.demand.processors_millis = 17_000;
-    for job in 1..=200 {
+    for job in 1..=2_000 {
         cell.leader.submit(JobId(job), vec![too_large.clone()]);
     }
     let background = JobId(FIRST_BACKGROUND);
