jobs: isolate and give up tasks that crash their workers

The cause: the loss of a worker never counted against the tasks on it. Its runs ended as interrupted and started elsewhere without limit.

The crashes under a task are now part of the replicated state, so that they outlive the leader. A task that had started shortly before a crash gets a worker of its own for its next run, so that the next crash is unambiguous. The job fails once it is too unlikely that workers crash by themselves that often as soon after the starts, at the latest after five crashes. Evidence is a successor at the address, also known by its heartbeat, or a restart under the name. Leases that expire in silence only raise suspicion, until it is known what became of the worker.

Variants are added at the end of JobCommand, and a map at the end of JobStore: a state stored by an earlier build cannot be read.

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the replicated log that change the job state.
 
 use {
-    crate::{Configuration, JobId, JobSpec, RunId, Wave, WorkerEntry},
+    crate::{Configuration, JobId, JobSpec, LostTask, RunId, TaskKey, Wave, WorkerEntry},
     fuchsiatack_derives::{key, message},
     fuchsiatack_model::{QueueName, TeamName, WorkerName},
     smol_str::SmolStr,
@@ -99,4 +99,22 @@
     StartWave(Wave),
     /// Stores an accepted job, unless its identifier is known.
     Submit(Box<Submission>),
+    /// Records the loss of a worker for the tasks that ran there.
+    RecordLoss(Vec<LostTask>),
+    /// Records whether a worker on which leases had expired has crashed or not.
+    ResolveLoss {
+        /// Whether it has crashed.
+        is_crash: bool,
+        /// Name of the worker.
+        worker: WorkerName,
+    },
+    /// Drops the records of lost workers of tasks.
+    ClearLosses(Vec<TaskKey>),
+    /// Fails a job because a task of it crashes the workers that run it.
+    GiveUp {
+        /// Identifier of the job.
+        job: JobId,
+        /// Time of the change in milliseconds since the Unix epoch, by the leader's clock.
+        unix_ms: u64,
+    },
 }
--- a/crates/jobs/src/job_store.rs
+++ b/crates/jobs/src/job_store.rs
@@ -1,7 +1,10 @@
 //! Replicated state of jobs, workers and their configuration.
 
 use {
-    crate::{Configuration, Job, JobCommand, JobEnd, JobId, JobState, RunEnd, RunId, Wave, WorkerEntry},
+    crate::{
+        Configuration, CrashRecord, Job, JobCommand, JobEnd, JobId, JobState, LostTask, RunEnd, RunId,
+        TaskKey, Wave, WorkerEntry,
+    },
     fuchsiatack_derives::message,
     fuchsiatack_model::{QueueName, WorkerName},
     smol_str::SmolStr,
@@ -33,6 +36,8 @@
     pub waves: BTreeMap<u64, WaveEntry>,
     /// Registered workers by name.
     pub workers: BTreeMap<WorkerName, WorkerEntry>,
+    /// Tasks under which workers were lost since they last proved that they crash none.
+    pub crashes: BTreeMap<TaskKey, CrashRecord>,
 }
 
 impl JobStore {
@@ -49,12 +54,14 @@
                 unix_ms,
             } => {
                 if self.end_run(*run, *end, checkpoint) {
+                    self.clear_ended(*run, *end);
                     self.update_job(*run, *end, *is_final, *unix_ms);
                 }
             }
             JobCommand::RemoveJobs(jobs) => {
                 for job in jobs {
                     self.jobs.remove(job);
+                    self.clear_job(*job);
                 }
             }
             JobCommand::RecordMaintenance { machine, wave } => {
@@ -84,6 +91,23 @@
                     .entry(submission.job)
                     .or_insert_with(|| Job::new(submission.as_ref().clone()));
             }
+            JobCommand::RecordLoss(tasks) => {
+                for lost in tasks {
+                    self.record_loss(lost);
+                }
+            }
+            JobCommand::ResolveLoss { is_crash, worker } => {
+                self.crashes
+                    .values_mut()
+                    .for_each(|record| record.resolve(worker, *is_crash));
+                self.crashes.retain(|_, record| !record.is_empty());
+            }
+            JobCommand::ClearLosses(tasks) => {
+                for task in tasks {
+                    self.crashes.remove(task);
+                }
+            }
+            JobCommand::GiveUp { job, unix_ms } => self.end_job(*job, JobState::Failed, *unix_ms),
         }
     }
 
@@ -120,6 +144,40 @@
         if let Some(job) = self.jobs.get_mut(&job) {
             job.ended.get_or_insert(JobEnd { state, unix_ms });
         }
+        self.clear_job(job);
+    }
+
+    fn record_loss(&mut self, lost: &LostTask) {
+        let job = self.jobs.get(&lost.task.step.job);
+        let task = job
+            .filter(|job| job.ended.is_none())
+            .and_then(|job| job.task(lost.task));
+        if task.is_some_and(|task| !task.done) {
+            self.crashes.entry(lost.task).or_default().add(lost);
+        }
+    }
+
+    /// Drops the record of a task whose run has ended by itself, and those of its gang if that is done.
+    fn clear_ended(&mut self, run: RunId, end: RunEnd) {
+        match end {
+            RunEnd::Done => {
+                let jobs = &self.jobs;
+                let is_done = |task: &TaskKey| {
+                    let job = jobs.get(&task.step.job);
+                    job.and_then(|job| job.task(*task)).is_some_and(|task| task.done)
+                };
+                self.crashes
+                    .retain(|task, _| task.step != run.task.step || !is_done(task));
+            }
+            RunEnd::Failed => {
+                self.crashes.remove(&run.task);
+            }
+            RunEnd::Interrupted => {}
+        }
+    }
+
+    fn clear_job(&mut self, job: JobId) {
+        self.crashes.retain(|task, _| task.step.job != job);
     }
 
     fn remove_worker(&mut self, worker: &WorkerName) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock_sample;
 mod command;
 mod configuration;
+mod crash_record;
 mod effect;
 mod event;
 mod ids;
@@ -23,6 +24,7 @@
 mod plan_backlog;
 mod plan_calls;
 mod plan_candidates;
+mod plan_crashes;
 mod plan_evacuation;
 mod plan_late_starts;
 mod plan_losses;
@@ -56,6 +58,7 @@
     },
     command::{JobCommand, RunEnd, Submission},
     configuration::{AdvicePolicy, Configuration, Queue, Team},
+    crash_record::{CrashRecord, LostTask},
     effect::Effect,
     event::{
         EndedRun, HoldReport, JobEvent, ListedEnd, ListedRun, OrderRejection, OrderResult, WorkerCallError,
--- a/crates/jobs/src/plan_losses.rs
+++ b/crates/jobs/src/plan_losses.rs
@@ -1,7 +1,7 @@
 //! Reports the workers that are lost while tasks run on them, with the evidence of what became of them.
 
 use {
-    crate::{LogEvent, Planner, RunId, WorkerCallError, run_view::RunState},
+    crate::{LogEvent, Planner, RunId, TaskKey, WorkerCallError, run_view::RunState},
     fuchsiatack_model::WorkerName,
     std::fmt::Write,
 };
@@ -41,18 +41,37 @@
     }
 }
 
+/// What the leader knows of the start of a lost run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum StartKnowledge {
+    /// The worker confirmed it to this leader.
+    Confirmed,
+    /// An earlier leader started the run, at an unknown time.
+    Inherited,
+    /// This leader ordered it. The worker may have crashed before the order arrived.
+    Ordered,
+}
+
 /// A run that may have been at work when its worker was lost.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LostRun {
     pub(crate) run: RunId,
-    /// Whether the worker has confirmed the start of the run to this leader.
-    pub(crate) is_confirmed: bool,
+    pub(crate) start: StartKnowledge,
+    /// Time from the last sign of life of the worker to its loss in milliseconds.
+    pub(crate) unheard_ms: u64,
     /// Time from the start order to the loss of the worker in milliseconds.
     pub(crate) worked_ms: u64,
 }
 
+impl LostRun {
+    /// Returns whether the run was certainly ordered less than `recent_ms` before the loss.
+    pub(crate) fn is_recent(&self, recent_ms: u64) -> bool {
+        self.start != StartKnowledge::Inherited && self.worked_ms < recent_ms
+    }
+}
+
 impl LossEvidence {
-    fn as_str(self) -> &'static str {
+    pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Silence => "leases expired in silence",
             Self::Restart => "restart under its name",
@@ -70,17 +89,44 @@
         let lost_ms = view.loss.map_or(self.now_ms, |loss| loss.since_ms);
         let present = view.runs.iter().filter_map(|task| self.runs.get(task));
         present
-            .filter(|run| !run.state.is_stop_confirmed())
+            .filter(|run| !run.is_loss_recorded && !run.state.is_stop_confirmed())
+            .filter(|run| run.state != RunState::Ordered)
             .map(|run| LostRun {
                 run: run.run,
-                is_confirmed: matches!(run.state, RunState::Confirmed { .. }),
+                start: match run.state {
+                    _ if run.is_inherited => StartKnowledge::Inherited,
+                    RunState::Confirmed { .. } => StartKnowledge::Confirmed,
+                    RunState::Stopping {
+                        is_start_unconfirmed: false,
+                        ..
+                    } => StartKnowledge::Confirmed,
+                    _ => StartKnowledge::Ordered,
+                },
+                unheard_ms: lost_ms.saturating_sub(view.last_contact_ms),
                 worked_ms: lost_ms.saturating_sub(run.started_ms),
             })
             .collect()
     }
 
+    /// Logs and records the loss of a worker with the runs that it put at risk. Returns the tasks whose jobs
+    /// have to be given up.
+    pub(crate) fn handle_loss(&mut self, worker: &WorkerName, evidence: LossEvidence) -> Vec<TaskKey> {
+        let lost = self.lost_runs(worker);
+        for run in &lost {
+            if let Some(view) = self.runs.get_mut(&run.run.task) {
+                view.is_loss_recorded = true;
+            }
+        }
+        self.log_loss(worker, evidence, &lost);
+        let mut crashing = self.record_loss(worker, evidence, &lost);
+        if evidence != LossEvidence::Silence {
+            crashing.extend(self.resolve_loss(worker, true));
+        }
+        crashing
+    }
+
     /// Logs the loss of a worker with the runs that it puts at risk, the youngest first.
-    pub(crate) fn log_loss(&mut self, worker: &WorkerName, evidence: LossEvidence, runs: &[LostRun]) {
+    fn log_loss(&mut self, worker: &WorkerName, evidence: LossEvidence, runs: &[LostRun]) {
         let Some(view) = self.workers.get(worker) else {
             return;
         };
@@ -107,7 +153,9 @@
                 .with("runs", runs.len())
                 .with(
                     "unconfirmed",
-                    runs.iter().filter(|lost| !lost.is_confirmed).count(),
+                    runs.iter()
+                        .filter(|lost| lost.start != StartKnowledge::Confirmed)
+                        .count(),
                 )
                 .with("tasks", tasks),
         );
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -230,6 +230,7 @@
                     .with("ended", report.ended.len()),
             );
         }
+        self.resolve_loss(worker, false);
         // The leases on the worker may have expired before it confirmed the stops of late starts.
         if was_unverified {
             self.stop_late_starts_on(worker);
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -10,6 +10,7 @@
         JobCommand, LogEvent, Planner, RunId, StepId, StepSpec, TaskKey, WaitReason, WorkerOrder,
         placement::{self, Candidate},
         plan_advice::MIN_WORKERS_PER_REQUEST,
+        plan_crashes::Sharing,
         run_view::RunState,
     },
     fuchsiatack_model::{Resources, WorkerName},
@@ -240,11 +241,28 @@
     ) -> Starts {
         let reserved = spec.reserved();
         let mut starts = Starts::new();
+        let mut isolated = 0;
         for task in waiting {
-            let Some(position) = self.choose_worker(*task, &usable, &reserved, kept_free_percent) else {
-                break;
+            let sharing = self.sharing(*task);
+            let position = match sharing {
+                Sharing::Shared => self.choose_worker(*task, &usable, &reserved, kept_free_percent),
+                Sharing::Alone | Sharing::Fewest | Sharing::Held => {
+                    self.choose_isolated(&usable, sharing, &starts, isolated)
+                }
+            };
+            let Some(position) = position else {
+                match sharing {
+                    Sharing::Shared => break,
+                    Sharing::Alone | Sharing::Fewest | Sharing::Held => continue,
+                }
             };
             let worker = usable[position].key.clone();
+            if sharing != Sharing::Shared {
+                usable.remove(position);
+                starts.entry(worker).or_default().push(*task);
+                isolated += 1;
+                continue;
+            }
             usable[position].used = usable[position].used.saturating_add(&reserved);
             let tasks = starts.entry(worker.clone()).or_default();
             tasks.push(*task);
@@ -275,6 +293,29 @@
             .or_else(|| placement::choose(usable, reserved, kept_free_percent, |_| true))
     }
 
+    /// Chooses a worker on which a suspected task runs alone, or beside as few runs as possible.
+    fn choose_isolated(
+        &self,
+        usable: &[Candidate<WorkerName>],
+        sharing: Sharing,
+        starts: &Starts,
+        isolated: usize,
+    ) -> Option<usize> {
+        let runs_on = |worker: &WorkerName| self.workers.get(worker).map_or(0, |view| view.runs.len());
+        let (position, fewest) = usable
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| !starts.contains_key(&candidate.key))
+            .min_by_key(|(_, candidate)| runs_on(&candidate.key))?;
+        let entry = self.store.workers.get(&fewest.key)?;
+        let is_permitted = match sharing {
+            Sharing::Alone => runs_on(&fewest.key) == 0 && self.may_isolate(&entry.service, isolated),
+            Sharing::Held => false,
+            Sharing::Fewest | Sharing::Shared => true,
+        };
+        is_permitted.then_some(position)
+    }
+
     /// Chooses workers for all members of a gang; on one rack if the step prefers that and one rack
     /// has enough free capacity. Returns no starts if not all members can be placed.
     fn choose_gang(
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -52,6 +52,9 @@
         if !is_restarted && is_other_worker && view.is_reachable() {
             return self.log_ignored_heartbeat(report, "identity");
         }
+        if is_new {
+            self.record_predecessors(report);
+        }
         if is_restarted {
             self.handle_restart(&report.name, entry.started_unix_ms);
         }
@@ -105,11 +108,31 @@
         }
     }
 
+    /// Records the crash of the unreachable workers that a new worker has followed at its address. It may
+    /// crash itself before a call to them reaches it. Their runs count until such a call or the end of their
+    /// leases, since the start times of two workers are no proof if the clock was set back in between.
+    fn record_predecessors(&mut self, report: &WorkerReport) {
+        let is_predecessor = |name: &WorkerName, entry: &WorkerEntry| {
+            *name != report.name
+                && entry.address == report.address
+                && entry.started_unix_ms < report.started_unix_ms
+                && self.workers.get(name).is_some_and(|view| view.failures > 0)
+        };
+        let entries = self.store.workers.iter();
+        let predecessors: Vec<_> = entries
+            .filter(|(name, entry)| is_predecessor(name, entry))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for worker in predecessors {
+            let crashing = self.handle_loss(&worker, LossEvidence::Successor);
+            self.give_up(crashing);
+        }
+    }
+
     pub(crate) fn handle_restart(&mut self, worker: &WorkerName, started_unix_ms: u64) {
         let now_ms = self.now_ms;
         let leases_until_ms = self.inherited_until_ms(self.settings.max_lease_ms);
-        let lost = self.lost_runs(worker);
-        self.log_loss(worker, LossEvidence::Restart, &lost);
+        let crashing = self.handle_loss(worker, LossEvidence::Restart);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
@@ -143,6 +166,7 @@
                 .with("worker", worker)
                 .with("born_unix_ms", started_unix_ms),
         );
+        self.give_up(crashing);
     }
 
     /// Ends the runs on unreachable workers whose leases have expired, and removes unreachable workers
@@ -172,8 +196,7 @@
     }
 
     fn expire_leases(&mut self, worker: &WorkerName) {
-        let lost = self.lost_runs(worker);
-        self.log_loss(worker, LossEvidence::Silence, &lost);
+        let crashing = self.handle_loss(worker, LossEvidence::Silence);
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
@@ -197,13 +220,17 @@
                 );
             }
         }
+        self.give_up(crashing);
     }
 
     pub(crate) fn remove_worker(&mut self, worker: &WorkerName, reason: RemovalReason) {
-        if reason == RemovalReason::Successor {
-            let lost = self.lost_runs(worker);
-            self.log_loss(worker, LossEvidence::Successor, &lost);
-        }
+        let crashing = match reason {
+            RemovalReason::Successor => self.handle_loss(worker, LossEvidence::Successor),
+            RemovalReason::Left | RemovalReason::Silent => {
+                self.resolve_loss(worker, false);
+                Vec::new()
+            }
+        };
         let runs = self
             .workers
             .get(worker)
@@ -224,5 +251,6 @@
         self.propose(JobCommand::RemoveWorker(worker.clone()));
         self.workers.remove(worker);
         self.needs_placement = true;
+        self.give_up(crashing);
     }
 }
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -18,7 +18,7 @@
     fuchsiatack_model::{QueueName, Resources, TeamName, WorkerName},
     smol_str::SmolStr,
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
     },
 };
@@ -40,6 +40,8 @@
     pub(crate) store: JobStore,
     /// Whether something has changed since the last placement that it depends on.
     pub(crate) needs_placement: bool,
+    /// Times of the crashes that no suspected task explains, by the planner's clock in milliseconds.
+    pub(crate) crash_times_ms: VecDeque<u64>,
     pub(crate) fencing_token: u64,
     pub(crate) cleanup_due_ms: u64,
     /// Time from which the planner has known that a job has ended, for jobs that it may remove.
@@ -50,6 +52,8 @@
     pub(crate) is_check_scheduled: bool,
     /// Measured speed of the tasks on each kind of worker.
     pub(crate) kinds: BTreeMap<SmolStr, KindSpeed>,
+    /// Time at which the leadership started.
+    pub(crate) leader_since_ms: u64,
     /// Runs that have ended while their start orders may still be carried out.
     pub(crate) late_starts: BTreeMap<(WorkerName, RunId), LateStart>,
     /// Time from which a lasting step may again be started before the urgent ones.
@@ -68,6 +72,8 @@
     /// Time of the next check for stalled runs.
     pub(crate) stalls_due_ms: u64,
     pub(crate) steps: BTreeMap<StepId, StepView>,
+    /// Time since which tasks have been suspected of crashing workers.
+    pub(crate) suspected_since_ms: BTreeMap<TaskKey, u64>,
     pub(crate) team_used: BTreeMap<TeamName, Resources>,
     pub(crate) workers: BTreeMap<WorkerName, WorkerView>,
 }
@@ -89,12 +95,14 @@
             prefetch_due_ms: now_ms,
             store,
             needs_placement: true,
+            crash_times_ms: VecDeque::new(),
             fencing_token,
             cleanup_due_ms: now_ms,
             eligible_shares: BTreeMap::new(),
             ended_since_ms: BTreeMap::new(),
             is_check_scheduled: false,
             kinds: BTreeMap::new(),
+            leader_since_ms: now_ms,
             late_starts: BTreeMap::new(),
             lasting_turn_ms: now_ms,
             members: Vec::new(),
@@ -107,6 +115,7 @@
             settings,
             stalls_due_ms: now_ms,
             steps: BTreeMap::new(),
+            suspected_since_ms: BTreeMap::new(),
             team_used: BTreeMap::new(),
             workers: BTreeMap::new(),
         };
@@ -268,6 +277,8 @@
             checkpoint: SmolStr::default(),
             demand: spec.demand,
             is_brief: spec.estimated_ms < BRIEF_MS && !spec.long_running,
+            is_inherited: matches!(state, RunState::Unverified { .. }),
+            is_loss_recorded: false,
             progress: Progress::default(),
             reserved: spec.reserved(),
             run,
@@ -278,6 +289,12 @@
         };
         if let Some(on) = self.workers.get_mut(worker) {
             on.used = on.used.saturating_add(&view.reserved);
+            if let Some(record) = self.store.crashes.get(&run.task)
+                && record.is_isolated
+                && (record.is_repeated() || on.runs.is_empty())
+            {
+                on.isolated.insert(run.task);
+            }
             on.runs.insert(run.task);
         }
         if let Some(team) = &view.team {
@@ -311,6 +328,7 @@
         if let Some(on) = self.workers.get_mut(&view.worker) {
             on.used = on.used.saturating_sub(&view.reserved);
             on.runs.remove(&task);
+            on.isolated.remove(&task);
         }
         if let Some(used) = view.team.as_ref().and_then(|team| self.team_used.get_mut(team)) {
             *used = used.saturating_sub(&view.demand);
@@ -323,6 +341,7 @@
         self.open_due_occurrences();
         self.prefetch_advice();
         self.expire_workers();
+        self.end_trials();
         self.send_due_checks();
         self.send_due_renewals();
         self.detect_stalls();
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -64,6 +64,10 @@
     pub(crate) demand: Resources,
     /// Whether it is expected to end within seconds.
     pub(crate) is_brief: bool,
+    /// Whether an earlier leader started it, so that `started_ms` is when this leader took over.
+    pub(crate) is_inherited: bool,
+    /// Whether the loss of its worker is recorded for its task.
+    pub(crate) is_loss_recorded: bool,
     pub(crate) progress: Progress,
     pub(crate) run: RunId,
     pub(crate) started_ms: u64,
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -45,6 +45,8 @@
     /// Time at which leases granted by earlier leaders, or to its earlier incarnation, have
     /// certainly expired.
     pub(crate) inherited_until_ms: u64,
+    /// Suspected tasks that run on it; it gets no other runs until they have proved themselves.
+    pub(crate) isolated: BTreeSet<TaskKey>,
     /// First failed call since its last response; `None` if no call has failed since.
     pub(crate) loss: Option<Loss>,
     /// Ends up to this number are recorded.
@@ -84,6 +86,7 @@
             hold_in_flight: false,
             incarnation_known_ms: now_ms,
             inherited_until_ms,
+            isolated: BTreeSet::new(),
             loss: None,
             last_seen: 0,
             has_ignored_heartbeats: false,
@@ -181,6 +184,7 @@
     pub(crate) fn accepts_runs(&self, now_ms: u64) -> bool {
         self.is_reachable()
             && !self.has_left
+            && self.isolated.is_empty()
             && self.clock.is_some()
             && now_ms >= self.paused_until_ms
             && !self.health.is_ejected(now_ms)
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -94,6 +94,11 @@
         self.planner = Planner::new(PlannerSettings::default(), store, 2, self.now_ms, unix_ms);
     }
 
+    /// Returns the state of jobs and workers with all proposed commands applied.
+    pub fn store(&self) -> &JobStore {
+        self.planner.store()
+    }
+
     /// Advances the time by `ms` milliseconds and sends a tick.
     pub fn advance(&mut self, ms: u64) {
         self.now_ms += ms;
--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -10,7 +10,10 @@
     fuchsiatack_model::{DataCenter, Resources, WorkerName},
     fuchsiatack_testkit::{JobRun, JobWorker},
     smol_str::SmolStr,
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
 const STEP_MS: u64 = 5;
@@ -376,7 +379,7 @@
         }
         self.sequence += 1;
         let report = WorkerReport {
-            address: "127.0.0.1:1".parse().expect("the address is valid"),
+            address: address_of(name),
             started_unix_ms: worker.started_unix_ms,
             capacity: worker.capacity,
             clock_ms: worker.clock_ms(self.now_ms),
@@ -639,6 +642,13 @@
     }
 }
 
+/// Returns the address of a worker, which ends with its number.
+fn address_of(worker: &WorkerName) -> SocketAddr {
+    let number = worker.as_str().trim_start_matches("w-");
+    let number: u16 = number.parse().expect("names end with a number");
+    SocketAddr::from(([127, 0, 0, 1], 1 + number))
+}
+
 fn settings() -> PlannerSettings {
     PlannerSettings::default()
 }
