--- a/crates/jobs/tests/shrinking_capacity.rs
+++ b/crates/jobs/tests/shrinking_capacity.rs
@@ -235,6 +235,24 @@
     assert_eq!(leader.take_starts().len(), 2);
 }
 
+/// Guards against a start on a worker whose heartbeats do not arrive, so that its known capacity may be
+/// out of date, while it still answers the calls of the leader.
+#[test]
+fn worker_without_recent_heartbeats_gets_no_start() {
+    let mut leader = Leader::new(queue(), &["a"]);
+    for _ in 0..10 {
+        leader.advance(500);
+        leader.take_calls();
+        leader.report_runs("a", HoldKind::Renewal, &[], &[]);
+    }
+
+    leader.submit(JobId(1), vec![step(8, 600)]);
+    assert_eq!(leader.take_starts(), []);
+    leader.heartbeat_with("a", 1, CORES_4);
+
+    assert_eq!(leader.take_starts().len(), 2);
+}
+
 /// Guards against a task that uses idle processor time and whose memory does not fit any more.
 #[test]
 fn filling_task_needs_the_memory_of_the_smaller_capacity() {
