consensus: remove a voter that may be gone before a further one is promoted

Found in the review of the removal of silent voters. Two machines that are replaced within about 2 s left seven voters, two of them gone: the successors of both voted before the first one had been silent for 3 s, and from an odd number single voters are not removed. Where the loss of two disks is to be borne, a quorum may be lost for good.

While a voter of an even number has not been heard from for 500 ms, no learner is promoted in a cell of more than five voters, so that the silent voter is removed first.

machines_replaced_together_do_not_count_in_the_quorum failed before (no leader with three of seven voters) and passes now.

--- a/crates/consensus/src/joining.rs
+++ b/crates/consensus/src/joining.rs
@@ -20,6 +20,9 @@
 /// Time in milliseconds without a message after which two silent voters are removed from an odd number.
 /// Longer than machines are usually down, because their votes may be needed when they return.
 const PAIR_SILENCE_MS: u64 = 60_000;
+/// Time in milliseconds without a message after which a voter may be gone. It is longer than the
+/// interval of heartbeats, and close to the longest election timeout.
+const DOUBTFUL_SILENCE_MS: u64 = 500;
 /// Fewest voters that the removal of silent ones leaves.
 const MIN_VOTERS: usize = 3;
 /// Fewest voters that the removal of two silent ones leaves.
@@ -138,10 +141,17 @@
         replaced.map(|member| MemberChange::Remove(member.id))
     }
 
+    /// Promotes a learner that has caught up.
+    ///
+    /// While a voter of an even number may be gone, no learner is promoted in a larger cell: its removal
+    /// comes first, since a single voter is not removed from the odd number that would follow.
     fn promotion(&self) -> Option<MemberChange> {
         let voters = self.voters().count();
-        let has_silent = self.silent(MemberRole::Voter, VOTER_SILENCE_MS).next().is_some();
-        let has_room = voters < MAX_VOTERS || (voters == MAX_VOTERS && has_silent);
+        let has_silent = |after_ms| self.silent(MemberRole::Voter, after_ms).next().is_some();
+        let awaits_removal =
+            voters > MIN_VOTERS_AFTER_PAIR && voters.is_multiple_of(2) && has_silent(DOUBTFUL_SILENCE_MS);
+        let has_room = voters < MAX_VOTERS || (voters == MAX_VOTERS && has_silent(VOTER_SILENCE_MS));
+        let has_room = has_room && !awaits_removal;
         let learner = self
             .caught_up_learners()
             .find(|learner| has_room && self.replaced_by(learner).next().is_none());
--- a/crates/consensus/tests/joining.rs
+++ b/crates/consensus/tests/joining.rs
@@ -155,6 +155,29 @@
     assert!(machines.network.leader().is_some());
 }
 
+/// Guards against a list that keeps two machines which were replaced at about the same time: the
+/// successors of both voted before the first one was silent for long enough to be removed.
+#[test]
+fn machines_replaced_together_do_not_count_in_the_quorum() {
+    for gap_ms in [0, 1_500] {
+        let mut machines = Machines::new(1, 5);
+        machines.run(2_000);
+
+        machines.replace(0);
+        machines.run(gap_ms);
+        machines.replace(0);
+        machines.run(20_000);
+        let voters = machines.voters();
+        for position in [0, 1] {
+            machines.stop(position, 60_000);
+        }
+        machines.run(20_000);
+
+        assert_eq!(voters, (5, 5));
+        assert!(machines.network.leader().is_some());
+    }
+}
+
 /// Guards against a running majority that stays without a leader because the quorum counts members
 /// that are gone, or does not count members that are back. `Machines` checks after each step that a
 /// stable majority has a leader within ten election timeouts.
