jobs: let slow advice requests of all priorities compete without claims

A slow request of an early priority that found no daemon held back those of all later priorities. No test needed the claims; without them all tests of the planner pass.

--- a/crates/jobs/src/advice_senders.rs
+++ b/crates/jobs/src/advice_senders.rs
@@ -29,9 +29,6 @@
 /// Time after an urgent request had to queue for which slow requests use the reserved daemons only, in
 /// milliseconds.
 const URGENT_QUEUE_MS: u64 = 500;
-/// Time for which a slow request without a daemon goes before those of later priorities, in milliseconds.
-/// Its step tries again sooner.
-const CLAIM_MS: u64 = 100;
 /// Time after its last announcement for which a daemon receives requests, in milliseconds.
 const ANNOUNCEMENT_LIFETIME_MS: u64 = 2_500;
 /// Time for which a daemon receives no requests after one of its requests failed, in milliseconds.
@@ -42,8 +39,6 @@
 pub(crate) struct RequestLoad {
     /// Whether the step is in a queue of the first priority.
     pub(crate) is_urgent: bool,
-    /// Priority of the queue.
-    pub(crate) priority: u32,
     /// Expected response time without a queue, in milliseconds.
     pub(crate) response_ms: u64,
 }
@@ -70,10 +65,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct AdviceSenders {
     all: BTreeMap<Option<SocketAddr>, AdviceSender>,
-    /// Priorities with a slow request that found no daemon, and until when it goes before others.
-    claims: BTreeMap<u32, u64>,
-    /// Priority of the last slow request.
-    last_slow_priority: Option<u32>,
     /// Time until which slow requests use the reserved daemons only.
     reserved_only_until_ms: u64,
 }
@@ -83,8 +74,6 @@
         let own = AdviceSender::new(u64::MAX, SmolStr::default());
         Self {
             all: BTreeMap::from([(None, own)]),
-            claims: BTreeMap::new(),
-            last_slow_priority: None,
             reserved_only_until_ms: 0,
         }
     }
@@ -117,7 +106,7 @@
         };
         let slow_limit = (count - count.div_ceil(FAST_DAEMON_DIVISOR)).max(1);
         let slow = usable().filter(|(_, sender)| sender.slow_until_ms > now_ms);
-        if load.is_slow() && (slow.count() >= slow_limit || self.must_yield(now_ms, load)) {
+        if load.is_slow() && slow.count() >= slow_limit {
             return None;
         }
         let is_reserved_only = load.is_slow() && reserved > 0 && now_ms < self.reserved_only_until_ms;
@@ -145,26 +134,10 @@
         sender.in_flight += 1;
         if load.is_slow() {
             sender.slow_until_ms = sender.busy_until_ms;
-            self.last_slow_priority = Some(load.priority);
-            self.claims.remove(&load.priority);
         }
         Some(address)
     }
 
-    /// Records that no daemon was found for a request.
-    pub(crate) fn request_refused(&mut self, now_ms: u64, load: RequestLoad) {
-        if load.is_slow() {
-            self.claims.insert(load.priority, now_ms + CLAIM_MS);
-        }
-    }
-
-    /// Returns whether a slow request of an earlier priority goes first. Priorities take turns, so that many
-    /// steps of a later one do not keep those of an earlier one waiting, nor the other way round.
-    fn must_yield(&self, now_ms: u64, load: RequestLoad) -> bool {
-        let mut earlier = self.claims.range(..load.priority);
-        earlier.any(|(priority, until_ms)| now_ms < *until_ms && self.last_slow_priority != Some(*priority))
-    }
-
     /// Records the end of a request. A failure excludes the daemon for a while.
     pub(crate) fn request_ended(&mut self, now_ms: u64, address: Option<SocketAddr>, succeeded: bool) {
         let Some(sender) = self.all.get_mut(&address) else {
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -104,16 +104,13 @@
     }
 
     /// Returns why no advice request for a step may be sent now, or `None` if one may be sent.
-    pub(crate) fn advice_pause(&mut self, step: StepId, policy: &AdvicePolicy) -> Option<WaitReason> {
+    pub(crate) fn advice_pause(&self, step: StepId, policy: &AdvicePolicy) -> Option<WaitReason> {
         let advice = &self.steps.get(&step)?.advice;
         let load = self.request_load(step, policy, MIN_WORKERS_PER_REQUEST);
         match advice.request_sent_ms {
             Some(_) => Some(WaitReason::AwaitsAdvice),
             None if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
-            None if self.advice_senders.find(self.now_ms, load).is_none() => {
-                self.advice_senders.request_refused(self.now_ms, load);
-                Some(WaitReason::NoAdviceSender)
-            }
+            None if self.advice_senders.find(self.now_ms, load).is_none() => Some(WaitReason::NoAdviceSender),
             None => None,
         }
     }
@@ -122,7 +119,6 @@
         let priority = self.steps.get(&step).map(|view| view.priority);
         RequestLoad {
             is_urgent: priority.is_some() && priority == self.top_priority(),
-            priority: priority.unwrap_or(u32::MAX),
             response_ms: policy.response_ms(workers),
         }
     }
