jobs: rotate the turns of lasting tasks, and keep the reserve outside of them

Found in the review of the turns. The eight lasting steps that had waited longest took every turn, also while they fit no worker, so that the others waited for good in a full cell (LOST). And each lasting step that had waited for 1 s could use the reserve of the urgent steps in every pass, so that a backlog of lasting tasks took all of it.

The steps that had their last turn longest ago come first, paused ones are left out, and only a turn gives access to the reserve.

lasting_tasks_that_fit_no_worker_leave_turns_to_others failed before ('started after None ms') and passes now.

--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -15,7 +15,7 @@
     },
     fuchsiatack_model::{Resources, WorkerName},
     smol_str::SmolStr,
-    std::collections::BTreeMap,
+    std::{cmp::Reverse, collections::BTreeMap},
 };
 
 /// Number of steps that fail to be placed in one planning pass after which the others are tried in turn
@@ -61,13 +61,15 @@
         while failed < MAX_FAILED_STEPS
             && let Some((_, step)) = order.next()
         {
-            failed += usize::from(self.try_step(step).is_err());
+            let kept_free_percent = self.kept_free_percent(step);
+            failed += usize::from(self.try_step(step, kept_free_percent).is_err());
         }
         self.place_in_turn(order.map(|(_, step)| step));
     }
 
-    /// Tries the lasting steps that have waited longest, until a task of one is started. In a cell that
-    /// urgent steps keep full, they would take all capacity that becomes free.
+    /// Tries lasting steps that have waited for long, until a task of one is started, and lets them use the
+    /// reserve. In a cell that urgent steps keep full, those would take all capacity that becomes free. The
+    /// steps take turns, so that some that fit no worker do not keep the others waiting.
     fn place_lasting_in_turn(&mut self) {
         let now_ms = self.now_ms;
         if now_ms < self.lasting_turn_ms {
@@ -77,14 +79,18 @@
             let wait_ms = view
                 .wait_ms(now_ms)
                 .filter(|wait_ms| *wait_ms >= LASTING_WAIT_MS)?;
-            view.is_long_running.then_some((wait_ms, *step))
+            let may_try = view.is_long_running && now_ms >= view.paused_until_ms;
+            may_try.then_some((view.turn_ms, Reverse(wait_ms), *step))
         });
         let mut overdue: Vec<_> = overdue.collect();
-        overdue.sort_unstable_by(|left, right| right.cmp(left));
-        for (_, step) in overdue.into_iter().take(STEPS_IN_TURN) {
+        overdue.sort_unstable();
+        for (.., step) in overdue.into_iter().take(STEPS_IN_TURN) {
             let waiting = self.waiting_tasks_of(step);
+            if let Some(view) = self.steps.get_mut(&step) {
+                view.turn_ms = now_ms;
+            }
             // The view records why a step still waits.
-            let _ = self.try_step(step);
+            let _ = self.try_step(step, 0);
             if self.waiting_tasks_of(step) < waiting {
                 self.lasting_turn_ms = now_ms + LASTING_TURN_MS;
                 return;
@@ -109,22 +115,24 @@
         for mut of_priority in turns.into_values() {
             of_priority.sort_unstable();
             for (_, step) in of_priority.into_iter().take(STEPS_IN_TURN) {
+                let kept_free_percent = self.kept_free_percent(step);
                 // The view records why a step still waits.
-                let _ = self.try_step(step);
+                let _ = self.try_step(step, kept_free_percent);
             }
         }
     }
 
-    /// Tries to start the waiting tasks of a step. A step that still waits is paused.
-    fn try_step(&mut self, step: StepId) -> Result<(), WaitReason> {
-        let view = self.steps.get(&step);
-        let priority = view.map(|view| view.priority);
-        let is_overdue = view
-            .is_some_and(|view| view.is_long_running && view.wait_ms(self.now_ms) >= Some(LASTING_WAIT_MS));
-        let kept_free_percent = match is_overdue || priority == self.top_priority() {
+    /// Returns the part of each worker that a step leaves free for the first priority, in percent.
+    fn kept_free_percent(&self, step: StepId) -> u32 {
+        let priority = self.steps.get(&step).map(|view| view.priority);
+        match priority == self.top_priority() {
             true => 0,
             false => self.settings.urgent_reserve_percent,
-        };
+        }
+    }
+
+    /// Tries to start the waiting tasks of a step. A step that still waits is paused.
+    fn try_step(&mut self, step: StepId, kept_free_percent: u32) -> Result<(), WaitReason> {
         let result = self.place_step(step, kept_free_percent);
         if let Some(view) = self.steps.get_mut(&step) {
             view.tried_ms = self.now_ms;
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -96,6 +96,7 @@
             priority,
             remaining_ms: remaining_ms.min(chain_ms),
             tried_ms: self.now_ms,
+            turn_ms: 0,
             wait_reason: None,
             waiting: BTreeSet::new(),
             waiting_since_ms: None,
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -69,6 +69,8 @@
     pub(crate) remaining_ms: u64,
     /// Time of the last attempt to place its tasks.
     pub(crate) tried_ms: u64,
+    /// Time of its last turn before the urgent steps; 0 if it had none.
+    pub(crate) turn_ms: u64,
     /// Why the last attempt left tasks waiting; `None` before the first attempt.
     pub(crate) wait_reason: Option<WaitReason>,
     /// Numbers of the tasks that have no present run and are not done.
--- a/crates/jobs/tests/advice_overload.rs
+++ b/crates/jobs/tests/advice_overload.rs
@@ -324,6 +324,38 @@
     assert!(urgent >= 380, "{urgent} urgent steps were started beside it");
 }
 
+/// Guards against lasting tasks that fit no worker and take every turn of the others in a full cell.
+#[test]
+fn lasting_tasks_that_fit_no_worker_leave_turns_to_others() {
+    const DAEMONS: u16 = 7;
+    const PER_SECOND: u64 = 200;
+    let mut cell = Cell::new(DAEMONS, 4);
+    cell.run(DAEMONS, 2_000, PER_SECOND);
+    let unsuitable = StepSpec {
+        required_label: Some("label of no worker".into()),
+        ..lasting_step()
+    };
+    for job in 1..=20 {
+        let job = JobId(FIRST_LASTING + job);
+        cell.submitted_ms.insert(job, cell.leader.now_ms);
+        cell.leader.submit_to("lasting", job, vec![unsuitable.clone()]);
+    }
+    cell.run(DAEMONS, 500, PER_SECOND);
+    cell.submit_lasting(FIRST_LASTING);
+
+    cell.run(DAEMONS, 3_500, PER_SECOND);
+
+    let lasting = JobId(FIRST_LASTING);
+    let started_ms = cell
+        .started_ms
+        .get(&lasting)
+        .map(|ms| ms - cell.submitted_ms[&lasting]);
+    assert!(
+        started_ms.is_some_and(|ms| ms <= 3_000),
+        "started after {started_ms:?} ms"
+    );
+}
+
 /// Guards against a lasting task that waits beside capacity which is reserved for urgent steps.
 #[test]
 fn lasting_task_uses_the_reserve_after_a_wait() {
