store: wait for the commit of the last member change in a test

The status lists a member as voter when the change is appended, and the test read the commit index before that change was committed. It now waits for a later entry first and expects the same.

--- a/crates/store/tests/joining.rs
+++ b/crates/store/tests/joining.rs
@@ -21,6 +21,9 @@
         cell.restart_with_empty_disk(lost).await;
         cell.becomes_voter(lost).await;
     }
+    // The last change of the member list is listed before it is committed.
+    let index = cell.propose().await;
+    cell.applied_everywhere(index).await;
     let leader = cell.leader().await;
     let before = cell.store(leader).status();
     // Nothing must happen, so the test waits for several checks of the member list.
