--- a/crates/consensus/tests/joining.rs
+++ b/crates/consensus/tests/joining.rs
@@ -178,6 +178,25 @@
     }
 }
 
+/// Guards against a majority of a large core without a leader, because some of its machines have no vote.
+#[test]
+fn majority_of_nine_machines_has_a_leader() {
+    let mut machines = Machines::new(1, 5);
+    machines.run(7_000);
+    for _ in 0..4 {
+        machines.fault(Fault::Add);
+        machines.run(7_000);
+    }
+
+    for position in 0..4 {
+        machines.stop(position, 30_000);
+    }
+    machines.run(20_000);
+
+    assert_eq!(machines.len(), 9);
+    assert!(machines.network.leader().is_some());
+}
+
 /// Guards against a running majority that stays without a leader because the quorum counts members
 /// that are gone, or does not count members that are back. `Machines` checks after each step that a
 /// stable majority has a leader within ten election timeouts.
