consensus: test the times of silence after which members are removed

The tests of the member list used a silence of 60 s for each rule, so that none of them held the limits of 3 s, 10 s and 60 s. Found in the review. Also removes an unused function of the simulation.

--- a/crates/consensus/tests/joining.rs
+++ b/crates/consensus/tests/joining.rs
@@ -57,6 +57,40 @@
     })
 }
 
+/// Returns the decision for a list in which the members with the `silent` identities have been silent for a
+/// time, and all others are present.
+fn decide_after(members: &[Member], silent: &[u64], silent_ms: u64) -> Option<MemberChange> {
+    let contact = MemberContact {
+        is_caught_up: false,
+        silent_ms,
+    };
+    next_joining_change(&[], members, |id| match silent.contains(&id.0) {
+        true => contact,
+        false => PRESENT,
+    })
+}
+
+/// Guards against members that are removed during a restart, or stay longer than a successor may wait.
+#[test]
+fn members_are_removed_after_their_time_of_silence() {
+    let with_learner = [voters(5), vec![member(6, 6, MemberRole::Learner)]].concat();
+    let is_removed = |members: &[Member], silent: &[u64], silent_ms| {
+        matches!(
+            decide_after(members, silent, silent_ms),
+            Some(MemberChange::Remove(_))
+        )
+    };
+
+    let voter = [2_999, 3_000].map(|silent_ms| is_removed(&voters(6), &[1], silent_ms));
+    let learner = [9_999, 10_000].map(|silent_ms| is_removed(&with_learner, &[6], silent_ms));
+    let pair = [59_999, 60_000].map(|silent_ms| is_removed(&voters(7), &[1, 2], silent_ms));
+
+    assert_eq!(
+        (voter, learner, pair),
+        ([false, true], [false, true], [false, true])
+    );
+}
+
 /// Guards against a learner that stays without a vote because it no longer asks to join.
 #[test]
 fn caught_up_learner_is_promoted_without_a_request() {
--- a/crates/consensus/tests/network/machines.rs
+++ b/crates/consensus/tests/network/machines.rs
@@ -451,12 +451,6 @@
         (voters.len(), present.count())
     }
 
-    /// Returns the positions of the machines, the leader's last.
-    pub fn leader_position(&self) -> Option<usize> {
-        let leader = self.network.leader()?;
-        self.machines.iter().position(|machine| machine.id == leader)
-    }
-
     pub fn len(&self) -> usize {
         self.machines.len()
     }
