jobs: keep processors free for urgent work of the same service only

Cause: every worker kept a tenth of its processors free for the first priority of all queues, also where no queue of that priority uses its service. Two tasks of 31 of 64 cores never ran on one worker with accelerators, so each of them took a whole one. Change: the first priority is taken by service, and indexed with the queues. Result: accelerators::nothing_is_kept_free_for_urgent_work_of_another_service failed before and passes; the reserve for urgent work of the same service stays.

--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -122,12 +122,20 @@
         }
     }
 
-    /// Returns the part of each worker that a step leaves free for the first priority, in percent.
+    /// Returns the part of each worker that a step leaves free for the first priority of its service, in
+    /// percent.
     fn kept_free_percent(&self, step: StepId) -> u32 {
-        let priority = self.steps.get(&step).map(|view| view.priority);
-        match priority == self.top_priority() {
-            true => 0,
-            false => self.settings.urgent_reserve_percent,
+        let first = self
+            .queue_of(step.job)
+            .and_then(|queue| self.first_priorities.get(&queue.service));
+        let is_first = self
+            .steps
+            .get(&step)
+            .is_some_and(|view| first == Some(&view.priority));
+        if is_first {
+            0
+        } else {
+            self.settings.urgent_reserve_percent
         }
     }
 
@@ -149,8 +157,7 @@
 
     /// Returns the first priority of the configured queues.
     pub(crate) fn top_priority(&self) -> Option<u32> {
-        let configuration = self.store.configuration.as_ref()?;
-        configuration.queues.iter().map(|queue| queue.priority).min()
+        self.first_priorities.values().min().copied()
     }
 
     /// Tries to start the waiting tasks of a step. Fails if some of them still wait.
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -64,6 +64,8 @@
     pub(crate) output: Output,
     /// Positions of the queues in the configuration, by name.
     pub(crate) queues: BTreeMap<QueueName, usize>,
+    /// First priority of the queues of each service.
+    pub(crate) first_priorities: BTreeMap<SmolStr, u32>,
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Occurrences that are due later, as due time since the Unix epoch in milliseconds, job and
     /// number.
@@ -110,6 +112,7 @@
             now_unix_ms,
             output: Output::default(),
             queues: BTreeMap::new(),
+            first_priorities: BTreeMap::new(),
             runs: BTreeMap::new(),
             scheduled: BTreeSet::new(),
             settings,
@@ -257,12 +260,18 @@
         self.store.configuration.as_ref()?.queues.get(position)
     }
 
-    /// Indexes the queues of the configuration by name; there may be hundreds.
+    /// Indexes the queues of the configuration by name and by service; there may be hundreds.
     pub(crate) fn index_queues(&mut self) {
+        self.queues.clear();
+        self.first_priorities.clear();
         let configuration = self.store.configuration.as_ref();
-        let queues = configuration.map(|configuration| configuration.queues.iter());
-        let names = queues.into_iter().flatten().map(|queue| queue.name.clone());
-        self.queues = names.zip(0..).collect();
+        let queues = configuration.into_iter().flat_map(|present| &present.queues);
+        for (position, queue) in queues.enumerate() {
+            self.queues.insert(queue.name.clone(), position);
+            let first = self.first_priorities.entry(queue.service.clone());
+            let first = first.or_insert(queue.priority);
+            *first = queue.priority.min(*first);
+        }
     }
 
     /// Adds a run and counts it towards the use of its worker and its team.
