jobs: pack accelerators, and keep other work away from them

Cause: a task went to the worker with the largest free share of processors, so single accelerators were in use on all workers and whole ones were hardly ever free. Change: a task that needs accelerators goes where the fewest stay free; work that needs none prefers workers without them. Result: accelerators::single_accelerators_are_taken_from_workers_in_use and work_without_accelerators_prefers_workers_that_have_none failed before and pass.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -3,6 +3,10 @@
 //! Balances many small urgent tasks against few large ones: a task goes where it is expected to end
 //! soonest, on a worker of a fast kind near its data. Among equals, the worker with the largest
 //! free share of its processors is preferred, since tasks on one worker slow each other down.
+//!
+//! Accelerators are packed instead: a task that needs some goes where the fewest stay free, so that
+//! many single ones leave whole workers to the gangs that need them. Work that needs none keeps away
+//! from workers that have them.
 
 use fuchsiatack_model::Resources;
 
@@ -25,6 +29,12 @@
 const REMOTE_DATA_THOUSANDTHS: u64 = 3_000;
 /// Penalty of a full worker over an empty one, in thousandths of the task's duration.
 const CROWDING_THOUSANDTHS: u64 = 400;
+/// Penalty of each accelerator that stays free beside a task that needs some, in thousandths of the
+/// task's duration.
+const FREE_ACCELERATOR_THOUSANDTHS: u64 = 125;
+/// Penalty of a worker with accelerators for a task that needs none, in thousandths of the task's
+/// duration.
+const UNNEEDED_ACCELERATORS_THOUSANDTHS: u64 = 1_000;
 
 impl<K> Candidate<K> {
     /// Returns whether the task fits into the free resources with `kept_free_percent` of the
@@ -42,16 +52,28 @@
             && (is_empty || self.capacity.has_free(&self.used, &with_kept))
     }
 
-    /// Returns the expected duration in thousandths of the estimate, with the penalty for load.
+    /// Returns the expected duration in thousandths of the estimate, with the penalty for the choice of
+    /// the worker.
     fn cost(&self, reserved: &Resources) -> u64 {
         let distance = if self.is_near_data {
             1_000
         } else {
             REMOTE_DATA_THOUSANDTHS
         };
-        let used = u64::from(self.used.processors_millis) + u64::from(reserved.processors_millis);
-        let crowding = used * CROWDING_THOUSANDTHS / u64::from(self.capacity.processors_millis.max(1));
-        self.slowness_thousandths * distance / 1_000 * (1_000 + crowding) / 1_000
+        self.slowness_thousandths * distance / 1_000 * (1_000 + self.penalty(reserved)) / 1_000
+    }
+
+    /// Returns the penalty for load, or for accelerators that stay free, in thousandths of the duration.
+    fn penalty(&self, reserved: &Resources) -> u64 {
+        let used = self.used.saturating_add(reserved);
+        let crowding = u64::from(used.processors_millis) * CROWDING_THOUSANDTHS
+            / u64::from(self.capacity.processors_millis.max(1));
+        let free_accelerators = self.capacity.saturating_sub(&used).accelerators;
+        match reserved.accelerators {
+            0 if self.capacity.accelerators > 0 => crowding + UNNEEDED_ACCELERATORS_THOUSANDTHS,
+            0 => crowding,
+            _ => u64::from(free_accelerators) * FREE_ACCELERATOR_THOUSANDTHS,
+        }
     }
 }
 
--- a/crates/jobs/tests/accelerators.rs
+++ b/crates/jobs/tests/accelerators.rs
@@ -6,6 +6,7 @@
     common::{Leader, queue, step},
     fuchsiatack_jobs::{CellCall, Configuration, JobId, Queue, StepSpec},
     fuchsiatack_model::{QueueName, Resources},
+    std::collections::BTreeSet,
 };
 
 /// Capacity of a worker with eight accelerators.
@@ -88,3 +89,35 @@
 
     assert_eq!(leader.take_starts().len(), 1);
 }
+
+/// Guards against single accelerators that are in use on all workers while gangs need whole workers.
+#[test]
+fn single_accelerators_are_taken_from_workers_in_use() {
+    let mut leader = leader(vec![accelerator_queue()], &["a", "b", "c", "d"]);
+
+    for job in 1..=8 {
+        leader.submit(JobId(job), vec![accelerator_step(1, 1, 5_000)]);
+    }
+
+    let starts = leader.take_starts();
+    let workers: BTreeSet<_> = starts.iter().map(|(_, worker)| worker).collect();
+    assert_eq!(starts.len(), 8);
+    assert_eq!(workers.len(), 1, "one worker has room for all");
+}
+
+/// Guards against work without need of accelerators that takes the processors beside free ones.
+#[test]
+fn work_without_accelerators_prefers_workers_that_have_none() {
+    let mut leader = leader(vec![accelerator_queue()], &["a", "b"]);
+    let without = Resources {
+        accelerators: 0,
+        ..CAPACITY
+    };
+    leader.heartbeat_with("b", 1, without);
+
+    leader.submit(JobId(1), vec![accelerator_step(4, 0, 14_000)]);
+
+    let starts = leader.take_starts();
+    assert_eq!(starts.len(), 4);
+    assert!(starts.iter().all(|(_, worker)| worker.as_str() == "b"));
+}
