jobs: no starts on a worker whose heartbeats are overdue

Change: no starts from 4.5 s after the last heartbeat. If more than half of eight or more reachable workers are overdue, the leader does not receive heartbeats, and starts go on. A further test covers late heartbeats of all workers. The test of early advice requests sends heartbeats now, since it spans 7 s.

--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -99,7 +99,7 @@
         name: &WorkerName,
         view: &WorkerView,
     ) -> Option<Candidate<WorkerName>> {
-        if !view.accepts_runs(self.now_ms) {
+        if !view.accepts_runs(self.now_ms) || self.is_capacity_outdated(view) {
             return None;
         }
         let entry = self.store.workers.get(name)?;
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -15,6 +15,8 @@
 
 /// Time without contact after which an unreachable worker without runs is removed, in milliseconds.
 const SILENCE_LIMIT_MS: u64 = 15_000;
+/// Fewest workers of which the heartbeats show whether the leader receives any.
+const MIN_WORKERS_OF_SAMPLE: usize = 8;
 
 impl Planner {
     /// Handles a heartbeat. Those that arrive out of order or very late, or
@@ -60,6 +62,7 @@
         }
         if let Some(view) = self.workers.get_mut(&report.name) {
             view.last_contact_ms = now_ms;
+            view.last_heartbeat_ms = now_ms;
             view.sequence = report.sequence;
             view.has_left = false;
             view.observe_clock(now_ms, report.clock_ms);
@@ -169,6 +172,21 @@
         self.give_up(crashing);
     }
 
+    /// Observes whether most heartbeats are overdue. Then the leader does not receive them in time, and
+    /// their age tells nothing about single workers.
+    pub(crate) fn observe_heartbeats(&mut self) {
+        let now_ms = self.now_ms;
+        let reachable = || self.workers.values().filter(|view| view.is_reachable());
+        let overdue = reachable().filter(|view| view.is_heartbeat_overdue(now_ms));
+        let (overdue, all) = (overdue.count(), reachable().count());
+        self.are_heartbeats_late = all >= MIN_WORKERS_OF_SAMPLE && overdue * 2 > all;
+    }
+
+    /// Returns whether the capacity of a worker may have changed since its last heartbeat.
+    pub(crate) fn is_capacity_outdated(&self, view: &WorkerView) -> bool {
+        !self.are_heartbeats_late && view.is_heartbeat_overdue(self.now_ms)
+    }
+
     /// Ends the runs on unreachable workers whose leases have expired, and removes unreachable workers
     /// without runs after `SILENCE_LIMIT_MS` without contact.
     pub(crate) fn expire_workers(&mut self) {
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -33,6 +33,8 @@
 /// Scheduler of the leader: turns events into commands and effects.
 pub struct Planner {
     pub(crate) advice_senders: AdviceSenders,
+    /// Whether most heartbeats are overdue.
+    pub(crate) are_heartbeats_late: bool,
     /// Time of the next report of the waiting steps.
     pub(crate) backlog_due_ms: u64,
     /// Time of the next search for steps whose advice is requested before they are ready.
@@ -93,6 +95,7 @@
     ) -> Self {
         let mut planner = Self {
             advice_senders: AdviceSenders::new(),
+            are_heartbeats_late: false,
             backlog_due_ms: now_ms,
             prefetch_due_ms: now_ms,
             store,
@@ -348,6 +351,7 @@
 
     fn tick(&mut self) {
         self.open_due_occurrences();
+        self.observe_heartbeats();
         self.prefetch_advice();
         self.expire_workers();
         self.end_trials();
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -8,6 +8,9 @@
 
 /// Delay of a heartbeat from which it does not count as the present state of its worker, in milliseconds.
 const MAX_HEARTBEAT_DELAY_MS: u64 = 3_000;
+/// Age of the last heartbeat from which its capacity counts as out of date, in milliseconds. Workers send
+/// a heartbeat every 1.5 s and repeat one that is not acknowledged after a second.
+const MAX_HEARTBEAT_AGE_MS: u64 = 4_500;
 /// Time by which the clock of a worker may be ahead of its last reading and the time since, in milliseconds.
 /// The reading may have been on its way for that long.
 const MAX_CLOCK_LEAD_MS: u64 = 5_000;
@@ -37,6 +40,8 @@
     pub(crate) granted_until_ms: u64,
     /// Time of its last heartbeat or response.
     pub(crate) last_contact_ms: u64,
+    /// Time of its last heartbeat, which tells its capacity.
+    pub(crate) last_heartbeat_ms: u64,
     pub(crate) health: WorkerHealth,
     pub(crate) hold_due_ms: u64,
     pub(crate) hold_in_flight: bool,
@@ -81,6 +86,7 @@
             failures: 0,
             granted_until_ms: 0,
             last_contact_ms: now_ms,
+            last_heartbeat_ms: now_ms,
             health: WorkerHealth::default(),
             hold_due_ms: now_ms,
             hold_in_flight: false,
@@ -175,6 +181,11 @@
         own_ms.max(self.inherited_until_ms)
     }
 
+    /// Returns whether its last heartbeat is too old to rely on the capacity in it.
+    pub(crate) fn is_heartbeat_overdue(&self, now_ms: u64) -> bool {
+        now_ms > self.last_heartbeat_ms + MAX_HEARTBEAT_AGE_MS
+    }
+
     /// Returns whether it answered the last call in its present incarnation.
     pub(crate) fn is_reachable(&self) -> bool {
         self.is_verified && self.failures == 0
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -76,7 +76,10 @@
     leader.advance(50);
     assert!(requests(&mut leader).is_empty());
 
-    leader.advance(7_000);
+    leader.advance(3_500);
+    leader.heartbeat("a");
+    leader.heartbeat("b");
+    leader.advance(3_500);
     assert_eq!(requests(&mut leader).len(), 1);
 }
 
--- a/crates/jobs/tests/shrinking_capacity.rs
+++ b/crates/jobs/tests/shrinking_capacity.rs
@@ -235,6 +235,9 @@
     assert_eq!(leader.take_starts().len(), 2);
 }
 
+/// Time after which a step that could not be placed is tried again, in milliseconds.
+const RETRY_MS: u64 = 20;
+
 /// Guards against a start on a worker whose heartbeats do not arrive, so that its known capacity may be
 /// out of date, while it still answers the calls of the leader.
 #[test]
@@ -249,10 +252,30 @@
     leader.submit(JobId(1), vec![step(8, 600)]);
     assert_eq!(leader.take_starts(), []);
     leader.heartbeat_with("a", 1, CORES_4);
+    leader.advance(RETRY_MS);
 
     assert_eq!(leader.take_starts().len(), 2);
 }
 
+/// Guards against a leader that starts nothing while it receives heartbeats late or not at all.
+#[test]
+fn workers_get_starts_while_most_heartbeats_are_overdue() {
+    let names: Vec<_> = (0..8).map(|number| format!("w-{number}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut leader = Leader::new(queue(), &names);
+    for _ in 0..10 {
+        leader.advance(500);
+        leader.take_calls();
+        for name in &names {
+            leader.report_runs(name, HoldKind::Renewal, &[], &[]);
+        }
+    }
+
+    leader.submit(JobId(1), vec![step(8, 600)]);
+
+    assert_eq!(leader.take_starts().len(), 8);
+}
+
 /// Guards against a task that uses idle processor time and whose memory does not fit any more.
 #[test]
 fn filling_task_needs_the_memory_of_the_smaller_capacity() {
