consensus: up to nine voters

Change: nine voters, by joining and by operators' records. The test of a full list uses nine voters, the new size of a full list.

--- a/crates/consensus/src/joining.rs
+++ b/crates/consensus/src/joining.rs
@@ -11,7 +11,7 @@
 /// older one is from a daemon that stopped or lost its disk again.
 const REQUEST_LIFETIME_MS: u64 = 3_000;
 /// Maximum number of voters. Learners beyond it are promoted only in place of a silent voter.
-const MAX_VOTERS: usize = 7;
+const MAX_VOTERS: usize = 9;
 /// Time in milliseconds without a message after which a voter is silent. Restarts of a process are
 /// shorter. A machine that is replaced stops counting when its successor is to count.
 const VOTER_SILENCE_MS: u64 = 3_000;
--- a/crates/consensus/tests/joining.rs
+++ b/crates/consensus/tests/joining.rs
@@ -146,15 +146,15 @@
 /// become a voter, and two voters that are gone must not stay in the quorum.
 #[test]
 fn full_list_makes_room_for_a_successor() {
-    let full = voters(7);
-    let with_learner = [full.clone(), vec![member(8, 8, MemberRole::Learner)]].concat();
+    let full = voters(9);
+    let with_learner = [full.clone(), vec![member(10, 10, MemberRole::Learner)]].concat();
 
     let unneeded = decide(&[], &with_learner, &[]);
     let successor = decide(&[], &with_learner, &[1]);
     let pair = decide(&[], &full, &[1, 2]);
 
     assert_eq!(unneeded, None);
-    assert_eq!(successor, Some(MemberChange::Promote(MemberId(8))));
+    assert_eq!(successor, Some(MemberChange::Promote(MemberId(10))));
     assert!(matches!(pair, Some(MemberChange::Remove(MemberId(1 | 2)))));
 }
 
--- a/crates/store/src/runtime_leader.rs
+++ b/crates/store/src/runtime_leader.rs
@@ -15,7 +15,7 @@
 /// Interval in milliseconds between reconciliations of the member list.
 const MEMBERS_INTERVAL_MS: u64 = 100;
 /// Maximum number of voters that operators' records lead to. Learners beyond it are not promoted.
-const MAX_VOTERS: usize = 7;
+const MAX_VOTERS: usize = 9;
 /// Interval in milliseconds between plans of the allocator.
 const PLAN_INTERVAL_MS: u64 = 100;
 
