jobs: reserve room for gangs and large tasks, and preempt for it

Cause: nothing held room for a step that needs much of it at once, so small work took each accelerator as it became free. A gang asked for advice, found no room for all members, let its tickets lapse and asked again; these requests occupied the daemons that others lacked. Change: a step that waits for whole workers or for all members of a gang reserves what becomes free first on workers that may run it (reservation.rs), at most on half of a service's workers and for 12 s. Small tasks that end before the room is complete still run there. Its tickets are asked for when the room is about to be free. Runs of a later priority that save checkpoints are stopped for it, at most three times for a task. The first request of a gang names enough workers for one task on each if only one fits.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -28,8 +28,10 @@
 mod plan_evacuation;
 mod plan_late_starts;
 mod plan_losses;
+mod plan_preemption;
 mod plan_prefetch;
 mod plan_renewals;
+mod plan_reservations;
 mod plan_runs;
 mod plan_stalls;
 mod plan_start;
@@ -49,6 +51,7 @@
 mod worker_view;
 
 pub mod placement;
+pub mod reservation;
 
 pub use self::{
     advice_error::AdviceError,
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -3,14 +3,14 @@
 use {
     crate::{
         AdviceError, AdvicePolicy, AdviceRequest, AdviceResponse, Effect, LogEvent, Planner, StepId,
-        WaitReason, advice_senders::RequestLoad, placement::Candidate,
+        StepSpec, WaitReason, advice_senders::RequestLoad, placement::Candidate,
     },
     fuchsiatack_model::WorkerName,
     std::net::SocketAddr,
 };
 
 /// Maximum number of workers in one request.
-const MAX_WORKERS_PER_REQUEST: usize = 100;
+pub(crate) const MAX_WORKERS_PER_REQUEST: usize = 100;
 /// Minimum number of workers in a request, if there are as many candidates. A second request costs
 /// far more time than more workers in the first.
 pub(crate) const MIN_WORKERS_PER_REQUEST: usize = 30;
@@ -21,12 +21,15 @@
 const TICKET_MARGIN_MS: u64 = 250;
 /// Assumed share of eligible workers for a queue without responses so far, in thousandths.
 const DEFAULT_ELIGIBLE_THOUSANDTHS: u64 = 400;
-/// Expected number of tasks of one step on the same worker.
-const TASKS_PER_WORKER: u64 = 2;
+/// Maximum number of tasks of one step that are expected on the same worker.
+const MAX_TASKS_PER_WORKER: u64 = 2;
 /// Inverse weight of a new response in the mean share of eligible workers.
 const SHARE_WINDOW: u64 = 8;
 /// Number of workers in a request, in percent of the expected need.
 const REQUESTED_PERCENT: u64 = 130;
+/// Number of workers in a request for a gang, in percent of the expected need. Its members need room at
+/// the same time.
+const REQUESTED_FOR_GANG_PERCENT: u64 = 200;
 /// Pause after an attempt to send a request, in milliseconds. The search for candidates is the most
 /// expensive part of a planning pass in a full cell.
 const REQUEST_PAUSE_MS: u64 = 60;
@@ -129,6 +132,7 @@
     pub(crate) fn request_advice(
         &mut self,
         step: StepId,
+        spec: &StepSpec,
         policy: &AdvicePolicy,
         tasks: usize,
         candidates: &[Candidate<WorkerName>],
@@ -157,10 +161,15 @@
             .filter(is_unevaluated)
             .cloned()
             .collect();
-        let needed = (tasks as u64).div_ceil(TASKS_PER_WORKER);
+        let needed = (tasks as u64).div_ceil(tasks_per_worker(spec, candidates));
         let missing = needed.saturating_sub(known.len() as u64);
         let share = self.eligible_share(step).max(50);
-        let wanted = (missing * 1_000 * REQUESTED_PERCENT / 100).div_ceil(share) as usize;
+        let percent = if spec.gang {
+            REQUESTED_FOR_GANG_PERCENT
+        } else {
+            REQUESTED_PERCENT
+        };
+        let wanted = (missing * 1_000 * percent / 100).div_ceil(share) as usize;
         let wanted = match missing {
             0 if !known.is_empty() => 0,
             _ => wanted.max(MIN_WORKERS_PER_REQUEST),
@@ -174,8 +183,18 @@
         if workers.is_empty() {
             return WaitReason::NoCapacity;
         }
+        self.send_advice_request(step, policy, workers)
+    }
+
+    /// Sends a request for advice on some workers. Returns what the step waits for then.
+    pub(crate) fn send_advice_request(
+        &mut self,
+        step: StepId,
+        policy: &AdvicePolicy,
+        workers: Vec<WorkerName>,
+    ) -> WaitReason {
         let load = self.request_load(step, policy, workers.len());
-        let Some(by) = self.advice_senders.choose(now_ms, load) else {
+        let Some(by) = self.advice_senders.choose(self.now_ms, load) else {
             return WaitReason::NoAdviceSender;
         };
         if let Some(view) = self.steps.get_mut(&step) {
@@ -207,3 +226,12 @@
         }
     }
 }
+
+/// Returns the expected number of a step's tasks on the same worker.
+fn tasks_per_worker(spec: &StepSpec, candidates: &[Candidate<WorkerName>]) -> u64 {
+    let demand = spec.reserved();
+    let two = demand.saturating_add(&demand);
+    let is_alone =
+        spec.max_per_worker == Some(1) || !candidates.iter().any(|candidate| candidate.capacity.covers(&two));
+    if is_alone { 1 } else { MAX_TASKS_PER_WORKER }
+}
--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -7,6 +7,7 @@
     crate::{
         Planner, StepId, StepSpec, WorkerEntry,
         placement::{self, Candidate},
+        reservation::Seeker,
         worker_view::WorkerView,
     },
     fuchsiatack_model::WorkerName,
@@ -29,8 +30,9 @@
             return Vec::new();
         };
         let reserved = spec.reserved();
+        let seeker = self.seeker(step, spec);
         let suitable = self.workers.iter().filter_map(|(name, view)| {
-            let candidate = self.suitable_worker(step, spec, service, name, view)?;
+            let candidate = self.suitable_worker(seeker, spec, service, name, view)?;
             advice.needs_advice(name, self.now_ms).then_some(candidate)
         });
         let (mut candidates, mut full): (Vec<_>, Vec<_>) =
@@ -51,10 +53,11 @@
         spec: &StepSpec,
         service: &SmolStr,
     ) -> Vec<Candidate<WorkerName>> {
+        let seeker = self.seeker(step, spec);
         let candidates = self
             .workers
             .iter()
-            .filter_map(|(name, view)| self.candidate(step, spec, service, name, view));
+            .filter_map(|(name, view)| self.candidate(seeker, spec, service, name, view));
         candidates.collect()
     }
 
@@ -65,6 +68,7 @@
         spec: &StepSpec,
         service: &SmolStr,
     ) -> Vec<Candidate<WorkerName>> {
+        let seeker = self.seeker(step, spec);
         let eligible = self.steps.get(&step).map(|view| &view.advice.eligible);
         let valid = eligible
             .into_iter()
@@ -72,28 +76,33 @@
             .filter(|(_, (_, valid_until_ms))| self.now_ms < *valid_until_ms);
         let candidates = valid.filter_map(|(name, _)| {
             let view = self.workers.get(name)?;
-            self.candidate(step, spec, service, name, view)
+            self.candidate(seeker, spec, service, name, view)
         });
         candidates.collect()
     }
 
     fn candidate(
         &self,
-        step: StepId,
+        seeker: Seeker,
         spec: &StepSpec,
         service: &SmolStr,
         name: &WorkerName,
         view: &WorkerView,
     ) -> Option<Candidate<WorkerName>> {
         let entry = self.store.workers.get(name)?;
-        let has_room = entry.capacity.has_free(&view.used, &spec.reserved());
-        has_room.then(|| self.suitable_worker(step, spec, service, name, view))?
+        let demand = spec.reserved();
+        if !entry.capacity.has_free(&view.used, &demand) {
+            return None;
+        }
+        self.suitable_worker(seeker, spec, service, name, view)
+            .filter(|candidate| candidate.capacity.has_free(&candidate.used, &demand))
     }
 
-    /// Returns a worker that may run a task of the step once it has the free capacity.
-    fn suitable_worker(
+    /// Returns a worker that may run a task of the step once it has the free capacity. What is reserved
+    /// for other steps counts as used.
+    pub(crate) fn suitable_worker(
         &self,
-        step: StepId,
+        seeker: Seeker,
         spec: &StepSpec,
         service: &SmolStr,
         name: &WorkerName,
@@ -107,7 +116,7 @@
             || !is_suitable(spec, service, entry)
             || spec
                 .max_per_worker
-                .is_some_and(|limit| tasks_on(step, view) >= limit as usize)
+                .is_some_and(|limit| tasks_on(seeker.step, view) >= limit as usize)
             || self.conflicts_with_runs(spec, view);
         (!is_excluded).then(|| Candidate {
             capacity: entry.capacity,
@@ -117,7 +126,9 @@
                 .as_ref()
                 .is_none_or(|rack| entry.labels.contains(rack)),
             slowness_thousandths: self.speed_of_kind(entry).slowness_thousandths(),
-            used: view.used,
+            used: view
+                .used
+                .saturating_add(&self.reservations.kept_from(seeker, name)),
         })
     }
 
--- a/crates/jobs/src/plan_evacuation.rs
+++ b/crates/jobs/src/plan_evacuation.rs
@@ -12,7 +12,7 @@
 
 /// Time that a stop and the report of its end take, in milliseconds. Runs that are expected to end
 /// this long before the worker leaves are not stopped.
-const STOP_TIME_MS: u64 = 300;
+pub(crate) const STOP_TIME_MS: u64 = 300;
 /// Assumed time until a draining worker leaves if it does not report one, in milliseconds.
 const UNKNOWN_STAY_MS: u64 = 2_000;
 
--- a/crates/jobs/src/plan_prefetch.rs
+++ b/crates/jobs/src/plan_prefetch.rs
@@ -99,7 +99,7 @@
             return;
         }
         let candidates = self.candidates_for_advice(step, &spec, &service, 0, 0);
-        let _ = self.request_advice(step, &policy, spec.tasks as usize, &candidates);
+        let _ = self.request_advice(step, &spec, &policy, spec.tasks as usize, &candidates);
     }
 
     /// Expected time until the last run of a step ends, in milliseconds.
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -45,6 +45,7 @@
         for view in self.steps.values_mut() {
             view.observe_waiting(now_ms);
         }
+        self.reservations.expire(now_ms);
         let mut order: Vec<_> = self
             .steps
             .iter()
@@ -179,6 +180,7 @@
         }
         let allowed = self.allowed_by_limit(step, spec, waiting_tasks.len());
         if allowed == 0 || (spec.gang && allowed < spec.tasks as usize) {
+            self.reservations.end(step);
             return Err(WaitReason::TeamLimit);
         }
         let waiting: Vec<_> = waiting_tasks
@@ -200,11 +202,17 @@
         }
         let left = waiting.len() - placed;
         if left == 0 {
+            self.reservations.end(step);
             return match waiting_tasks.len() == placed {
                 true => Ok(()),
                 false => Err(WaitReason::TeamLimit),
             };
         }
+        if self.needs_reservation(spec, &service)
+            && let Some(reason) = self.reserve_room(step, spec, &service, advice.as_ref(), left)
+        {
+            return Err(reason);
+        }
         let Some(policy) = &advice else {
             return Err(WaitReason::NoCapacity);
         };
@@ -214,7 +222,7 @@
         let candidates =
             self.candidates_for_advice(step, spec, &service, kept_free_percent, MIN_WORKERS_PER_REQUEST);
         let all = if spec.gang { spec.tasks as usize } else { left };
-        Err(self.request_advice(step, policy, all, &candidates))
+        Err(self.request_advice(step, spec, policy, all, &candidates))
     }
 
     /// Returns how many of `tasks` tasks of a step the limit of its team allows now.
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -45,6 +45,7 @@
             .map(|(step, _)| *step)
             .collect();
         for step in closed {
+            self.reservations.end(step);
             self.steps.remove(&step);
         }
         for step in open {
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -11,6 +11,7 @@
         advice_senders::AdviceSenders,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         plan_late_starts::LateStart,
+        reservation::Reservations,
         run_view::{RunState, RunView},
         step_view::StepView,
         worker_view::WorkerView,
@@ -69,6 +70,8 @@
     /// First priority of the queues of each service.
     pub(crate) first_priorities: BTreeMap<SmolStr, u32>,
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
+    /// Room that is kept for waiting steps.
+    pub(crate) reservations: Reservations,
     /// Occurrences that are due later, as due time since the Unix epoch in milliseconds, job and
     /// number.
     pub(crate) scheduled: BTreeSet<(u64, JobId, u32)>,
@@ -117,6 +120,7 @@
             queues: BTreeMap::new(),
             first_priorities: BTreeMap::new(),
             runs: BTreeMap::new(),
+            reservations: Reservations::default(),
             scheduled: BTreeSet::new(),
             settings,
             stalls_due_ms: now_ms,
--- a/crates/jobs/src/wait_reason.rs
+++ b/crates/jobs/src/wait_reason.rs
@@ -12,6 +12,8 @@
     /// No worker has enough free capacity. If the step needs advice: no worker that may run it and has
     /// a ticket, and no worker without advice.
     NoCapacity,
+    /// Workers are reserved for the step, and runs on them have not ended yet.
+    AwaitsRoom,
     /// A response of the advice service is awaited.
     AwaitsAdvice,
     /// All daemons that could send an advice request for the step are busy.
@@ -28,6 +30,7 @@
             Self::NoQueue => "queue not configured",
             Self::GangEnding => "gang members still run",
             Self::NoCapacity => "no capacity",
+            Self::AwaitsRoom => "reserved room in use",
             Self::AwaitsAdvice => "awaits advice",
             Self::NoAdviceSender => "no daemon free for an advice request",
             Self::AdvicePause => "pause between advice requests",
--- a/crates/jobs/tests/accelerators.rs
+++ b/crates/jobs/tests/accelerators.rs
@@ -3,10 +3,13 @@
 mod common;
 
 use {
-    common::{Leader, queue, step},
-    fuchsiatack_jobs::{CellCall, Configuration, JobId, Queue, StepSpec},
-    fuchsiatack_model::{QueueName, Resources},
-    std::collections::BTreeSet,
+    common::{AdviceService, Leader, Sent, queue, step},
+    fuchsiatack_jobs::{
+        AdvicePolicy, CellCall, Configuration, EndedRun, EntryReport, HoldKind, HoldReport, JobId, ListedEnd,
+        ListedRun, Queue, RunId, StepSpec,
+    },
+    fuchsiatack_model::{QueueName, Resources, WorkerName},
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Capacity of a worker with eight accelerators.
@@ -121,3 +124,306 @@
     assert_eq!(starts.len(), 4);
     assert!(starts.iter().all(|(_, worker)| worker.as_str() == "b"));
 }
+
+/// Time between two ticks of a cell in milliseconds.
+const TICK_MS: u64 = 10;
+/// Duration of a single task in milliseconds.
+const SINGLE_MS: u64 = 2_000;
+/// Duration of a task that lasts for long, in milliseconds.
+const LONG_MS: u64 = 10_000;
+/// Identifiers of gangs begin here, those of single tasks at 1.
+const FIRST_GANG: u64 = 1_000_000;
+/// Number of workers of a cell.
+const WORKERS: usize = 10;
+/// Number of daemons that send advice requests, beside the leader.
+const DAEMONS: u16 = 8;
+
+/// A leader with workers that carry a stream of single tasks, in simulated time.
+struct Cell {
+    advice: Option<AdvicePolicy>,
+    ended: BTreeMap<WorkerName, u64>,
+    ends: BTreeMap<(u64, u64), (WorkerName, RunId)>,
+    leader: Leader,
+    orders: u64,
+    /// Number of advice requests for gangs.
+    requests: usize,
+    service: AdviceService,
+    started_ms: BTreeMap<JobId, u64>,
+    /// Number of runs that were stopped.
+    stops: usize,
+    submitted: u64,
+    workers: Vec<String>,
+}
+
+impl Cell {
+    /// Creates a cell in which gangs need advice by `advice`.
+    fn new(advice: Option<AdvicePolicy>) -> Self {
+        let workers: Vec<_> = (0..WORKERS).map(|number| format!("w-{number:02}")).collect();
+        let names: Vec<_> = workers.iter().map(String::as_str).collect();
+        let gangs = Queue {
+            advice: advice.clone(),
+            path_prefix: "/gangs/".into(),
+            ..accelerator_queue()
+        };
+        let singles = Queue {
+            name: QueueName::new("singles"),
+            priority: 2,
+            ..queue()
+        };
+        Self {
+            advice,
+            ended: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            leader: leader(vec![gangs, singles], &names),
+            orders: 0,
+            requests: 0,
+            service: AdviceService::default(),
+            started_ms: BTreeMap::new(),
+            stops: 0,
+            submitted: 0,
+            workers,
+        }
+    }
+
+    /// Advances the time by one tick, and responds to the leader's calls.
+    fn tick(&mut self) {
+        self.leader.advance(TICK_MS);
+        let now_ms = self.leader.now_ms;
+        if now_ms.is_multiple_of(500) {
+            for worker in &self.workers {
+                self.leader.heartbeat_with(worker, 1, CAPACITY);
+            }
+            for port in 1..=DAEMONS {
+                self.leader.call(CellCall::Entry(EntryReport {
+                    address: ([127, 0, 0, 1], port).into(),
+                    name: format!("daemon-{port}").into(),
+                    stopping: false,
+                }));
+            }
+        }
+        for (by, response) in self.service.take_responses(now_ms) {
+            self.leader.advice_ended(by, response);
+        }
+        while let Some(entry) = self.ends.first_entry().filter(|entry| entry.key().0 <= now_ms) {
+            let (worker, run) = entry.remove();
+            self.report_end(run, &worker, ListedEnd::Done);
+        }
+        for call in self.leader.take_calls() {
+            self.handle(call);
+        }
+    }
+
+    fn handle(&mut self, call: Sent) {
+        let now_ms = self.leader.now_ms;
+        match call {
+            Sent::Advise { by, request } => {
+                let policy = self.advice.as_ref().expect("only gangs need advice");
+                let response_ms = policy.response_ms(request.workers.len());
+                self.requests += 1;
+                self.service.request(now_ms, by, request, response_ms);
+            }
+            Sent::Start { run, worker } => {
+                self.started_ms.entry(run.task.step.job).or_insert(now_ms);
+                self.leader.started(&worker, run, Ok(now_ms));
+                self.orders += 1;
+                let duration_ms = match self.submitted {
+                    0 => LONG_MS,
+                    _ => SINGLE_MS,
+                };
+                self.ends
+                    .insert((now_ms + duration_ms, self.orders), (worker, run));
+            }
+            Sent::Stop { run, worker } => self.stop(run, &worker),
+            Sent::Check(_) | Sent::Renew { .. } => {}
+        }
+    }
+
+    /// Confirms a stop, and reports the end of the run with a checkpoint.
+    fn stop(&mut self, run: RunId, worker: &WorkerName) {
+        self.ends.retain(|_, (_, present)| *present != run);
+        self.leader.stopped(worker, run);
+        self.report_end(run, worker, ListedEnd::Interrupted);
+        self.stops += 1;
+    }
+
+    /// Reports the end of a run, and the runs that its worker still has.
+    fn report_end(&mut self, run: RunId, worker: &WorkerName, end: ListedEnd) {
+        let number = self.ended.entry(worker.clone()).or_default();
+        *number += 1;
+        let ended = EndedRun {
+            checkpoint: "checkpoint".into(),
+            end,
+            reason: "ended".into(),
+            run,
+            sequence: *number,
+        };
+        let present = self.ends.values().filter(|(on, _)| on == worker);
+        let running = present.map(|(_, run)| ListedRun {
+            checkpoint: "".into(),
+            percent: 0,
+            run: *run,
+            usage: 0,
+        });
+        let report = HoldReport {
+            started_unix_ms: Some(1),
+            clock_ms: self.leader.now_ms,
+            ended: vec![ended],
+            running: running.collect(),
+            unreadable_rows: Vec::new(),
+        };
+        self.leader
+            .complete_hold(worker.as_str(), HoldKind::Check, Ok(report));
+    }
+
+    /// Submits single tasks that last for long and use all accelerators.
+    fn fill(&mut self, checkpoints: bool) {
+        let step = StepSpec {
+            checkpoints,
+            estimated_ms: LONG_MS,
+            ..accelerator_step(WORKERS as u32 * 8, 1, 5_000)
+        };
+        self.leader.submit(JobId(1), vec![step]);
+        self.tick();
+    }
+
+    /// Runs for `duration_ms` with `per_second` single tasks.
+    fn run(&mut self, duration_ms: u64, per_second: u64) {
+        let begin_ms = self.leader.now_ms;
+        let before = self.submitted;
+        while self.leader.now_ms < begin_ms + duration_ms {
+            while (self.submitted - before) * 1_000 < (self.leader.now_ms - begin_ms) * per_second {
+                self.submitted += 1;
+                let job = JobId(self.submitted);
+                self.leader.submit(job, vec![accelerator_step(1, 1, 5_000)]);
+            }
+            self.tick();
+        }
+    }
+
+    /// Submits gangs of `members` tasks that need a whole worker each.
+    fn submit_gangs(&mut self, gangs: u64, members: u32) {
+        let step = StepSpec {
+            gang: true,
+            ..accelerator_step(members, 8, 30_000)
+        };
+        for number in 0..gangs {
+            self.leader
+                .submit_to("gangs", JobId(FIRST_GANG + number), vec![step.clone()]);
+        }
+    }
+
+    /// Returns the longest time from `submitted_ms` to the start of a gang, in milliseconds; `None` if one
+    /// of them did not start.
+    fn longest_gang_wait_ms(&self, submitted_ms: u64, gangs: u64) -> Option<u64> {
+        let started_ms = (0..gangs).map(|number| self.started_ms.get(&JobId(FIRST_GANG + number)).copied());
+        let waits_ms: Option<Vec<_>> = started_ms.map(|ms| Some(ms? - submitted_ms)).collect();
+        waits_ms?.into_iter().max()
+    }
+}
+
+/// Guards against gangs of whole workers that wait for as long as single tasks keep the cell busy.
+#[test]
+fn gang_of_whole_workers_starts_beside_a_stream_of_single_tasks() {
+    let mut cell = Cell::new(None);
+    cell.run(4_000, 36);
+    let submitted_ms = cell.leader.now_ms;
+    cell.submit_gangs(1, 3);
+
+    cell.run(6_000, 36);
+
+    // Each worker is free of the tasks that run there after their duration.
+    let wait_ms = cell.longest_gang_wait_ms(submitted_ms, 1);
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= SINGLE_MS + 500),
+        "waited {wait_ms:?} ms"
+    );
+}
+
+/// Guards against gangs that reserve workers from each other, so that none of them ever starts.
+#[test]
+fn gangs_that_need_the_same_workers_start_one_after_the_other() {
+    let mut cell = Cell::new(None);
+    cell.run(4_000, 30);
+    let submitted_ms = cell.leader.now_ms;
+    cell.submit_gangs(4, 6);
+
+    cell.run(14_000, 10);
+
+    let wait_ms = cell.longest_gang_wait_ms(submitted_ms, 4);
+    assert!(wait_ms.is_some_and(|ms| ms <= 10_000), "waited {wait_ms:?} ms");
+}
+
+/// Guards against reservations that keep single tasks from a large part of the cell.
+#[test]
+fn single_tasks_run_on_while_a_gang_that_never_fits_waits() {
+    let mut cell = Cell::new(None);
+    cell.submit_gangs(1, WORKERS as u32 + 1);
+
+    cell.run(8_000, 36);
+
+    let started = cell.started_ms.len() as u64;
+    assert!(started + 36 >= cell.submitted, "{started} of {}", cell.submitted);
+}
+
+/// Guards against requests that are repeated while a gang waits for room, and against tickets that lapse
+/// before the room is free.
+#[test]
+fn waiting_gang_asks_for_its_tickets_when_its_room_is_about_to_be_free() {
+    let policy = AdvicePolicy {
+        base_us: 550_000,
+        per_worker_us: 7_900,
+        valid_ms: 2_000,
+    };
+    let mut cell = Cell::new(Some(policy));
+    cell.run(4_000, 36);
+    let submitted_ms = cell.leader.now_ms;
+    cell.submit_gangs(1, 3);
+
+    cell.run(8_000, 36);
+
+    let wait_ms = cell.longest_gang_wait_ms(submitted_ms, 1);
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= SINGLE_MS + 1_500),
+        "waited {wait_ms:?} ms"
+    );
+    assert!(cell.requests <= 2, "{} requests", cell.requests);
+}
+
+/// Guards against gangs that wait for the ends of long runs which would lose nothing by a stop.
+#[test]
+fn gang_preempts_runs_of_a_later_priority_that_save_checkpoints() {
+    let mut cell = Cell::new(None);
+    cell.fill(true);
+    let submitted_ms = cell.leader.now_ms;
+    cell.submit_gangs(1, 3);
+
+    cell.run(2_000, 0);
+
+    let wait_ms = cell.longest_gang_wait_ms(submitted_ms, 1);
+    assert!(wait_ms.is_some_and(|ms| ms <= 500), "waited {wait_ms:?} ms");
+    assert_eq!(cell.stops, 24, "the runs on three workers");
+}
+
+/// Guards against a preemption that loses the work of runs without checkpoints.
+#[test]
+fn runs_without_checkpoints_are_not_preempted() {
+    let mut cell = Cell::new(None);
+    cell.fill(false);
+    cell.submit_gangs(1, 3);
+
+    cell.run(2_000, 0);
+
+    assert_eq!(cell.stops, 0);
+}
+
+/// Guards against a preemption for a gang that could not start although the runs were stopped.
+#[test]
+fn nothing_is_preempted_for_a_gang_that_never_fits() {
+    let mut cell = Cell::new(None);
+    cell.fill(true);
+    cell.submit_gangs(1, WORKERS as u32 + 1);
+
+    cell.run(2_000, 0);
+
+    assert_eq!(cell.stops, 0);
+}
