jobs, cell, cli: show how waits divide and what is scarce

Cause: the reason of the last attempt did not tell what a step had waited for, and nothing showed the room of the cell. The wait of gangs with accelerators had to be traced by hand. Change: each step accounts its wait by reason, in runs started and steps waiting; the leader reports free, largest free and reserved room by service, requests in flight and lapsed tickets, as log event and metrics; fuchsiatack scarce shows them from logs.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -16,7 +16,7 @@
         worker_client::WorkerClient,
     },
     fuchsiatack_consensus::Role,
-    fuchsiatack_jobs::{CellResponse, LogEvent, PriorityBacklog},
+    fuchsiatack_jobs::{CellReport, CellResponse, LogEvent},
     fuchsiatack_session::{CallLimits, CellClient},
     fuchsiatack_store::{InitialMember, JobsSettings, Membership, Store, StoreSettings},
     fuchsiatack_wire::PeerServer,
@@ -63,12 +63,12 @@
         let mut background = JoinSet::new();
         let (effects, effect_queue) = unbounded_channel();
         let (log_events, log_event_queue) = unbounded_channel();
-        let (backlog, backlog_reports) = watch::channel(Vec::new());
+        let (reports, cell_reports) = watch::channel(CellReport::default());
         let jobs = JobsSettings {
-            backlog,
             effects,
             log_events,
             planner: settings.planner.clone(),
+            reports,
         };
         background.spawn(write_log_events(log_event_queue, metrics.clone()));
         let store = Store::start_on_full_disk(store_settings(&settings, jobs)).await?;
@@ -100,7 +100,7 @@
             store.clone(),
             metrics.clone(),
             client.clone(),
-            backlog_reports,
+            cell_reports,
         ));
         let handler = ControlHandler {
             codec,
@@ -157,7 +157,7 @@
     store: Store,
     metrics: Arc<Metrics>,
     client: CellClient,
-    backlog_reports: watch::Receiver<Vec<PriorityBacklog>>,
+    cell_reports: watch::Receiver<CellReport>,
 ) {
     let mut logged = None;
     loop {
@@ -179,8 +179,8 @@
         let addresses: Vec<_> = status.members.iter().map(|member| member.address).collect();
         client.update_members(&addresses);
         match status.role {
-            Role::Leader => metrics.set_backlog(&backlog_reports.borrow()),
-            _ => metrics.set_backlog(&[]),
+            Role::Leader => metrics.set_report(&cell_reports.borrow()),
+            _ => metrics.set_report(&CellReport::default()),
         }
         if logged.as_ref() != Some(&current) {
             let leader = status.leader.map(|leader| leader.to_string()).unwrap_or_default();
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of a daemon: call counters, latency histograms, and gauges for leadership and readiness.
 
 use {
-    fuchsiatack_jobs::PriorityBacklog,
+    fuchsiatack_jobs::CellReport,
+    fuchsiatack_model::Resources,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -42,18 +43,41 @@
     priority: u32,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResourceLabels {
+    resource: &'static str,
+    service: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabels {
+    priority: u32,
+    reason: &'static str,
+}
+
 /// Metrics of one daemon. Label values come from fixed sets or are bounded in number, which bounds the
 /// number of series.
 pub(crate) struct Metrics {
+    advice_in_flight: Gauge,
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
     events: Family<EventLabel, Counter>,
+    free: Family<ResourceLabels, Gauge>,
+    lapsed_tickets: Gauge,
+    largest_free: Family<ResourceLabels, Gauge>,
     pub(crate) leads: Gauge,
     longest_wait_ms: Family<PriorityLabel, Gauge>,
     pub(crate) ready: Gauge,
     registry: Registry,
+    reserved_workers: Family<ServiceLabel, Gauge>,
     untried_steps: Family<PriorityLabel, Gauge>,
     waiting_steps: Family<PriorityLabel, Gauge>,
+    waits_ms: Family<WaitLabels, Gauge>,
     pub(crate) voters: Gauge,
     pub(crate) voters_in_contact: Gauge,
 }
@@ -68,15 +92,21 @@
             ))
         };
         let mut metrics = Self {
+            advice_in_flight: Gauge::default(),
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
             events: Family::default(),
+            free: Family::default(),
+            lapsed_tickets: Gauge::default(),
+            largest_free: Family::default(),
             leads: Gauge::default(),
             longest_wait_ms: Family::default(),
             ready: Gauge::default(),
             registry: Registry::with_prefix("fuchsiatack"),
+            reserved_workers: Family::default(),
             untried_steps: Family::default(),
             waiting_steps: Family::default(),
+            waits_ms: Family::default(),
             voters: Gauge::default(),
             voters_in_contact: Gauge::default(),
         };
@@ -112,6 +142,36 @@
             "Voters that the leader of the store has contact to; 0 on other daemons",
             metrics.voters_in_contact.clone(),
         );
+        registry.register(
+            "advice_in_flight",
+            "Advice requests without a response; on the leader",
+            metrics.advice_in_flight.clone(),
+        );
+        registry.register(
+            "free",
+            "Free amount of a resource on the workers of a service; on the leader",
+            metrics.free.clone(),
+        );
+        registry.register(
+            "largest_free",
+            "Largest free amount of a resource on one worker of a service; on the leader",
+            metrics.largest_free.clone(),
+        );
+        registry.register(
+            "lapsed_tickets",
+            "Tickets that were requested again since they had expired unused; on the leader, since it leads",
+            metrics.lapsed_tickets.clone(),
+        );
+        registry.register(
+            "reserved_workers",
+            "Workers of a service on which room is reserved for a waiting step; on the leader",
+            metrics.reserved_workers.clone(),
+        );
+        registry.register(
+            "waits_ms",
+            "Time that steps have waited in milliseconds, by priority and reason; on the leader, since it leads",
+            metrics.waits_ms.clone(),
+        );
         registry.register(
             "longest_wait_ms",
             "Time for which the longest waiting step has waited, in milliseconds, by priority; on the leader",
@@ -142,21 +202,46 @@
         self.events.get_or_create(&EventLabel { event }).inc();
     }
 
-    /// Replaces the report on waiting steps. Series of priorities that are not in it are removed.
-    pub(crate) fn set_backlog(&self, backlog: &[PriorityBacklog]) {
+    /// Replaces the report on the cell. Series that are not in it are removed.
+    pub(crate) fn set_report(&self, report: &CellReport) {
+        self.set_backlog(report);
+        self.set_rooms(report);
+        self.advice_in_flight.set(report.advice_in_flight as i64);
+        self.lapsed_tickets.set(report.lapsed_tickets as i64);
+    }
+
+    fn set_backlog(&self, report: &CellReport) {
         self.longest_wait_ms.clear();
         self.untried_steps.clear();
         self.waiting_steps.clear();
-        for entry in backlog {
-            let label = PriorityLabel {
-                priority: entry.priority,
-            };
+        self.waits_ms.clear();
+        for entry in &report.backlog {
+            let priority = entry.priority;
+            let label = PriorityLabel { priority };
             let longest_wait_ms = self.longest_wait_ms.get_or_create(&label);
             longest_wait_ms.set(entry.longest_wait_ms as i64);
             let untried_steps = self.untried_steps.get_or_create(&label);
             untried_steps.set(entry.untried_steps as i64);
             let waiting_steps = self.waiting_steps.get_or_create(&label);
             waiting_steps.set(entry.waiting_steps as i64);
+            for (reason, waited_ms) in entry.waits.iter() {
+                let reason = reason.as_str();
+                let waits_ms = self.waits_ms.get_or_create(&WaitLabels { priority, reason });
+                waits_ms.set(waited_ms as i64);
+            }
+        }
+    }
+
+    fn set_rooms(&self, report: &CellReport) {
+        self.free.clear();
+        self.largest_free.clear();
+        self.reserved_workers.clear();
+        for room in &report.rooms {
+            let service = room.service.to_string();
+            set_resources(&self.free, &service, &room.free);
+            set_resources(&self.largest_free, &service, &room.largest_free);
+            let reserved_workers = self.reserved_workers.get_or_create(&ServiceLabel { service });
+            reserved_workers.set(room.reserved_workers as i64);
         }
     }
 
@@ -168,3 +253,17 @@
         text
     }
 }
+
+fn set_resources(family: &Family<ResourceLabels, Gauge>, service: &str, amounts: &Resources) {
+    let amounts = [
+        ("accelerators", i64::from(amounts.accelerators)),
+        ("memory_bytes", amounts.memory_bytes as i64),
+        ("processors_millis", i64::from(amounts.processors_millis)),
+    ];
+    for (resource, amount) in amounts {
+        let service = service.to_owned();
+        family
+            .get_or_create(&ResourceLabels { resource, service })
+            .set(amount);
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,5 @@
-//! Command line for operators. Most commands use the HTTP interface for operators; `check` and
-//! `trace` only read local files.
+//! Command line for operators. Most commands use the HTTP interface for operators; `check`, `scarce`
+//! and `trace` only read local files.
 
 mod apply;
 mod check;
@@ -8,10 +8,12 @@
 mod drain;
 mod error;
 mod get;
+mod log_line;
 mod options;
 mod output;
 mod records;
 mod replace_member;
+mod scarce;
 mod status;
 mod trace;
 
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -5,7 +5,7 @@
     crate::{
         apply::ApplyOptions, check::CheckOptions, client::Client, delete::DeleteOptions, drain::DrainOptions,
         error::CliError, get::GetOptions, output::Format, replace_member::ReplaceMemberOptions,
-        status::StatusOptions, trace::TraceOptions,
+        scarce::ScarceOptions, status::StatusOptions, trace::TraceOptions,
     },
     gumdrop::{Options, ParsingStyle},
 };
@@ -63,6 +63,8 @@
     Get(GetOptions),
     #[options(help = "replace a store member whose disk was lost")]
     ReplaceMember(ReplaceMemberOptions),
+    #[options(help = "show the scarce resources of the cell, from logs")]
+    Scarce(ScarceOptions),
     #[options(help = "show members, sessions, workers and tokens")]
     Status(StatusOptions),
     #[options(help = "show the log events of a job in order of time")]
@@ -99,6 +101,7 @@
         match &options.command {
             None => Err(CliError::usage("no command given; see fuchsiatack --help")),
             Some(Command::Check(command)) => command.run(options.output),
+            Some(Command::Scarce(command)) => command.run(options.output),
             Some(Command::Trace(command)) => command.run(),
             Some(command) => {
                 let client = Client::new(&options)?;
@@ -116,6 +119,7 @@
         Command::Drain(command) => command.run(client, options.output).await,
         Command::Get(command) => command.run(client, options.output, options.schema).await,
         Command::ReplaceMember(command) => command.run(client, options.output).await,
+        Command::Scarce(command) => command.run(options.output),
         Command::Status(command) => command.run(client, options.output).await,
         Command::Trace(command) => command.run(),
     }
@@ -142,6 +146,7 @@
             crate::replace_member::EXAMPLE,
             ReplaceMemberOptions::usage(),
         ),
+        Some(Command::Scarce(_)) => ("scarce FILE...", crate::scarce::EXAMPLE, ScarceOptions::usage()),
         Some(Command::Status(_)) => ("status", crate::status::EXAMPLE, StatusOptions::usage()),
         Some(Command::Trace(_)) => ("trace JOB FILE...", crate::trace::EXAMPLE, TraceOptions::usage()),
     };
--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -1,9 +1,8 @@
 //! `fuchsiatack trace`.
 
 use {
-    crate::error::CliError,
+    crate::{error::CliError, log_line::LogLine},
     gumdrop::Options,
-    serde_json::{Map, Value},
     std::fs,
 };
 
@@ -36,18 +35,19 @@
             lines.extend(
                 text.lines()
                     .filter(|line| line.contains(job.as_str()))
-                    .filter_map(parse),
+                    .filter_map(LogLine::parse),
             );
         }
-        lines.sort_by_key(|(unix_ms, _)| *unix_ms);
-        let mut previous_ms = lines.first().map_or(0, |(unix_ms, _)| *unix_ms);
-        for (unix_ms, line) in &lines {
+        lines.sort_by_key(|line| line.unix_ms);
+        let mut previous_ms = lines.first().map_or(0, |line| line.unix_ms);
+        for line in &lines {
+            let unix_ms = line.unix_ms;
             println!(
                 "{unix_ms} {:>+7} ms  {}",
                 unix_ms.saturating_sub(previous_ms),
                 format_event(line)
             );
-            previous_ms = *unix_ms;
+            previous_ms = unix_ms;
         }
         match lines.is_empty() {
             true => println!("no log line contains {job}"),
@@ -57,19 +57,10 @@
     }
 }
 
-/// Parses a log line into its time and fields. Text before the JSON object, such as the prefix of a
-/// log collector, is skipped. Returns `None` for a line that is not a log event of a daemon.
-fn parse(line: &str) -> Option<(u64, Map<String, Value>)> {
-    let object = &line[line.find('{')?..];
-    let line: Map<String, Value> = serde_json::from_str(object).ok()?;
-    let unix_ms = line.get("unix_ms")?.as_u64()?;
-    Some((unix_ms, line))
-}
-
 /// Formats the daemon, the event and the remaining fields of a log line.
-fn format_event(line: &Map<String, Value>) -> String {
-    let text = |name: &str| line.get(name).and_then(Value::as_str).unwrap_or_default();
+fn format_event(line: &LogLine) -> String {
     let other_fields = line
+        .fields
         .iter()
         .filter(|(name, _)| !COLUMN_FIELDS.contains(&name.as_str()));
     let other_fields = other_fields.map(|(name, value)| match value.as_str() {
@@ -78,8 +69,8 @@
     });
     format!(
         "{:<20} {}:{}",
-        text("daemon"),
-        text("event"),
+        line.text("daemon"),
+        line.text("event"),
         other_fields.collect::<String>()
     )
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -29,6 +29,7 @@
         "drain",
         "get",
         "replace-member",
+        "scarce",
         "status",
         "trace",
     ] {
@@ -309,3 +310,31 @@
         "{text}"
     );
 }
+
+/// Guards against an old report that hides a newer one, and against an abundant resource that comes before a
+/// scarce one.
+#[test]
+fn scarce_shows_the_newest_room_with_the_scarcest_resource_first() {
+    let room = |unix_ms: u64, free: u64| {
+        format!(
+            "{{\"event\":\"room in the cell\",\"service\":\"lab\",\"workers\":\"10\",\"reserved_workers\":\"2\",\
+             \"processors_millis\":\"1000\",\"free_processors_millis\":\"500\",\"accelerators\":\"80\",\
+             \"free_accelerators\":\"{free}\",\"largest_free_accelerators\":\"1\",\"unix_ms\":{unix_ms}}}\n"
+        )
+    };
+    let waits =
+        "{\"event\":\"steps waiting\",\"priority\":\"1\",\"waits\":\"awaits advice 780 ms\",\"unix_ms\":7}\n";
+    let newer = write_file("scarce-1.log", &format!("{}{waits}", room(20, 8)));
+    let older = write_file("scarce-2.log", &room(10, 80));
+    let path = |file: &std::path::PathBuf| file.display().to_string();
+
+    let output = run(&[], &["scarce", &path(&newer), &path(&older)]);
+    let missing = run(&[], &["scarce"]);
+
+    let text = standard_output(&output);
+    assert_eq!((exit_code(&output), exit_code(&missing)), (0, 2), "{text}");
+    let first = text.lines().next().unwrap_or_default();
+    assert_eq!(first, "lab accelerators: 8 of 80 free (10%), 1 on one worker");
+    assert!(text.contains("reserved on 2 of 10 workers"), "{text}");
+    assert!(text.contains("awaits advice 780 ms"), "{text}");
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 mod advice_error;
 mod advice_senders;
 mod calls;
+mod cell_report;
 mod clock_sample;
 mod command;
 mod configuration;
@@ -40,10 +41,12 @@
 mod planner;
 mod progress;
 mod run_view;
+mod service_room;
 mod settings;
 mod step_spec;
 mod step_view;
 mod wait_reason;
+mod wait_times;
 mod worker_entry;
 mod worker_health;
 mod worker_order;
@@ -59,6 +62,7 @@
         AdviceRequest, AdviceResponse, CallId, CellCall, CellResponse, EntryReport, JobAction, JobCall,
         JobResponse, JobState, Wave,
     },
+    cell_report::CellReport,
     command::{JobCommand, RunEnd, Submission},
     configuration::{AdvicePolicy, Configuration, Queue, Team},
     crash_record::{CrashRecord, LostTask},
@@ -76,9 +80,11 @@
     plan_backlog::PriorityBacklog,
     planner::Planner,
     progress::Progress,
+    service_room::ServiceRoom,
     settings::PlannerSettings,
     step_spec::StepSpec,
     wait_reason::WaitReason,
+    wait_times::WaitTimes,
     worker_entry::WorkerEntry,
     worker_health::WorkerHealth,
     worker_order::{Callee, HoldKind, WorkerOrder, WorkerResponse},
--- a/crates/jobs/src/output.rs
+++ b/crates/jobs/src/output.rs
@@ -1,7 +1,7 @@
 //! Output of the planner.
 
 use {
-    crate::{Effect, JobCommand, LogEvent, PriorityBacklog},
+    crate::{CellReport, Effect, JobCommand, LogEvent},
     fuchsiatack_derives::value,
 };
 
@@ -11,8 +11,6 @@
 pub struct Output {
     /// Effects to carry out once `commands` and all earlier commands are committed.
     pub after_commit: Vec<Effect>,
-    /// Waiting steps by priority, if a report was due.
-    pub backlog: Option<Vec<PriorityBacklog>>,
     /// Commands to replicate, in order. The planner has already applied them to its own copy of the
     /// state.
     pub commands: Vec<JobCommand>,
@@ -20,4 +18,6 @@
     pub immediate: Vec<Effect>,
     /// Events to log.
     pub log_events: Vec<LogEvent>,
+    /// Report on the cell, if one was due.
+    pub report: Option<CellReport>,
 }
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -198,6 +198,10 @@
             return WaitReason::NoAdviceSender;
         };
         if let Some(view) = self.steps.get_mut(&step) {
+            let known = workers
+                .iter()
+                .filter(|worker| view.advice.eligible.contains_key(*worker));
+            self.lapsed_tickets += known.count() as u64;
             view.advice.request_sent_ms = Some(self.now_ms);
             view.advice.requested_workers = workers.clone();
         }
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -1,7 +1,7 @@
-//! Reports the steps that wait, for logs and metrics.
+//! Reports the steps that wait and the room in the cell, for logs and metrics.
 
 use {
-    crate::{LogEvent, Planner, StepId, step_view::StepView},
+    crate::{CellReport, LogEvent, Planner, ServiceRoom, StepId, WaitTimes, step_view::StepView},
     fuchsiatack_derives::value,
     std::collections::BTreeMap,
 };
@@ -9,10 +9,14 @@
 /// Interval between two reports, in milliseconds. A waiting step that was not tried for as long counts as
 /// untried.
 const INTERVAL_MS: u64 = 1_000;
+/// Number of reports for each of which the room is logged.
+const REPORTS_PER_ROOM_LOG: u64 = 5;
 /// Wait from which a step is logged, in milliseconds.
 const LOGGED_WAIT_MS: u64 = 1_000;
 /// Maximum number of priorities in a report.
 const MAX_PRIORITIES: usize = 8;
+/// Maximum number of services in a report.
+const MAX_SERVICES: usize = 16;
 
 /// Waiting steps of the queues of one priority.
 #[value]
@@ -25,48 +29,127 @@
     pub untried_steps: usize,
     /// Number of steps with waiting tasks.
     pub waiting_steps: usize,
+    /// How the waits of all steps divide since the leadership started.
+    pub waits: WaitTimes,
+}
+
+impl PriorityBacklog {
+    fn new(priority: u32) -> Self {
+        Self {
+            longest_wait_ms: 0,
+            priority,
+            untried_steps: 0,
+            waiting_steps: 0,
+            waits: WaitTimes::default(),
+        }
+    }
 }
 
 impl Planner {
-    /// Reports the waiting steps of each priority, and logs the one that has waited longest.
+    /// Reports the waiting steps of each priority and the room of each service. Logs the step that has
+    /// waited longest, and now and then the room.
     pub(crate) fn report_backlog(&mut self) {
         if self.now_ms < self.backlog_due_ms {
             return;
         }
         self.backlog_due_ms = self.now_ms + INTERVAL_MS;
+        let longest = self.longest_waits();
+        for (step, backlog) in longest.values() {
+            if backlog.longest_wait_ms >= LOGGED_WAIT_MS
+                && let Some(step) = step
+                && let Some(view) = self.steps.get(step)
+            {
+                let event = backlog_event(self.now_ms, *step, view, backlog);
+                self.log(event);
+            }
+        }
+        let backlog = longest.into_values().map(|(_, backlog)| backlog).collect();
+        let report = CellReport {
+            advice_in_flight: self.advice_in_flight(),
+            backlog,
+            lapsed_tickets: self.lapsed_tickets,
+            rooms: self.rooms_of_services(),
+        };
+        if (self.now_ms / INTERVAL_MS).is_multiple_of(REPORTS_PER_ROOM_LOG) {
+            for room in &report.rooms {
+                let event = room_event(room, &report);
+                self.log(event);
+            }
+        }
+        self.output.report = Some(report);
+    }
+
+    /// Returns the backlog of each priority, with the step that has waited longest.
+    fn longest_waits(&self) -> BTreeMap<u32, (Option<StepId>, PriorityBacklog)> {
         let now_ms = self.now_ms;
-        let mut longest: BTreeMap<u32, (StepId, PriorityBacklog)> = BTreeMap::new();
+        let mut longest: BTreeMap<_, _> = self
+            .priority_waits
+            .iter()
+            .map(|(priority, waits)| {
+                let backlog = PriorityBacklog {
+                    waits: waits.clone(),
+                    ..PriorityBacklog::new(*priority)
+                };
+                (*priority, (None, backlog))
+            })
+            .collect();
         for (step, view) in &self.steps {
             let Some(wait_ms) = view.wait_ms(now_ms) else {
                 continue;
             };
-            let (longest_step, backlog) = longest.entry(view.priority).or_insert_with(|| {
-                let backlog = PriorityBacklog {
-                    longest_wait_ms: 0,
-                    priority: view.priority,
-                    untried_steps: 0,
-                    waiting_steps: 0,
-                };
-                (*step, backlog)
-            });
+            let (longest_step, backlog) = longest
+                .entry(view.priority)
+                .or_insert_with(|| (None, PriorityBacklog::new(view.priority)));
             backlog.waiting_steps += 1;
             backlog.untried_steps += usize::from(now_ms > view.tried_ms + INTERVAL_MS);
             if wait_ms > backlog.longest_wait_ms {
                 backlog.longest_wait_ms = wait_ms;
-                *longest_step = *step;
+                *longest_step = Some(*step);
             }
         }
-        let longest: Vec<_> = longest.into_values().take(MAX_PRIORITIES).collect();
-        for (step, backlog) in &longest {
-            if backlog.longest_wait_ms >= LOGGED_WAIT_MS
-                && let Some(view) = self.steps.get(step)
-            {
-                let event = backlog_event(now_ms, *step, view, backlog);
-                self.log(event);
-            }
+        longest.into_iter().take(MAX_PRIORITIES).collect()
+    }
+
+    fn rooms_of_services(&self) -> Vec<ServiceRoom> {
+        let mut rooms = BTreeMap::new();
+        for (name, view) in &self.workers {
+            let entry = self.store.workers.get(name);
+            let Some(entry) = entry.filter(|entry| !entry.draining && view.accepts_runs(self.now_ms)) else {
+                continue;
+            };
+            let room = rooms
+                .entry(&entry.service)
+                .or_insert_with(|| ServiceRoom::new(entry.service.clone()));
+            room.add(&entry.capacity, &view.used, self.reservations.has_holds(name));
         }
-        self.output.backlog = Some(longest.into_iter().map(|(_, backlog)| backlog).collect());
+        rooms.into_values().take(MAX_SERVICES).collect()
     }
+
+    fn advice_in_flight(&self) -> usize {
+        let steps = self.steps.values();
+        steps.filter(|view| view.advice.request_sent_ms.is_some()).count()
+    }
+}
+
+fn room_event(room: &ServiceRoom, report: &CellReport) -> LogEvent {
+    LogEvent::new("room in the cell")
+        .with("service", &room.service)
+        .with("workers", room.workers)
+        .with("reserved_workers", room.reserved_workers)
+        .with("processors_millis", room.capacity.processors_millis)
+        .with("free_processors_millis", room.free.processors_millis)
+        .with(
+            "largest_free_processors_millis",
+            room.largest_free.processors_millis,
+        )
+        .with("memory_bytes", room.capacity.memory_bytes)
+        .with("free_memory_bytes", room.free.memory_bytes)
+        .with("largest_free_memory_bytes", room.largest_free.memory_bytes)
+        .with("accelerators", room.capacity.accelerators)
+        .with("free_accelerators", room.free.accelerators)
+        .with("largest_free_accelerators", room.largest_free.accelerators)
+        .with("advice_in_flight", report.advice_in_flight)
+        .with("lapsed_tickets", report.lapsed_tickets)
 }
 
 fn backlog_event(now_ms: u64, step: StepId, view: &StepView, backlog: &PriorityBacklog) -> LogEvent {
@@ -80,6 +163,7 @@
         .with("untried_steps", backlog.untried_steps)
         .with("step", step)
         .with("waited_ms", backlog.longest_wait_ms)
+        .with("waits", &view.waits)
         .with("tasks", view.waiting.len())
         .with("tried_ms_ago", now_ms - view.tried_ms)
         .with("reason", reason)
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -142,9 +142,16 @@
 
     /// Tries to start the waiting tasks of a step. A step that still waits is paused.
     fn try_step(&mut self, step: StepId, kept_free_percent: u32) -> Result<(), WaitReason> {
-        let result = self.place_step(step, kept_free_percent);
         if let Some(view) = self.steps.get_mut(&step) {
+            let (reason, waited_ms) = view.account_wait(self.now_ms);
             view.tried_ms = self.now_ms;
+            self.priority_waits
+                .entry(view.priority)
+                .or_default()
+                .add(reason, waited_ms);
+        }
+        let result = self.place_step(step, kept_free_percent);
+        if let Some(view) = self.steps.get_mut(&step) {
             // The pause after an attempt hides why that attempt failed.
             if result != Err(WaitReason::AdvicePause) {
                 view.wait_reason = result.err();
@@ -399,6 +406,7 @@
         }
         let view = self.steps.get(&step);
         let waited_ms = view.and_then(|view| view.wait_ms(self.now_ms)).unwrap_or(0);
+        let waits = view.map(|view| view.waits.to_string()).unwrap_or_default();
         self.log(
             LogEvent::new("runs started")
                 .job(step.job)
@@ -406,6 +414,7 @@
                 .with("runs", orders.len())
                 .with("workers", starts.len())
                 .with("waited_ms", waited_ms)
+                .with("waits", waits)
                 .with(
                     "configuration",
                     self.store
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        JobId, Planner, StepId, TaskKey,
+        JobId, Planner, StepId, TaskKey, WaitTimes,
         step_view::{StepAdvice, StepView},
     },
     std::collections::BTreeSet,
@@ -101,6 +101,7 @@
             wait_reason: None,
             waiting: BTreeSet::new(),
             waiting_since_ms: None,
+            waits: WaitTimes::default(),
         }
     }
 
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         CallId, Callee, CellResponse, Effect, JobCommand, JobEvent, JobId, JobStore, KindSpeed, LogEvent,
-        Output, PlannerSettings, Progress, Queue, RunId, StepId, TaskKey, WorkerOrder,
+        Output, PlannerSettings, Progress, Queue, RunId, StepId, TaskKey, WaitTimes, WorkerOrder,
         advice_senders::AdviceSenders,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         plan_late_starts::LateStart,
@@ -38,6 +38,8 @@
     pub(crate) are_heartbeats_late: bool,
     /// Time of the next report of the waiting steps.
     pub(crate) backlog_due_ms: u64,
+    /// Number of tickets that were requested again since they had expired unused.
+    pub(crate) lapsed_tickets: u64,
     /// Time of the next search for steps whose advice is requested before they are ready.
     pub(crate) prefetch_due_ms: u64,
     pub(crate) store: JobStore,
@@ -67,6 +69,8 @@
     pub(crate) output: Output,
     /// Positions of the queues in the configuration, by name.
     pub(crate) queues: BTreeMap<QueueName, usize>,
+    /// How the waits of steps divide since the leadership started, by priority.
+    pub(crate) priority_waits: BTreeMap<u32, WaitTimes>,
     /// First priority of the queues of each service.
     pub(crate) first_priorities: BTreeMap<SmolStr, u32>,
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
@@ -100,6 +104,7 @@
             advice_senders: AdviceSenders::new(),
             are_heartbeats_late: false,
             backlog_due_ms: now_ms,
+            lapsed_tickets: 0,
             prefetch_due_ms: now_ms,
             store,
             needs_placement: true,
@@ -118,6 +123,7 @@
             now_unix_ms,
             output: Output::default(),
             queues: BTreeMap::new(),
+            priority_waits: BTreeMap::new(),
             first_priorities: BTreeMap::new(),
             runs: BTreeMap::new(),
             reservations: Reservations::default(),
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -1,7 +1,7 @@
 //! The leader's view of a step that is ready, or soon will be.
 
 use {
-    crate::WaitReason,
+    crate::{WaitReason, WaitTimes},
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
     std::collections::{BTreeMap, BTreeSet},
@@ -77,6 +77,8 @@
     pub(crate) waiting: BTreeSet<u32>,
     /// Time since which tasks have been waiting without a break; `None` if none waits.
     pub(crate) waiting_since_ms: Option<u64>,
+    /// How the time since then divides, up to the last attempt.
+    pub(crate) waits: WaitTimes,
 }
 
 /// Maximum number of durations kept for a step, which may have thousands of tasks.
@@ -101,10 +103,27 @@
 
     /// Updates the time since which tasks have been waiting.
     pub(crate) fn observe_waiting(&mut self, now_ms: u64) {
-        self.waiting_since_ms = match self.waiting.is_empty() {
-            true => None,
-            false => self.waiting_since_ms.or(Some(now_ms)),
-        };
+        match (self.waiting.is_empty(), self.waiting_since_ms) {
+            (true, _) => {
+                self.waiting_since_ms = None;
+                self.wait_reason = None;
+                self.waits = WaitTimes::default();
+            }
+            (false, None) => {
+                self.waiting_since_ms = Some(now_ms);
+                self.tried_ms = now_ms;
+            }
+            (false, Some(_)) => {}
+        }
+    }
+
+    /// Adds the time since the last attempt to what its tasks have waited for, and returns the reason and
+    /// the time in milliseconds.
+    pub(crate) fn account_wait(&mut self, now_ms: u64) -> (WaitReason, u64) {
+        let reason = self.wait_reason.unwrap_or(WaitReason::NotTried);
+        let waited_ms = now_ms.saturating_sub(self.tried_ms);
+        self.waits.add(reason, waited_ms);
+        (reason, waited_ms)
     }
 
     /// Adds the duration of a task that is done; beyond the maximum it replaces the oldest one.
--- a/crates/jobs/src/wait_reason.rs
+++ b/crates/jobs/src/wait_reason.rs
@@ -1,8 +1,10 @@
 //! Why a step waits.
 
 /// Why the last attempt to place a step left tasks waiting.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WaitReason {
+    /// No attempt was made yet.
+    NotTried,
     /// The limit of the step's team does not allow more tasks.
     TeamLimit,
     /// The step's queue is not in the configuration.
@@ -26,6 +28,7 @@
     /// Returns the text of the reason in logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::NotTried => "not tried",
             Self::TeamLimit => "limit of the team",
             Self::NoQueue => "queue not configured",
             Self::GangEnding => "gang members still run",
--- a/crates/jobs/tests/accelerators.rs
+++ b/crates/jobs/tests/accelerators.rs
@@ -6,7 +6,7 @@
     common::{AdviceService, Leader, Sent, queue, step},
     fuchsiatack_jobs::{
         AdvicePolicy, CellCall, Configuration, EndedRun, EntryReport, HoldKind, HoldReport, JobId, ListedEnd,
-        ListedRun, Queue, RunId, StepSpec,
+        ListedRun, Queue, RunId, StepSpec, WaitReason,
     },
     fuchsiatack_model::{QueueName, Resources, WorkerName},
     std::collections::{BTreeMap, BTreeSet},
@@ -427,3 +427,34 @@
 
     assert_eq!(cell.stops, 0);
 }
+
+/// Guards against waits of which nobody can tell the reason, and against scarce resources that no report
+/// shows.
+#[test]
+fn report_shows_what_a_gang_waits_for_and_what_is_scarce() {
+    let mut cell = Cell::new(None);
+    cell.fill(false);
+    cell.submit_gangs(1, 3);
+
+    cell.run(2_000, 0);
+    cell.leader.advance(1_000);
+    let report = cell.leader.take_report().expect("a report is due each second");
+
+    let gangs = report.backlog.iter().find(|backlog| backlog.priority == 1);
+    let waits: Vec<_> = gangs
+        .into_iter()
+        .flat_map(|backlog| backlog.waits.iter())
+        .collect();
+    assert!(
+        waits
+            .iter()
+            .any(|(reason, waited_ms)| *reason == WaitReason::AwaitsRoom && *waited_ms >= 1_500),
+        "{waits:?}"
+    );
+    let room = &report.rooms[0];
+    assert_eq!((room.workers, room.reserved_workers), (WORKERS, 3));
+    assert_eq!(
+        (room.free.accelerators, room.capacity.accelerators),
+        (0, WORKERS as u32 * 8)
+    );
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -9,10 +9,10 @@
 
 use {
     fuchsiatack_jobs::{
-        AdvicePolicy, AdviceRequest, AdviceResponse, CallId, CellCall, CellResponse, Configuration, Effect,
-        EndedRun, HoldKind, HoldReport, JobAction, JobCall, JobCommand, JobEvent, JobId, JobResponse,
-        JobSpec, JobStore, ListedEnd, ListedRun, OrderResult, Planner, PlannerSettings, Queue, RunId, StepId,
-        StepSpec, Team, WorkerCallError, WorkerOrder, WorkerReport,
+        AdvicePolicy, AdviceRequest, AdviceResponse, CallId, CellCall, CellReport, CellResponse,
+        Configuration, Effect, EndedRun, HoldKind, HoldReport, JobAction, JobCall, JobCommand, JobEvent,
+        JobId, JobResponse, JobSpec, JobStore, ListedEnd, ListedRun, OrderResult, Planner, PlannerSettings,
+        Queue, RunId, StepId, StepSpec, Team, WorkerCallError, WorkerOrder, WorkerReport,
     },
     fuchsiatack_model::{DataCenter, QueueName, Resources, TeamName, WorkerName},
     smol_str::SmolStr,
@@ -132,6 +132,11 @@
         events.map(|event| event.event.to_owned()).collect()
     }
 
+    /// Returns the last report on the cell since the last `take_calls`, and drops all calls.
+    pub fn take_report(&mut self) -> Option<CellReport> {
+        self.planner.take_output().report
+    }
+
     /// Returns the runs that were started since the last `take_calls`, with their workers. Drops all
     /// other calls since then.
     pub fn take_starts(&mut self) -> Vec<(RunId, WorkerName)> {
--- a/crates/store/src/jobs_role.rs
+++ b/crates/store/src/jobs_role.rs
@@ -84,8 +84,8 @@
         for log_event in output.log_events {
             let _ = self.settings.log_events.send(log_event);
         }
-        if let Some(backlog) = output.backlog {
-            self.settings.backlog.send_replace(backlog);
+        if let Some(report) = output.report {
+            self.settings.reports.send_replace(report);
         }
         for effect in output.immediate {
             let _ = self.settings.effects.send(effect);
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     fuchsiatack_consensus::disk::LogStoreSettings,
-    fuchsiatack_jobs::{Effect, LogEvent, PlannerSettings, PriorityBacklog},
+    fuchsiatack_jobs::{CellReport, Effect, LogEvent, PlannerSettings},
     fuchsiatack_ledger::AllocatorSettings,
     fuchsiatack_wire::{CellSecret, PeerClientSettings},
     smol_str::SmolStr,
@@ -37,14 +37,14 @@
 /// Settings of the job planner, and the queues for its output.
 #[derive(Clone, Debug)]
 pub struct JobsSettings {
-    /// Latest report of this daemon as leader on the waiting steps.
-    pub backlog: watch::Sender<Vec<PriorityBacklog>>,
     /// Queue for effects to run outside the store.
     pub effects: UnboundedSender<Effect>,
     /// Queue for log events.
     pub log_events: UnboundedSender<LogEvent>,
     /// Intervals and limits of the planner.
     pub planner: PlannerSettings,
+    /// Latest report of this daemon as leader on the cell.
+    pub reports: watch::Sender<CellReport>,
 }
 
 /// Settings of a `Store`.
