jobs: urgent work preempts runs that can continue elsewhere

Change: a step of its service's first priority that finds neither room nor workers to ask about reserves the room of such runs, and preempts them once it has the tickets. Result: accelerators::urgent_task_preempts_only_the_runs_whose_room_it_needs is new; nothing_is_preempted_while_there_is_room guards the limit.

--- a/crates/jobs/src/plan_reservations.rs
+++ b/crates/jobs/src/plan_reservations.rs
@@ -61,8 +61,9 @@
                 .all(|entry| needs_most_of(&entry.capacity))
     }
 
-    /// Keeps room for the waiting tasks of a step, and asks for tickets shortly before it is complete.
-    /// Returns what the step waits for; `None` if too few workers are known that may run it, or if too much
+    /// Keeps room for the waiting tasks of a step, and asks for tickets shortly before it is complete. A step
+    /// of small tasks only reserves room that is free soon, or that runs of a later priority have. Returns
+    /// what the step waits for; `None` if too few workers are known that may run it, or if too much
     /// is reserved already.
     pub(crate) fn reserve_room(
         &mut self,
@@ -82,10 +83,6 @@
             self.preempt_for(step, spec);
             return Some(WaitReason::AwaitsRoom);
         };
-        if let Some(reason) = self.advice_pause(step, policy) {
-            return Some(reason);
-        }
-        let wait_ms = ready_ms.saturating_sub(self.now_ms);
         let advice = self.steps.get(&step).map(|view| &view.advice);
         let has_ticket = |worker: &WorkerName| {
             let ticket = advice.and_then(|advice| advice.ticket(worker, ready_ms.max(self.now_ms)));
@@ -96,10 +93,15 @@
             .filter(|worker| self.reservations.is_reserved(step, worker))
             .all(has_ticket);
         let without: Vec<_> = workers.into_iter().filter(|worker| !has_ticket(worker)).collect();
-        let is_due = wait_ms <= policy.response_ms(without.len());
         if has_tickets {
             self.preempt_for(step, spec);
         }
+        if let Some(reason) = self.advice_pause(step, policy) {
+            return Some(reason);
+        }
+        let wait_ms = ready_ms.saturating_sub(self.now_ms);
+        // Runs are preempted once the tickets are there, so that their room is due at any time.
+        let is_due = wait_ms <= policy.response_ms(without.len()).max(PREEMPTION_MS);
         Some(match has_tickets {
             false if is_due => self.send_advice_request(step, policy, without),
             _ if wait_ms >= LONG_WAIT_MS => self.evaluate_more(step, spec, service, policy),
@@ -171,6 +173,9 @@
         let mut slots = reservation::choose_slots(&rooms, &demand, with_spare);
         let workers = distinct_workers(&slots);
         slots.truncate(tasks);
+        if !self.needs_reservation(spec, service) {
+            slots.retain(|slot| slot.ready_in_ms <= PREEMPTION_MS);
+        }
         let is_enough = slots.len() == tasks || !spec.gang;
         let may_grow = || {
             let entries = self.store.workers.values();
@@ -205,7 +210,9 @@
                     capacity: candidate.capacity,
                     ends: self.expected_ends(seeker, view),
                     key: candidate.key,
-                    max_tasks: spec.max_per_worker.map_or(usize::MAX, |limit| limit as usize),
+                    max_tasks: spec.max_per_worker.map_or(usize::MAX, |limit| {
+                        (limit as usize).saturating_sub(self.tasks_on(seeker.step, name))
+                    }),
                     preference_ms: self.preference_ms(seeker.step, name),
                     used: candidate.used,
                 })
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -7,7 +7,8 @@
 
 use {
     crate::{
-        JobCommand, LogEvent, Planner, RunId, StepId, StepSpec, TaskKey, WaitReason, WorkerOrder,
+        AdvicePolicy, JobCommand, LogEvent, Planner, RunId, StepId, StepSpec, TaskKey, WaitReason,
+        WorkerOrder,
         placement::{self, Candidate},
         plan_advice::MIN_WORKERS_PER_REQUEST,
         plan_crashes::Sharing,
@@ -126,18 +127,19 @@
     /// Returns the part of each worker that a step leaves free for the first priority of its service, in
     /// percent.
     fn kept_free_percent(&self, step: StepId) -> u32 {
+        match self.is_first_priority(step) {
+            true => 0,
+            false => self.settings.urgent_reserve_percent,
+        }
+    }
+
+    /// Returns whether a step has the first priority of its service.
+    fn is_first_priority(&self, step: StepId) -> bool {
         let first = self
             .queue_of(step.job)
             .and_then(|queue| self.first_priorities.get(&queue.service));
-        let is_first = self
-            .steps
-            .get(&step)
-            .is_some_and(|view| first == Some(&view.priority));
-        if is_first {
-            0
-        } else {
-            self.settings.urgent_reserve_percent
-        }
+        let priority = self.steps.get(&step).map(|view| view.priority);
+        priority.is_some() && first.copied() == priority
     }
 
     /// Tries to start the waiting tasks of a step. A step that still waits is paused.
@@ -220,16 +222,38 @@
         {
             return Err(reason);
         }
-        let Some(policy) = &advice else {
-            return Err(WaitReason::NoCapacity);
+        let reason = match &advice {
+            None => WaitReason::NoCapacity,
+            Some(policy) => self.seek_workers(step, spec, &service, policy, left, kept_free_percent),
+        };
+        // What is left to urgent work is the room of runs that can continue elsewhere.
+        let reserved = match reason {
+            WaitReason::NoCapacity if self.is_first_priority(step) => {
+                self.reserve_room(step, spec, &service, advice.as_ref(), left)
+            }
+            _ => None,
         };
+        Err(reserved.unwrap_or(reason))
+    }
+
+    /// Asks for advice on workers with room for the waiting tasks of a step. Returns what the step waits for
+    /// then.
+    fn seek_workers(
+        &mut self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+        policy: &AdvicePolicy,
+        tasks: usize,
+        kept_free_percent: u32,
+    ) -> WaitReason {
         if let Some(reason) = self.advice_pause(step, policy) {
-            return Err(reason);
+            return reason;
         }
         let candidates =
-            self.candidates_for_advice(step, spec, &service, kept_free_percent, MIN_WORKERS_PER_REQUEST);
-        let all = if spec.gang { spec.tasks as usize } else { left };
-        Err(self.request_advice(step, spec, policy, all, &candidates))
+            self.candidates_for_advice(step, spec, service, kept_free_percent, MIN_WORKERS_PER_REQUEST);
+        let all = if spec.gang { spec.tasks as usize } else { tasks };
+        self.request_advice(step, spec, policy, all, &candidates)
     }
 
     /// Returns how many of `tasks` tasks of a step the limit of its team allows now.
--- a/crates/jobs/tests/accelerators.rs
+++ b/crates/jobs/tests/accelerators.rs
@@ -458,3 +458,45 @@
         (0, WORKERS as u32 * 8)
     );
 }
+
+/// Guards against urgent work that waits for the ends of runs which would lose nothing by a stop.
+#[test]
+fn urgent_task_preempts_only_the_runs_whose_room_it_needs() {
+    let mut cell = Cell::new(None);
+    cell.fill(true);
+    let submitted_ms = cell.leader.now_ms;
+    let job = JobId(FIRST_GANG);
+    cell.leader
+        .submit_to("gangs", job, vec![accelerator_step(4, 1, 5_000)]);
+
+    cell.run(2_000, 0);
+
+    let wait_ms = cell.longest_gang_wait_ms(submitted_ms, 1);
+    assert!(wait_ms.is_some_and(|ms| ms <= 500), "waited {wait_ms:?} ms");
+    assert_eq!(cell.stops, 4);
+}
+
+/// Guards against runs that are preempted while other workers have room.
+#[test]
+fn nothing_is_preempted_while_there_is_room() {
+    let policy = AdvicePolicy {
+        base_us: 20_000,
+        per_worker_us: 290,
+        valid_ms: 2_000,
+    };
+    let mut cell = Cell::new(Some(policy));
+    let step = StepSpec {
+        checkpoints: true,
+        estimated_ms: LONG_MS,
+        ..accelerator_step(WORKERS as u32 * 8 - 8, 1, 5_000)
+    };
+    cell.leader.submit(JobId(1), vec![step]);
+    cell.tick();
+
+    cell.leader
+        .submit_to("gangs", JobId(FIRST_GANG), vec![accelerator_step(4, 1, 5_000)]);
+    cell.run(2_000, 0);
+
+    assert!(cell.started_ms.contains_key(&JobId(FIRST_GANG)));
+    assert_eq!(cell.stops, 0);
+}
