--- a/crates/jobs/src/plan_reservations.rs
+++ b/crates/jobs/src/plan_reservations.rs
@@ -19,6 +19,9 @@
 const MOST_DIVISOR: u64 = 2;
 /// Factor on the estimated duration of a task until which it has ended in all likelihood, in percent.
 const CERTAIN_END_PERCENT: u64 = 200;
+/// Number of workers that one planning pass searches for room to reserve, after which reservations stay as
+/// they are until a later pass.
+pub(crate) const ROOM_SEARCHES_PER_PASS: usize = 400;
 /// Number of workers for which a step with reserved room asks for tickets, in percent of those that it
 /// needs.
 const TICKETS_PERCENT: usize = 150;
@@ -73,7 +76,7 @@
         policy: Option<&AdvicePolicy>,
         tasks: usize,
     ) -> Option<WaitReason> {
-        if self.reservations.may_renew(step, self.now_ms) {
+        if self.reservations.may_renew(step, self.now_ms) && self.room_searches_left > 0 {
             self.renew_reservation(step, spec, service, policy.is_some(), tasks);
         }
         let present = self.reservations.get(step)?;
@@ -121,7 +124,8 @@
         let advice = self.steps.get(&step).map(|view| &view.advice);
         let is_unevaluated =
             |worker: &WorkerName| advice.is_some_and(|advice| !advice.evaluated.contains(worker));
-        let rooms = self.rooms(seeker, spec, service, is_unevaluated);
+        let unevaluated = self.workers.keys().filter(|worker| is_unevaluated(worker));
+        let rooms = self.rooms(seeker, spec, service, unevaluated);
         let slots = reservation::choose_slots(&rooms, &spec.reserved(), MAX_WORKERS_PER_REQUEST);
         let workers = distinct_workers(&slots);
         if workers.is_empty() {
@@ -139,6 +143,9 @@
         needs_advice: bool,
         tasks: usize,
     ) {
+        let view = self.steps.get(&step).filter(|_| needs_advice);
+        let searched = view.map_or(self.workers.len(), |view| view.advice.eligible.len());
+        self.room_searches_left = self.room_searches_left.saturating_sub(searched);
         let seeker = self.seeker(step, spec);
         let choice = self.choose_room(seeker, spec, service, needs_advice, tasks);
         let (reserved, workers) = (choice.slots.len(), choice.workers.len());
@@ -164,11 +171,11 @@
         tasks: usize,
     ) -> RoomChoice {
         let demand = spec.reserved();
-        let advice = self.steps.get(&seeker.step).map(|view| &view.advice);
-        let is_eligible = |worker: &WorkerName| {
-            !needs_advice || advice.is_some_and(|advice| advice.eligible.contains_key(worker))
+        let view = self.steps.get(&seeker.step);
+        let rooms = match view.filter(|_| needs_advice) {
+            None => self.rooms(seeker, spec, service, self.workers.keys()),
+            Some(view) => self.rooms(seeker, spec, service, view.advice.eligible.keys()),
         };
-        let rooms = self.rooms(seeker, spec, service, is_eligible);
         let with_spare = (tasks * TICKETS_PERCENT).div_ceil(100);
         let mut slots = reservation::choose_slots(&rooms, &demand, with_spare);
         let workers = distinct_workers(&slots);
@@ -194,17 +201,17 @@
         }
     }
 
-    /// Returns the workers that may run the tasks of a step and pass `is_wanted`.
-    fn rooms(
+    /// Returns those of some workers that may run the tasks of a step.
+    fn rooms<'a>(
         &self,
         seeker: Seeker,
         spec: &StepSpec,
         service: &SmolStr,
-        is_wanted: impl Fn(&WorkerName) -> bool,
+        workers: impl Iterator<Item = &'a WorkerName>,
     ) -> Vec<Room<WorkerName>> {
-        let wanted = self.workers.iter().filter(|(name, _)| is_wanted(name));
-        wanted
-            .filter_map(|(name, view)| {
+        workers
+            .filter_map(|name| {
+                let view = self.workers.get(name)?;
                 let candidate = self.suitable_worker(seeker, spec, service, name, view)?;
                 Some(Room {
                     capacity: candidate.capacity,
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -12,6 +12,7 @@
         placement::{self, Candidate},
         plan_advice::MIN_WORKERS_PER_REQUEST,
         plan_crashes::Sharing,
+        plan_reservations::ROOM_SEARCHES_PER_PASS,
         run_view::RunState,
     },
     fuchsiatack_model::{Resources, WorkerName},
@@ -47,6 +48,8 @@
             view.observe_waiting(now_ms);
         }
         self.reservations.expire(now_ms);
+        self.room_searches_left = ROOM_SEARCHES_PER_PASS;
+        self.last_priority = self.steps.values().map(|view| view.priority).max();
         let mut order: Vec<_> = self
             .steps
             .iter()
@@ -228,7 +231,7 @@
         };
         // What is left to urgent work is the room of runs that can continue elsewhere.
         let reserved = match reason {
-            WaitReason::NoCapacity if self.is_first_priority(step) => {
+            WaitReason::NoCapacity if self.may_preempt(step) => {
                 self.reserve_room(step, spec, &service, advice.as_ref(), left)
             }
             _ => None,
@@ -236,6 +239,12 @@
         Err(reserved.unwrap_or(reason))
     }
 
+    /// Returns whether a step has the first priority of its service, and steps of a later one are open.
+    fn may_preempt(&self, step: StepId) -> bool {
+        let priority = self.steps.get(&step).map(|view| view.priority);
+        self.is_first_priority(step) && priority < self.last_priority
+    }
+
     /// Asks for advice on workers with room for the waiting tasks of a step. Returns what the step waits for
     /// then.
     fn seek_workers(
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -38,6 +38,8 @@
     pub(crate) are_heartbeats_late: bool,
     /// Time of the next report of the waiting steps.
     pub(crate) backlog_due_ms: u64,
+    /// Last priority of the open steps in the present planning pass.
+    pub(crate) last_priority: Option<u32>,
     /// Number of tickets that were requested again since they had expired unused.
     pub(crate) lapsed_tickets: u64,
     /// Time of the next search for steps whose advice is requested before they are ready.
@@ -76,6 +78,8 @@
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Room that is kept for waiting steps.
     pub(crate) reservations: Reservations,
+    /// Number of workers that the present planning pass may still search for room to reserve.
+    pub(crate) room_searches_left: usize,
     /// Occurrences that are due later, as due time since the Unix epoch in milliseconds, job and
     /// number.
     pub(crate) scheduled: BTreeSet<(u64, JobId, u32)>,
@@ -105,6 +109,7 @@
             are_heartbeats_late: false,
             backlog_due_ms: now_ms,
             lapsed_tickets: 0,
+            last_priority: None,
             prefetch_due_ms: now_ms,
             store,
             needs_placement: true,
@@ -127,6 +132,7 @@
             first_priorities: BTreeMap::new(),
             runs: BTreeMap::new(),
             reservations: Reservations::default(),
+            room_searches_left: 0,
             scheduled: BTreeSet::new(),
             settings,
             stalls_due_ms: now_ms,
