--- a/crates/jobs/src/plan_reservations.rs
+++ b/crates/jobs/src/plan_reservations.rs
@@ -21,7 +21,7 @@
 const CERTAIN_END_PERCENT: u64 = 200;
 /// Number of workers that one planning pass searches for room to reserve, after which reservations stay as
 /// they are until a later pass.
-pub(crate) const ROOM_SEARCHES_PER_PASS: usize = 400;
+pub(crate) const ROOM_SEARCHES_PER_PASS: usize = 60;
 /// Number of workers for which a step with reserved room asks for tickets, in percent of those that it
 /// needs.
 const TICKETS_PERCENT: usize = 150;
@@ -150,7 +150,8 @@
         let choice = self.choose_room(seeker, spec, service, needs_advice, tasks);
         let (reserved, workers) = (choice.slots.len(), choice.workers.len());
         let ready_in_ms = choice.slots.iter().map(|slot| slot.ready_in_ms).max();
-        if self.reservations.renew(self.now_ms, seeker, choice) {
+        let has_changed = self.reservations.renew(self.now_ms, seeker, choice);
+        if has_changed && self.needs_reservation(spec, service) {
             let event = LogEvent::new("reservation changed")
                 .job(step.job)
                 .with("step", step)
