jobs: tasks without an estimate do not use reserved room

Cause: a task without an estimate counted as one that ends at once, so it took room that is reserved for a gang. Change: without an estimate it never ends in time. Result: accelerators::only_tasks_that_end_in_time_use_reserved_room failed before ([1, 0, 1]) and passes. Tasks with an estimate are placed as before.

--- a/crates/jobs/src/plan_reservations.rs
+++ b/crates/jobs/src/plan_reservations.rs
@@ -18,7 +18,7 @@
 /// A task that needs more than one part in this many of a worker needs most of it.
 const MOST_DIVISOR: u64 = 2;
 /// Factor on the estimated duration of a task until which it has ended in all likelihood, in percent.
-const CERTAIN_END_PERCENT: u64 = 200;
+const LIKELY_END_PERCENT: u64 = 200;
 /// Number of workers that one planning pass searches for room to reserve, after which reservations stay as
 /// they are until a later pass.
 pub(crate) const ROOM_SEARCHES_PER_PASS: usize = 60;
@@ -35,11 +35,12 @@
 impl Planner {
     /// Returns how reservations treat a step.
     pub(crate) fn seeker(&self, step: StepId, spec: &StepSpec) -> Seeker {
-        let certain_ms = spec.estimated_ms.saturating_mul(CERTAIN_END_PERCENT) / 100;
+        let likely_ms = spec.estimated_ms.saturating_mul(LIKELY_END_PERCENT) / 100;
         Seeker {
-            end_ms: match spec.long_running {
-                true => u64::MAX,
-                false => self.now_ms.saturating_add(certain_ms),
+            end_ms: match spec.estimated_ms {
+                0 => u64::MAX,
+                _ if spec.long_running => u64::MAX,
+                _ => self.now_ms.saturating_add(likely_ms),
             },
             priority: self.steps.get(&step).map_or(u32::MAX, |view| view.priority),
             step,
--- a/crates/jobs/src/reservation.rs
+++ b/crates/jobs/src/reservation.rs
@@ -125,7 +125,8 @@
 /// A step for which workers are sought, as reservations treat it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Seeker {
-    /// Time by which its tasks have certainly ended; `u64::MAX` if they do not end by themselves.
+    /// Time by which its tasks have ended in all likelihood; `u64::MAX` if they do not end by themselves or
+    /// have no estimate.
     pub(crate) end_ms: u64,
     pub(crate) priority: u32,
     pub(crate) step: StepId,
--- a/crates/jobs/tests/accelerators.rs
+++ b/crates/jobs/tests/accelerators.rs
@@ -339,6 +339,46 @@
     );
 }
 
+/// Returns the number of starts of a single task beside a gang whose room is complete in ten seconds.
+fn starts_beside_a_waiting_gang(estimated_ms: u64) -> usize {
+    let singles = Queue {
+        name: QueueName::new("singles"),
+        path_prefix: "/singles/".into(),
+        priority: 2,
+        ..queue()
+    };
+    let mut leader = leader(vec![accelerator_queue(), singles], &["a"]);
+    let long = StepSpec {
+        estimated_ms: LONG_MS,
+        ..accelerator_step(1, 1, 5_000)
+    };
+    leader.submit(JobId(1), vec![long]);
+    let (run, worker) = leader.take_starts().remove(0);
+    leader.started(&worker, run, Ok(leader.now_ms));
+    let gang = StepSpec {
+        gang: true,
+        ..accelerator_step(1, 8, 30_000)
+    };
+    leader.submit(JobId(2), vec![gang]);
+    leader.take_calls();
+
+    let single = StepSpec {
+        estimated_ms,
+        ..accelerator_step(1, 1, 5_000)
+    };
+    leader.submit_to("singles", JobId(3), vec![single]);
+    leader.take_starts().len()
+}
+
+/// Guards against reserved room that stands idle, and against tasks that take it for longer: some have no
+/// estimate.
+#[test]
+fn only_tasks_that_end_in_time_use_reserved_room() {
+    let starts = [2_000, LONG_MS, 0].map(starts_beside_a_waiting_gang);
+
+    assert_eq!(starts, [1, 0, 0]);
+}
+
 /// Guards against gangs that reserve workers from each other, so that none of them ever starts.
 #[test]
 fn gangs_that_need_the_same_workers_start_one_after_the_other() {
