review: case 3, a job that serves users never starts beside tasks that fill

Cause: a step with a latency target shares no worker with a task that fills. Change: a script that hands in a filling job with a task on each worker.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod case_attempts;
 mod case_crashes;
 mod case_ends;
+mod case_fills;
 mod case_late_hold;
 mod cell;
 mod http;
@@ -44,6 +45,7 @@
     };
     let outcome = match case.as_str() {
         "attempts" => case_attempts::run(&run),
+        "fills" => case_fills::run(&run),
         "ends" => case_ends::run(&run),
         "late-hold" => case_late_hold::run(&run),
         "crashes" => case_crashes::run(&run),
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -25,10 +25,13 @@
 #[derive(Clone, Copy)]
 pub struct Work {
     pub length_ms: u64,
-    /// How it ends: `done` or `failed`.
+    /// How it ends: `done`, `failed`, or never if it `LASTS`.
     pub how: &'static str,
 }
 
+/// Work that lasts until it is stopped.
+pub const LASTS: &str = "lasts";
+
 impl Work {
     /// Work that ends `done`.
     pub fn done(length_ms: u64) -> Self {
@@ -472,7 +475,9 @@
                 continue;
             }
             let life = &mut state.life;
-            let is_due = |run: &Run| run.begin.elapsed().as_millis() as u64 >= run.work.length_ms;
+            let is_due = |run: &Run| {
+                run.work.how != LASTS && run.begin.elapsed().as_millis() as u64 >= run.work.length_ms
+            };
             let due: Vec<_> = life
                 .running
                 .iter()
@@ -535,7 +540,8 @@
 
 fn lists(life: &Life) -> String {
     let running = life.running.iter().map(|(task, run)| {
-        let percent = (run.begin.elapsed().as_millis() as u64 * 100 / run.work.length_ms.max(1)).min(99);
+        let percent = (run.begin.elapsed().as_millis() as u64 * 100 / run.work.length_ms.max(1))
+            .min(if run.work.how == LASTS { 100 } else { 99 });
         format!("[\"{task}\",{},\"\",{percent},0]", run.number)
     });
     let running: Vec<_> = running.collect();
