cell: a new leader calls workers only through members that have responded to it

The new leader (12.013 s) took all nine members for reachable, since its contact to each counts from the election, and sent the calls to four ninths of the workers through the lost ones. Those calls failed after 0.52 s, and the reports of their workers, with 19 jobs that had ended, came at 12.59 s instead of 12.06 s. Change: the consensus node knows which members have voted for the leader or sent a message since; the store shows them, and the routes use only those. Result: the new tests fail without the filter (the member that was cut off counts as reachable); tests of consensus, store and cell pass.

--- a/crates/cell/src/executor.rs
+++ b/crates/cell/src/executor.rs
@@ -90,7 +90,8 @@
             // Core members of earlier builds do not know this order.
             WorkerOrder::Pace { .. } => None,
             WorkerOrder::Hold { .. } | WorkerOrder::Start { .. } | WorkerOrder::Stop { .. } => {
-                self.routes().choose(sent_ms, &order.to().worker)
+                let responsive = self.store.responsive_members();
+                self.routes().choose(sent_ms, &order.to().worker, &responsive)
             }
         };
         let Some(member) = member else {
--- a/crates/cell/src/routes.rs
+++ b/crates/cell/src/routes.rs
@@ -68,16 +68,25 @@
             .collect();
     }
 
-    /// Chooses the member that calls a worker and records the call. Returns `None` if this member calls the
-    /// worker directly.
-    pub fn choose(&mut self, now_ms: u64, worker: &WorkerName) -> Option<SocketAddr> {
+    /// Chooses the member that calls a worker and records the call, among the members in `responsive`. Returns
+    /// `None` if this member calls the worker directly.
+    ///
+    /// A new leader does not know which members were lost with the earlier one. A call through a lost one
+    /// fails only after its timeout, and keeps the reports of its workers waiting until then.
+    pub fn choose(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerName,
+        responsive: &[SocketAddr],
+    ) -> Option<SocketAddr> {
         self.record_call(now_ms, worker);
         let is_paused = |until_ms: Option<&u64>| until_ms.is_some_and(|until_ms| now_ms < *until_ms);
         if self.last_call_ms.len() <= MAX_DIRECT_WORKERS || is_paused(self.direct_until_ms.get(worker)) {
             return None;
         }
         let available = self.members.iter().copied();
-        let available = available.filter(|member| !is_paused(self.paused_until_ms.get(member)));
+        let available = available
+            .filter(|member| responsive.contains(member) && !is_paused(self.paused_until_ms.get(member)));
         // The member with the highest rank is chosen (rendezvous hashing), so that a change of one member
         // reassigns only its workers.
         let candidates = available.chain(std::iter::once(self.own_address));
--- a/crates/cell/tests/routes.rs
+++ b/crates/cell/tests/routes.rs
@@ -3,13 +3,20 @@
 use {
     fuchsiatack_cell::Routes,
     fuchsiatack_model::WorkerName,
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
 fn member(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7_020))
 }
 
+fn members() -> Vec<SocketAddr> {
+    (1..=9).map(member).collect()
+}
+
 fn workers(count: usize) -> Vec<WorkerName> {
     (0..count)
         .map(|number| WorkerName::new(format!("w-{number}")))
@@ -19,9 +26,9 @@
 /// Creates the routes of one of nine members, which has called each worker once.
 fn routes(own: u8, workers: &[WorkerName]) -> Routes {
     let mut routes = Routes::new(member(own));
-    routes.set_members((1..=9).map(member));
+    routes.set_members(members());
     for worker in workers {
-        routes.choose(0, worker);
+        routes.choose(0, worker, &members());
     }
     routes
 }
@@ -34,7 +41,7 @@
 
     let mut calls: BTreeMap<_, usize> = BTreeMap::new();
     for worker in &workers {
-        *calls.entry(routes.choose(1, worker)).or_default() += 1;
+        *calls.entry(routes.choose(1, worker, &members())).or_default() += 1;
     }
 
     assert_eq!(calls.len(), 9);
@@ -47,7 +54,11 @@
     let workers = workers(50);
     let mut routes = routes(1, &workers);
 
-    assert!(workers.iter().all(|worker| routes.choose(1, worker).is_none()));
+    assert!(
+        workers
+            .iter()
+            .all(|worker| routes.choose(1, worker, &members()).is_none())
+    );
 }
 
 /// Guards against calls through a member that is down or unreachable.
@@ -57,7 +68,7 @@
     let mut routes = routes(1, &workers);
     let (worker, failed) = workers
         .iter()
-        .find_map(|worker| Some((worker, routes.choose(1, worker)?)))
+        .find_map(|worker| Some((worker, routes.choose(1, worker, &members())?)))
         .expect("another member calls at least one worker");
 
     assert!(routes.member_failed(10, failed), "the member was in use");
@@ -66,9 +77,9 @@
     assert!(
         workers
             .iter()
-            .all(|worker| routes.choose(12, worker) != Some(failed))
+            .all(|worker| routes.choose(12, worker, &members()) != Some(failed))
     );
-    assert_eq!(routes.choose(9_000, worker), Some(failed));
+    assert_eq!(routes.choose(9_000, worker, &members()), Some(failed));
     assert!(
         routes.member_answered(9_001, failed),
         "the member had failed before"
@@ -102,13 +113,13 @@
     let mut routes = routes(1, &workers);
     let worker = workers
         .iter()
-        .find(|worker| routes.choose(1, worker).is_some())
+        .find(|worker| routes.choose(1, worker, &members()).is_some())
         .expect("another member calls at least one worker");
 
     routes.worker_failed(10, worker);
 
-    assert_eq!(routes.choose(11, worker), None);
-    assert!(routes.choose(9_000, worker).is_some());
+    assert_eq!(routes.choose(11, worker, &members()), None);
+    assert!(routes.choose(9_000, worker, &members()).is_some());
 }
 
 /// Guards against new connections to all workers after each change of leader.
@@ -119,8 +130,25 @@
     let mut after = routes(2, &workers);
 
     for worker in &workers {
-        let caller_before = before.choose(1, worker).unwrap_or(member(1));
-        let caller_after = after.choose(1, worker).unwrap_or(member(2));
+        let caller_before = before.choose(1, worker, &members()).unwrap_or(member(1));
+        let caller_after = after.choose(1, worker, &members()).unwrap_or(member(2));
         assert_eq!(caller_before, caller_after);
     }
 }
+
+/// Guards against a new leader that calls workers through the members that were cut off together with the
+/// earlier leader: each such call kept the reports of its worker waiting for half a second.
+#[test]
+fn no_worker_is_called_through_a_member_that_has_not_responded() {
+    let workers = workers(360);
+    let responsive: Vec<_> = (2..=5).map(member).collect();
+    let mut routes = routes(1, &workers);
+
+    let callers: BTreeSet<_> = workers
+        .iter()
+        .map(|worker| routes.choose(1, worker, &responsive))
+        .collect();
+
+    let expected = responsive.into_iter().map(Some).chain([None]);
+    assert_eq!(callers, expected.collect());
+}
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -138,6 +138,9 @@
         self.transferring = false;
         self.progress.clear();
         self.update_progress();
+        for (member, progress) in &mut self.progress {
+            progress.has_responded = self.votes.contains(member);
+        }
         self.term_start = self.append_new_entry(Payload::Command(Vec::new()));
         self.send_heartbeats();
     }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -227,6 +227,15 @@
         }
     }
 
+    /// Returns whether this member leads and knows that `member` was reachable during its leadership: it has
+    /// contact to the member, which has voted for it or sent a message since. `is_in_contact` also holds for
+    /// members that were cut off before the election.
+    pub fn is_responsive(&self, member: MemberId, now_ms: u64) -> bool {
+        let progress = self.progress.get(&member);
+        let has_responded = progress.is_some_and(|progress| progress.has_responded);
+        has_responded && self.is_in_contact(member, now_ms)
+    }
+
     /// Returns whether this member has a member list, from its disk or from the leader.
     pub fn is_formed(&self) -> bool {
         !self.members.is_empty()
@@ -312,6 +321,7 @@
         }
         if let Some(progress) = self.progress.get_mut(&from) {
             progress.last_contact_ms = self.now_ms;
+            progress.has_responded = true;
         }
         if body.is_from_leader() {
             self.follow_leader(from);
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -18,8 +18,10 @@
 pub(crate) struct Progress {
     /// Highest heartbeat round that it acknowledged.
     pub(crate) acknowledged_round: u64,
-    /// Time at which its last message arrived.
+    /// Time at which its last message arrived; that of the election or of its addition before the first one.
     pub(crate) last_contact_ms: u64,
+    /// Whether a message of it has arrived since the election, or it voted for this leader.
+    pub(crate) has_responded: bool,
     /// Last index of each append that has no reply yet, in the order of sending.
     pub(crate) in_flight: VecDeque<LogIndex>,
     /// Last index that is synced on it.
@@ -39,6 +41,7 @@
         Self {
             acknowledged_round: 0,
             last_contact_ms: now_ms,
+            has_responded: false,
             in_flight: VecDeque::new(),
             matching: LogIndex(0),
             mode: Mode::Probe,
--- a/crates/consensus/tests/network/mod.rs
+++ b/crates/consensus/tests/network/mod.rs
@@ -129,13 +129,7 @@
             if condition(self) {
                 return;
             }
-            self.advance_time();
-            for _ in 0..self.messages.len() {
-                self.deliver_one();
-            }
-            for id in self.ids() {
-                self.sync(id, usize::MAX);
-            }
+            self.run_round();
         }
         for (id, Peer { node, .. }) in &self.peers {
             println!("{id:?} {:?} {:?} {:?}", node.role(), node.term(), node.members());
@@ -143,6 +137,17 @@
         panic!("no progress: {what}");
     }
 
+    /// Advances time, and delivers the messages and syncs of one round.
+    pub fn run_round(&mut self) {
+        self.advance_time();
+        for _ in 0..self.messages.len() {
+            self.deliver_one();
+        }
+        for id in self.ids() {
+            self.sync(id, usize::MAX);
+        }
+    }
+
     pub fn leader(&self) -> Option<MemberId> {
         let leaders = self
             .ids()
@@ -177,6 +182,11 @@
         self.isolated.insert(id);
     }
 
+    /// Returns the present time of the members in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
     /// Returns the number of committed entries that at least one member has applied.
     pub fn committed(&self) -> usize {
         self.committed.len()
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -106,3 +106,39 @@
     assert!(members.contains(&fresh) && !members.contains(&lost));
     assert_eq!(members.len(), 3);
 }
+
+/// Guards against a new leader that takes the members which were cut off together with the earlier leader for
+/// reachable.
+#[test]
+fn new_leader_knows_which_members_have_responded() {
+    let mut network = Network::new(3, 5, 0);
+    network.run_until("first leader", |network| network.leader().is_some());
+    let old = network.leader().unwrap();
+    let members: Vec<_> = network
+        .node(old)
+        .members()
+        .iter()
+        .map(|member| member.id)
+        .collect();
+    let lost = members.iter().copied().find(|member| *member != old).unwrap();
+
+    network.isolate(old);
+    network.isolate(lost);
+    for _ in 0..2_000 {
+        if network.leader() != Some(old) {
+            break;
+        }
+        network.run_round();
+    }
+    let leader = network.leader().unwrap();
+    let node = network.node(leader);
+    let responsive: Vec<_> = members
+        .into_iter()
+        .filter(|member| node.is_responsive(*member, network.now_ms()))
+        .collect();
+
+    assert_ne!(leader, old);
+
+    assert!(responsive.len() >= 2, "a quorum has voted");
+    assert!(!responsive.contains(&old) && !responsive.contains(&lost));
+}
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -93,6 +93,7 @@
             identity,
             leader: None,
             members: node.members().to_vec(),
+            responsive_members: Arc::default(),
             role: node.role(),
             term: node.term(),
             voters_in_contact: None,
--- a/crates/store/src/runtime_contact.rs
+++ b/crates/store/src/runtime_contact.rs
@@ -4,6 +4,7 @@
     crate::runtime::Runtime,
     fuchsiatack_consensus::{Member, MemberChange, MemberId, MemberRole, Role},
     fuchsiatack_jobs::LogEvent,
+    std::net::SocketAddr,
 };
 
 /// Contact of a leader to the voters of its member list.
@@ -37,6 +38,15 @@
             .filter(move |voter| self.node.is_in_contact(voter.id, now_ms))
     }
 
+    /// Returns the peer addresses of the members that have responded to this leader.
+    pub(crate) fn responsive_members(&self) -> impl Iterator<Item = SocketAddr> {
+        let now_ms = self.now_ms();
+        let members = self.node.members().iter();
+        members
+            .filter(move |member| self.failure.is_none() && self.node.is_responsive(member.id, now_ms))
+            .map(|member| member.address)
+    }
+
     /// Returns the contact to the voters at `now_ms`, if this member leads.
     pub(crate) fn quorum_contact(&self, now_ms: u64) -> QuorumContact {
         let voters = self.voters().count();
--- a/crates/store/src/runtime_node.rs
+++ b/crates/store/src/runtime_node.rs
@@ -180,6 +180,12 @@
         if status.members != self.node.members() {
             status.members = self.node.members().to_vec();
         }
+        if !self
+            .responsive_members()
+            .eq(status.responsive_members.iter().copied())
+        {
+            status.responsive_members = self.responsive_members().collect();
+        }
     }
 }
 
--- a/crates/store/src/status.rs
+++ b/crates/store/src/status.rs
@@ -4,7 +4,7 @@
     fuchsiatack_consensus::{Member, MemberId, MemberRole, Role, Term},
     fuchsiatack_derives::value,
     fuchsiatack_model::LogIndex,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// Status of one store member, as shown to operators.
@@ -25,6 +25,9 @@
     pub leader: Option<SocketAddr>,
     /// Latest member list, sorted by identity.
     pub members: Vec<Member>,
+    /// Peer addresses of the other members that have responded to this leader since its election and within
+    /// the longest election timeout; empty on other members.
+    pub responsive_members: Arc<[SocketAddr]>,
     /// Consensus role; `Follower` after a failure.
     pub role: Role,
     /// Current consensus term.
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -12,7 +12,10 @@
     fuchsiatack_consensus::{Envelope, Role, disk::LogStore},
     fuchsiatack_jobs::{JobEvent, LogEvent},
     fuchsiatack_wire::{Handler, NotLeader, PeerCaller, Request, Response},
-    std::sync::{Arc, Mutex, PoisonError},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+    },
     tokio::{
         sync::{mpsc, oneshot},
         task::JoinHandle,
@@ -129,10 +132,21 @@
             status.leader = None;
             status.role = Role::Follower;
             status.voters_in_contact = None;
+            status.responsive_members = Arc::default();
         }
         status
     }
 
+    /// Returns the peer addresses of the members that have responded to this leader; see
+    /// `StoreStatus::responsive_members`. Cheaper than the whole status.
+    pub fn responsive_members(&self) -> Arc<[SocketAddr]> {
+        let status = self.shared.status.lock();
+        status
+            .unwrap_or_else(PoisonError::into_inner)
+            .responsive_members
+            .clone()
+    }
+
     /// Stops the runtime and waits until queued writes are done and the data folder is unlocked.
     ///
     /// A leader first completes the calls that it has accepted and transfers its leadership.
