jobs: orders to empty a data centre

Cause: an operator could keep work away from a data centre only by stopping its workers one by one, and a start could follow at any time.

Change: POST and DELETE /evacuations/ZONE on the control address write two appended log commands. The order is answered once it is committed, and a repeated one is answered without a change. Placement, retries, reservations and advice requests leave out the workers of the data centre; reservations and tickets there are dropped at the order. A start order without a response for 1 s, and one of an earlier leader that its worker does not list, is stopped there, so that no delayed order starts the run long after the acknowledgement. Other runs go on. A step that fits only there waits with the reason `evacuated`. The leader logs the orders, and counts workers and runs of evacuated data centres in `evacuated_workers` and `evacuated_runs`.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -33,6 +33,11 @@
     call: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DataCenterLabel {
+    data_center: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EventLabel {
     event: &'static str,
@@ -66,6 +71,8 @@
     advice_in_flight: Gauge,
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
+    evacuated_runs: Family<DataCenterLabel, Gauge>,
+    evacuated_workers: Family<DataCenterLabel, Gauge>,
     events: Family<EventLabel, Counter>,
     free: Family<ResourceLabels, Gauge>,
     lapsed_tickets: Gauge,
@@ -95,6 +102,8 @@
             advice_in_flight: Gauge::default(),
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
+            evacuated_runs: Family::default(),
+            evacuated_workers: Family::default(),
             events: Family::default(),
             free: Family::default(),
             lapsed_tickets: Gauge::default(),
@@ -117,6 +126,16 @@
             "Duration of calls in seconds by kind",
             metrics.call_seconds.clone(),
         );
+        registry.register(
+            "evacuated_runs",
+            "Runs that have not ended in an evacuated data centre; on the leader",
+            metrics.evacuated_runs.clone(),
+        );
+        registry.register(
+            "evacuated_workers",
+            "Registered workers of an evacuated data centre; on the leader",
+            metrics.evacuated_workers.clone(),
+        );
         registry.register(
             "leader_events",
             "Log events of the leader by text, also those that the log leaves out",
@@ -205,6 +224,7 @@
     /// Replaces the report on the cell. Series that are not in it are removed.
     pub(crate) fn set_report(&self, report: &CellReport) {
         self.set_backlog(report);
+        self.set_evacuations(report);
         self.set_rooms(report);
         self.advice_in_flight.set(report.advice_in_flight as i64);
         self.lapsed_tickets.set(report.lapsed_tickets as i64);
@@ -232,6 +252,20 @@
         }
     }
 
+    fn set_evacuations(&self, report: &CellReport) {
+        self.evacuated_runs.clear();
+        self.evacuated_workers.clear();
+        for evacuation in &report.evacuations {
+            let label = DataCenterLabel {
+                data_center: evacuation.data_center.to_string(),
+            };
+            let runs = self.evacuated_runs.get_or_create(&label);
+            runs.set(evacuation.runs as i64);
+            let workers = self.evacuated_workers.get_or_create(&label);
+            workers.set(evacuation.workers as i64);
+        }
+    }
+
     fn set_rooms(&self, report: &CellReport) {
         self.free.clear();
         self.largest_free.clear();
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -3,7 +3,7 @@
 use {
     crate::{AdviceError, Configuration, JobId, JobSpec, StepId, WorkerOrder, WorkerReport, WorkerResponse},
     fuchsiatack_derives::{key, message},
-    fuchsiatack_model::WorkerName,
+    fuchsiatack_model::{DataCenter, WorkerName},
     smol_str::SmolStr,
     std::net::SocketAddr,
 };
@@ -161,6 +161,15 @@
         /// also counts while the VM is suspended.
         sent_ms: u64,
     },
+    /// Orders that nothing more is started in a data centre.
+    EvacuateDataCenter {
+        /// Name of the data centre. It may have no workers yet.
+        data_center: DataCenter,
+        /// Name of the operator who gives the order; `None` if it is not known.
+        ordered_by: Option<SmolStr>,
+    },
+    /// Withdraws the order to empty a data centre.
+    RestoreDataCenter(DataCenter),
 }
 
 /// Response to a `CellCall`. The encoding depends on the order of variants.
--- a/crates/jobs/src/cell_report.rs
+++ b/crates/jobs/src/cell_report.rs
@@ -3,8 +3,22 @@
 use {
     crate::{PriorityBacklog, ServiceRoom},
     fuchsiatack_derives::value,
+    fuchsiatack_model::DataCenter,
 };
 
+/// An evacuated data centre.
+#[value]
+pub struct EvacuationReport {
+    /// Name of the data centre.
+    pub data_center: DataCenter,
+    /// Time of the order in milliseconds since the Unix epoch.
+    pub ordered_unix_ms: u64,
+    /// Number of runs that have not ended there.
+    pub runs: usize,
+    /// Number of registered workers there.
+    pub workers: usize,
+}
+
 /// Waiting steps, room on the workers and use of the advice service.
 #[derive(Default)]
 #[value]
@@ -13,6 +27,8 @@
     pub advice_in_flight: usize,
     /// Waiting steps by priority.
     pub backlog: Vec<PriorityBacklog>,
+    /// Evacuated data centres with what still runs there; a bounded number.
+    pub evacuations: Vec<EvacuationReport>,
     /// Number of tickets that were requested again since they had expired unused, since the leadership
     /// started.
     pub lapsed_tickets: u64,
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Configuration, JobId, JobSpec, LostTask, RunId, TaskKey, Wave, WorkerEntry},
     fuchsiatack_derives::{key, message},
-    fuchsiatack_model::{QueueName, TeamName, WorkerName},
+    fuchsiatack_model::{DataCenter, QueueName, TeamName, WorkerName},
     smol_str::SmolStr,
 };
 
@@ -117,4 +117,15 @@
         /// Time of the change in milliseconds since the Unix epoch, by the leader's clock.
         unix_ms: u64,
     },
+    /// Records the order that nothing more is started in a data centre, unless it is recorded already.
+    Evacuate {
+        /// Name of the data centre.
+        data_center: DataCenter,
+        /// Name of the operator who gave the order; `None` if it is not known.
+        ordered_by: Option<SmolStr>,
+        /// Time of the order in milliseconds since the Unix epoch, by the leader's clock.
+        unix_ms: u64,
+    },
+    /// Records that tasks may be started in a data centre again.
+    EndEvacuation(DataCenter),
 }
--- a/crates/jobs/src/job_store.rs
+++ b/crates/jobs/src/job_store.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Configuration, CrashRecord, Job, JobCommand, JobEnd, JobId, JobState, LostTask, RunEnd, RunId,
-        TaskKey, Wave, WorkerEntry,
+        Configuration, CrashRecord, Evacuation, Job, JobCommand, JobEnd, JobId, JobState, JobStoreExtension,
+        LostTask, RunEnd, RunId, TaskKey, Wave, WorkerEntry,
     },
     fuchsiatack_derives::message,
     fuchsiatack_model::{QueueName, WorkerName},
@@ -38,6 +38,10 @@
     pub workers: BTreeMap<WorkerName, WorkerEntry>,
     /// Tasks under which workers were lost since they last proved that they crash none.
     pub crashes: BTreeMap<TaskKey, CrashRecord>,
+    /// What the first form of snapshots lacks. Snapshots store it beside the rest, because a further field
+    /// would make those of earlier builds unreadable.
+    #[serde(skip)]
+    pub extension: JobStoreExtension,
 }
 
 impl JobStore {
@@ -108,6 +112,22 @@
                 }
             }
             JobCommand::GiveUp { job, unix_ms } => self.end_job(*job, JobState::Failed, *unix_ms),
+            JobCommand::Evacuate {
+                data_center,
+                ordered_by,
+                unix_ms,
+            } => {
+                let evacuations = &mut self.extension.evacuations;
+                evacuations
+                    .entry(data_center.clone())
+                    .or_insert_with(|| Evacuation {
+                        ordered_by: ordered_by.clone(),
+                        ordered_unix_ms: *unix_ms,
+                    });
+            }
+            JobCommand::EndEvacuation(data_center) => {
+                self.extension.evacuations.remove(data_center);
+            }
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod configuration;
 mod crash_record;
 mod effect;
+mod evacuation;
 mod event;
 mod ids;
 mod job;
@@ -28,6 +29,7 @@
 mod plan_calls;
 mod plan_candidates;
 mod plan_crashes;
+mod plan_data_center_evacuation;
 mod plan_evacuation;
 mod plan_late_acknowledgements;
 mod plan_late_starts;
@@ -66,11 +68,12 @@
         AdviceRequest, AdviceResponse, CallId, CellCall, CellResponse, EntryReport, JobAction, JobCall,
         JobResponse, JobState, Wave,
     },
-    cell_report::CellReport,
+    cell_report::{CellReport, EvacuationReport},
     command::{JobCommand, RunEnd, Submission},
     configuration::{AdvicePolicy, Configuration, Queue, Team},
     crash_record::{CrashRecord, LostTask},
     effect::Effect,
+    evacuation::{Evacuation, JobStoreExtension},
     event::{
         EndedRun, HoldReport, JobEvent, ListedEnd, ListedRun, OrderRejection, OrderResult, WorkerCallError,
     },
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -1,7 +1,9 @@
 //! Reports the steps that wait and the room in the cell, for logs and metrics.
 
 use {
-    crate::{CellReport, LogEvent, Planner, ServiceRoom, StepId, WaitTimes, step_view::StepView},
+    crate::{
+        CellReport, LogEvent, Planner, ServiceRoom, StepId, WaitTimes, WorkerEntry, step_view::StepView,
+    },
     fuchsiatack_derives::value,
     std::collections::BTreeMap,
 };
@@ -67,6 +69,7 @@
         let report = CellReport {
             advice_in_flight: self.advice_in_flight(),
             backlog,
+            evacuations: self.evacuation_reports(),
             lapsed_tickets: self.lapsed_tickets,
             rooms: self.rooms_of_services(),
         };
@@ -114,7 +117,10 @@
         let mut rooms = BTreeMap::new();
         for (name, view) in &self.workers {
             let entry = self.store.workers.get(name);
-            let Some(entry) = entry.filter(|entry| !entry.draining && view.accepts_runs(self.now_ms)) else {
+            let is_usable = |entry: &&WorkerEntry| {
+                !entry.draining && !self.is_evacuated(&entry.data_center) && view.accepts_runs(self.now_ms)
+            };
+            let Some(entry) = entry.filter(is_usable) else {
                 continue;
             };
             let room = rooms
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -49,6 +49,11 @@
                 self.respond(id, response);
             }
             CellCall::StartWave(wave) => self.start_wave(id, wave),
+            CellCall::EvacuateDataCenter {
+                data_center,
+                ordered_by,
+            } => self.evacuate_data_center(id, data_center, ordered_by),
+            CellCall::RestoreDataCenter(data_center) => self.restore_data_center(id, data_center),
         }
     }
 
--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -115,6 +115,7 @@
         let shares_processors = self.shares_processors(spec, view);
         let is_excluded = !entry.capacity.covers(&spec.reserved())
             || !is_suitable(spec, service, entry)
+            || self.is_evacuated(&entry.data_center)
             || (!spec.long_running && self.may_forget_ends(name, view))
             || spec
                 .max_per_worker
@@ -141,7 +142,8 @@
     }
 }
 
-fn is_suitable(spec: &StepSpec, service: &SmolStr, entry: &WorkerEntry) -> bool {
+/// Returns whether a worker may ever run the tasks of a step, if it has the capacity.
+pub(crate) fn is_suitable(spec: &StepSpec, service: &SmolStr, entry: &WorkerEntry) -> bool {
     let label = spec.required_label.as_ref();
     entry.service == *service && !entry.draining && label.is_none_or(|label| entry.labels.contains(label))
 }
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -352,6 +352,10 @@
             match state {
                 RunState::Unverified { since_ms } if sent_ms >= since_ms => {
                     self.remember_late_start(worker, run, state);
+                    // An order of an earlier leader must not start the run there any more.
+                    if self.is_worker_evacuated(worker) {
+                        self.stop_late_starts_on(worker);
+                    }
                     self.end_run(run, RunEnd::Interrupted, None, "run not present on its worker");
                 }
                 RunState::Confirmed { clock_ms } if report.clock_ms > clock_ms => {
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -156,6 +156,7 @@
                 .add(reason, waited_ms);
         }
         let result = self.place_step(step, kept_free_percent);
+        let result = result.map_err(|reason| self.refine_wait_reason(step, reason));
         if let Some(view) = self.steps.get_mut(&step) {
             // The pause after an attempt hides why that attempt failed.
             if result != Err(WaitReason::AdvicePause) {
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -393,6 +393,7 @@
         self.send_due_renewals();
         self.detect_stalls();
         self.send_due_paces();
+        self.stop_unanswered_starts();
         self.resend_stops();
         self.send_late_stops();
         self.expire_late_acknowledgements();
--- a/crates/jobs/src/reservation.rs
+++ b/crates/jobs/src/reservation.rs
@@ -221,6 +221,16 @@
         }
     }
 
+    /// Ends the reservations of all steps that have chosen a worker.
+    pub(crate) fn end_on(&mut self, worker: &WorkerName) {
+        let by_step = self.by_step.iter();
+        let choosing = by_step.filter(|(_, present)| present.workers.contains(worker));
+        let choosing: Vec<_> = choosing.map(|(step, _)| *step).collect();
+        for step in choosing {
+            self.end(step);
+        }
+    }
+
     /// Ends the reservations that were not renewed in time.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         let is_old = |present: &Reservation| now_ms > present.due_ms + LIFETIME_MS;
--- a/crates/jobs/src/wait_reason.rs
+++ b/crates/jobs/src/wait_reason.rs
@@ -22,6 +22,8 @@
     NoAdviceSender,
     /// The pause between two advice requests for the step has not passed.
     AdvicePause,
+    /// All workers that could run the step are in evacuated data centres.
+    Evacuated,
 }
 
 impl WaitReason {
@@ -37,6 +39,7 @@
             Self::AwaitsAdvice => "awaits advice",
             Self::NoAdviceSender => "no daemon free for an advice request",
             Self::AdvicePause => "pause between advice requests",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -135,6 +135,17 @@
             .collect()
     }
 
+    /// Returns the responses to all calls since the last `take_calls`, and drops all other output.
+    pub fn take_cell_responses(&mut self) -> Vec<CellResponse> {
+        let effects = self.planner.take_output().after_commit.into_iter();
+        effects
+            .filter_map(|effect| match effect {
+                Effect::Respond { response, .. } => Some(response),
+                _ => None,
+            })
+            .collect()
+    }
+
     /// Returns the names of the log events since the last `take_calls`, and drops all calls.
     pub fn take_log_events(&mut self) -> Vec<String> {
         let events = self.planner.take_output().log_events.into_iter();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -24,6 +24,7 @@
 mod renewal_response;
 mod reply;
 mod session;
+mod snapshot;
 mod status;
 mod token_planner;
 mod token_pools;
--- a/crates/store/src/runtime_node.rs
+++ b/crates/store/src/runtime_node.rs
@@ -183,17 +183,13 @@
     }
 }
 
-/// Encodes the ledger as `Some`, so that no encoding is empty like that of the initial snapshot.
 fn encode_ledger(ledger: &Ledger) -> Vec<u8> {
-    postcard::to_stdvec(&Some(ledger)).unwrap_or_default()
+    ledger.encode_snapshot().unwrap_or_default()
 }
 
 pub(crate) fn decode_ledger(snapshot: Option<&Snapshot>) -> Result<Ledger, postcard::Error> {
     match snapshot {
-        Some(snapshot) if !snapshot.data.is_empty() => {
-            let ledger: Option<Ledger> = postcard::from_bytes(&snapshot.data)?;
-            Ok(ledger.unwrap_or_default())
-        }
+        Some(snapshot) if !snapshot.data.is_empty() => Ledger::decode_snapshot(&snapshot.data),
         _ => Ok(Ledger::default()),
     }
 }
