jobs: limited starts on cold workers

Cause: workers that come back may be slow for a time after their start. A returning data centre has all its capacity free, so that a backlog would start on it at once.

Change: a heartbeat carries coldRemainingMs, and a service of the configuration coldStartS and coldPerS. A cold worker is chosen after all warm ones with room. It gets starts at the rate of its service, in total at most what the elapsed part of its cold period allows (at least one), and at once at most half of bounds.coldSlack; the other half covers orders that are delayed and arrive together. Without coldPerS, only the order of choice applies. The cold state is not replicated.

A cold worker's heartbeat and a configuration with such services have appended variants of their own, in the log as well, so that nothing changes for deployments without them.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -71,6 +71,7 @@
     advice_in_flight: Gauge,
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
+    cold_workers: Gauge,
     evacuated_runs: Family<DataCenterLabel, Gauge>,
     evacuated_workers: Family<DataCenterLabel, Gauge>,
     events: Family<EventLabel, Counter>,
@@ -102,6 +103,7 @@
             advice_in_flight: Gauge::default(),
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
+            cold_workers: Gauge::default(),
             evacuated_runs: Family::default(),
             evacuated_workers: Family::default(),
             events: Family::default(),
@@ -126,6 +128,11 @@
             "Duration of calls in seconds by kind",
             metrics.call_seconds.clone(),
         );
+        registry.register(
+            "cold_workers",
+            "Workers that are slow after their start; on the leader",
+            metrics.cold_workers.clone(),
+        );
         registry.register(
             "evacuated_runs",
             "Runs that have not ended in an evacuated data centre; on the leader",
@@ -226,6 +233,7 @@
         self.set_backlog(report);
         self.set_evacuations(report);
         self.set_rooms(report);
+        self.cold_workers.set(report.cold_workers as i64);
         self.advice_in_flight.set(report.advice_in_flight as i64);
         self.lapsed_tickets.set(report.lapsed_tickets as i64);
     }
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -1,11 +1,14 @@
 //! Calls to the leader of the cell and their responses.
 
 use {
-    crate::{AdviceError, Configuration, JobId, JobSpec, StepId, WorkerOrder, WorkerReport, WorkerResponse},
+    crate::{
+        AdviceError, ColdStart, Configuration, JobId, JobSpec, StepId, WorkerOrder, WorkerReport,
+        WorkerResponse,
+    },
     fuchsiatack_derives::{key, message},
     fuchsiatack_model::{DataCenter, WorkerName},
     smol_str::SmolStr,
-    std::net::SocketAddr,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Operation that a caller requests.
@@ -170,6 +173,21 @@
     },
     /// Withdraws the order to empty a data centre.
     RestoreDataCenter(DataCenter),
+    /// Heartbeat of a worker that is cold. That of a warm one is a `Heartbeat`, which earlier builds know.
+    ColdHeartbeat {
+        /// Time for which the worker is still slow after its start, in milliseconds.
+        cold_remaining_ms: u64,
+        /// State of the worker.
+        report: Box<WorkerReport>,
+    },
+    /// Stores a configuration with services whose workers start cold. One without such services is sent as
+    /// `Configure`, which earlier builds know.
+    ConfigureColdStarts {
+        /// Behaviour of the workers after their start, by service.
+        cold_starts: BTreeMap<SmolStr, ColdStart>,
+        /// The rest of the configuration.
+        configuration: Box<Configuration>,
+    },
 }
 
 /// Response to a `CellCall`. The encoding depends on the order of variants.
--- a/crates/jobs/src/cell_report.rs
+++ b/crates/jobs/src/cell_report.rs
@@ -27,6 +27,8 @@
     pub advice_in_flight: usize,
     /// Waiting steps by priority.
     pub backlog: Vec<PriorityBacklog>,
+    /// Number of workers that are slow after their start.
+    pub cold_workers: usize,
     /// Evacuated data centres with what still runs there; a bounded number.
     pub evacuations: Vec<EvacuationReport>,
     /// Number of tickets that were requested again since they had expired unused, since the leadership
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -1,10 +1,11 @@
 //! Commands of the replicated log that change the job state.
 
 use {
-    crate::{Configuration, JobId, JobSpec, LostTask, RunId, TaskKey, Wave, WorkerEntry},
+    crate::{ColdStart, Configuration, JobId, JobSpec, LostTask, RunId, TaskKey, Wave, WorkerEntry},
     fuchsiatack_derives::{key, message},
     fuchsiatack_model::{DataCenter, QueueName, TeamName, WorkerName},
     smol_str::SmolStr,
+    std::collections::BTreeMap,
 };
 
 /// How a run ended.
@@ -128,4 +129,11 @@
     },
     /// Records that tasks may be started in a data centre again.
     EndEvacuation(DataCenter),
+    /// Stores a configuration like `Configure`, with services whose workers start cold.
+    ConfigureColdStarts {
+        /// Behaviour of the workers after their start, by service.
+        cold_starts: BTreeMap<SmolStr, ColdStart>,
+        /// The rest of the configuration.
+        configuration: Box<Configuration>,
+    },
 }
--- a/crates/jobs/src/evacuation.rs
+++ b/crates/jobs/src/evacuation.rs
@@ -1,7 +1,7 @@
 //! Orders of operators to empty data centres, and the part of the job state that holds them.
 
 use {
-    fuchsiatack_derives::message, fuchsiatack_model::DataCenter, smol_str::SmolStr,
+    crate::ColdStart, fuchsiatack_derives::message, fuchsiatack_model::DataCenter, smol_str::SmolStr,
     std::collections::BTreeMap,
 };
 
@@ -19,6 +19,8 @@
 #[derive(Default)]
 #[message]
 pub struct JobStoreExtension {
+    /// Services of the configuration whose workers start cold.
+    pub cold_starts: BTreeMap<SmolStr, ColdStart>,
     /// Data centres in which nothing is started.
     pub evacuations: BTreeMap<DataCenter, Evacuation>,
 }
@@ -26,6 +28,6 @@
 impl JobStoreExtension {
     /// Returns whether the first form of snapshots holds the whole state.
     pub fn is_empty(&self) -> bool {
-        self.evacuations.is_empty()
+        self.cold_starts.is_empty() && self.evacuations.is_empty()
     }
 }
--- a/crates/jobs/src/job_store.rs
+++ b/crates/jobs/src/job_store.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Configuration, CrashRecord, Evacuation, Job, JobCommand, JobEnd, JobId, JobState, JobStoreExtension,
-        LostTask, RunEnd, RunId, TaskKey, Wave, WorkerEntry,
+        ColdStart, Configuration, CrashRecord, Evacuation, Job, JobCommand, JobEnd, JobId, JobState,
+        JobStoreExtension, LostTask, RunEnd, RunId, TaskKey, Wave, WorkerEntry,
     },
     fuchsiatack_derives::message,
     fuchsiatack_model::{QueueName, WorkerName},
@@ -49,7 +49,7 @@
     pub fn apply(&mut self, command: &JobCommand) {
         match command {
             JobCommand::Cancel { job, unix_ms } => self.end_job(*job, JobState::Cancelled, *unix_ms),
-            JobCommand::Configure(configuration) => self.configure(configuration),
+            JobCommand::Configure(configuration) => self.configure(configuration, &BTreeMap::new()),
             JobCommand::End {
                 checkpoint,
                 end,
@@ -128,6 +128,10 @@
             JobCommand::EndEvacuation(data_center) => {
                 self.extension.evacuations.remove(data_center);
             }
+            JobCommand::ConfigureColdStarts {
+                cold_starts,
+                configuration,
+            } => self.configure(configuration, cold_starts),
         }
     }
 
@@ -137,10 +141,11 @@
         self.jobs.values().filter(is_pending).count() as u64
     }
 
-    fn configure(&mut self, configuration: &Configuration) {
+    fn configure(&mut self, configuration: &Configuration, cold_starts: &BTreeMap<SmolStr, ColdStart>) {
         let present = self.configuration.as_ref().map(|present| present.version);
         if present.is_none_or(|version| configuration.version > version) {
             self.configuration = Some(Arc::new(configuration.clone()));
+            self.extension.cold_starts = cold_starts.clone();
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod cell_report;
 mod clock_sample;
+mod cold_start;
 mod command;
 mod configuration;
 mod crash_record;
@@ -28,6 +29,7 @@
 mod plan_backlog;
 mod plan_calls;
 mod plan_candidates;
+mod plan_cold_workers;
 mod plan_crashes;
 mod plan_data_center_evacuation;
 mod plan_evacuation;
@@ -69,6 +71,7 @@
         JobResponse, JobState, Wave,
     },
     cell_report::{CellReport, EvacuationReport},
+    cold_start::ColdStart,
     command::{JobCommand, RunEnd, Submission},
     configuration::{AdvicePolicy, Configuration, Queue, Team},
     crash_record::{CrashRecord, LostTask},
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -9,7 +9,8 @@
 //! from workers that have them.
 //!
 //! A worker on which a task that serves users and one that uses idle processors would meet is chosen only
-//! if no other fits.
+//! if no other fits. A worker that is cold, which means slow for a time after its start, is chosen after all
+//! warm ones with room.
 
 use fuchsiatack_model::Resources;
 
@@ -18,6 +19,8 @@
 pub struct Candidate<K> {
     /// Total resources of the worker.
     pub capacity: Resources,
+    /// Whether it is slow for a time after its start.
+    pub is_cold: bool,
     /// Identifies the worker to the calling code.
     pub key: K,
     /// Whether the worker is on the task's preferred rack; true if the task prefers none.
@@ -57,9 +60,9 @@
             && (is_empty || self.capacity.has_free(&self.used, &with_kept))
     }
 
-    /// Returns whether the task would share processors, and its expected duration in thousandths of the
-    /// estimate, with the penalty for the choice of the worker.
-    fn cost(&self, reserved: &Resources) -> (bool, u64) {
+    /// Returns whether the worker is cold, whether the task would share processors, and its expected duration
+    /// in thousandths of the estimate, with the penalty for the choice of the worker.
+    fn cost(&self, reserved: &Resources) -> (bool, bool, u64) {
         let distance = if self.is_near_data {
             1_000
         } else {
@@ -67,7 +70,7 @@
         };
         let duration =
             self.slowness_thousandths * distance / 1_000 * (1_000 + self.penalty(reserved)) / 1_000;
-        (self.shares_processors, duration)
+        (self.is_cold, self.shares_processors, duration)
     }
 
     /// Returns the penalty for load, or for accelerators that stay free, in thousandths of the duration.
@@ -99,7 +102,7 @@
 }
 
 /// Sorts candidates by expected duration, the shortest first. Workers on which the task would share
-/// processors come last.
+/// processors come after the others, and cold workers last.
 pub fn sort<K>(candidates: &mut [Candidate<K>], reserved: &Resources) {
     candidates.sort_by_key(|candidate| candidate.cost(reserved));
 }
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -69,6 +69,7 @@
         let report = CellReport {
             advice_in_flight: self.advice_in_flight(),
             backlog,
+            cold_workers: self.cold_workers(),
             evacuations: self.evacuation_reports(),
             lapsed_tickets: self.lapsed_tickets,
             rooms: self.rooms_of_services(),
@@ -156,6 +157,7 @@
         .with("largest_free_accelerators", room.largest_free.accelerators)
         .with("advice_in_flight", report.advice_in_flight)
         .with("lapsed_tickets", report.lapsed_tickets)
+        .with("cold_workers", report.cold_workers)
 }
 
 fn backlog_event(now_ms: u64, step: StepId, view: &StepView, backlog: &PriorityBacklog) -> LogEvent {
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
-        CallId, CellCall, CellResponse, Configuration, EntryReport, JobAction, JobCall, JobCommand,
-        JobResponse, JobSpec, LogEvent, Planner, Queue, Schedule, Submission, Wave, calls::parse_job_id,
+        CallId, CellCall, CellResponse, ColdStart, Configuration, EntryReport, JobAction, JobCall,
+        JobCommand, JobResponse, JobSpec, LogEvent, Planner, Queue, Schedule, Submission, Wave,
+        calls::parse_job_id,
     },
     fuchsiatack_model::{TeamName, WorkerName},
     smol_str::SmolStr,
+    std::collections::BTreeMap,
 };
 
 /// Maximum number of tasks in one occurrence of a job.
@@ -26,10 +28,10 @@
                 let reason = SmolStr::new_static("the planner does not relay calls");
                 self.respond(id, CellResponse::Failed(reason));
             }
-            CellCall::Configure(configuration) => self.configure(id, configuration),
+            CellCall::Configure(configuration) => self.configure(id, configuration, BTreeMap::new()),
             CellCall::Entry(report) => self.handle_entry_report(id, &report),
             CellCall::Heartbeat(report) => {
-                self.handle_heartbeat(&report);
+                self.handle_heartbeat(&report, 0);
                 self.respond(id, CellResponse::Done);
             }
             CellCall::Job(call) => {
@@ -54,10 +56,26 @@
                 ordered_by,
             } => self.evacuate_data_center(id, data_center, ordered_by),
             CellCall::RestoreDataCenter(data_center) => self.restore_data_center(id, data_center),
+            CellCall::ColdHeartbeat {
+                cold_remaining_ms,
+                report,
+            } => {
+                self.handle_heartbeat(&report, cold_remaining_ms);
+                self.respond(id, CellResponse::Done);
+            }
+            CellCall::ConfigureColdStarts {
+                cold_starts,
+                configuration,
+            } => self.configure(id, configuration, cold_starts),
         }
     }
 
-    fn configure(&mut self, id: CallId, configuration: Box<Configuration>) {
+    fn configure(
+        &mut self,
+        id: CallId,
+        configuration: Box<Configuration>,
+        cold_starts: BTreeMap<SmolStr, ColdStart>,
+    ) {
         let present = self.store.configuration.as_ref().map(|present| present.version);
         let version = configuration.version;
         let is_newer = present.is_none_or(|present| version > present);
@@ -70,10 +88,17 @@
             .with("version", version)
             .with("present", present.unwrap_or_default())
             .with("queues", configuration.queues.len())
-            .with("teams", configuration.teams.len()),
+            .with("teams", configuration.teams.len())
+            .with("cold_services", cold_starts.len()),
         );
         if is_newer {
-            self.propose(JobCommand::Configure(configuration));
+            self.propose(match cold_starts.is_empty() {
+                true => JobCommand::Configure(configuration),
+                false => JobCommand::ConfigureColdStarts {
+                    cold_starts,
+                    configuration,
+                },
+            });
             self.index_queues();
             self.fail_spent_jobs();
             self.needs_placement = true;
--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -91,7 +91,7 @@
     ) -> Option<Candidate<WorkerName>> {
         let entry = self.store.workers.get(name)?;
         let demand = spec.reserved();
-        if !entry.capacity.has_free(&view.used, &demand) {
+        if !entry.capacity.has_free(&view.used, &demand) || self.cold_starts_left(name, view) == 0 {
             return None;
         }
         self.suitable_worker(seeker, spec, service, name, view)
@@ -123,6 +123,7 @@
             || (shares_processors && !self.may_share(seeker.step));
         (!is_excluded).then(|| Candidate {
             capacity: entry.capacity,
+            is_cold: view.cold.is_cold(self.now_ms),
             key: name.clone(),
             is_near_data: spec
                 .data_rack
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -331,7 +331,8 @@
             let tasks = starts.entry(worker.clone()).or_default();
             tasks.push(*task);
             let count = tasks.len() + self.tasks_on(step, &worker);
-            if spec.max_per_worker.is_some_and(|limit| count >= limit as usize) {
+            let is_at_limit = spec.max_per_worker.is_some_and(|limit| count >= limit as usize);
+            if is_at_limit || self.has_no_cold_starts_left(&worker, tasks.len()) {
                 usable.remove(position);
             }
         }
@@ -478,6 +479,7 @@
                 view.waiting.remove(&run.task.index);
             }
             self.add_run(run, &worker, RunState::Ordered);
+            self.record_cold_start(&worker);
             self.send_start(&worker, run, checkpoint, payload.clone());
         }
     }
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -21,8 +21,9 @@
 impl Planner {
     /// Handles a heartbeat. Those that arrive out of order or very late, or
     /// with a clock or an identity that the worker cannot have, are ignored. One with an earlier start time than
-    /// that of the present incarnation only makes the leader request a report.
-    pub(crate) fn handle_heartbeat(&mut self, report: &WorkerReport) {
+    /// that of the present incarnation only makes the leader request a report. `cold_remaining_ms` is how much
+    /// longer the worker is slow after its start.
+    pub(crate) fn handle_heartbeat(&mut self, report: &WorkerReport, cold_remaining_ms: u64) {
         let now_ms = self.now_ms;
         let entry = WorkerEntry::from(report);
         let present = self.store.workers.get(&report.name);
@@ -67,6 +68,7 @@
             view.has_left = false;
             view.observe_clock(now_ms, report.clock_ms);
         }
+        self.observe_cold(&report.name, cold_remaining_ms);
         if is_changed {
             self.log(
                 LogEvent::new(if is_new {
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -5,6 +5,11 @@
 /// Times and limits that the planner applies.
 #[value]
 pub struct PlannerSettings {
+    /// Factor on the rate of starts that a cold worker can handle up to which a span may exceed it, in
+    /// thousandths. Values above 1,000 do not raise the rate at which starts are ordered.
+    pub cold_overage_thousandths: u64,
+    /// Number of starts by which any span may exceed what a cold worker can handle in it.
+    pub cold_slack: u64,
     /// Lease of the runs on a worker in milliseconds. Every renewal extends the lease to this
     /// length.
     pub lease_ms: u64,
@@ -32,6 +37,8 @@
 impl Default for PlannerSettings {
     fn default() -> Self {
         Self {
+            cold_overage_thousandths: 1_500,
+            cold_slack: 5,
             lease_ms: 4_000,
             max_lease_ms: 10_000,
             max_listed_ends: 500,
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -1,7 +1,7 @@
 //! The leader's view of a worker.
 
 use {
-    crate::{TaskKey, WorkerCallError, WorkerHealth, clock_sample::ClockSample},
+    crate::{TaskKey, WorkerCallError, WorkerHealth, clock_sample::ClockSample, cold_start::ColdPeriod},
     fuchsiatack_model::Resources,
     std::collections::BTreeSet,
 };
@@ -36,6 +36,7 @@
     pub(crate) check_due_ms: Option<u64>,
     pub(crate) check_in_flight: bool,
     pub(crate) clock: Option<ClockSample>,
+    pub(crate) cold: ColdPeriod,
     /// Number of failed calls since its last response.
     pub(crate) failures: u32,
     /// Latest end of a lease that was sent to it, by the worker's clock.
@@ -86,6 +87,7 @@
             check_due_ms: None,
             check_in_flight: false,
             clock: None,
+            cold: ColdPeriod::default(),
             failures: 0,
             granted_until_ms: 0,
             last_contact_ms: now_ms,
@@ -116,6 +118,7 @@
     pub(crate) fn reset(&mut self, now_ms: u64, leases_until_ms: u64) {
         self.last_response_ms = 0;
         self.clock = None;
+        self.cold.reset();
         self.failures = 0;
         self.granted_until_ms = 0;
         self.health = WorkerHealth::default();
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -19,6 +19,7 @@
     Candidate {
         shares_processors: false,
         capacity: cores(capacity),
+        is_cold: false,
         key,
         is_near_data: true,
         slowness_thousandths,
--- a/crates/ledger/tests/stored_forms.rs
+++ b/crates/ledger/tests/stored_forms.rs
@@ -3,10 +3,11 @@
 
 use {
     fuchsiatack_jobs::{
-        Configuration, JobCommand, JobId, JobSpec, Queue, StepSpec, Submission, Team, WorkerEntry,
+        ColdStart, Configuration, JobCommand, JobId, JobSpec, Queue, StepSpec, Submission, Team, WorkerEntry,
     },
     fuchsiatack_ledger::{Command, DaemonInfo, Ledger},
     fuchsiatack_model::{DataCenter, LogIndex, QueueName, Resources, TeamName, WorkerName},
+    std::collections::BTreeMap,
 };
 
 /// The snapshot of `ledger()` as the build before evacuations of data centres (c000fe1) encodes it.
@@ -157,6 +158,29 @@
     assert_eq!(encoded, bytes(SNAPSHOT));
 }
 
+/// Guards against limits on cold workers that are lost when their log entry is replaced by a snapshot.
+#[test]
+fn snapshot_holds_the_services_with_cold_workers() {
+    let mut ledger = ledger();
+    let mut later = configuration();
+    later.version = 2;
+    let cold_start = ColdStart {
+        cold_ms: 30_000,
+        starts_per_1000_s: 2_500,
+    };
+    let configure = JobCommand::ConfigureColdStarts {
+        cold_starts: BTreeMap::from([("service".into(), cold_start)]),
+        configuration: Box::new(later),
+    };
+    ledger.apply(LogIndex(5), Command::Jobs(vec![configure]));
+    let encoded = ledger.encode_snapshot().expect("the ledger can be encoded");
+
+    let decoded = Ledger::decode_snapshot(&encoded).expect("the form is known");
+
+    assert_eq!(decoded, ledger);
+    assert_eq!(decoded.jobs().extension.cold_starts.len(), 1);
+}
+
 /// Guards against an order that is lost when its log entry is replaced by a snapshot.
 #[test]
 fn snapshot_holds_the_evacuated_data_centers() {
