jobs: runs that can continue elsewhere leave an evacuated data centre

Cause: batch tasks with a long remaining time, and lasting tasks, would keep an evacuated data centre in use until they end, which the latter never do by themselves.

Change: every 0.5 s the leader stops runs there for which another data centre has free capacity beyond the reserve for urgent work: batch tasks that save checkpoints and have 10 s or more left, up to eight at a time and with at most four runs each, as for preemption; and lasting tasks, one at a time for each step, while all others of the step run and within its max_unavailable. Nothing further is stopped until the moved tasks run elsewhere, or 10 s have passed. Gangs, suspected tasks and all others stay. For steps with advice, a worker that was found eligible is needed; if none is known, advice is requested first. Each move is logged, and thereby counted in `leader_events`.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -32,6 +32,7 @@
 mod plan_cold_workers;
 mod plan_crashes;
 mod plan_data_center_evacuation;
+mod plan_data_center_moves;
 mod plan_evacuation;
 mod plan_late_acknowledgements;
 mod plan_late_starts;
--- a/crates/jobs/src/plan_preemption.rs
+++ b/crates/jobs/src/plan_preemption.rs
@@ -17,7 +17,7 @@
 /// itself, in milliseconds.
 pub(crate) const PREEMPTION_MS: u64 = 600;
 /// Number of runs of one task from which it is not preempted any more.
-const MAX_RUNS: u32 = 4;
+pub(crate) const MAX_RUNS: u32 = 4;
 
 impl Planner {
     /// Returns whether a step may have a run stopped: its job has a later priority, and it continues from
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -11,6 +11,7 @@
         advice_senders::AdviceSenders,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         pacing::Pacing,
+        plan_data_center_moves::DataCenterMoves,
         plan_late_starts::LateStart,
         reservation::Reservations,
         run_view::{RunState, RunView},
@@ -50,6 +51,7 @@
     pub(crate) needs_placement: bool,
     /// Times of the crashes that no suspected task explains, by the planner's clock in milliseconds.
     pub(crate) crash_times_ms: VecDeque<u64>,
+    pub(crate) data_center_moves: DataCenterMoves,
     pub(crate) fencing_token: u64,
     pub(crate) cleanup_due_ms: u64,
     /// Time from which the planner has known that a job has ended, for jobs that it may remove.
@@ -120,6 +122,7 @@
             store,
             needs_placement: true,
             crash_times_ms: VecDeque::new(),
+            data_center_moves: DataCenterMoves::default(),
             fencing_token,
             cleanup_due_ms: now_ms,
             eligible_shares: BTreeMap::new(),
@@ -394,6 +397,7 @@
         self.detect_stalls();
         self.send_due_paces();
         self.stop_unanswered_starts();
+        self.move_out_of_evacuated();
         self.resend_stops();
         self.send_late_stops();
         self.expire_late_acknowledgements();
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -305,6 +305,32 @@
         self.complete_hold(worker, kind, Ok(report));
     }
 
+    /// Responds to a renewal of a worker with running runs and their percentages, and with runs that were
+    /// interrupted and their numbers.
+    pub fn report_interrupted(&mut self, worker: &str, running: &[(RunId, u32)], ended: &[(u64, RunId)]) {
+        let running = running.iter().map(|(run, percent)| ListedRun {
+            checkpoint: SmolStr::default(),
+            percent: *percent,
+            run: *run,
+            usage: 0,
+        });
+        let ended = ended.iter().map(|(sequence, run)| EndedRun {
+            checkpoint: "checkpoint".into(),
+            end: ListedEnd::Interrupted,
+            reason: "stopped".into(),
+            run: *run,
+            sequence: *sequence,
+        });
+        let report = HoldReport {
+            started_unix_ms: Some(1),
+            clock_ms: self.now_ms,
+            ended: ended.collect(),
+            running: running.collect(),
+            unreadable_rows: Vec::new(),
+        };
+        self.complete_hold(worker, HoldKind::Renewal, Ok(report));
+    }
+
     /// Responds to a hold order for the incarnation of a worker that started at `started_unix_ms`, with
     /// running runs.
     pub fn report_of(&mut self, worker: &str, kind: HoldKind, started_unix_ms: u64, running: &[RunId]) {
