cli: commands evacuate and restore

Cause: operators of the product's own interface had to drain the workers of a data centre one by one.

Change: `evacuate DATA_CENTRE` writes the drain record of each registered worker there that has none, with a reason of its own; `restore` deletes the records with that reason and no others. `status` shows the evacuated data centres with their registered, drained and not lost workers. Drains are the smaller change that survives a restart: they are records already. A record for the data centre would be a new kind with its own schema, checks and place in the directory. Two limits follow: a worker that registers later is drained only when the command is repeated, and the store does not know single tasks, so that the status shows workers and not what runs on them. The operators' interface does not reach the daemons on the platform, which take the order at their control address.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod delete;
 mod drain;
 mod error;
+mod evacuate;
 mod get;
 mod log_line;
 mod options;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -3,9 +3,19 @@
 
 use {
     crate::{
-        apply::ApplyOptions, check::CheckOptions, client::Client, delete::DeleteOptions, drain::DrainOptions,
-        error::CliError, get::GetOptions, output::Format, replace_member::ReplaceMemberOptions,
-        scarce::ScarceOptions, status::StatusOptions, trace::TraceOptions,
+        apply::ApplyOptions,
+        check::CheckOptions,
+        client::Client,
+        delete::DeleteOptions,
+        drain::DrainOptions,
+        error::CliError,
+        evacuate::{EvacuateOptions, RestoreOptions},
+        get::GetOptions,
+        output::Format,
+        replace_member::ReplaceMemberOptions,
+        scarce::ScarceOptions,
+        status::StatusOptions,
+        trace::TraceOptions,
     },
     gumdrop::{Options, ParsingStyle},
 };
@@ -59,10 +69,14 @@
     Delete(DeleteOptions),
     #[options(help = "take a worker out of service or return it to service")]
     Drain(DrainOptions),
+    #[options(help = "take all workers of a data centre out of service")]
+    Evacuate(EvacuateOptions),
     #[options(help = "show a record or all records of a kind")]
     Get(GetOptions),
     #[options(help = "replace a store member whose disk was lost")]
     ReplaceMember(ReplaceMemberOptions),
+    #[options(help = "return the workers of an evacuated data centre to service")]
+    Restore(RestoreOptions),
     #[options(help = "show the scarce resources of the cell, from logs")]
     Scarce(ScarceOptions),
     #[options(help = "show members, sessions, workers and tokens")]
@@ -117,8 +131,10 @@
         Command::Check(command) => command.run(options.output),
         Command::Delete(command) => command.run(client, options.output).await,
         Command::Drain(command) => command.run(client, options.output).await,
+        Command::Evacuate(command) => command.run(client, options.output).await,
         Command::Get(command) => command.run(client, options.output, options.schema).await,
         Command::ReplaceMember(command) => command.run(client, options.output).await,
+        Command::Restore(command) => command.run(client, options.output).await,
         Command::Scarce(command) => command.run(options.output),
         Command::Status(command) => command.run(client, options.output).await,
         Command::Trace(command) => command.run(),
@@ -140,12 +156,22 @@
             crate::drain::EXAMPLE,
             DrainOptions::usage(),
         ),
+        Some(Command::Evacuate(_)) => (
+            "evacuate DATA_CENTRE",
+            crate::evacuate::EVACUATE_EXAMPLE,
+            EvacuateOptions::usage(),
+        ),
         Some(Command::Get(_)) => ("get KIND [NAME]", crate::get::EXAMPLE, GetOptions::usage()),
         Some(Command::ReplaceMember(_)) => (
             "replace-member NAME [OPTIONS]",
             crate::replace_member::EXAMPLE,
             ReplaceMemberOptions::usage(),
         ),
+        Some(Command::Restore(_)) => (
+            "restore DATA_CENTRE",
+            crate::evacuate::RESTORE_EXAMPLE,
+            RestoreOptions::usage(),
+        ),
         Some(Command::Scarce(_)) => ("scarce FILE...", crate::scarce::EXAMPLE, ScarceOptions::usage()),
         Some(Command::Status(_)) => ("status", crate::status::EXAMPLE, StatusOptions::usage()),
         Some(Command::Trace(_)) => ("trace JOB FILE...", crate::trace::EXAMPLE, TraceOptions::usage()),
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -27,8 +27,10 @@
         "check",
         "delete",
         "drain",
+        "evacuate",
         "get",
         "replace-member",
+        "restore",
         "scarce",
         "status",
         "trace",
@@ -52,6 +54,8 @@
         &["--output", "xml", "status"],
         &["--schema", "3", "status"],
         &["apply"],
+        &["evacuate"],
+        &["restore", "a", "b"],
         &["check", "-f", "/missing.yaml"],
         &["status", "--key-file", "/missing.key"],
         &[],
@@ -180,6 +184,111 @@
     assert_eq!(standard_output(&repeated_end), "w-1 is in service\n");
 }
 
+/// Returns the status of a cell with two workers in the data centre `a` and one in `b`.
+fn status_with_workers() -> String {
+    let worker = |name: &str, data_center: &str, lost: bool| {
+        format!(r#"{{"announcement":{{"name":"{name}","data_center":"{data_center}"}},"lost":{lost}}}"#)
+    };
+    let workers = [
+        worker("w-1", "a", false),
+        worker("w-2", "a", true),
+        worker("w-3", "b", false),
+    ];
+    format!(
+        r#"{{"daemon":"d","ledger":{{"workers":[{}]}}}}"#,
+        workers.join(",")
+    )
+}
+
+/// Returns a list with the drain of a single worker, and the drains of two evacuated data centres.
+fn drains() -> String {
+    let evacuated = |name: &str, version: u32, data_center: &str| {
+        let reason = format!("evacuated data centre {data_center}");
+        format!(r#"{{"name":"{name}","version":{version},"spec":{{"reason":"{reason}"}}}}"#)
+    };
+    let drains = [
+        RECORD.to_owned(),
+        evacuated("w-2", 5, "a"),
+        evacuated("w-3", 6, "b"),
+    ];
+    format!(r#"{{"records":[{}]}}"#, drains.join(","))
+}
+
+/// Guards against workers that are left out, or whose own drain is replaced.
+#[test]
+fn evacuate_drains_the_workers_of_the_data_centre_that_are_in_service() {
+    let written = (200, r#"{"version":1}"#);
+    let fresh = FakeServer::start(&[
+        (200, &status_with_workers()),
+        (200, r#"{"records":[]}"#),
+        written,
+        written,
+    ]);
+    let repeated = FakeServer::start(&[(200, &status_with_workers()), (200, &drains())]);
+    let unknown = FakeServer::start(&[(200, &status_with_workers())]);
+
+    let first = run(&[&fresh.address], &["evacuate", "a"]);
+    let second = run(&[&repeated.address], &["evacuate", "a"]);
+    let third = run(&[&unknown.address], &["evacuate", "c"]);
+
+    let requests = fresh.received();
+    let lines: Vec<_> = requests[2..]
+        .iter()
+        .map(|request| request.line.as_str())
+        .collect();
+    let record: serde_json::Value = serde_json::from_str(&requests[2].body).unwrap();
+    assert_eq!(
+        standard_output(&first),
+        "a is evacuated, 2 workers\n",
+        "{}",
+        standard_error(&first)
+    );
+    assert_eq!(
+        lines,
+        [
+            "PUT /v1/records/drain/w-1 HTTP/1.1",
+            "PUT /v1/records/drain/w-2 HTTP/1.1"
+        ]
+    );
+    assert_eq!(record["spec"]["reason"], "evacuated data centre a");
+    assert_eq!((exit_code(&second), repeated.received().len()), (0, 2));
+    assert_eq!(exit_code(&third), 3);
+}
+
+/// Guards against the end of a drain that was written for another reason, and of another data centre.
+#[test]
+fn restore_ends_only_the_drains_of_the_evacuation() {
+    let server = FakeServer::start(&[(200, &drains()), (200, "{}")]);
+    let in_service = FakeServer::start(&[(200, &drains())]);
+
+    let restored = run(&[&server.address], &["restore", "a"]);
+    let repeated = run(&[&in_service.address], &["restore", "c"]);
+
+    let requests = server.received();
+    assert_eq!(standard_output(&restored), "a is in service, 1 workers\n");
+    assert_eq!(requests.len(), 2);
+    assert_eq!(
+        requests[1].line,
+        "DELETE /v1/records/drain/w-2?version=5 HTTP/1.1"
+    );
+    assert_eq!((exit_code(&repeated), in_service.received().len()), (0, 1));
+}
+
+/// Guards against operators who cannot see which data centres are evacuated.
+#[test]
+fn status_shows_evacuated_data_centres() {
+    let server = FakeServer::start(&[(200, &status_with_workers()), (200, &drains())]);
+
+    let output = run(&[&server.address], &["status", "--output", "json"]);
+
+    let printed: serde_json::Value = serde_json::from_str(&standard_output(&output)).unwrap();
+    let expected = serde_json::json!([
+        {"data_center": "a", "drained": 2, "not_lost": 1, "workers": 2},
+        {"data_center": "b", "drained": 1, "not_lost": 1, "workers": 1},
+    ]);
+    assert_eq!(printed["evacuations"], expected);
+}
+
 /// Guards against a return before the new member counts in the quorum, and against a record with
 /// the disk identity of another member.
 #[test]
