jobs: simulated evacuations beside random faults

Cause: the tests of evacuated data centres lose and delay single orders only.

Change: the simulation of leaders and workers has two data centres and an operator who empties and restores them at random and resends orders without a response. No task may start in a data centre later than 5 s after the acknowledgement. Seeds of the present tests are unchanged: the new fault is off there and draws no random number.

--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -33,10 +33,17 @@
 const ATTEMPTS: u32 = 3;
 const TEAM_LIMIT_MILLIS: u32 = 60_000;
 
+/// Time after the acknowledgement from which nothing may start in an evacuated data centre, in milliseconds.
+const EVACUATE_MS: u64 = 5_000;
+/// Time after which the operator sends an order again that was not acknowledged, in milliseconds.
+const ORDER_RETRY_MS: u64 = 400;
+
 /// Faults that may happen.
 #[derive(Clone, Copy, Default)]
 pub struct Faults {
     pub crashes: bool,
+    /// Orders to empty data centres, which are withdrawn later.
+    pub evacuations: bool,
     pub partitions: bool,
     pub failures: bool,
     /// Start orders that are carried out late by the next incarnation of their worker.
@@ -50,6 +57,7 @@
     pub fn all() -> Self {
         Self {
             crashes: true,
+            evacuations: false,
             partitions: true,
             failures: true,
             late_starts_outlast_crashes: false,
@@ -60,6 +68,14 @@
     }
 }
 
+/// The last order of the operator on a data centre.
+struct Order {
+    acknowledged_ms: Option<u64>,
+    id: CallId,
+    is_evacuation: bool,
+    sent_ms: u64,
+}
+
 /// Something that happens at a later simulated time.
 #[derive(Debug)]
 enum Scheduled {
@@ -79,9 +95,14 @@
     /// Commands and effects that wait for their commit, with its time.
     committing: Vec<(u64, Vec<JobCommand>, Vec<Effect>)>,
     done: BTreeSet<TaskKey>,
+    /// Starts in evacuated data centres.
+    pub evacuated_starts: Vec<String>,
     faults: Faults,
+    /// Number of jobs that are submitted.
+    pub jobs: u64,
     scheduled: BTreeMap<(u64, u64), Scheduled>,
     next_id: u64,
+    orders: BTreeMap<DataCenter, Order>,
     /// Tasks that are done and whose end the leader has acknowledged to a worker.
     acknowledged: BTreeSet<TaskKey>,
     now_ms: u64,
@@ -110,9 +131,12 @@
             store,
             committing: Vec::new(),
             done: BTreeSet::new(),
+            evacuated_starts: Vec::new(),
             faults,
+            jobs: JOBS,
             scheduled: BTreeMap::new(),
             next_id: 0,
+            orders: BTreeMap::new(),
             acknowledged: BTreeSet::new(),
             now_ms: 0,
             planner,
@@ -142,6 +166,7 @@
         self.now_ms += STEP_MS;
         self.advance_workers();
         self.inject_faults();
+        self.resend_orders();
         self.submit_due();
         if self.now_ms.is_multiple_of(HEARTBEAT_MS) || self.now_ms == STEP_MS {
             self.heartbeats();
@@ -157,6 +182,9 @@
 
     pub fn end_faults(&mut self) {
         self.faults = Faults::default();
+        for data_center in self.orders.keys().cloned().collect::<Vec<_>>() {
+            self.order(data_center, false);
+        }
         self.workers
             .values_mut()
             .for_each(|worker| worker.partitioned_until_ms = 0);
@@ -241,6 +269,61 @@
         if self.faults.leader_changes && self.random_below(700) == 0 {
             self.change_leader();
         }
+        if self.faults.evacuations && self.random_below(500) == 0 {
+            let data_center = data_center_of(&name);
+            let present = self.orders.get(&data_center);
+            if present.is_none_or(|order| order.acknowledged_ms.is_some()) {
+                let is_evacuation = present.is_none_or(|order| !order.is_evacuation);
+                self.order(data_center, is_evacuation);
+            }
+        }
+    }
+
+    /// Sends an order of the operator on a data centre.
+    fn order(&mut self, data_center: DataCenter, is_evacuation: bool) {
+        let id = self.call(match is_evacuation {
+            true => CellCall::EvacuateDataCenter {
+                data_center: data_center.clone(),
+                ordered_by: None,
+            },
+            false => CellCall::RestoreDataCenter(data_center.clone()),
+        });
+        let order = Order {
+            acknowledged_ms: None,
+            id,
+            is_evacuation,
+            sent_ms: self.now_ms,
+        };
+        self.orders.insert(data_center, order);
+    }
+
+    /// Sends the orders again that had no response, as after the loss of a leader.
+    fn resend_orders(&mut self) {
+        let now_ms = self.now_ms;
+        let is_due =
+            |order: &Order| order.acknowledged_ms.is_none() && now_ms >= order.sent_ms + ORDER_RETRY_MS;
+        let due = self.orders.iter().filter(|(_, order)| is_due(order));
+        let due: Vec<_> = due
+            .map(|(name, order)| (name.clone(), order.is_evacuation))
+            .collect();
+        for (data_center, is_evacuation) in due {
+            self.order(data_center, is_evacuation);
+        }
+    }
+
+    fn acknowledge(&mut self, id: CallId) {
+        let now_ms = self.now_ms;
+        for order in self.orders.values_mut().filter(|order| order.id == id) {
+            order.acknowledged_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns the number of acknowledged orders that are not withdrawn.
+    pub fn evacuated(&self) -> usize {
+        let orders = self.orders.values();
+        orders
+            .filter(|order| order.is_evacuation && order.acknowledged_ms.is_some())
+            .count()
     }
 
     /// Forgets the ends that are not recorded. Their tasks may run again after a crash.
@@ -302,7 +385,7 @@
 
     fn submit_due(&mut self) {
         let number = self.now_ms / JOB_INTERVAL_MS;
-        if !self.now_ms.is_multiple_of(JOB_INTERVAL_MS) || number == 0 || number > JOBS {
+        if !self.now_ms.is_multiple_of(JOB_INTERVAL_MS) || number == 0 || number > self.jobs {
             return;
         }
         let id = JobId(number);
@@ -338,13 +421,12 @@
         }
     }
 
-    fn call(&mut self, call: CellCall) {
+    fn call(&mut self, call: CellCall) -> CallId {
         self.next_id += 1;
-        let event = JobEvent::Called {
-            call,
-            id: CallId(self.next_id),
-        };
+        let id = CallId(self.next_id);
+        let event = JobEvent::Called { call, id };
         self.planner.handle(self.now_ms, self.unix_ms(), event);
+        id
     }
 
     fn heartbeats(&mut self) {
@@ -394,7 +476,7 @@
             started_unix_ms: worker.started_unix_ms,
             capacity: worker.capacity,
             clock_ms: worker.clock_ms(self.now_ms),
-            data_center: DataCenter::new("a"),
+            data_center: data_center_of(name),
             draining: remaining_ms.is_some(),
             labels: vec!["kind".into(), "rack".into()],
             machine: SmolStr::default(),
@@ -429,8 +511,10 @@
     }
 
     fn send(&mut self, effect: Effect) {
-        if matches!(effect, Effect::Advise { .. } | Effect::Respond { .. }) {
-            return;
+        match effect {
+            Effect::Advise { .. } => return,
+            Effect::Respond { id, .. } => return self.acknowledge(id),
+            Effect::Order(_) => {}
         }
         let (leader, sent_ms) = (self.term, self.now_ms);
         // A call without a response may be carried out promptly, seconds later, or never.
@@ -586,6 +670,16 @@
             self.violations
                 .push(format!("{run} runs on two workers at {} ms", self.now_ms));
         }
+        let order = self.orders.get(&data_center_of(on));
+        let acknowledged_ms = order
+            .filter(|order| order.is_evacuation)
+            .and_then(|order| order.acknowledged_ms);
+        if acknowledged_ms.is_some_and(|ms| self.now_ms > ms + EVACUATE_MS) {
+            self.evacuated_starts.push(format!(
+                "{run} starts on {on} at {} ms, evacuated since {acknowledged_ms:?}",
+                self.now_ms
+            ));
+        }
         // A task that is recorded as done must never start again.
         let job = self.store.jobs.get(&run.task.step.job);
         let is_done = |task: &TaskKey| job.and_then(|job| job.task(*task)).is_some_and(|task| task.done);
@@ -657,6 +751,13 @@
     }
 }
 
+/// Returns the data centre of a worker. Each has workers of all sizes.
+fn data_center_of(worker: &WorkerName) -> DataCenter {
+    let number = worker.as_str().trim_start_matches("w-");
+    let number: usize = number.parse().expect("names end with a number");
+    DataCenter::new(if number < WORKERS / 2 { "a" } else { "b" })
+}
+
 /// Returns the address of a worker, which ends with its number.
 fn address_of(worker: &WorkerName) -> SocketAddr {
     let number = worker.as_str().trim_start_matches("w-");
--- a/crates/jobs/tests/simulation/main.rs
+++ b/crates/jobs/tests/simulation/main.rs
@@ -15,6 +15,14 @@
 
 /// Simulated time in which faults happen, in milliseconds.
 const FAULTY_MS: u64 = 12_000;
+/// Simulated time in which data centres are emptied beside other faults, in milliseconds. It is several times
+/// as long as the time within which the starts must end.
+const EVACUATING_MS: u64 = 20_000;
+/// Number of jobs that are submitted in that time, so that work waits until its end.
+const EVACUATING_JOBS: u64 = 100;
+/// Time after the last fault within which so many jobs must end, in milliseconds. Their tasks take about 45 s
+/// with the whole limit of the team.
+const EVACUATING_QUIET_MS: u64 = 120_000;
 /// Time after the last fault within which every job must end, in milliseconds.
 const QUIET_MS: u64 = 40_000;
 
@@ -51,6 +59,51 @@
         .quickcheck(holds as fn(u64) -> TestResult);
 }
 
+/// Guards against starts in a data centre later than 5 s after an order to empty it was acknowledged: beside
+/// lost and late orders, crashes, partitions and changes of the leader. Other tests check the other rules.
+#[test]
+fn nothing_starts_in_evacuated_data_centers_under_random_faults() {
+    fn holds(seed: u64) -> TestResult {
+        let faults = Faults {
+            evacuations: true,
+            ..Faults::all()
+        };
+        let mut cell = SimulatedCell::new(seed, faults);
+        cell.jobs = EVACUATING_JOBS;
+        cell.run_until(EVACUATING_MS);
+        cell.end_faults();
+        cell.run_until_idle(EVACUATING_MS + EVACUATING_QUIET_MS);
+
+        match (cell.evacuated_starts.first(), cell.unended()) {
+            (None, 0) => TestResult::passed(),
+            (Some(start), _) => TestResult::error(format!("seed {seed}: {start}")),
+            (None, unended) => TestResult::error(format!("seed {seed}: {unended} jobs did not end")),
+        }
+    }
+
+    QuickCheck::new()
+        .tests(60)
+        .quickcheck(holds as fn(u64) -> TestResult);
+}
+
+/// Guards against a simulation in which no order is ever acknowledged, so that its rule is never checked.
+#[test]
+fn simulated_data_centers_are_evacuated() {
+    let faults = Faults {
+        evacuations: true,
+        ..Faults::all()
+    };
+    let mut cell = SimulatedCell::new(1, faults);
+    let mut evacuated_steps = 0;
+
+    for end_ms in (100..EVACUATING_MS).step_by(100) {
+        cell.run_until(end_ms);
+        evacuated_steps += usize::from(cell.evacuated() > 0);
+    }
+
+    assert!(evacuated_steps > 50, "{evacuated_steps}");
+}
+
 /// Guards against runs of a cancelled job that continue after the leader was lost between the
 /// commit of the cancel and the stop orders that follow from it.
 #[test]
