--- a/crates/jobs/src/job_store.rs
+++ b/crates/jobs/src/job_store.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Configuration, CrashRecord, Job, JobCommand, JobEnd, JobId, JobState, LostTask, RunEnd, RunId,
-        TaskKey, Wave, WorkerEntry,
+        ColdStart, Configuration, CrashRecord, Evacuation, Job, JobCommand, JobEnd, JobId, JobState,
+        JobStoreExtension, LostTask, RunEnd, RunId, TaskKey, Wave, WorkerEntry,
     },
     fuchsiatack_derives::message,
     fuchsiatack_model::{QueueName, WorkerName},
@@ -38,6 +38,10 @@
     pub workers: BTreeMap<WorkerName, WorkerEntry>,
     /// Tasks under which workers were lost since they last proved that they crash none.
     pub crashes: BTreeMap<TaskKey, CrashRecord>,
+    /// What the first form of snapshots lacks. Snapshots store it beside the rest, because a further field
+    /// would make those of earlier builds unreadable.
+    #[serde(skip)]
+    pub extension: JobStoreExtension,
 }
 
 impl JobStore {
@@ -45,7 +49,7 @@
     pub fn apply(&mut self, command: &JobCommand) {
         match command {
             JobCommand::Cancel { job, unix_ms } => self.end_job(*job, JobState::Cancelled, *unix_ms),
-            JobCommand::Configure(configuration) => self.configure(configuration),
+            JobCommand::Configure(configuration) => self.configure(configuration, &BTreeMap::new()),
             JobCommand::End {
                 checkpoint,
                 end,
@@ -108,6 +112,26 @@
                 }
             }
             JobCommand::GiveUp { job, unix_ms } => self.end_job(*job, JobState::Failed, *unix_ms),
+            JobCommand::Evacuate {
+                data_center,
+                ordered_by,
+                unix_ms,
+            } => {
+                let evacuations = &mut self.extension.evacuations;
+                evacuations
+                    .entry(data_center.clone())
+                    .or_insert_with(|| Evacuation {
+                        ordered_by: ordered_by.clone(),
+                        ordered_unix_ms: *unix_ms,
+                    });
+            }
+            JobCommand::EndEvacuation(data_center) => {
+                self.extension.evacuations.remove(data_center);
+            }
+            JobCommand::ConfigureColdStarts {
+                cold_starts,
+                configuration,
+            } => self.configure(configuration, cold_starts),
         }
     }
 
@@ -117,10 +141,11 @@
         self.jobs.values().filter(is_pending).count() as u64
     }
 
-    fn configure(&mut self, configuration: &Configuration) {
+    fn configure(&mut self, configuration: &Configuration, cold_starts: &BTreeMap<SmolStr, ColdStart>) {
         let present = self.configuration.as_ref().map(|present| present.version);
         if present.is_none_or(|version| configuration.version > version) {
             self.configuration = Some(Arc::new(configuration.clone()));
+            self.extension.cold_starts = cold_starts.clone();
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,10 +9,12 @@
 mod calls;
 mod cell_report;
 mod clock_sample;
+mod cold_start;
 mod command;
 mod configuration;
 mod crash_record;
 mod effect;
+mod evacuation;
 mod event;
 mod ids;
 mod job;
@@ -27,7 +29,10 @@
 mod plan_backlog;
 mod plan_calls;
 mod plan_candidates;
+mod plan_cold_workers;
 mod plan_crashes;
+mod plan_data_center_evacuation;
+mod plan_data_center_moves;
 mod plan_evacuation;
 mod plan_late_acknowledgements;
 mod plan_late_starts;
@@ -66,11 +71,13 @@
         AdviceRequest, AdviceResponse, CallId, CellCall, CellResponse, EntryReport, JobAction, JobCall,
         JobResponse, JobState, Wave,
     },
-    cell_report::CellReport,
+    cell_report::{CellReport, EvacuationReport},
+    cold_start::ColdStart,
     command::{JobCommand, RunEnd, Submission},
     configuration::{AdvicePolicy, Configuration, Queue, Team},
     crash_record::{CrashRecord, LostTask},
     effect::Effect,
+    evacuation::{Evacuation, JobStoreExtension},
     event::{
         EndedRun, HoldReport, JobEvent, ListedEnd, ListedRun, OrderRejection, OrderResult, WorkerCallError,
     },
--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -91,7 +91,7 @@
     ) -> Option<Candidate<WorkerName>> {
         let entry = self.store.workers.get(name)?;
         let demand = spec.reserved();
-        if !entry.capacity.has_free(&view.used, &demand) {
+        if !entry.capacity.has_free(&view.used, &demand) || self.cold_starts_left(name, view) == 0 {
             return None;
         }
         self.suitable_worker(seeker, spec, service, name, view)
@@ -115,6 +115,7 @@
         let shares_processors = self.shares_processors(spec, view);
         let is_excluded = !entry.capacity.covers(&spec.reserved())
             || !is_suitable(spec, service, entry)
+            || self.is_evacuated(&entry.data_center)
             || (!spec.long_running && self.may_forget_ends(name, view))
             || spec
                 .max_per_worker
@@ -122,6 +123,7 @@
             || (shares_processors && !self.may_share(seeker.step));
         (!is_excluded).then(|| Candidate {
             capacity: entry.capacity,
+            is_cold: view.cold.is_cold(self.now_ms),
             key: name.clone(),
             is_near_data: spec
                 .data_rack
@@ -141,7 +143,8 @@
     }
 }
 
-fn is_suitable(spec: &StepSpec, service: &SmolStr, entry: &WorkerEntry) -> bool {
+/// Returns whether a worker may ever run the tasks of a step, if it has the capacity.
+pub(crate) fn is_suitable(spec: &StepSpec, service: &SmolStr, entry: &WorkerEntry) -> bool {
     let label = spec.required_label.as_ref();
     entry.service == *service && !entry.draining && label.is_none_or(|label| entry.labels.contains(label))
 }
