jobs: urgent steps come first under the limit of their team

Cause: batch steps of a team took the room under its limit that became free while an urgent step paused, nothing kept room for urgent steps that arrive all the time, and the long runs of the team's own batch work were not stopped for them. Steps that wait for the limit also counted towards the 64 failed attempts that end a planning pass, so that one team at its limit kept the steps of others from being tried.

Change: batch steps leave room under the limit for the waiting urgent tasks of their team and, up to half of the limit, for what its urgent work has needed in the last 3 s. A batch step that has waited for 5 s without a run may use that room, one at a time for each team. Checkpointed runs of a later priority are stopped for an urgent step if no room under the limit is free within 600 ms, with the present bound of three stops. Attempts that the limit ends have a bound of their own (1,000) in a planning pass. Limits are found by the team's name in an index.

--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -23,6 +23,10 @@
 /// Number of steps that fail to be placed in one planning pass after which the others are tried in turn
 /// only. It bounds the processor time that a long backlog takes.
 const MAX_FAILED_STEPS: usize = 64;
+/// Number of steps that wait for the limit of their team in one planning pass after which the others are
+/// tried in turn only. These steps take little processor time, and a team at its limit must not keep the
+/// steps of others from being tried.
+const MAX_LIMITED_STEPS: usize = 1_000;
 /// Maximum number of steps of each priority that one planning pass tries in turn, those that were not
 /// tried for the longest time first. A backlog of one priority never keeps others from being tried.
 const STEPS_IN_TURN: usize = 8;
@@ -49,6 +53,7 @@
         }
         self.reservations.expire(now_ms);
         self.room_searches_left = ROOM_SEARCHES_PER_PASS;
+        self.observe_urgent_work();
         self.last_priority = self.steps.values().map(|view| view.priority).max();
         let mut order: Vec<_> = self
             .steps
@@ -62,12 +67,17 @@
         order.sort_unstable();
         self.place_lasting_in_turn();
         let mut order = order.into_iter();
-        let mut failed = 0;
+        let (mut failed, mut limited) = (0, 0);
         while failed < MAX_FAILED_STEPS
+            && limited < MAX_LIMITED_STEPS
             && let Some((_, step)) = order.next()
         {
             let kept_free_percent = self.kept_free_percent(step);
-            failed += usize::from(self.try_step(step, kept_free_percent).is_err());
+            match self.try_step(step, kept_free_percent) {
+                Ok(()) => {}
+                Err(WaitReason::TeamLimit) => limited += 1,
+                Err(_) => failed += 1,
+            }
         }
         self.place_in_turn(order.map(|(_, step)| step));
     }
@@ -178,7 +188,7 @@
         let (Some(job), Some(view)) = (self.store.jobs.get(&step.job), self.steps.get(&step)) else {
             return Ok(());
         };
-        let (job_spec, waiting_tasks) = (job.spec.clone(), view.waiting.clone());
+        let (job_spec, tasks) = (job.spec.clone(), view.waiting.len());
         let Some(spec) = job_spec.steps.get(step.step as usize) else {
             return Ok(());
         };
@@ -187,35 +197,39 @@
         };
         let (advice, service) = (queue.advice.clone(), queue.service.clone());
         // A gang starts only when none of its members has a present run.
-        if spec.gang && waiting_tasks.len() < spec.tasks as usize {
+        if spec.gang && tasks < spec.tasks as usize {
             return Err(WaitReason::GangEnding);
         }
-        let allowed = self.allowed_by_limit(step, spec, waiting_tasks.len());
+        let allowed = self.allowed_by_limit(step, spec, tasks);
+        if allowed < tasks {
+            self.preempt_for_limit(step, spec, &service);
+        }
         if allowed == 0 || (spec.gang && allowed < spec.tasks as usize) {
             self.reservations.end(step);
             return Err(WaitReason::TeamLimit);
         }
-        let waiting: Vec<_> = waiting_tasks
-            .iter()
+        let waiting = self.steps.get(&step).into_iter().flat_map(|view| &view.waiting);
+        let waiting: Vec<_> = waiting
             .map(|index| TaskKey { index: *index, step })
+            .take(allowed)
             .collect();
-        let waiting = &waiting[..allowed];
         let usable = match advice {
             None => self.all_candidates(step, spec, &service),
             Some(_) => self.advised_candidates(step, spec, &service),
         };
         let starts = match spec.gang {
-            true => self.choose_gang(step, spec, waiting, usable, kept_free_percent),
-            false => self.choose_single(step, spec, waiting, usable, kept_free_percent),
+            true => self.choose_gang(step, spec, &waiting, usable, kept_free_percent),
+            false => self.choose_single(step, spec, &waiting, usable, kept_free_percent),
         };
         let placed: usize = starts.values().map(Vec::len).sum();
         if placed > 0 {
+            self.count_started(step, spec, placed);
             self.start(step, spec, starts);
         }
         let left = waiting.len() - placed;
         if left == 0 {
             self.reservations.end(step);
-            return match waiting_tasks.len() == placed {
+            return match tasks == placed {
                 true => Ok(()),
                 false => Err(WaitReason::TeamLimit),
             };
@@ -265,35 +279,6 @@
         self.request_advice(step, spec, policy, all, &candidates)
     }
 
-    /// Returns how many of `tasks` tasks of a step the limit of its team allows now.
-    fn allowed_by_limit(&self, step: StepId, spec: &StepSpec, tasks: usize) -> usize {
-        let team = self.store.jobs.get(&step.job).and_then(|job| job.team.as_ref());
-        let (Some(team), Some(configuration)) = (team, &self.store.configuration) else {
-            return tasks;
-        };
-        let Some(limit) = configuration.team(team).map(|team| team.limit) else {
-            return tasks;
-        };
-        let used = self.team_used.get(team).copied().unwrap_or(Resources::NONE);
-        let left = |limit: u64, used: u64, each: u64| match (limit, each) {
-            (0, _) | (_, 0) => usize::MAX,
-            _ => (limit.saturating_sub(used) / each) as usize,
-        };
-        let demand = &spec.demand;
-        tasks
-            .min(left(
-                limit.processors_millis.into(),
-                used.processors_millis.into(),
-                demand.processors_millis.into(),
-            ))
-            .min(left(limit.memory_bytes, used.memory_bytes, demand.memory_bytes))
-            .min(left(
-                limit.accelerators.into(),
-                used.accelerators.into(),
-                demand.accelerators.into(),
-            ))
-    }
-
     fn choose_single(
         &self,
         step: StepId,
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -15,9 +15,10 @@
         reservation::Reservations,
         run_view::{RunState, RunView},
         step_view::StepView,
+        team_use::TeamUse,
         worker_view::WorkerView,
     },
-    fuchsiatack_model::{QueueName, Resources, TeamName, WorkerName},
+    fuchsiatack_model::{QueueName, TeamName, WorkerName},
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -95,7 +96,10 @@
     pub(crate) steps: BTreeMap<StepId, StepView>,
     /// Time since which tasks have been suspected of crashing workers.
     pub(crate) suspected_since_ms: BTreeMap<TaskKey, u64>,
-    pub(crate) team_used: BTreeMap<TeamName, Resources>,
+    /// Positions of the teams in the configuration, by name.
+    pub(crate) team_positions: BTreeMap<TeamName, usize>,
+    /// What teams with runs or urgent steps use.
+    pub(crate) teams: BTreeMap<TeamName, TeamUse>,
     pub(crate) workers: BTreeMap<WorkerName, WorkerView>,
 }
 
@@ -146,7 +150,8 @@
             stalls_due_ms: now_ms,
             steps: BTreeMap::new(),
             suspected_since_ms: BTreeMap::new(),
-            team_used: BTreeMap::new(),
+            team_positions: BTreeMap::new(),
+            teams: BTreeMap::new(),
             workers: BTreeMap::new(),
         };
         planner.restore();
@@ -294,7 +299,8 @@
         self.store.configuration.as_ref()?.queues.get(position)
     }
 
-    /// Indexes the queues of the configuration by name and by service; there may be hundreds.
+    /// Indexes the queues of the configuration by name and by service, and the teams by name; there may be
+    /// hundreds.
     pub(crate) fn index_queues(&mut self) {
         self.queues.clear();
         self.first_priorities.clear();
@@ -306,6 +312,11 @@
             let first = first.or_insert(queue.priority);
             *first = queue.priority.min(*first);
         }
+        let teams = configuration.into_iter().flat_map(|present| &present.teams);
+        let positions = teams
+            .enumerate()
+            .map(|(position, team)| (team.name.clone(), position));
+        self.team_positions = positions.collect();
     }
 
     /// Adds a run and counts it towards the use of its worker and its team.
@@ -322,9 +333,14 @@
             is_brief: spec.estimated_ms < BRIEF_MS && !spec.long_running,
             is_inherited: matches!(state, RunState::Unverified { .. }),
             is_loss_recorded: false,
+            is_urgent: self.is_urgent(run.task.step),
             progress: Progress::default(),
             reserved: spec.reserved(),
             run,
+            service: self
+                .queue_of(job.id)
+                .map(|queue| queue.service.clone())
+                .unwrap_or_default(),
             started_ms: self.now_ms,
             state,
             team: job.team.clone(),
@@ -341,8 +357,7 @@
             on.runs.insert(run.task);
         }
         if let Some(team) = &view.team {
-            let used = self.team_used.entry(team.clone()).or_insert(Resources::NONE);
-            *used = used.saturating_add(&view.demand);
+            self.teams.entry(team.clone()).or_default().add(&view);
         }
         let is_inherited = view.is_inherited;
         self.runs.insert(run.task, view);
@@ -376,8 +391,8 @@
             on.runs.remove(&task);
             on.isolated.remove(&task);
         }
-        if let Some(used) = view.team.as_ref().and_then(|team| self.team_used.get_mut(team)) {
-            *used = used.saturating_sub(&view.demand);
+        if let Some(team) = view.team.as_ref().and_then(|team| self.teams.get_mut(team)) {
+            team.remove(&view);
         }
         self.needs_placement = true;
         Some(view)
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -68,8 +68,12 @@
     pub(crate) is_inherited: bool,
     /// Whether the loss of its worker is recorded for its task.
     pub(crate) is_loss_recorded: bool,
+    /// Whether its queue had the first priority when it was added.
+    pub(crate) is_urgent: bool,
     pub(crate) progress: Progress,
     pub(crate) run: RunId,
+    /// Service of its queue; empty if the queue was not configured when it was added.
+    pub(crate) service: SmolStr,
     pub(crate) started_ms: u64,
     pub(crate) state: RunState,
     pub(crate) team: Option<TeamName>,
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -4,8 +4,12 @@
 #![allow(dead_code, unused_imports, reason = "each test program uses a part of it")]
 
 mod advice_service;
+mod team_cell;
 
-pub use advice_service::{AdviceService, ServiceResponse};
+pub use {
+    advice_service::{AdviceService, ServiceResponse},
+    team_cell::{TICK_MS, TeamCell},
+};
 
 use {
     fuchsiatack_jobs::{
@@ -225,6 +229,11 @@
 
     /// Submits a job to the queue whose path begins with `prefix`.
     pub fn submit_to(&mut self, prefix: &str, job: JobId, steps: Vec<StepSpec>) {
+        self.submit_with_key("key", prefix, job, steps);
+    }
+
+    /// Submits a job of the team that the key identifies to the queue whose path begins with `prefix`.
+    pub fn submit_with_key(&mut self, key: &str, prefix: &str, job: JobId, steps: Vec<StepSpec>) {
         let spec = JobSpec {
             payload: "payload".into(),
             schedule: None,
@@ -233,7 +242,7 @@
         self.call(CellCall::Job(JobCall {
             action: JobAction::Submit(Box::new(spec)),
             host: "host".into(),
-            key: Some("key".into()),
+            key: Some(key.into()),
             path: SmolStr::new(format!("/{prefix}/{job}")),
         }));
     }
