jobs: the steps of a priority are tried by the shares of their teams

Cause: the weight of a team was stored and never used. Within a priority only lateness and due time counted, so that a team with several times its usual load delayed all others of its priority.

Change: while steps of a priority and service wait for capacity, those of teams that ask for no more than their share come first, then those of teams that ask for more and do not use more, then those of teams over their share. The share is that of the dominant resource, divided by weight; what a team does not ask for is lent. Late steps still wait behind those that can meet their objective; shares count within each of the two.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -38,6 +38,7 @@
 mod plan_renewals;
 mod plan_reservations;
 mod plan_runs;
+mod plan_shares;
 mod plan_stalls;
 mod plan_start;
 mod plan_steps;
@@ -60,6 +61,7 @@
 mod worker_report;
 mod worker_view;
 
+pub mod fair_share;
 pub mod placement;
 pub mod reservation;
 
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -3,7 +3,8 @@
 //! Handles bursts of urgent jobs beside a backlog of large ones: queues with a lower priority
 //! number come first and have a reserved part of each worker. Within a priority, jobs that can
 //! still meet their latency objective come first, the most urgent at the front. Jobs that are
-//! already late wait behind them, since serving them first would make the others late as well.
+//! already late wait behind them, since serving them first would make the others late as well. While steps
+//! of a priority wait for capacity, those of teams over their share wait behind those of the others.
 
 use {
     crate::{
@@ -42,7 +43,7 @@
 type Starts = BTreeMap<WorkerName, Vec<TaskKey>>;
 
 /// Pause before a step that could not be placed completely is tried again, in milliseconds.
-const NO_CAPACITY_PAUSE_MS: u64 = 20;
+pub(crate) const NO_CAPACITY_PAUSE_MS: u64 = 20;
 
 impl Planner {
     /// Starts the waiting tasks for which there is free capacity.
@@ -55,22 +56,14 @@
         self.room_searches_left = ROOM_SEARCHES_PER_PASS;
         self.observe_urgent_work();
         self.last_priority = self.steps.values().map(|view| view.priority).max();
-        let mut order: Vec<_> = self
-            .steps
-            .iter()
-            .filter(|(_, view)| !view.waiting.is_empty() && now_ms >= view.paused_until_ms)
-            .map(|(step, view)| {
-                let (is_late, due_ms) = view.urgency(now_ms);
-                ((view.priority, is_late, due_ms), *step)
-            })
-            .collect();
-        order.sort_unstable();
+        self.observe_shares();
+        let order = self.order_of_steps();
         self.place_lasting_in_turn();
         let mut order = order.into_iter();
         let (mut failed, mut limited) = (0, 0);
         while failed < MAX_FAILED_STEPS
             && limited < MAX_LIMITED_STEPS
-            && let Some((_, step)) = order.next()
+            && let Some(step) = order.next()
         {
             let kept_free_percent = self.kept_free_percent(step);
             match self.try_step(step, kept_free_percent) {
@@ -79,7 +72,7 @@
                 Err(_) => failed += 1,
             }
         }
-        self.place_in_turn(order.map(|(_, step)| step));
+        self.place_in_turn(order);
     }
 
     /// Tries lasting steps that have waited for long, until a task of one is started, and lets them use the
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -5,6 +5,7 @@
         JobId, Planner, StepId, TaskKey, WaitTimes,
         step_view::{StepAdvice, StepView},
     },
+    fuchsiatack_model::Resources,
     std::collections::BTreeSet,
 };
 
@@ -70,7 +71,8 @@
         let (stretch, target_ms, priority) = queue.map_or((1.0, 0, u32::MAX), |queue| {
             (queue.stretch, queue.target_latency_ms, queue.priority)
         });
-        let (chain_ms, due_unix_ms, remaining_ms) = self.store.jobs.get(&step.job).map_or((0, 0, 0), |job| {
+        let job = self.store.jobs.get(&step.job);
+        let (chain_ms, due_unix_ms, remaining_ms) = job.map_or((0, 0, 0), |job| {
             let remaining_ms = job
                 .spec
                 .steps
@@ -85,9 +87,10 @@
         });
         let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
         let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
-        let spec = self.store.jobs.get(&step.job).and_then(|job| job.step(step.step));
+        let spec = job.and_then(|job| job.step(step.step));
         StepView {
             advice: StepAdvice::default(),
+            demand: spec.map_or(Resources::NONE, |spec| spec.demand),
             due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
             durations_ms: Vec::new(),
             failed_on: Default::default(),
@@ -96,6 +99,8 @@
             is_prefetch: false,
             priority,
             remaining_ms: remaining_ms.min(chain_ms),
+            service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
+            team: job.and_then(|job| job.team.clone()).unwrap_or_default(),
             tried_ms: self.now_ms,
             turn_ms: 0,
             wait_reason: None,
--- a/crates/jobs/src/plan_team_limits.rs
+++ b/crates/jobs/src/plan_team_limits.rs
@@ -35,6 +35,14 @@
         Some(team.limit)
     }
 
+    /// Returns the weight of a team; 1 if the configuration has no such team.
+    pub(crate) fn team_weight(&self, team: &TeamName) -> u32 {
+        let position = self.team_positions.get(team);
+        let teams = self.store.configuration.as_ref().map(|present| &present.teams);
+        let team = position.and_then(|position| teams?.get(*position));
+        team.map_or(1, |team| team.weight)
+    }
+
     fn team_of(&self, step: StepId) -> Option<&TeamName> {
         self.store.jobs.get(&step.job)?.team.as_ref()
     }
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -12,6 +12,7 @@
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         pacing::Pacing,
         plan_late_starts::LateStart,
+        plan_shares::Shares,
         reservation::Reservations,
         run_view::{RunState, RunView},
         step_view::StepView,
@@ -91,6 +92,7 @@
     /// number.
     pub(crate) scheduled: BTreeSet<(u64, JobId, u32)>,
     pub(crate) settings: PlannerSettings,
+    pub(crate) shares: Shares,
     /// Time of the next check for stalled runs.
     pub(crate) stalls_due_ms: u64,
     pub(crate) steps: BTreeMap<StepId, StepView>,
@@ -147,6 +149,7 @@
             room_searches_left: 0,
             scheduled: BTreeSet::new(),
             settings,
+            shares: Shares::default(),
             stalls_due_ms: now_ms,
             steps: BTreeMap::new(),
             suspected_since_ms: BTreeMap::new(),
@@ -343,7 +346,7 @@
                 .unwrap_or_default(),
             started_ms: self.now_ms,
             state,
-            team: job.team.clone(),
+            team: job.team.clone().unwrap_or_default(),
             worker: worker.clone(),
         };
         if let Some(on) = self.workers.get_mut(worker) {
@@ -356,9 +359,7 @@
             }
             on.runs.insert(run.task);
         }
-        if let Some(team) = &view.team {
-            self.teams.entry(team.clone()).or_default().add(&view);
-        }
+        self.teams.entry(view.team.clone()).or_default().add(&view);
         let is_inherited = view.is_inherited;
         self.runs.insert(run.task, view);
         self.begin_pacing(run.task, is_inherited);
@@ -391,9 +392,10 @@
             on.runs.remove(&task);
             on.isolated.remove(&task);
         }
-        if let Some(team) = view.team.as_ref().and_then(|team| self.teams.get_mut(team)) {
+        if let Some(team) = self.teams.get_mut(&view.team) {
             team.remove(&view);
         }
+        self.shares.count_freed(&view.service, self.now_ms);
         self.needs_placement = true;
         Some(view)
     }
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -76,6 +76,7 @@
     pub(crate) service: SmolStr,
     pub(crate) started_ms: u64,
     pub(crate) state: RunState,
-    pub(crate) team: Option<TeamName>,
+    /// Team of its job; the empty name if it has none.
+    pub(crate) team: TeamName,
     pub(crate) worker: WorkerName,
 }
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{WaitReason, WaitTimes},
-    fuchsiatack_model::WorkerName,
+    fuchsiatack_model::{Resources, TeamName, WorkerName},
     smol_str::SmolStr,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -50,6 +50,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StepView {
     pub(crate) advice: StepAdvice,
+    /// Resources that one task needs.
+    pub(crate) demand: Resources,
     /// Time by which its job should end to meet its latency objective, by the planner's clock in
     /// milliseconds.
     pub(crate) due_ms: u64,
@@ -67,6 +69,10 @@
     pub(crate) priority: u32,
     /// Estimated time from the start of the step to the end of the job, in milliseconds.
     pub(crate) remaining_ms: u64,
+    /// Service whose workers run its tasks; empty if its queue is not configured.
+    pub(crate) service: SmolStr,
+    /// Team of its job; the empty name if it has none.
+    pub(crate) team: TeamName,
     /// Time of the last attempt to place its tasks.
     pub(crate) tried_ms: u64,
     /// Time of its last turn before the urgent steps; 0 if it had none.
