jobs: room under a team's limit is used at once; shares cost less in a pass

Cause: an urgent step at the limit of its team pauses for 20 ms, in which room under the limit stays free. Standings of teams were looked up for each waiting step in each pass, and all teams of a service for each paused step.

Change: an urgent step is tried in its pause when a run of its team has ended. The standing is kept in the view of a step, which is set when it is opened and after each comparison. The benchmark passes has a case with 410 teams.

Measured: urgent_step_uses_room_under_the_limit_at_once fails without the first change. cargo test -p fuchsiatack-jobs: all pass.

--- a/crates/jobs/benches/passes.rs
+++ b/crates/jobs/benches/passes.rs
@@ -7,9 +7,9 @@
 mod common;
 
 use {
-    common::{Leader, WORKER_CAPACITY, queue, step},
-    fuchsiatack_jobs::{JobId, Queue, StepSpec},
-    fuchsiatack_model::{QueueName, Resources},
+    common::{Leader, WORKER_CAPACITY, configuration, queue, step},
+    fuchsiatack_jobs::{CellCall, Configuration, JobId, Queue, StepSpec, Team},
+    fuchsiatack_model::{QueueName, Resources, TeamName},
     hdrhistogram::Histogram,
     std::time::Instant,
 };
@@ -19,6 +19,7 @@
 const PASSES: u64 = 500;
 /// Number of passes before those that are measured.
 const WARM_UP_PASSES: u64 = 50;
+const TEAMS: u64 = 410;
 const WAITING_STEPS: u64 = 2_000;
 const WORKERS: usize = 540;
 /// Interval between two heartbeats of all workers, in passes.
@@ -31,6 +32,8 @@
 enum Waiting {
     /// Single tasks.
     Single,
+    /// Single tasks of many teams.
+    OfTeams,
     /// Single tasks, and a gang of four whole workers in eight.
     WithGangs,
 }
@@ -44,7 +47,20 @@
         priority: 1,
         ..queue()
     };
-    let mut leader = Leader::new(background, &names);
+    let mut leader = Leader::new(background.clone(), &names);
+    let present = configuration(background);
+    let teams = (0..TEAMS).map(|number| Team {
+        keys: vec![format!("team-{number}").into()],
+        limit: Resources::NONE,
+        name: TeamName::new(format!("team-{number}")),
+        weight: 1 + number as u32 % 4,
+    });
+    let teams = present.teams.iter().cloned().chain(teams).collect();
+    leader.call(CellCall::Configure(Box::new(Configuration {
+        teams,
+        version: 2,
+        ..present
+    })));
     leader.submit(JobId(1), vec![step(WORKERS as u32 * 8, DURATION_MS)]);
     for (run, worker) in leader.take_starts() {
         leader.started(&worker, run, Ok(leader.now_ms));
@@ -61,9 +77,13 @@
         };
         let spec = match waiting {
             Waiting::WithGangs if number % 8 == 0 => gang,
-            Waiting::Single | Waiting::WithGangs => step(6, DURATION_MS),
+            Waiting::Single | Waiting::OfTeams | Waiting::WithGangs => step(6, DURATION_MS),
         };
-        leader.submit(JobId(2 + number), vec![spec]);
+        let key = match waiting {
+            Waiting::OfTeams => format!("team-{}", number % TEAMS),
+            Waiting::Single | Waiting::WithGangs => "key".to_owned(),
+        };
+        leader.submit_with_key(&key, "q", JobId(2 + number), vec![spec]);
     }
     (leader, workers)
 }
@@ -96,5 +116,6 @@
 
 fn main() {
     measure("single tasks", Waiting::Single);
+    measure("single tasks of many teams", Waiting::OfTeams);
     measure("single tasks and gangs", Waiting::WithGangs);
 }
--- a/crates/jobs/src/plan_shares.rs
+++ b/crates/jobs/src/plan_shares.rs
@@ -44,6 +44,14 @@
 /// Priority and service of a step.
 type Class = (u32, SmolStr);
 
+/// How the teams that use a service or wait for it compare with their shares.
+#[derive(Clone, Debug, Default)]
+struct Standings {
+    by_team: BTreeMap<TeamName, Standing>,
+    /// The last of them in the order in which steps are tried.
+    last: Standing,
+}
+
 /// Result of the last comparison.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Shares {
@@ -56,7 +64,7 @@
     /// Teams over their share at the last log event, by service.
     logged: BTreeMap<SmolStr, BTreeSet<TeamName>>,
     /// How the teams compare with their shares, by service.
-    standings: BTreeMap<SmolStr, BTreeMap<TeamName, Standing>>,
+    standings: BTreeMap<SmolStr, Standings>,
     /// Time at which a run last ended, by service.
     freed_ms: BTreeMap<SmolStr, u64>,
     /// Time of the last turn of a step that had waited for long, by team.
@@ -68,9 +76,11 @@
 impl Shares {
     /// Returns how the team of a step compares with its share. All teams are alike while no steps of the same
     /// priority and service wait for capacity.
-    pub(crate) fn standing(&self, view: &StepView) -> Standing {
-        let teams = self.standings.get(&view.service);
-        let standing = teams.and_then(|teams| teams.get(&view.team)).copied();
+    pub(crate) fn standing_of(&self, view: &StepView) -> Standing {
+        let standings = self.standings.get(&view.service);
+        let standing = standings
+            .and_then(|present| present.by_team.get(&view.team))
+            .copied();
         let standing = standing.unwrap_or_default();
         match standing {
             Standing::Modest => Standing::Modest,
@@ -108,9 +118,8 @@
             freed_ms.is_some_and(|freed_ms| *freed_ms >= view.tried_ms)
         };
         let is_first = || {
-            let teams = self.standings.get(&view.service);
-            let last = teams.and_then(|teams| teams.values().max()).copied();
-            last > Some(self.standing(view)) && self.is_contended(view)
+            let standings = self.standings.get(&view.service);
+            standings.is_some_and(|present| present.last > view.standing) && self.is_contended(view)
         };
         let lacks_room = matches!(
             view.wait_reason,
@@ -148,6 +157,9 @@
             }
         }
         self.shares.standings = standings;
+        for view in self.steps.values_mut() {
+            view.standing = self.shares.standing_of(view);
+        }
         self.log_share_changes();
         self.give_turns();
     }
@@ -168,12 +180,11 @@
         demands
     }
 
-    /// Returns how the teams that use a service or wait for it compare with their shares.
     fn compare_teams(
         &self,
         service: &SmolStr,
         asked: &BTreeMap<SmolStr, BTreeMap<TeamName, Resources>>,
-    ) -> BTreeMap<TeamName, Standing> {
+    ) -> Standings {
         let capacity = self.capacity_of(service);
         let asked = asked.get(service);
         let waiting = |team: &TeamName| asked.and_then(|asked| asked.get(team)).copied();
@@ -197,7 +208,7 @@
             Claim {
                 asked: fair_share::dominant_share(&asked, &capacity).max(used),
                 standing: before
-                    .and_then(|teams| teams.get(*team))
+                    .and_then(|present| present.by_team.get(*team))
                     .copied()
                     .unwrap_or_default(),
                 used,
@@ -208,7 +219,11 @@
         let entitled = fair_share::entitlements(&claims);
         let compared = claims.iter().zip(entitled);
         let standings = compared.map(|(claim, entitled)| fair_share::standing(claim, entitled));
-        used.into_keys().cloned().zip(standings).collect()
+        let by_team: BTreeMap<_, _> = used.into_keys().cloned().zip(standings).collect();
+        Standings {
+            last: by_team.values().max().copied().unwrap_or_default(),
+            by_team,
+        }
     }
 
     /// Returns the sum of the capacities of the workers of a service that accept runs.
@@ -228,13 +243,16 @@
         if self.now_ms < self.shares.log_due_ms {
             return;
         }
-        let of_service = |teams: &BTreeMap<TeamName, Standing>| -> BTreeSet<TeamName> {
-            let over = teams.iter().filter(|(_, standing)| **standing == Standing::Over);
+        let of_service = |standings: &Standings| -> BTreeSet<TeamName> {
+            let over = standings
+                .by_team
+                .iter()
+                .filter(|(_, standing)| **standing == Standing::Over);
             over.map(|(team, _)| team.clone()).collect()
         };
         let standings = self.shares.standings.iter();
         let over: BTreeMap<_, _> = standings
-            .map(|(service, teams)| (service.clone(), of_service(teams)))
+            .map(|(service, present)| (service.clone(), of_service(present)))
             .filter(|(_, teams)| !teams.is_empty())
             .collect();
         if over == self.shares.logged {
@@ -259,6 +277,16 @@
         }
     }
 
+    /// Returns whether an urgent step is tried although it pauses: a run of its team, at the limit of which it
+    /// waits, has ended since the last attempt.
+    fn is_limit_freed(&self, view: &StepView) -> bool {
+        let is_limited = view.wait_reason == Some(WaitReason::TeamLimit);
+        is_limited && Some(view.priority) == self.top_priority() && {
+            let team = self.teams.get(&view.team);
+            team.is_some_and(|team| team.freed_ms >= view.tried_ms)
+        }
+    }
+
     /// Returns the waiting steps in the order in which they are tried. Those that pause are left out, but for
     /// some that have a better claim to room that has become free than the others.
     pub(crate) fn order_of_steps(&self) -> Vec<StepId> {
@@ -266,14 +294,17 @@
         let mut early_left = MAX_EARLY_STEPS;
         let waiting = self.steps.iter().filter(|(_, view)| !view.waiting.is_empty());
         let mut order: Vec<_> = waiting
-            .filter(|(step, view)| now_ms >= view.paused_until_ms || self.shares.is_early(**step, view))
+            .filter(|(step, view)| {
+                now_ms >= view.paused_until_ms
+                    || self.shares.is_early(**step, view)
+                    || self.is_limit_freed(view)
+            })
             .map(|(step, view)| {
                 let comes_later = !self.shares.has_turn(*step, view);
                 let (is_late, due_ms) = view.urgency(now_ms);
-                let standing = self.shares.standing(view);
                 let is_early = now_ms < view.paused_until_ms;
                 (
-                    (view.priority, comes_later, is_late, standing, due_ms),
+                    (view.priority, comes_later, is_late, view.standing, due_ms),
                     *step,
                     is_early,
                 )
@@ -298,8 +329,8 @@
             return;
         }
         let has_over = |view: &StepView| {
-            let teams = self.shares.standings.get(&view.service);
-            teams.is_some_and(|teams| teams.values().any(|standing| *standing == Standing::Over))
+            let standings = self.shares.standings.get(&view.service);
+            standings.is_some_and(|present| present.last == Standing::Over)
         };
         let mut longest = BTreeMap::new();
         for (step, view) in &self.steps {
@@ -307,8 +338,7 @@
             if wait_ms < STARVED_WITHIN_SHARE_MS || view.is_long_running {
                 continue;
             }
-            let is_within_share = || self.shares.standing(view) != Standing::Over;
-            if wait_ms < STARVED_MS && !(has_over(view) && is_within_share()) {
+            if wait_ms < STARVED_MS && (view.standing == Standing::Over || !has_over(view)) {
                 continue;
             }
             let class = (view.priority, view.service.clone());
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         JobId, Planner, StepId, TaskKey, WaitTimes,
+        fair_share::Standing,
         step_view::{StepAdvice, StepView},
     },
     fuchsiatack_model::Resources,
@@ -88,7 +89,7 @@
         let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
         let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
         let spec = job.and_then(|job| job.step(step.step));
-        StepView {
+        let mut view = StepView {
             advice: StepAdvice::default(),
             demand: spec.map_or(Resources::NONE, |spec| spec.demand),
             due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
@@ -100,6 +101,7 @@
             priority,
             remaining_ms: remaining_ms.min(chain_ms),
             service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
+            standing: Standing::default(),
             team: job.and_then(|job| job.team.clone()).unwrap_or_default(),
             tried_ms: self.now_ms,
             turn_ms: 0,
@@ -107,7 +109,9 @@
             waiting: BTreeSet::new(),
             waiting_since_ms: None,
             waits: WaitTimes::default(),
-        }
+        };
+        view.standing = self.shares.standing_of(&view);
+        view
     }
 
     fn waiting_tasks(&self, step: StepId) -> BTreeSet<u32> {
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -393,7 +393,7 @@
             on.isolated.remove(&task);
         }
         if let Some(team) = self.teams.get_mut(&view.team) {
-            team.remove(&view);
+            team.remove(&view, self.now_ms);
         }
         self.shares.count_freed(&view.service, self.now_ms);
         self.needs_placement = true;
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -1,7 +1,7 @@
 //! The leader's view of a step that is ready, or soon will be.
 
 use {
-    crate::{WaitReason, WaitTimes},
+    crate::{WaitReason, WaitTimes, fair_share::Standing},
     fuchsiatack_model::{Resources, TeamName, WorkerName},
     smol_str::SmolStr,
     std::collections::{BTreeMap, BTreeSet},
@@ -71,6 +71,9 @@
     pub(crate) remaining_ms: u64,
     /// Service whose workers run its tasks; empty if its queue is not configured.
     pub(crate) service: SmolStr,
+    /// How its team compares with its share; the first of all while no steps of the same priority and service
+    /// wait for capacity.
+    pub(crate) standing: Standing,
     /// Team of its job; the empty name if it has none.
     pub(crate) team: TeamName,
     /// Time of the last attempt to place its tasks.
--- a/crates/jobs/src/team_use.rs
+++ b/crates/jobs/src/team_use.rs
@@ -12,6 +12,8 @@
 pub(crate) struct TeamUse {
     /// Use by service.
     pub(crate) by_service: BTreeMap<SmolStr, Resources>,
+    /// Time at which a run last ended, in milliseconds.
+    pub(crate) freed_ms: u64,
     /// Time until which no runs are preempted for the limit again, in milliseconds.
     pub(crate) preemption_due_ms: u64,
     pub(crate) room: UrgentRoom,
@@ -30,6 +32,7 @@
     fn default() -> Self {
         Self {
             by_service: BTreeMap::new(),
+            freed_ms: 0,
             preemption_due_ms: 0,
             room: UrgentRoom::default(),
             runs: BTreeSet::new(),
@@ -54,8 +57,9 @@
         }
     }
 
-    /// Removes a run that was added.
-    pub(crate) fn remove(&mut self, run: &RunView) {
+    /// Removes a run that was added and has ended now.
+    pub(crate) fn remove(&mut self, run: &RunView, now_ms: u64) {
+        self.freed_ms = now_ms;
         self.runs.remove(&run.run.task);
         self.total = self.total.saturating_sub(&run.demand);
         if let Some(of_service) = self.by_service.get_mut(&run.service) {
--- a/crates/jobs/tests/team_limits.rs
+++ b/crates/jobs/tests/team_limits.rs
@@ -70,6 +70,26 @@
     assert_eq!(cell.runs_of_job(urgent), 6);
 }
 
+/// Guards against room under the limit that stays free while an urgent step pauses.
+#[test]
+fn urgent_step_uses_room_under_the_limit_at_once() {
+    let mut cell = cell();
+    for _ in 0..LIMIT_TASKS {
+        cell.submit("team", "batch", step(1, BATCH_MS));
+        cell.run(TICK_MS);
+    }
+    cell.run(BATCH_MS / 2);
+    cell.submit("team", "urgent", step(LIMIT_TASKS as u32, BATCH_MS));
+    let mut runs = Vec::new();
+
+    for _ in 0..BATCH_MS / TICK_MS {
+        cell.tick();
+        runs.push(cell.runs_of("team"));
+    }
+
+    assert!(runs.iter().all(|runs| *runs == LIMIT_TASKS), "{runs:?}");
+}
+
 /// Guards against urgent steps of which each waits for the end of a batch task, although they arrive all
 /// the time.
 #[test]
