--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -54,6 +54,12 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TeamLabels {
+    service: String,
+    team: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WaitLabels {
     priority: u32,
@@ -75,6 +81,9 @@
     pub(crate) ready: Gauge,
     registry: Registry,
     reserved_workers: Family<ServiceLabel, Gauge>,
+    team_is_over: Family<TeamLabels, Gauge>,
+    team_share: Family<TeamLabels, Gauge>,
+    team_weight: Family<TeamLabels, Gauge>,
     untried_steps: Family<PriorityLabel, Gauge>,
     waiting_steps: Family<PriorityLabel, Gauge>,
     waits_ms: Family<WaitLabels, Gauge>,
@@ -104,6 +113,9 @@
             ready: Gauge::default(),
             registry: Registry::with_prefix("fuchsiatack"),
             reserved_workers: Family::default(),
+            team_is_over: Family::default(),
+            team_share: Family::default(),
+            team_weight: Family::default(),
             untried_steps: Family::default(),
             waiting_steps: Family::default(),
             waits_ms: Family::default(),
@@ -167,6 +179,21 @@
             "Workers of a service on which room is reserved for a waiting step; on the leader",
             metrics.reserved_workers.clone(),
         );
+        registry.register(
+            "team_share_thousandths",
+            "Dominant share of the runs of a team in a service, for the largest ones; on the leader",
+            metrics.team_share.clone(),
+        );
+        registry.register(
+            "team_is_over_share",
+            "1 while a team uses more than its share and steps wait for capacity; on the leader",
+            metrics.team_is_over.clone(),
+        );
+        registry.register(
+            "team_weight",
+            "Weight of a team that has one of the largest shares; on the leader",
+            metrics.team_weight.clone(),
+        );
         registry.register(
             "waits_ms",
             "Time that steps have waited in milliseconds, by priority and reason; on the leader, since it leads",
@@ -206,6 +233,7 @@
     pub(crate) fn set_report(&self, report: &CellReport) {
         self.set_backlog(report);
         self.set_rooms(report);
+        self.set_shares(report);
         self.advice_in_flight.set(report.advice_in_flight as i64);
         self.lapsed_tickets.set(report.lapsed_tickets as i64);
     }
@@ -245,6 +273,24 @@
         }
     }
 
+    fn set_shares(&self, report: &CellReport) {
+        self.team_is_over.clear();
+        self.team_share.clear();
+        self.team_weight.clear();
+        for entry in &report.shares {
+            let label = TeamLabels {
+                service: entry.service.to_string(),
+                team: entry.team.to_string(),
+            };
+            let is_over = self.team_is_over.get_or_create(&label);
+            is_over.set(i64::from(entry.is_over));
+            let share = self.team_share.get_or_create(&label);
+            share.set(entry.share_thousandths as i64);
+            let weight = self.team_weight.get_or_create(&label);
+            weight.set(i64::from(entry.weight));
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/crates/jobs/src/cell_report.rs
+++ b/crates/jobs/src/cell_report.rs
@@ -1,7 +1,7 @@
 //! Report on what waits in the cell and what is scarce.
 
 use {
-    crate::{PriorityBacklog, ServiceRoom},
+    crate::{PriorityBacklog, ServiceRoom, TeamShare},
     fuchsiatack_derives::value,
 };
 
@@ -18,4 +18,6 @@
     pub lapsed_tickets: u64,
     /// Room by service.
     pub rooms: Vec<ServiceRoom>,
+    /// The teams with the largest shares of a service, the largest first.
+    pub shares: Vec<TeamShare>,
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -51,6 +51,7 @@
 mod settings;
 mod step_spec;
 mod step_view;
+mod team_share;
 mod team_use;
 mod urgent_room;
 mod wait_reason;
@@ -92,6 +93,7 @@
     service_room::ServiceRoom,
     settings::PlannerSettings,
     step_spec::StepSpec,
+    team_share::TeamShare,
     wait_reason::WaitReason,
     wait_times::WaitTimes,
     worker_entry::WorkerEntry,
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -64,11 +64,13 @@
             }
         }
         let backlog = longest.into_values().map(|(_, backlog)| backlog).collect();
+        let rooms = self.rooms_of_services();
         let report = CellReport {
             advice_in_flight: self.advice_in_flight(),
             backlog,
             lapsed_tickets: self.lapsed_tickets,
-            rooms: self.rooms_of_services(),
+            shares: self.largest_shares(&rooms),
+            rooms,
         };
         if (self.now_ms / INTERVAL_MS).is_multiple_of(REPORTS_PER_ROOM_LOG) {
             for room in &report.rooms {
--- a/crates/jobs/src/plan_shares.rs
+++ b/crates/jobs/src/plan_shares.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        LogEvent, Planner, StepId, WaitReason,
+        LogEvent, Planner, ServiceRoom, StepId, TeamShare, WaitReason,
         fair_share::{self, Claim, Standing},
         plan_start::NO_CAPACITY_PAUSE_MS,
         step_view::StepView,
@@ -40,6 +40,8 @@
 const MAX_EARLY_STEPS: usize = 8;
 /// Maximum number of teams that a log event names.
 const MAX_LOGGED_TEAMS: usize = 5;
+/// Maximum number of teams in a report, which bounds the series of the metrics.
+const MAX_REPORTED_SHARES: usize = 8;
 
 /// Priority and service of a step.
 type Class = (u32, SmolStr);
@@ -277,6 +279,31 @@
         }
     }
 
+    /// Returns the teams with the largest shares of the services, the largest first.
+    pub(crate) fn largest_shares(&self, rooms: &[ServiceRoom]) -> Vec<TeamShare> {
+        let uses = self.teams.iter().flat_map(|(team, present)| {
+            let services = present.by_service.iter();
+            services.map(move |(service, used)| (team, service, used))
+        });
+        let shares = uses.filter_map(|(team, service, used)| {
+            let room = rooms.iter().find(|room| room.service == *service)?;
+            let share = fair_share::dominant_share(used, &room.capacity);
+            let standings = self.shares.standings.get(service);
+            let standing = standings.and_then(|present| present.by_team.get(team));
+            Some(TeamShare {
+                is_over: standing == Some(&Standing::Over),
+                service: service.clone(),
+                share_thousandths: (share * 1_000.0) as u64,
+                team: team.clone(),
+                weight: self.team_weight(team),
+            })
+        });
+        let mut shares: Vec<_> = shares.filter(|share| share.share_thousandths > 0).collect();
+        shares.sort_by_key(|share| Reverse(share.share_thousandths));
+        shares.truncate(MAX_REPORTED_SHARES);
+        shares
+    }
+
     /// Returns whether an urgent step is tried although it pauses: a run of its team, at the limit of which it
     /// waits, has ended since the last attempt.
     fn is_limit_freed(&self, view: &StepView) -> bool {
--- a/crates/jobs/tests/fair_shares.rs
+++ b/crates/jobs/tests/fair_shares.rs
@@ -175,6 +175,30 @@
     );
 }
 
+/// Guards against a division of which nobody can see why the steps of a team wait.
+#[test]
+fn report_shows_the_largest_shares() {
+    let mut cell = cell(&[("a", 1), ("b", 3)]);
+    let mut senders = [
+        Sender::new("a", STARTS_PER_S * 60 * 2),
+        Sender::new("b", STARTS_PER_S * 60 * 2),
+    ];
+    run(&mut cell, &mut senders[..1], 5_000);
+    run(&mut cell, &mut senders, 500);
+
+    cell.leader.advance(1_000);
+    let report = cell.leader.take_report().expect("a report is due each second");
+
+    let shares: Vec<_> = report
+        .shares
+        .iter()
+        .map(|share| (share.team.as_str(), share.weight, share.is_over))
+        .collect();
+    assert_eq!(shares, [("a", 1, true), ("b", 3, false)]);
+    let sum: u64 = report.shares.iter().map(|share| share.share_thousandths).sum();
+    assert!((800..=1_000).contains(&sum), "{sum}");
+}
+
 /// Returns what a team claims that asks for more than any share.
 fn greedy(used: f64, weight: u32) -> Claim {
     Claim {
