jobs: a team reclaims its lent share from checkpointed runs at last

Cause: long runs of some teams can fill a service for as long as they last, while another team waits for its share.

Change: a step in its turn that has waited for 5 s has checkpointed runs of the same priority stopped, of teams with a weaker standing, for one of its tasks; on the worker where the fewest have to be stopped, once in a turn, which lasts for 600 ms then. Turns after 2 s are given whenever a team with a weaker standing uses the service.

Measured: lent_share_is_reclaimed_from_checkpointed_runs_at_last fails without the change (a first try over reservations did not pass it either: they do not know the processors that are kept free for urgent work). cargo test -p fuchsiatack-jobs: all pass.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -35,6 +35,7 @@
 mod plan_pacing;
 mod plan_preemption;
 mod plan_prefetch;
+mod plan_reclaim;
 mod plan_renewals;
 mod plan_reservations;
 mod plan_runs;
--- a/crates/jobs/src/plan_preemption.rs
+++ b/crates/jobs/src/plan_preemption.rs
@@ -23,16 +23,17 @@
     /// Returns whether a step may have a run stopped: its job has a later priority, and it continues from
     /// its checkpoint elsewhere.
     pub(crate) fn is_preemptible(&self, seeker: Seeker, run: &RunView) -> bool {
+        let view = self.steps.get(&run.run.task.step);
+        view.is_some_and(|view| view.priority > seeker.priority) && self.continues_elsewhere(run)
+    }
+
+    /// Returns whether a run may be stopped since it continues from its checkpoint elsewhere.
+    pub(crate) fn continues_elsewhere(&self, run: &RunView) -> bool {
         let step = run.run.task.step;
         let Some(spec) = self.store.jobs.get(&step.job).and_then(|job| job.step(step.step)) else {
             return false;
         };
-        let is_later = self
-            .steps
-            .get(&step)
-            .is_some_and(|view| view.priority > seeker.priority);
-        is_later
-            && spec.checkpoints
+        spec.checkpoints
             && !spec.gang
             && !spec.long_running
             && spec.max_unavailable.is_none()
--- a/crates/jobs/src/plan_shares.rs
+++ b/crates/jobs/src/plan_shares.rs
@@ -7,6 +7,7 @@
     crate::{
         LogEvent, Planner, ServiceRoom, StepId, TeamShare, WaitReason,
         fair_share::{self, Claim, Standing},
+        plan_preemption::PREEMPTION_MS,
         plan_start::NO_CAPACITY_PAUSE_MS,
         step_view::StepView,
         team_use,
@@ -29,12 +30,15 @@
 /// Wait from which a step without a run may be tried before all others of its priority and service, in
 /// milliseconds.
 const STARVED_MS: u64 = 10_000;
-/// The same wait for the steps of teams that are not over their share, in milliseconds. Late ones would wait
-/// behind all steps of other teams that can still meet their objective.
+/// The same wait while teams with a weaker standing use the service, in milliseconds. Late steps would wait
+/// behind all steps of those that can still meet their objective.
 const STARVED_WITHIN_SHARE_MS: u64 = 2_000;
 /// Time for which one step of a priority and service at a time is tried first since it has waited for long,
 /// in milliseconds. It bounds what these steps take from those that can still meet their objective.
 const STARVED_TURN_MS: u64 = 200;
+/// Wait from which a step in its turn may have checkpointed runs of teams with a weaker standing stopped, in
+/// milliseconds. Most runs end before, and a stop costs what was done since the last checkpoint.
+const RECLAIM_MS: u64 = 5_000;
 /// Maximum number of steps that one planning pass tries during their pause since room has become free. It
 /// bounds the processor time of a pass, and more than the runs that end between two passes.
 const MAX_EARLY_STEPS: usize = 8;
@@ -54,6 +58,16 @@
     last: Standing,
 }
 
+/// Turn of a step that has waited for long.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    /// Whether runs were stopped for the step.
+    has_reclaimed: bool,
+    step: StepId,
+    /// Time at which the turn ends.
+    until_ms: u64,
+}
+
 /// Result of the last comparison.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Shares {
@@ -71,8 +85,8 @@
     freed_ms: BTreeMap<SmolStr, u64>,
     /// Time of the last turn of a step that had waited for long, by team.
     last_turns_ms: BTreeMap<TeamName, u64>,
-    /// Step that is tried first since it has waited for long, and the time until which it is, by class.
-    turns: BTreeMap<Class, (StepId, u64)>,
+    /// Step that is tried first since it has waited for long, by class.
+    turns: BTreeMap<Class, Turn>,
 }
 
 impl Shares {
@@ -109,7 +123,7 @@
     /// Returns whether a step has a turn since it has waited for long.
     fn has_turn(&self, step: StepId, view: &StepView) -> bool {
         let turn = self.turns.get(&(view.priority, view.service.clone()));
-        turn.is_some_and(|(present, _)| *present == step)
+        turn.is_some_and(|turn| turn.step == step)
     }
 
     /// Returns whether a step is tried although it pauses: room has become free since the last attempt, and
@@ -346,26 +360,50 @@
         order.map(|(_, step, _)| step).collect()
     }
 
+    /// Returns whether runs of teams with a weaker standing may be stopped for a step: it has a turn, and has
+    /// waited for longer than most runs last.
+    pub(crate) fn may_reclaim(&self, step: StepId) -> bool {
+        let Some(view) = self.steps.get(&step) else {
+            return false;
+        };
+        let turn = self.shares.turns.get(&(view.priority, view.service.clone()));
+        turn.is_some_and(|turn| turn.step == step && !turn.has_reclaimed)
+            && view.wait_ms(self.now_ms).is_some_and(|ms| ms >= RECLAIM_MS)
+            && self.has_weaker(view)
+    }
+
+    /// Extends the turn of a step until the room of stopped runs is free.
+    pub(crate) fn extend_turn(&mut self, step: StepId) {
+        let until_ms = self.now_ms + PREEMPTION_MS;
+        let turns = self.shares.turns.values_mut();
+        for turn in turns.filter(|turn| turn.step == step) {
+            turn.has_reclaimed = true;
+            turn.until_ms = until_ms;
+        }
+    }
+
+    /// Returns whether a team with a weaker standing than that of a step uses its service, or waits for it.
+    fn has_weaker(&self, view: &StepView) -> bool {
+        let standings = self.shares.standings.get(&view.service);
+        standings.is_some_and(|present| present.last > view.standing)
+    }
+
     /// Gives turns to steps that have waited for long in a class in which steps wait for capacity, those of
     /// the team whose last turn was longest ago first.
     fn give_turns(&mut self) {
         let now_ms = self.now_ms;
-        self.shares.turns.retain(|_, (_, until_ms)| now_ms < *until_ms);
+        self.shares.turns.retain(|_, turn| now_ms < turn.until_ms);
         if self.shares.contended_until_ms.is_empty() {
             self.shares.last_turns_ms.clear();
             return;
         }
-        let has_over = |view: &StepView| {
-            let standings = self.shares.standings.get(&view.service);
-            standings.is_some_and(|present| present.last == Standing::Over)
-        };
         let mut longest = BTreeMap::new();
         for (step, view) in &self.steps {
             let wait_ms = view.wait_ms(now_ms).unwrap_or(0);
             if wait_ms < STARVED_WITHIN_SHARE_MS || view.is_long_running {
                 continue;
             }
-            if wait_ms < STARVED_MS && (view.standing == Standing::Over || !has_over(view)) {
+            if wait_ms < STARVED_MS && !self.has_weaker(view) {
                 continue;
             }
             let class = (view.priority, view.service.clone());
@@ -379,7 +417,11 @@
             }
         }
         for (class, (.., step)) in longest {
-            let turn = (step, now_ms + STARVED_TURN_MS);
+            let turn = Turn {
+                has_reclaimed: false,
+                step,
+                until_ms: now_ms + STARVED_TURN_MS,
+            };
             self.shares.turns.insert(class, turn);
             if let Some(view) = self.steps.get(&step) {
                 self.shares.last_turns_ms.insert(view.team.clone(), now_ms);
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -241,7 +241,10 @@
             WaitReason::NoCapacity if self.may_preempt(step) => {
                 self.reserve_room(step, spec, &service, advice.as_ref(), left)
             }
-            _ => None,
+            _ => {
+                self.reclaim_for(step, spec, &service, kept_free_percent);
+                None
+            }
         };
         Err(reserved.unwrap_or(reason))
     }
--- a/crates/jobs/tests/fair_shares.rs
+++ b/crates/jobs/tests/fair_shares.rs
@@ -5,7 +5,7 @@
 use {
     common::{TICK_MS, TeamCell, step},
     fuchsiatack_jobs::{
-        JobId, Team,
+        JobId, StepSpec, Team,
         fair_share::{self, Claim, Standing},
     },
     fuchsiatack_model::Resources,
@@ -175,6 +175,45 @@
     );
 }
 
+/// Returns a cell of which team `a` uses all room for long, and a job that team `b` has submitted since.
+fn cell_in_use(checkpoints: bool) -> (TeamCell, JobId) {
+    let mut cell = cell(&[("a", 1), ("b", 1)]);
+    let lasting = StepSpec {
+        checkpoints,
+        ..step(ROOM_TASKS as u32 * 2, 200_000)
+    };
+    cell.submit("a", "batch", lasting);
+    cell.run(1_000);
+    let job = cell.submit("b", "batch", step(1, TASK_MS));
+    cell.submit("b", "batch", step(1, TASK_MS));
+    (cell, job)
+}
+
+/// Guards against a share that is lent to long runs and never comes back.
+#[test]
+fn lent_share_is_reclaimed_from_checkpointed_runs_at_last() {
+    let (mut cell, job) = cell_in_use(true);
+
+    cell.run(4_000);
+    let early_stops = cell.stops.len();
+    cell.run(6_000);
+
+    assert_eq!(early_stops, 0, "runs may end by themselves before");
+    assert!(cell.wait_ms(job).is_some());
+    let stops: usize = cell.stops.values().sum();
+    assert!((1..=2).contains(&stops), "{stops} stops for two tasks");
+}
+
+/// Guards against a reclaim that loses the work of runs without checkpoints.
+#[test]
+fn runs_without_checkpoints_are_not_stopped_for_a_share() {
+    let (mut cell, _) = cell_in_use(false);
+
+    cell.run(20_000);
+
+    assert!(cell.stops.is_empty());
+}
+
 /// Guards against a division of which nobody can see why the steps of a team wait.
 #[test]
 fn report_shows_the_largest_shares() {
