jobs: an urgent step keeps batch steps of its team waiting for 10 s at most

Cause: an urgent task wider than the limit of its team, or one beside lasting runs of the team, waits by the limit for ever and kept all room under the limit from the team's batch steps.

Change: urgent steps count for 10 s of their wait, whatever they lack, and tasks wider than the limit do not count.

Measured: urgent_task_wider_than_the_limit_keeps_no_batch_step_waiting and urgent_step_without_a_worker_keeps_batch_steps_waiting_for_ten_seconds_at_most pass, with the other tests of team_limits.rs (14) and fair_shares.rs (11).

--- a/crates/jobs/src/plan_team_limits.rs
+++ b/crates/jobs/src/plan_team_limits.rs
@@ -13,8 +13,8 @@
     std::cmp::Reverse,
 };
 
-/// Wait from which an urgent step that lacks something else than room under the limit does not keep batch
-/// steps of its team waiting, in milliseconds. Some steps fit no worker.
+/// Wait from which an urgent step does not keep batch steps of its team waiting, in milliseconds. Some fit no
+/// worker, and some wait beside lasting runs of the team.
 const MAX_KEEPING_MS: u64 = 10_000;
 /// Wait from which a batch step without a run may use the room for the urgent work of its team, in
 /// milliseconds.
@@ -60,9 +60,8 @@
         }
         let top_priority = self.top_priority();
         let urgent = self.steps.iter().filter(|(_, view)| {
-            let is_limited = view.wait_reason == Some(crate::WaitReason::TeamLimit);
-            let is_new = || view.wait_ms(self.now_ms).is_some_and(|ms| ms < MAX_KEEPING_MS);
-            Some(view.priority) == top_priority && !view.waiting.is_empty() && (is_limited || is_new())
+            let wait_ms = view.wait_ms(self.now_ms);
+            Some(view.priority) == top_priority && wait_ms.is_some_and(|ms| ms < MAX_KEEPING_MS)
         });
         let needs: Vec<_> = urgent
             .filter_map(|(step, view)| {
@@ -70,8 +69,8 @@
                 let (team, spec) = (job.team.as_ref()?, job.step(step.step)?);
                 let needed = team_use::demand_of(&spec.demand, view.waiting.len());
                 let limit = self.team_limit(team)?;
-                let is_possible = !spec.gang || is_within(&limit, &needed);
-                is_possible.then(|| (team.clone(), needed))
+                let least = if spec.gang { &needed } else { &spec.demand };
+                is_within(&limit, least).then(|| (team.clone(), needed))
             })
             .collect();
         for (team, needed) in needs {
--- a/crates/jobs/tests/team_limits.rs
+++ b/crates/jobs/tests/team_limits.rs
@@ -5,6 +5,7 @@
 use {
     common::{TICK_MS, TeamCell, step},
     fuchsiatack_jobs::{JobId, StepSpec},
+    fuchsiatack_model::Resources,
 };
 
 /// Number of workers of a cell. They have room for far more than the limits in these tests allow.
@@ -217,6 +218,46 @@
     assert_eq!(cell.runs_of_job(batch), LIMIT_TASKS);
 }
 
+/// Guards against batch steps that wait for an urgent task which the limit never allows.
+#[test]
+fn urgent_task_wider_than_the_limit_keeps_no_batch_step_waiting() {
+    let mut cell = cell();
+    let wide = StepSpec {
+        demand: Resources {
+            processors_millis: (LIMIT + 1) * 1_000,
+            ..Resources::NONE
+        },
+        ..step(1, URGENT_MS)
+    };
+    cell.submit("team", "urgent", wide);
+    cell.run(1_000);
+
+    let batch = cell.submit("team", "batch", step(1, BATCH_MS));
+    cell.run(1_000);
+
+    let wait_ms = cell.wait_ms(batch);
+    assert!(
+        wait_ms.is_some_and(|ms| ms <= SHORT_WAIT_MS),
+        "waited {wait_ms:?} ms"
+    );
+}
+
+/// Guards against batch steps that never start since an urgent step fits no worker.
+#[test]
+fn urgent_step_without_a_worker_keeps_batch_steps_waiting_for_ten_seconds_at_most() {
+    let mut cell = cell();
+    let unplaceable = StepSpec {
+        required_label: Some("none".into()),
+        ..step(100, URGENT_MS)
+    };
+    cell.submit("team", "urgent", unplaceable);
+    let batch = cell.submit("team", "batch", step(LIMIT_TASKS as u32, LASTING_MS));
+
+    cell.run(14_000);
+
+    assert_eq!(cell.runs_of_job(batch), LIMIT_TASKS);
+}
+
 /// Guards against a batch gang of the whole limit that never starts, since room is always kept for urgent
 /// steps of its team.
 #[test]
