--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -40,12 +40,15 @@
 mod plan_pacing;
 mod plan_preemption;
 mod plan_prefetch;
+mod plan_reclaim;
 mod plan_renewals;
 mod plan_reservations;
 mod plan_runs;
+mod plan_shares;
 mod plan_stalls;
 mod plan_start;
 mod plan_steps;
+mod plan_team_limits;
 mod plan_workers;
 mod planner;
 mod progress;
@@ -54,6 +57,9 @@
 mod settings;
 mod step_spec;
 mod step_view;
+mod team_share;
+mod team_use;
+mod urgent_room;
 mod wait_reason;
 mod wait_times;
 mod worker_entry;
@@ -62,6 +68,7 @@
 mod worker_report;
 mod worker_view;
 
+pub mod fair_share;
 pub mod placement;
 pub mod reservation;
 
@@ -94,6 +101,7 @@
     service_room::ServiceRoom,
     settings::PlannerSettings,
     step_spec::StepSpec,
+    team_share::TeamShare,
     wait_reason::WaitReason,
     wait_times::WaitTimes,
     worker_entry::WorkerEntry,
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -3,8 +3,10 @@
 use {
     crate::{
         JobId, Planner, StepId, TaskKey, WaitTimes,
+        fair_share::Standing,
         step_view::{StepAdvice, StepView},
     },
+    fuchsiatack_model::Resources,
     std::collections::BTreeSet,
 };
 
@@ -70,7 +72,8 @@
         let (stretch, target_ms, priority) = queue.map_or((1.0, 0, u32::MAX), |queue| {
             (queue.stretch, queue.target_latency_ms, queue.priority)
         });
-        let (chain_ms, due_unix_ms, remaining_ms) = self.store.jobs.get(&step.job).map_or((0, 0, 0), |job| {
+        let job = self.store.jobs.get(&step.job);
+        let (chain_ms, due_unix_ms, remaining_ms) = job.map_or((0, 0, 0), |job| {
             let remaining_ms = job
                 .spec
                 .steps
@@ -85,9 +88,10 @@
         });
         let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
         let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
-        let spec = self.store.jobs.get(&step.job).and_then(|job| job.step(step.step));
-        StepView {
+        let spec = job.and_then(|job| job.step(step.step));
+        let mut view = StepView {
             advice: StepAdvice::default(),
+            demand: spec.map_or(Resources::NONE, |spec| spec.demand),
             due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
             durations_ms: Vec::new(),
             failed_on: Default::default(),
@@ -96,13 +100,18 @@
             is_prefetch: false,
             priority,
             remaining_ms: remaining_ms.min(chain_ms),
+            service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
+            standing: Standing::default(),
+            team: job.and_then(|job| job.team.clone()).unwrap_or_default(),
             tried_ms: self.now_ms,
             turn_ms: 0,
             wait_reason: None,
             waiting: BTreeSet::new(),
             waiting_since_ms: None,
             waits: WaitTimes::default(),
-        }
+        };
+        view.standing = self.shares.standing_of(&view);
+        view
     }
 
     fn waiting_tasks(&self, step: StepId) -> BTreeSet<u32> {
--- a/crates/jobs/src/run_view.rs
+++ b/crates/jobs/src/run_view.rs
@@ -83,11 +83,16 @@
     pub(crate) is_inherited: bool,
     /// Whether the loss of its worker is recorded for its task.
     pub(crate) is_loss_recorded: bool,
+    /// Whether its queue had the first priority when it was added.
+    pub(crate) is_urgent: bool,
     pub(crate) progress: Progress,
     pub(crate) run: RunId,
+    /// Service of its queue; empty if the queue was not configured when it was added.
+    pub(crate) service: SmolStr,
     pub(crate) start_order: StartOrder,
     pub(crate) started_ms: u64,
     pub(crate) state: RunState,
-    pub(crate) team: Option<TeamName>,
+    /// Team of its job; the empty name if it has none.
+    pub(crate) team: TeamName,
     pub(crate) worker: WorkerName,
 }
