jobs: steps ask for advice only on workers that have room for them

Cause: in a full cell a step without tickets asked for at least 30 workers, full ones among them, and again for all known ones whenever its tickets had expired. At 420 ms and 6 ms a worker the requests occupied the daemons that other steps waited for. Change: a step that is not urgent, not lasting and reserves no room names only workers that have room, or are expected to have it in the first half of the tickets' validity. Room that other steps of its priority are about to use counts as taken (advice_claims). Known workers come first; the number of others follows from the need, the known eligible share and the cost (request_size). Urgent and lasting steps and gangs ask as before. The stand-in of the service in the tests may reject a share of the workers and numbers its responses.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! replicate. `Planner` runs on the leader: it takes events and returns commands to replicate and
 //! effects to carry out.
 
+mod advice_claims;
 mod advice_error;
 mod advice_senders;
 mod calls;
@@ -23,6 +24,7 @@
 mod output;
 mod pacing;
 mod plan_advice;
+mod plan_advice_room;
 mod plan_attempts;
 mod plan_backlog;
 mod plan_calls;
@@ -58,6 +60,7 @@
 mod worker_view;
 
 pub mod placement;
+pub mod request_size;
 pub mod reservation;
 
 pub use self::{
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -59,7 +59,7 @@
 
     /// Returns whether the task would share processors, and its expected duration in thousandths of the
     /// estimate, with the penalty for the choice of the worker.
-    fn cost(&self, reserved: &Resources) -> (bool, u64) {
+    pub(crate) fn cost(&self, reserved: &Resources) -> (bool, u64) {
         let distance = if self.is_near_data {
             1_000
         } else {
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -18,7 +18,7 @@
 const MIN_SAMPLE: usize = 8;
 /// Time before the expiry of a ticket from which it is not used, in milliseconds. It covers the
 /// delivery of the response, the commit of the start and the delivery of the order.
-const TICKET_MARGIN_MS: u64 = 250;
+pub(crate) const TICKET_MARGIN_MS: u64 = 250;
 /// Assumed share of eligible workers for a queue without responses so far, in thousandths.
 const DEFAULT_ELIGIBLE_THOUSANDTHS: u64 = 400;
 /// Maximum number of tasks of one step that are expected on the same worker.
@@ -118,10 +118,15 @@
         }
     }
 
-    fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
+    /// Returns whether a step is in a queue of the first priority.
+    pub(crate) fn is_urgent(&self, step: StepId) -> bool {
         let priority = self.steps.get(&step).map(|view| view.priority);
+        priority.is_some() && priority == self.top_priority()
+    }
+
+    fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
         RequestLoad {
-            is_urgent: priority.is_some() && priority == self.top_priority(),
+            is_urgent: self.is_urgent(step),
             response_ms: policy.response_ms(workers),
         }
     }
@@ -212,7 +217,7 @@
         WaitReason::AwaitsAdvice
     }
 
-    fn eligible_share(&self, step: StepId) -> u64 {
+    pub(crate) fn eligible_share(&self, step: StepId) -> u64 {
         let queue = self.store.jobs.get(&step.job).map(|job| &job.queue);
         let share = queue.and_then(|queue| self.eligible_shares.get(queue));
         share.copied().unwrap_or(DEFAULT_ELIGIBLE_THOUSANDTHS)
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -8,9 +8,11 @@
     crate::{
         CallId, Callee, CellResponse, Effect, JobCommand, JobEvent, JobId, JobStore, KindSpeed, LogEvent,
         Output, PlannerSettings, Progress, Queue, RunId, StepId, TaskKey, WaitTimes, WorkerOrder,
+        advice_claims::AdviceClaims,
         advice_senders::AdviceSenders,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         pacing::Pacing,
+        plan_advice_room::RoomForecast,
         plan_late_starts::LateStart,
         reservation::Reservations,
         run_view::{RunState, RunView},
@@ -34,9 +36,13 @@
 
 /// Scheduler of the leader: turns events into commands and effects.
 pub struct Planner {
+    /// Room that steps with tickets, or that await them, are expected to use.
+    pub(crate) advice_claims: AdviceClaims,
     pub(crate) advice_senders: AdviceSenders,
     /// Whether most heartbeats are overdue.
     pub(crate) are_heartbeats_late: bool,
+    /// Time of the planning pass in which the claims were computed.
+    pub(crate) claims_ms: Option<u64>,
     /// Time of the next report of the waiting steps.
     pub(crate) backlog_due_ms: u64,
     /// Last priority of the open steps in the present planning pass.
@@ -84,6 +90,8 @@
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Room that is kept for waiting steps.
     pub(crate) reservations: Reservations,
+    /// Expected ends of the present runs.
+    pub(crate) room_forecast: RoomForecast,
     /// Number of workers that the present planning pass may still search for room to reserve.
     pub(crate) room_searches_left: usize,
     /// Occurrences that are due later, as due time since the Unix epoch in milliseconds, job and
@@ -111,8 +119,10 @@
         now_unix_ms: u64,
     ) -> Self {
         let mut planner = Self {
+            advice_claims: AdviceClaims::default(),
             advice_senders: AdviceSenders::new(),
             are_heartbeats_late: false,
+            claims_ms: None,
             backlog_due_ms: now_ms,
             lapsed_tickets: 0,
             last_priority: None,
@@ -140,6 +150,7 @@
             first_priorities: BTreeMap::new(),
             runs: BTreeMap::new(),
             reservations: Reservations::default(),
+            room_forecast: RoomForecast::default(),
             room_searches_left: 0,
             scheduled: BTreeSet::new(),
             settings,
--- /dev/null
+++ b/crates/jobs/src/request_size.rs
@@ -0,0 +1,40 @@
+//! Chooses how many workers an advice request names.
+//!
+//! Handles queues whose requests have a large fixed cost. A request that names too few workers has to be
+//! followed by another one, and each further worker costs time at the service. The size with the least
+//! expected time until enough workers are found is chosen.
+
+use crate::AdvicePolicy;
+
+/// Lowest share of eligible workers that a request expects, in thousandths. It bounds the size after a few
+/// responses without an eligible worker.
+const MIN_ELIGIBLE_THOUSANDTHS: u64 = 50;
+/// Highest share of eligible workers that a request expects, in thousandths.
+const MAX_ELIGIBLE_THOUSANDTHS: u64 = 990;
+
+/// Returns the number of workers, at most `limit`, at which a request is expected to take the least time at
+/// the service until `needed` eligible workers are found. Each worker is eligible with the given share.
+pub fn request_size(needed: usize, eligible_thousandths: u64, policy: &AdvicePolicy, limit: usize) -> usize {
+    let needed = needed.clamp(1, limit.max(1));
+    let share = eligible_thousandths.clamp(MIN_ELIGIBLE_THOUSANDTHS, MAX_ELIGIBLE_THOUSANDTHS);
+    let share = share as f64 / 1_000.0;
+    // Probabilities that exactly 0, 1, ... of the workers so far are eligible, up to `needed - 1`.
+    let mut too_few = vec![0.0; needed];
+    too_few[0] = 1.0;
+    let mut best = (f64::INFINITY, limit);
+    for workers in 1..=limit {
+        for count in (0..needed).rev() {
+            let fewer = if count > 0 { too_few[count - 1] } else { 0.0 };
+            too_few[count] = too_few[count] * (1.0 - share) + fewer * share;
+        }
+        let is_enough = 1.0 - too_few.iter().sum::<f64>();
+        let cost_us = policy.base_us + policy.per_worker_us * workers as u64;
+        // A request that finds too few is repeated for the rest. The square weighs the wait of the step beside
+        // the time of the service.
+        let expected_us = cost_us as f64 / (is_enough * is_enough);
+        if expected_us < best.0 {
+            best = (expected_us, workers);
+        }
+    }
+    best.1
+}
--- /dev/null
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -0,0 +1,389 @@
+//! Replays of loads under which the advice service is scarce: slow requests, tickets that expire, and
+//! steps that only some workers may run.
+
+mod common;
+
+use {
+    common::{AdviceService, Leader, Sent, advised_queue, step},
+    fuchsiatack_jobs::{
+        AdvicePolicy, CellCall, Configuration, EndedRun, EntryReport, HoldKind, HoldReport, JobId, ListedEnd,
+        ListedRun, Queue, RunId, StepId, StepSpec,
+    },
+    fuchsiatack_model::{QueueName, WorkerName},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+const TICK_MS: u64 = 10;
+/// Number of daemons that send requests, beside the leader.
+const DAEMONS: u16 = 12;
+const WORKERS: usize = 112;
+/// Validity of a ticket of the batch queue in milliseconds.
+const VALID_MS: u64 = 2_000;
+/// Share of the workers that may not run a step, in percent.
+const INELIGIBLE_PERCENT: u64 = 65;
+/// Identifiers of urgent jobs begin here, those of batch jobs at 1.
+const FIRST_URGENT: u64 = 1_000_000;
+/// Identifier of the gang.
+const GANG: JobId = JobId(900_000);
+
+/// Returns a queue whose advice requests take about half a second.
+fn batch_queue() -> Queue {
+    Queue {
+        advice: Some(AdvicePolicy {
+            base_us: 420_000,
+            per_worker_us: 6_000,
+            valid_ms: VALID_MS,
+        }),
+        name: QueueName::new("batch"),
+        path_prefix: "/batch/".into(),
+        priority: 1,
+        target_latency_ms: 2_500,
+        ..advised_queue()
+    }
+}
+
+/// Returns a step of tasks that need nearly half of a worker each.
+fn batch_step(tasks: u32, estimated_ms: u64) -> StepSpec {
+    let mut step = step(tasks, estimated_ms);
+    step.demand.processors_millis = 7_000;
+    step
+}
+
+/// A ticket that the service has issued and that no start has used.
+struct Ticket {
+    call: u64,
+    until_ms: u64,
+}
+
+/// A leader with workers, daemons and a slow advice service, in simulated time.
+struct Cell {
+    calls: u64,
+    /// Calls of which a ticket was used.
+    calls_used: BTreeSet<u64>,
+    ended: BTreeMap<WorkerName, u64>,
+    ends: BTreeMap<(u64, u64), (WorkerName, RunId)>,
+    issued_tickets: u64,
+    leader: Leader,
+    orders: u64,
+    runs_on: BTreeMap<WorkerName, BTreeSet<RunId>>,
+    service: AdviceService,
+    started_ms: BTreeMap<JobId, u64>,
+    submitted_ms: BTreeMap<JobId, u64>,
+    tickets: BTreeMap<(StepId, WorkerName), Ticket>,
+    used_tickets: u64,
+    workers: Vec<String>,
+}
+
+/// What a replay has shown of the batch jobs.
+#[derive(Debug)]
+struct Outcome {
+    calls: u64,
+    calls_without_start: u64,
+    lapsed_tickets: u64,
+    starts: u64,
+    /// Number of jobs that have not started.
+    unstarted: usize,
+    /// Time from submission to first start at the 95th percentile, in milliseconds.
+    wait_ms: u64,
+}
+
+impl Cell {
+    fn new() -> Self {
+        let workers: Vec<_> = (0..WORKERS).map(|number| format!("w-{number:03}")).collect();
+        let names: Vec<_> = workers.iter().map(String::as_str).collect();
+        let mut cell = Self {
+            calls: 0,
+            calls_used: BTreeSet::new(),
+            ended: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            issued_tickets: 0,
+            leader: Leader::new(advised_queue(), &names),
+            orders: 0,
+            runs_on: BTreeMap::new(),
+            service: AdviceService::with_ineligible(INELIGIBLE_PERCENT),
+            started_ms: BTreeMap::new(),
+            submitted_ms: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            used_tickets: 0,
+            workers: workers.clone(),
+        };
+        let configuration = Configuration {
+            queues: vec![advised_queue(), batch_queue()],
+            version: 2,
+            ..common::configuration(advised_queue())
+        };
+        cell.leader.call(CellCall::Configure(Box::new(configuration)));
+        cell.announce();
+        cell
+    }
+
+    fn announce(&mut self) {
+        for port in 1..=DAEMONS {
+            self.leader.call(CellCall::Entry(EntryReport {
+                address: ([127, 0, 0, 1], port).into(),
+                name: format!("daemon-{port}").into(),
+                stopping: false,
+            }));
+        }
+    }
+
+    fn submit(&mut self, prefix: &str, job: JobId, spec: StepSpec) {
+        self.submitted_ms.insert(job, self.leader.now_ms);
+        self.leader.submit_to(prefix, job, vec![spec]);
+    }
+
+    /// Submits a batch job whose width and duration depend on its number.
+    fn submit_batch(&mut self, number: u64) {
+        let tasks = [1, 2, 1, 4, 2, 8, 1, 3][(number % 8) as usize];
+        let estimated_ms = 2_000 + number * 977 % 4_000;
+        self.submit("batch", JobId(number), batch_step(tasks, estimated_ms));
+    }
+
+    /// Advances the time by one tick, and responds to the leader's calls.
+    fn tick(&mut self) {
+        self.leader.advance(TICK_MS);
+        let now_ms = self.leader.now_ms;
+        if now_ms.is_multiple_of(500) {
+            self.announce();
+            for worker in &self.workers {
+                self.leader.heartbeat(worker);
+            }
+        }
+        for (by, response) in self.service.take_responses(now_ms) {
+            let step = response.request.step;
+            for (worker, _) in response.result.iter().flat_map(|advice| &advice.eligible) {
+                if is_batch(step.job) {
+                    self.issued_tickets += 1;
+                    let ticket = Ticket {
+                        call: response.number,
+                        until_ms: now_ms + VALID_MS,
+                    };
+                    self.tickets.insert((step, worker.clone()), ticket);
+                }
+            }
+            self.leader.advice_ended(by, response);
+        }
+        while let Some(entry) = self.ends.first_entry().filter(|entry| entry.key().0 <= now_ms) {
+            let (worker, run) = entry.remove();
+            self.report_end(run, &worker);
+        }
+        for call in self.leader.take_calls() {
+            self.handle(call);
+        }
+    }
+
+    fn handle(&mut self, call: Sent) {
+        let now_ms = self.leader.now_ms;
+        match call {
+            Sent::Advise { by, request } => {
+                assert!(request.workers.len() <= 100, "{} workers", request.workers.len());
+                let queue = match is_batch(request.step.job) {
+                    true => batch_queue(),
+                    false => advised_queue(),
+                };
+                self.calls += u64::from(is_batch(request.step.job));
+                let policy = queue.advice.expect("both queues need advice");
+                let response_ms = policy.response_ms(request.workers.len());
+                self.service.request(now_ms, by, request, response_ms);
+            }
+            Sent::Start { run, worker } => self.start(run, worker),
+            Sent::Stop { run, worker } => self.leader.stopped(&worker, run),
+            Sent::Check(_) | Sent::Pace { .. } | Sent::Renew { .. } => {}
+        }
+    }
+
+    fn start(&mut self, run: RunId, worker: WorkerName) {
+        let now_ms = self.leader.now_ms;
+        let step = run.task.step;
+        self.started_ms.entry(step.job).or_insert(now_ms);
+        if let Some(ticket) = self.tickets.remove(&(step, worker.clone())) {
+            assert!(now_ms <= ticket.until_ms, "started with an expired ticket");
+            self.used_tickets += 1;
+            self.calls_used.insert(ticket.call);
+        }
+        self.leader.started(&worker, run, Ok(now_ms));
+        self.runs_on.entry(worker.clone()).or_default().insert(run);
+        self.orders += 1;
+        let job = self.leader.store().jobs.get(&step.job);
+        let estimated_ms = job
+            .and_then(|job| job.step(step.step))
+            .map_or(0, |spec| spec.estimated_ms);
+        // Durations deviate from their estimates.
+        let duration_ms = estimated_ms * (80 + self.orders * 37 % 50) / 100;
+        self.ends
+            .insert((now_ms + duration_ms, self.orders), (worker, run));
+    }
+
+    /// Reports the end of a run, and the runs that its worker still has.
+    fn report_end(&mut self, run: RunId, worker: &WorkerName) {
+        let number = self.ended.entry(worker.clone()).or_default();
+        *number += 1;
+        let present = self.runs_on.entry(worker.clone()).or_default();
+        present.remove(&run);
+        let running = present.iter().map(|run| ListedRun {
+            checkpoint: "".into(),
+            percent: 0,
+            run: *run,
+            usage: 0,
+        });
+        let report = HoldReport {
+            started_unix_ms: Some(1),
+            clock_ms: self.leader.now_ms,
+            ended: vec![EndedRun {
+                checkpoint: "".into(),
+                end: ListedEnd::Done,
+                reason: "done".into(),
+                run,
+                sequence: *number,
+            }],
+            running: running.collect(),
+            unreadable_rows: Vec::new(),
+        };
+        self.leader
+            .complete_hold(worker.as_str(), HoldKind::Check, Ok(report));
+    }
+
+    /// Runs for `duration_ms` with `batch` and `urgent` jobs in each ten seconds.
+    fn run(&mut self, duration_ms: u64, batch: u64, urgent: u64) {
+        let begin_ms = self.leader.now_ms;
+        let first = self.submitted_ms.range(..GANG).count() as u64 + 1;
+        let first_urgent = self.submitted_ms.range(JobId(FIRST_URGENT)..).count() as u64 + FIRST_URGENT;
+        let (mut sent, mut sent_urgent) = (0, 0);
+        while self.leader.now_ms < begin_ms + duration_ms {
+            let elapsed_ms = self.leader.now_ms - begin_ms;
+            while sent * 10_000 < elapsed_ms * batch {
+                self.submit_batch(first + sent);
+                sent += 1;
+            }
+            while sent_urgent * 10_000 < elapsed_ms * urgent {
+                self.submit("q", JobId(first_urgent + sent_urgent), step(1, 200));
+                sent_urgent += 1;
+            }
+            self.tick();
+        }
+    }
+
+    fn wait_ms(&self, job: JobId) -> Option<u64> {
+        Some(self.started_ms.get(&job)? - self.submitted_ms.get(&job)?)
+    }
+
+    /// Returns the wait at a quantile of some jobs, in milliseconds. One that has not started counts as if it
+    /// started now.
+    fn quantile_ms(&self, jobs: impl Iterator<Item = JobId>, percent: usize) -> u64 {
+        let now_ms = self.leader.now_ms;
+        let mut waits_ms: Vec<_> = jobs
+            .map(|job| self.wait_ms(job).unwrap_or(now_ms - self.submitted_ms[&job]))
+            .collect();
+        waits_ms.sort_unstable();
+        waits_ms[(waits_ms.len() - 1) * percent / 100]
+    }
+
+    fn urgent_wait_ms(&self, percent: usize) -> u64 {
+        let jobs = self.submitted_ms.range(JobId(FIRST_URGENT)..);
+        self.quantile_ms(jobs.map(|(job, _)| *job), percent)
+    }
+
+    fn outcome(&self) -> Outcome {
+        let now_ms = self.leader.now_ms;
+        let jobs = || {
+            self.submitted_ms
+                .range(..JobId(FIRST_URGENT))
+                .map(|(job, _)| *job)
+        };
+        let valid = self.tickets.values().filter(|ticket| ticket.until_ms >= now_ms);
+        Outcome {
+            calls: self.calls,
+            calls_without_start: self.calls - self.calls_used.len() as u64,
+            lapsed_tickets: self.issued_tickets - self.used_tickets - valid.count() as u64,
+            starts: self.started_ms.range(..JobId(FIRST_URGENT)).count() as u64,
+            unstarted: jobs().filter(|job| !self.started_ms.contains_key(job)).count(),
+            wait_ms: self.quantile_ms(jobs(), 95),
+        }
+    }
+}
+
+fn is_batch(job: JobId) -> bool {
+    job.0 < FIRST_URGENT
+}
+
+/// Replays a burst of batch jobs beside urgent ones, with room for all of them. Returns the cell after it.
+fn burst() -> Cell {
+    let mut cell = Cell::new();
+    cell.run(6_000, 60, 200);
+    cell.run(1_000, 500, 200);
+    cell.run(13_000, 60, 200);
+    cell
+}
+
+/// Replays more batch jobs than the workers have room for, beside urgent jobs.
+fn overload() -> Cell {
+    let mut cell = Cell::new();
+    cell.run(20_000, 240, 200);
+    cell
+}
+
+/// Replays a cell that long tasks fill for about ten seconds while other jobs wait.
+fn full_cell() -> Cell {
+    let mut cell = Cell::new();
+    for job in 1..=12 {
+        cell.submit("batch", JobId(job), batch_step(24, 10_000));
+    }
+    cell.run(5_000, 0, 0);
+    cell.run(1_000, 200, 20);
+    cell.run(10_000, 0, 20);
+    cell
+}
+
+/// Replays a gang of `tasks` members beside batch jobs.
+fn wide_gang(tasks: u32) -> Cell {
+    let mut cell = Cell::new();
+    cell.run(6_000, 60, 200);
+    let gang = StepSpec {
+        gang: true,
+        ..batch_step(tasks, 3_000)
+    };
+    cell.submit("batch", GANG, gang);
+    cell.run(40_000, 60, 200);
+    cell
+}
+
+/// Guards against requests that name far more workers than a step needs, so that most tickets expire and
+/// the daemons are occupied for longer.
+#[test]
+fn burst_of_batch_jobs_asks_for_what_it_needs() {
+    let outcome = burst().outcome();
+
+    assert!(outcome.lapsed_tickets <= 700, "{outcome:?}");
+    assert!(outcome.wait_ms <= 2_700, "{outcome:?}");
+}
+
+/// Guards against steps that ask again and again while no worker has room for them.
+#[test]
+fn jobs_that_wait_for_room_leave_the_service_alone() {
+    let outcome = full_cell().outcome();
+
+    assert!(outcome.calls <= 100, "{outcome:?}");
+    assert!(outcome.calls_without_start <= 40, "{outcome:?}");
+    assert!(outcome.lapsed_tickets <= 500, "{outcome:?}");
+    assert_eq!(outcome.unstarted, 0, "{outcome:?}");
+}
+
+/// Guards against a share of the service for batch jobs that delays urgent ones.
+#[test]
+fn overload_of_batch_jobs_delays_no_urgent_job() {
+    let cell = overload();
+    let outcome = cell.outcome();
+
+    assert!(cell.urgent_wait_ms(99) <= 60, "{} ms", cell.urgent_wait_ms(99));
+    assert!(outcome.lapsed_tickets <= 3 * outcome.starts + 200, "{outcome:?}");
+    assert!(outcome.starts >= 285, "{outcome:?}");
+}
+
+/// Guards against a gang that waits although its room is there.
+#[test]
+fn gang_of_half_the_workers_starts_beside_batch_jobs() {
+    let cell = wide_gang(51);
+
+    let wait_ms = cell.wait_ms(GANG);
+    assert!(wait_ms.is_some_and(|ms| ms <= 5_000), "waited {wait_ms:?} ms");
+}
