jobs: gangs and wide steps ask through several daemons at once

Cause: a gang whose known workers could not hold all members asked for their tickets again whenever they had expired. The request for reserved room could name more workers than a request may have, and a step had one request at a time, so that the tickets of wide steps came one round after the other. Change: a step may have requests at several daemons. A gang first learns which workers may run it, in one round; it asks for tickets only if its workers have room for all members, then for all at once or not at all. A step of 80 tasks asks through two daemons.

--- a/crates/jobs/src/advice_senders.rs
+++ b/crates/jobs/src/advice_senders.rs
@@ -138,6 +138,31 @@
         Some(address)
     }
 
+    /// Chooses a daemon for each of `count` equal requests of one step, each another one, and adds them to
+    /// their load. Returns fewer if not enough daemons are free, or none if `all_or_none`.
+    pub(crate) fn choose_several(
+        &mut self,
+        now_ms: u64,
+        load: RequestLoad,
+        count: usize,
+        all_or_none: bool,
+    ) -> Vec<Option<SocketAddr>> {
+        let before = self.clone();
+        let mut chosen = Vec::new();
+        while chosen.len() < count
+            && let Some(address) = self.find(now_ms, load)
+            && !chosen.contains(&address)
+        {
+            self.choose(now_ms, load);
+            chosen.push(address);
+        }
+        if all_or_none && chosen.len() < count {
+            *self = before;
+            chosen.clear();
+        }
+        chosen
+    }
+
     /// Records the end of a request. A failure excludes the daemon for a while.
     pub(crate) fn request_ended(&mut self, now_ms: u64, address: Option<SocketAddr>, succeeded: bool) {
         let Some(sender) = self.all.get_mut(&address) else {
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AdviceError, AdvicePolicy, AdviceRequest, AdviceResponse, Effect, LogEvent, Planner, StepId,
-        StepSpec, WaitReason, advice_senders::RequestLoad, placement::Candidate,
+        StepSpec, WaitReason, advice_senders::RequestLoad, placement::Candidate, step_view::SentRequest,
     },
     fuchsiatack_model::WorkerName,
     std::net::SocketAddr,
@@ -55,8 +55,9 @@
         };
         view.paused_until_ms = 0;
         view.advice.request_due_ms = 0;
-        let requested = std::mem::take(&mut view.advice.requested_workers);
-        let sent_ms = view.advice.request_sent_ms.take().unwrap_or(now_ms);
+        let request = view.advice.take_request(by);
+        let sent_ms = request.as_ref().map_or(now_ms, |request| request.sent_ms);
+        let requested = request.map_or(Vec::new(), |request| request.workers);
         let response = match response {
             Ok(response) => response,
             Err(error) => {
@@ -110,11 +111,11 @@
     pub(crate) fn advice_pause(&self, step: StepId, policy: &AdvicePolicy) -> Option<WaitReason> {
         let advice = &self.steps.get(&step)?.advice;
         let load = self.request_load(step, policy, MIN_WORKERS_PER_REQUEST);
-        match advice.request_sent_ms {
-            Some(_) => Some(WaitReason::AwaitsAdvice),
-            None if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
-            None if self.advice_senders.find(self.now_ms, load).is_none() => Some(WaitReason::NoAdviceSender),
-            None => None,
+        match advice.requests.is_empty() {
+            false => Some(WaitReason::AwaitsAdvice),
+            true if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
+            true if self.advice_senders.find(self.now_ms, load).is_none() => Some(WaitReason::NoAdviceSender),
+            true => None,
         }
     }
 
@@ -147,7 +148,7 @@
             return WaitReason::NoCapacity;
         };
         view.advice.request_due_ms = now_ms + REQUEST_PAUSE_MS;
-        if view.advice.request_sent_ms.is_some() {
+        if !view.advice.requests.is_empty() {
             return WaitReason::AwaitsAdvice;
         }
         if candidates.is_empty() {
@@ -198,23 +199,50 @@
         policy: &AdvicePolicy,
         workers: Vec<WorkerName>,
     ) -> WaitReason {
-        let load = self.request_load(step, policy, workers.len());
-        let Some(by) = self.advice_senders.choose(self.now_ms, load) else {
-            return WaitReason::NoAdviceSender;
+        match self.send_advice_requests(step, policy, workers, true) {
+            0 => WaitReason::NoAdviceSender,
+            _ => WaitReason::AwaitsAdvice,
+        }
+    }
+
+    /// Sends requests for advice on some workers through several daemons at once, if one request cannot name
+    /// all of them. If `all_or_none`, nothing is sent unless there is a daemon for each request: the tickets
+    /// of a gang are of use together only. Returns the number of requests.
+    pub(crate) fn send_advice_requests(
+        &mut self,
+        step: StepId,
+        policy: &AdvicePolicy,
+        workers: Vec<WorkerName>,
+        all_or_none: bool,
+    ) -> usize {
+        let now_ms = self.now_ms;
+        let parts = workers.len().div_ceil(MAX_WORKERS_PER_REQUEST).max(1);
+        let size = workers.len().div_ceil(parts);
+        let load = self.request_load(step, policy, size);
+        let senders = self
+            .advice_senders
+            .choose_several(now_ms, load, parts, all_or_none);
+        let requests: Vec<_> = senders.into_iter().zip(workers.chunks(size.max(1))).collect();
+        let Some(view) = self.steps.get_mut(&step) else {
+            return 0;
         };
-        if let Some(view) = self.steps.get_mut(&step) {
+        for (by, workers) in &requests {
             let known = workers
                 .iter()
                 .filter(|worker| view.advice.eligible.contains_key(*worker));
             self.lapsed_tickets += known.count() as u64;
-            view.advice.request_sent_ms = Some(self.now_ms);
-            view.advice.requested_workers = workers.clone();
+            view.advice.requests.push(SentRequest {
+                by: *by,
+                sent_ms: now_ms,
+                workers: workers.to_vec(),
+            });
+            let workers = workers.to_vec();
+            self.output.immediate.push(Effect::Advise {
+                by: *by,
+                request: AdviceRequest { step, workers },
+            });
         }
-        self.output.immediate.push(Effect::Advise {
-            by,
-            request: AdviceRequest { step, workers },
-        });
-        WaitReason::AwaitsAdvice
+        requests.len()
     }
 
     pub(crate) fn eligible_share(&self, step: StepId) -> u64 {
@@ -226,12 +254,9 @@
     /// Drops requests that have had no response for `RESPONSE_TIMEOUT_MS`.
     pub(crate) fn expire_advice_requests(&mut self) {
         let now_ms = self.now_ms;
-        let is_lost = |since_ms: u64| now_ms > since_ms + RESPONSE_TIMEOUT_MS;
         for view in self.steps.values_mut() {
-            if view.advice.request_sent_ms.is_some_and(is_lost) {
-                view.advice.request_sent_ms = None;
-                view.advice.requested_workers.clear();
-            }
+            let requests = &mut view.advice.requests;
+            requests.retain(|request| now_ms <= request.sent_ms + RESPONSE_TIMEOUT_MS);
         }
     }
 }
--- a/crates/jobs/src/plan_advice_room.rs
+++ b/crates/jobs/src/plan_advice_room.rs
@@ -28,8 +28,11 @@
 /// Interval between two estimates of when the present runs end, in milliseconds. An estimate takes about a
 /// millisecond in a cell of hundreds of workers.
 const FORECAST_INTERVAL_MS: u64 = 100;
+/// Maximum number of requests of one step at the same time. It bounds the share of the daemons that one step
+/// occupies.
+pub(crate) const MAX_REQUESTS: usize = 4;
 /// Pause after a search that has found no worker with room, in milliseconds.
-const NO_ROOM_PAUSE_MS: u64 = 100;
+pub(crate) const NO_ROOM_PAUSE_MS: u64 = 100;
 /// Room on known workers from which no others are named, in percent of what the waiting tasks need. Other
 /// steps may take part of it before the tickets arrive.
 const SPARE_PERCENT: usize = 130;
@@ -43,13 +46,20 @@
 }
 
 /// A worker with room for a step while its tickets are valid.
-struct Opening {
+pub(crate) struct Opening {
     candidate: Candidate<WorkerName>,
-    is_known: bool,
+    /// Whether it is known that the worker may run the step.
+    pub(crate) is_known: bool,
     /// Time until there is room for a task, in milliseconds.
     ready_in_ms: u64,
     /// Number of tasks for which there will be room.
-    tasks: usize,
+    pub(crate) tasks: usize,
+}
+
+impl Opening {
+    pub(crate) fn worker(self) -> WorkerName {
+        self.candidate.key
+    }
 }
 
 impl Planner {
@@ -78,7 +88,10 @@
         let share = self.eligible_share(step);
         self.advice_claims
             .add(priority, &spec.reserved(), tasks, share, workers.iter());
-        self.send_advice_request(step, policy, workers)
+        match self.send_advice_requests(step, policy, workers, false) {
+            0 => WaitReason::NoAdviceSender,
+            _ => WaitReason::AwaitsAdvice,
+        }
     }
 
     /// Chooses among workers with room: known ones first, then those without a response, as many as the step
@@ -105,17 +118,17 @@
         if missing > 0 && !others.is_empty() {
             let room: usize = others.iter().map(|opening| opening.tasks).sum();
             let needed = (missing * others.len()).div_ceil(room.max(1));
-            let limit = MAX_WORKERS_PER_REQUEST.saturating_sub(workers.len());
+            let limit = (MAX_WORKERS_PER_REQUEST * MAX_REQUESTS).saturating_sub(workers.len());
             let size = request_size(needed, self.eligible_share(step), policy, limit);
             workers.extend(others.into_iter().map(|opening| opening.candidate.key).take(size));
         }
-        workers.truncate(MAX_WORKERS_PER_REQUEST);
+        workers.truncate(MAX_WORKERS_PER_REQUEST * MAX_REQUESTS);
         workers
     }
 
     /// Returns the workers without a valid ticket that have room for a step while its tickets are valid: those
     /// with room now first, in the order of placement.
-    fn openings(
+    pub(crate) fn openings(
         &self,
         step: StepId,
         spec: &StepSpec,
@@ -201,7 +214,7 @@
     }
 
     /// Estimates when the present runs end, unless the last estimate is recent.
-    fn update_forecast(&mut self) {
+    pub(crate) fn update_forecast(&mut self) {
         if self.now_ms < self.room_forecast.due_ms {
             return;
         }
@@ -226,7 +239,7 @@
     }
 
     /// Computes the claims of all steps that have tickets or await them, once in a planning pass.
-    fn update_claims(&mut self) {
+    pub(crate) fn update_claims(&mut self) {
         if self.claims_ms == Some(self.now_ms) {
             return;
         }
@@ -244,8 +257,9 @@
                 .filter(|worker| view.advice.ticket(worker, self.now_ms).is_some())
                 .collect();
             claims.add(view.priority, &demand, tasks, 1_000, valid.into_iter());
-            let awaited = view.advice.requested_workers.iter();
-            claims.add(view.priority, &demand, tasks, self.eligible_share(*step), awaited);
+            let awaited: Vec<_> = view.advice.requested_workers().collect();
+            let share = self.eligible_share(*step);
+            claims.add(view.priority, &demand, tasks, share, awaited.into_iter());
         }
         self.advice_claims = claims;
     }
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -127,7 +127,7 @@
 
     fn advice_in_flight(&self) -> usize {
         let steps = self.steps.values();
-        steps.filter(|view| view.advice.request_sent_ms.is_some()).count()
+        steps.map(|view| view.advice.requests.len()).sum()
     }
 }
 
--- a/crates/jobs/src/plan_reservations.rs
+++ b/crates/jobs/src/plan_reservations.rs
@@ -6,6 +6,7 @@
         plan_advice::MAX_WORKERS_PER_REQUEST,
         plan_evacuation::STOP_TIME_MS,
         plan_preemption::PREEMPTION_MS,
+        request_size::request_size,
         reservation::{self, Room, RoomChoice, Seeker, Slot},
         run_view::RunState,
         worker_view::WorkerView,
@@ -128,7 +129,10 @@
         let unevaluated = self.workers.keys().filter(|worker| is_unevaluated(worker));
         let rooms = self.rooms(seeker, spec, service, unevaluated);
         let slots = reservation::choose_slots(&rooms, &spec.reserved(), MAX_WORKERS_PER_REQUEST);
-        let workers = distinct_workers(&slots);
+        let mut workers = distinct_workers(&slots);
+        let needed = (spec.tasks as usize * workers.len()).div_ceil(slots.len().max(1));
+        let share = self.eligible_share(step);
+        workers.truncate(request_size(needed, share, policy, MAX_WORKERS_PER_REQUEST));
         if workers.is_empty() {
             return WaitReason::AwaitsRoom;
         }
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -259,10 +259,12 @@
         if let Some(reason) = self.advice_pause(step, policy) {
             return reason;
         }
-        // Lasting tasks find room in their turn, and gangs that wait learn which workers may run them.
-        let is_placed_by_room = !spec.long_running && !self.needs_reservation(spec, service);
-        if is_placed_by_room && !self.is_urgent(step) {
-            return self.request_advice_for_room(step, spec, service, policy, tasks, kept_free_percent);
+        // Lasting tasks find room in their turn.
+        if !spec.long_running && !self.is_urgent(step) {
+            return match self.needs_reservation(spec, service) {
+                true => self.request_advice_for_gang(step, spec, service, policy, tasks, kept_free_percent),
+                false => self.request_advice_for_room(step, spec, service, policy, tasks, kept_free_percent),
+            };
         }
         let candidates =
             self.candidates_for_advice(step, spec, service, kept_free_percent, MIN_WORKERS_PER_REQUEST);
--- a/crates/jobs/src/reservation.rs
+++ b/crates/jobs/src/reservation.rs
@@ -18,6 +18,9 @@
 const LIFETIME_MS: u64 = 1_000;
 /// Maximum time for which a step keeps reservations without a start, in milliseconds.
 const MAX_HOLD_MS: u64 = 12_000;
+/// Time by which a step keeps reservations longer if they are expected to be complete by then, in
+/// milliseconds. It covers the request for the tickets and part of their validity.
+const COMPLETION_MS: u64 = 2_000;
 /// Time after that for which the step makes no reservation, in milliseconds.
 const RELEASE_MS: u64 = 2_000;
 /// Maximum share of a service's workers on which room is reserved, in percent.
@@ -190,9 +193,12 @@
         let had_room = before.is_some_and(|before| before.ready_ms.is_some());
         self.release_room(seeker.step);
         // A step of which the room never becomes complete lets others pass for a while.
-        let is_over = now_ms >= since_ms + MAX_HOLD_MS;
+        let ready_in_ms = choice.slots.iter().map(|slot| slot.ready_in_ms).max();
+        let is_nearly_complete = ready_in_ms
+            .is_some_and(|ready_in_ms| now_ms + ready_in_ms < since_ms + MAX_HOLD_MS + COMPLETION_MS);
+        let is_over = now_ms >= since_ms + MAX_HOLD_MS && !is_nearly_complete;
         let slots = if is_over { Vec::new() } else { choice.slots };
-        let ready_in_ms = slots.iter().map(|slot| slot.ready_in_ms).max();
+        let ready_in_ms = ready_in_ms.filter(|_| !is_over);
         for slot in slots {
             let holds = self.holds.entry(slot.key).or_default();
             let hold = holds.entry(seeker.step).or_insert(Hold {
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -4,9 +4,21 @@
     crate::{WaitReason, WaitTimes},
     fuchsiatack_model::WorkerName,
     smol_str::SmolStr,
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
+/// An advice request without a response.
+#[derive(Clone, Debug)]
+pub(crate) struct SentRequest {
+    /// Daemon that sends it; `None` is the leader itself.
+    pub(crate) by: Option<SocketAddr>,
+    pub(crate) sent_ms: u64,
+    pub(crate) workers: Vec<WorkerName>,
+}
+
 /// Advice on a step and the state of its requests.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
@@ -17,13 +29,22 @@
     pub(crate) evaluated: BTreeSet<WorkerName>,
     /// Workers that may run the step, with the ticket and the time at which it expires.
     pub(crate) eligible: BTreeMap<WorkerName, (SmolStr, u64)>,
-    /// Time at which the present request was sent; `None` if there is none.
-    pub(crate) request_sent_ms: Option<u64>,
-    /// Workers of the present request.
-    pub(crate) requested_workers: Vec<WorkerName>,
+    /// Requests without a response, each at another daemon.
+    pub(crate) requests: Vec<SentRequest>,
 }
 
 impl StepAdvice {
+    /// Returns the workers of the requests without a response.
+    pub(crate) fn requested_workers(&self) -> impl Iterator<Item = &WorkerName> {
+        self.requests.iter().flat_map(|request| &request.workers)
+    }
+
+    /// Removes the request that a daemon has sent; `None` if it was given up before.
+    pub(crate) fn take_request(&mut self, by: Option<SocketAddr>) -> Option<SentRequest> {
+        let position = self.requests.iter().position(|request| request.by == by)?;
+        Some(self.requests.remove(position))
+    }
+
     /// Returns the ticket for a worker if it has not expired.
     pub(crate) fn ticket(&self, worker: &WorkerName, now_ms: u64) -> Option<&SmolStr> {
         let (ticket, valid_until_ms) = self.eligible.get(worker)?;
--- a/crates/jobs/tests/advice_scheduling.rs
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -385,5 +385,29 @@
     let cell = wide_gang(51);
 
     let wait_ms = cell.wait_ms(GANG);
-    assert!(wait_ms.is_some_and(|ms| ms <= 5_000), "waited {wait_ms:?} ms");
+    assert!(wait_ms.is_some_and(|ms| ms <= 4_000), "waited {wait_ms:?} ms");
+}
+
+/// Guards against a gang that asks for tickets again and again although the workers that may run it never have
+/// room for all members.
+#[test]
+fn gang_that_never_fits_leaves_the_service_alone() {
+    let outcome = wide_gang(70).outcome();
+
+    assert!(outcome.calls_without_start <= 20, "{outcome:?}");
+}
+
+/// Guards against wide steps whose workers are more than one request can name, and which ask for them one
+/// request after the other.
+#[test]
+fn wide_step_asks_through_several_daemons_at_once() {
+    let mut cell = Cell::new();
+    cell.submit("batch", JobId(1), batch_step(80, 3_000));
+
+    cell.run(20, 0, 0);
+    let daemons = cell.service.busy_senders();
+    cell.run(1_000, 0, 0);
+
+    assert_eq!((daemons, cell.calls), (2, 2));
+    assert!(cell.orders >= 60, "{} tasks were started", cell.orders);
 }
