jobs: a step whose tickets start nothing stands back

Cause: a step whose expected room did not become free asked for its tickets again in each validity period, for as long as it waited. A response counted as used even if no task started. The number of responses without a start is a metric (advice_without_start), and in the log with the room of the cell; unused_rounds of a step is in "steps waiting".

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -64,6 +64,7 @@
 /// number of series.
 pub(crate) struct Metrics {
     advice_in_flight: Gauge,
+    advice_without_start: Gauge,
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
     events: Family<EventLabel, Counter>,
@@ -93,6 +94,7 @@
         };
         let mut metrics = Self {
             advice_in_flight: Gauge::default(),
+            advice_without_start: Gauge::default(),
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
             events: Family::default(),
@@ -157,6 +159,11 @@
             "Largest free amount of a resource on one worker of a service; on the leader",
             metrics.largest_free.clone(),
         );
+        registry.register(
+            "advice_without_start",
+            "Responses of the advice service whose tickets expired without a start while the step waited; on the leader, since it leads",
+            metrics.advice_without_start.clone(),
+        );
         registry.register(
             "lapsed_tickets",
             "Tickets that were requested again since they had expired unused; on the leader, since it leads",
@@ -207,6 +214,7 @@
         self.set_backlog(report);
         self.set_rooms(report);
         self.advice_in_flight.set(report.advice_in_flight as i64);
+        self.advice_without_start.set(report.calls_without_start as i64);
         self.lapsed_tickets.set(report.lapsed_tickets as i64);
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod plan_advice;
 mod plan_advice_gangs;
 mod plan_advice_room;
+mod plan_advice_yield;
 mod plan_attempts;
 mod plan_backlog;
 mod plan_calls;
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -50,6 +50,10 @@
         let sender = self.advice_senders.name(by).cloned().unwrap_or_default();
         let policy = self.queue_of(step.job).and_then(|queue| queue.advice.clone());
         let queue = self.store.jobs.get(&step.job).map(|job| job.queue.clone());
+        let job = self.store.jobs.get(&step.job);
+        let is_gang = job
+            .and_then(|job| job.step(step.step))
+            .is_some_and(|spec| spec.gang);
         let Some(view) = self.steps.get_mut(&step) else {
             return;
         };
@@ -84,6 +88,12 @@
             .filter(|(worker, _)| workers.contains_key(worker))
             .collect();
         let eligible_workers = eligible.len();
+        // A gang learns by its first requests which workers may run it; it has no room for a start yet.
+        let is_renewal = requested
+            .iter()
+            .any(|worker| view.advice.eligible.contains_key(worker));
+        view.advice.unused_calls += 1;
+        view.advice.is_start_expected |= eligible_workers > 0 && (is_renewal || !is_gang);
         for worker in &requested {
             view.advice.eligible.remove(worker);
             view.advice.evaluated.insert(worker.clone());
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -67,6 +67,7 @@
         let report = CellReport {
             advice_in_flight: self.advice_in_flight(),
             backlog,
+            calls_without_start: self.calls_without_start,
             lapsed_tickets: self.lapsed_tickets,
             rooms: self.rooms_of_services(),
         };
@@ -150,6 +151,7 @@
         .with("largest_free_accelerators", room.largest_free.accelerators)
         .with("advice_in_flight", report.advice_in_flight)
         .with("lapsed_tickets", report.lapsed_tickets)
+        .with("advice_without_start", report.calls_without_start)
 }
 
 fn backlog_event(now_ms: u64, step: StepId, view: &StepView, backlog: &PriorityBacklog) -> LogEvent {
@@ -170,4 +172,5 @@
         .with("evaluated", view.advice.evaluated.len())
         .with("eligible", view.advice.eligible.len())
         .with("tickets", tickets.count())
+        .with("unused_rounds", view.advice.unused_rounds)
 }
--- a/crates/jobs/src/plan_reservations.rs
+++ b/crates/jobs/src/plan_reservations.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AdvicePolicy, LogEvent, Planner, StepId, StepSpec, WaitReason, WorkerEntry,
+        AdvicePolicy, LogEvent, Planner, StepId, StepSpec, TaskKey, WaitReason, WorkerEntry,
         plan_advice::MAX_WORKERS_PER_REQUEST,
         plan_evacuation::STOP_TIME_MS,
         plan_preemption::PREEMPTION_MS,
@@ -106,7 +106,9 @@
         }
         let wait_ms = ready_ms.saturating_sub(self.now_ms);
         // Runs are preempted once the tickets are there, so that their room is due at any time.
-        let is_due = wait_ms <= policy.response_ms(without.len()).max(PREEMPTION_MS);
+        let response_ms = policy.response_ms(without.len());
+        let is_due = wait_ms <= response_ms.max(PREEMPTION_MS)
+            && (self.unused_rounds(step) == 0 || self.is_room_complete(step, response_ms));
         Some(match has_tickets {
             false if is_due => self.send_advice_request(step, policy, without),
             _ if wait_ms >= LONG_WAIT_MS => self.evaluate_more(step, spec, service, policy),
@@ -114,6 +116,32 @@
         })
     }
 
+    fn unused_rounds(&self, step: StepId) -> u32 {
+        let view = self.steps.get(&step);
+        view.map_or(0, |view| view.advice.unused_rounds)
+    }
+
+    /// Returns whether the room that a step has reserved is free now, but for runs that are expected to end
+    /// within `within_ms`. Runs that last longer than estimated may do so for any time. A step that has
+    /// relied on their ends once, and whose tickets have expired, does not do so again.
+    fn is_room_complete(&self, step: StepId, within_ms: u64) -> bool {
+        let is_ending = |task: &TaskKey| {
+            let remaining_ms = self.expected_remaining_ms(*task);
+            remaining_ms.is_some_and(|ms| (1..=within_ms).contains(&ms))
+        };
+        let holds = self.reservations.holds_of(step);
+        holds.iter().all(|(worker, needed)| {
+            let (Some(view), Some(entry)) = (self.workers.get(worker), self.store.workers.get(worker)) else {
+                return false;
+            };
+            let lasting = view.runs.iter().filter(|task| !is_ending(task));
+            let used = lasting
+                .filter_map(|task| self.runs.get(task))
+                .fold(Resources::NONE, |used, run| used.saturating_add(&run.reserved));
+            entry.capacity.has_free(&used, needed)
+        })
+    }
+
     /// Asks for advice on workers that were not evaluated for a step, so that it finds room sooner.
     fn evaluate_more(
         &mut self,
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -482,6 +482,7 @@
         for (worker, run, checkpoint) in orders {
             if let Some(view) = self.steps.get_mut(&step) {
                 view.waiting.remove(&run.task.index);
+                view.advice.record_start();
             }
             self.add_run(run, &worker, RunState::Ordered);
             self.send_start(&worker, run, checkpoint, payload.clone());
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -47,6 +47,9 @@
     pub(crate) backlog_due_ms: u64,
     /// Last priority of the open steps in the present planning pass.
     pub(crate) last_priority: Option<u32>,
+    /// Number of responses of the advice service of which all tickets have expired without a start, while the
+    /// step waited.
+    pub(crate) calls_without_start: u64,
     /// Number of tickets that were requested again since they had expired unused.
     pub(crate) lapsed_tickets: u64,
     /// Time of the next search for steps whose advice is requested before they are ready.
@@ -124,6 +127,7 @@
             are_heartbeats_late: false,
             claims_ms: None,
             backlog_due_ms: now_ms,
+            calls_without_start: 0,
             lapsed_tickets: 0,
             last_priority: None,
             prefetch_due_ms: now_ms,
@@ -408,6 +412,7 @@
         self.send_late_stops();
         self.expire_late_acknowledgements();
         self.expire_advice_requests();
+        self.end_unused_rounds();
         for name in self.advice_senders.expire(self.now_ms) {
             self.log(LogEvent::new("daemon announcement expired").with("daemon", name));
         }
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -29,8 +29,15 @@
     pub(crate) evaluated: BTreeSet<WorkerName>,
     /// Workers that may run the step, with the ticket and the time at which it expires.
     pub(crate) eligible: BTreeMap<WorkerName, (SmolStr, u64)>,
+    /// Whether the tickets of a response since the last start were meant for a start, and not only to learn
+    /// which workers may run the step.
+    pub(crate) is_start_expected: bool,
     /// Requests without a response, each at another daemon.
     pub(crate) requests: Vec<SentRequest>,
+    /// Number of responses since the last start, or since the last round of tickets has expired.
+    pub(crate) unused_calls: u32,
+    /// Number of rounds of tickets in a row that have expired without a start.
+    pub(crate) unused_rounds: u32,
 }
 
 impl StepAdvice {
--- a/crates/jobs/tests/advice_scheduling.rs
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -89,7 +89,11 @@
 
 impl Cell {
     fn new() -> Self {
-        let workers: Vec<_> = (0..WORKERS).map(|number| format!("w-{number:03}")).collect();
+        Self::with_workers(WORKERS, INELIGIBLE_PERCENT)
+    }
+
+    fn with_workers(count: usize, ineligible_percent: u64) -> Self {
+        let workers: Vec<_> = (0..count).map(|number| format!("w-{number:03}")).collect();
         let names: Vec<_> = workers.iter().map(String::as_str).collect();
         let mut cell = Self {
             calls: 0,
@@ -100,7 +104,7 @@
             leader: Leader::new(advised_queue(), &names),
             orders: 0,
             runs_on: BTreeMap::new(),
-            service: AdviceService::with_ineligible(INELIGIBLE_PERCENT),
+            service: AdviceService::with_ineligible(ineligible_percent),
             started_ms: BTreeMap::new(),
             submitted_ms: BTreeMap::new(),
             tickets: BTreeMap::new(),
@@ -411,3 +415,27 @@
     assert_eq!((daemons, cell.calls), (2, 2));
     assert!(cell.orders >= 60, "{} tasks were started", cell.orders);
 }
+/// Guards against a step that occupies a daemon in each validity period, since a run that lasts longer than
+/// estimated has the room which the step expects.
+#[test]
+fn step_stands_back_after_tickets_that_started_nothing() {
+    let mut cell = Cell::with_workers(1, 0);
+    cell.submit("batch", JobId(1), batch_step(2, 1_000));
+    cell.run(600, 0, 0);
+    cell.ends.clear();
+    let before = cell.calls;
+    cell.submit("batch", JobId(2), batch_step(1, 1_000));
+
+    cell.run(30_000, 0, 0);
+    cell.leader.advance(1_000);
+    let report = cell.leader.take_report().expect("a report is due each second");
+
+    let calls = cell.calls - before;
+    assert_eq!(cell.orders, 2, "only the first step was started");
+    assert!((2..=7).contains(&calls), "{calls} calls");
+    assert!(
+        report.calls_without_start + 1 >= calls,
+        "{} of {calls}",
+        report.calls_without_start
+    );
+}
