jobs: requests are sized by the room of each worker, and daemons go by team

Cause: the number of workers in a request assumed two tasks on each. The first steps in the order of placement took all daemons, also those of one team. Change: workers are added until their room now, times the eligible share, is 150 % of what the tasks need, also for lasting steps. Room in the forecast counts for one task. Requests of one planning pass are sent by priority, then by the team's requests under way for its weight, then by the chance to start anything per time at the service; one that was passed three times comes first. The replays report the progress of runs, without which runs were stopped as stalled.

--- a/crates/jobs/src/advice_senders.rs
+++ b/crates/jobs/src/advice_senders.rs
@@ -122,6 +122,12 @@
             .map(|(_, address, _)| *address)
     }
 
+    /// Returns the number of daemons that could each take a request now.
+    pub(crate) fn free_for(&self, now_ms: u64, load: RequestLoad) -> usize {
+        let mut senders = self.clone();
+        senders.choose_several(now_ms, load, self.all.len(), false).len()
+    }
+
     /// Chooses the daemon for a request and adds the request to its load. Returns `None` if all suitable
     /// daemons are busy.
     pub(crate) fn choose(&mut self, now_ms: u64, load: RequestLoad) -> Option<Option<SocketAddr>> {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -24,6 +24,7 @@
 mod output;
 mod pacing;
 mod plan_advice;
+mod plan_advice_choice;
 mod plan_advice_gangs;
 mod plan_advice_room;
 mod plan_advice_yield;
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         AdviceError, AdvicePolicy, AdviceRequest, AdviceResponse, Effect, LogEvent, Planner, StepId,
-        StepSpec, WaitReason, advice_senders::RequestLoad, placement::Candidate, step_view::SentRequest,
+        StepSpec, WaitReason, advice_senders::RequestLoad, placement::Candidate, plan_advice_room::room_now,
+        request_size::workers_with_room, step_view::SentRequest,
     },
     fuchsiatack_model::WorkerName,
     std::net::SocketAddr,
@@ -135,7 +136,7 @@
         priority.is_some() && priority == self.top_priority()
     }
 
-    fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
+    pub(crate) fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
         RequestLoad {
             is_urgent: self.is_urgent(step),
             response_ms: policy.response_ms(workers),
@@ -154,6 +155,8 @@
         candidates: &[Candidate<WorkerName>],
     ) -> WaitReason {
         let now_ms = self.now_ms;
+        let is_urgent = self.is_urgent(step);
+        let share = self.eligible_share(step).max(50);
         let Some(view) = self.steps.get_mut(&step) else {
             return WaitReason::NoCapacity;
         };
@@ -177,9 +180,25 @@
             .filter(is_unevaluated)
             .cloned()
             .collect();
-        let needed = (tasks as u64).div_ceil(tasks_per_worker(spec, candidates));
+        let per_worker = if is_urgent {
+            tasks_per_worker(spec, candidates)
+        } else {
+            1
+        };
+        let needed = (tasks as u64).div_ceil(per_worker);
         let missing = needed.saturating_sub(known.len() as u64);
-        let share = self.eligible_share(step).max(50);
+        let limit = MAX_WORKERS_PER_REQUEST.saturating_sub(known.len());
+        let by_room = (!is_urgent).then(|| {
+            let reserved = spec.reserved();
+            let most = spec
+                .max_per_worker
+                .map_or(usize::MAX, |most| most.max(1) as usize);
+            let room = candidates
+                .iter()
+                .filter(|candidate| !view.advice.evaluated.contains(&candidate.key))
+                .map(|candidate| room_now(candidate, &reserved, 0).clamp(1, most));
+            workers_with_room(missing as usize, room, share, policy, limit)
+        });
         let percent = if spec.gang {
             REQUESTED_FOR_GANG_PERCENT
         } else {
@@ -188,7 +207,7 @@
         let wanted = (missing * 1_000 * percent / 100).div_ceil(share) as usize;
         let wanted = match missing {
             0 if !known.is_empty() => 0,
-            _ => wanted.max(MIN_WORKERS_PER_REQUEST),
+            _ => by_room.unwrap_or(wanted).max(MIN_WORKERS_PER_REQUEST),
         };
         unevaluated.truncate(wanted);
         let workers: Vec<_> = known
--- a/crates/jobs/src/plan_advice_room.rs
+++ b/crates/jobs/src/plan_advice_room.rs
@@ -11,8 +11,9 @@
         advice_claims::AdviceClaims,
         placement::Candidate,
         plan_advice::{MAX_WORKERS_PER_REQUEST, TICKET_MARGIN_MS},
+        plan_advice_choice::PlannedRequest,
         plan_evacuation::STOP_TIME_MS,
-        request_size::request_size,
+        request_size::workers_with_room,
         run_view::RunState,
     },
     fuchsiatack_model::{Resources, WorkerName},
@@ -23,11 +24,11 @@
 /// Part of the validity of a ticket within which its room must be expected, in percent. The rest is left for
 /// runs that last longer than estimated.
 const USABLE_PERCENT: u64 = 50;
-/// Maximum number of tasks of one step that are expected on the same worker.
-const MAX_TASKS_PER_WORKER: usize = 2;
 /// Interval between two estimates of when the present runs end, in milliseconds. An estimate takes about a
 /// millisecond in a cell of hundreds of workers.
 const FORECAST_INTERVAL_MS: u64 = 100;
+/// Maximum number of tasks of one step that are counted on the same worker.
+const MAX_TASKS_PER_WORKER: usize = 100;
 /// Maximum number of requests of one step at the same time. It bounds the share of the daemons that one step
 /// occupies.
 pub(crate) const MAX_REQUESTS: usize = 4;
@@ -52,7 +53,7 @@
     pub(crate) is_known: bool,
     /// Time until there is room for a task, in milliseconds.
     ready_in_ms: u64,
-    /// Number of tasks for which there will be room.
+    /// Number of tasks for which there is room now, or 1 if there will be room.
     pub(crate) tasks: usize,
 }
 
@@ -63,7 +64,7 @@
 }
 
 impl Planner {
-    /// Asks for advice on workers that have room for the waiting tasks of a step, or are expected to have it
+    /// Plans a request for advice on workers that have room for the waiting tasks of a step, or are expected to have it
     /// while the tickets are valid. Returns what the step waits for then.
     pub(crate) fn request_advice_for_room(
         &mut self,
@@ -74,6 +75,9 @@
         tasks: usize,
         kept_free_percent: u32,
     ) -> WaitReason {
+        if self.has_enough_planned_requests(step, policy) {
+            return WaitReason::NoAdviceSender;
+        }
         self.update_forecast();
         self.update_claims();
         let openings = self.openings(step, spec, service, policy, kept_free_percent);
@@ -85,13 +89,20 @@
             return WaitReason::NoCapacity;
         };
         let priority = view.priority;
+        let known = workers.iter();
+        let known = known
+            .filter(|worker| view.advice.eligible.contains_key(*worker))
+            .count();
         let share = self.eligible_share(step);
         self.advice_claims
             .add(priority, &spec.reserved(), tasks, share, workers.iter());
-        match self.send_advice_requests(step, policy, workers, false) {
-            0 => WaitReason::NoAdviceSender,
-            _ => WaitReason::AwaitsAdvice,
-        }
+        self.planned_requests.push(PlannedRequest {
+            expected_thousandths: known as u64 * 1_000 + (workers.len() - known) as u64 * share,
+            policy: policy.clone(),
+            step,
+            workers,
+        });
+        WaitReason::NoAdviceSender
     }
 
     /// Chooses among workers with room: known ones first, then those without a response, as many as the step
@@ -116,10 +127,9 @@
         }
         let missing = tasks.saturating_sub(found);
         if missing > 0 && !others.is_empty() {
-            let room: usize = others.iter().map(|opening| opening.tasks).sum();
-            let needed = (missing * others.len()).div_ceil(room.max(1));
+            let room = others.iter().map(|opening| opening.tasks);
             let limit = (MAX_WORKERS_PER_REQUEST * MAX_REQUESTS).saturating_sub(workers.len());
-            let size = request_size(needed, self.eligible_share(step), policy, limit);
+            let size = workers_with_room(missing, room, self.eligible_share(step), policy, limit);
             workers.extend(others.into_iter().map(|opening| opening.candidate.key).take(size));
         }
         workers.truncate(MAX_WORKERS_PER_REQUEST * MAX_REQUESTS);
@@ -156,7 +166,7 @@
                     (limit as usize).saturating_sub(self.tasks_on(step, name))
                 });
                 Some(Opening {
-                    tasks: self.room_for(&candidate, &reserved, within_ms).min(limit),
+                    tasks: room_now(&candidate, &reserved, kept_free_percent).clamp(1, limit),
                     is_known: view.advice.eligible.contains_key(name),
                     candidate,
                     ready_in_ms,
@@ -188,18 +198,6 @@
         None
     }
 
-    /// Returns the number of tasks, at least 1, that fit on a worker after the ends within `within_ms`.
-    fn room_for(&self, candidate: &Candidate<WorkerName>, reserved: &Resources, within_ms: u64) -> usize {
-        let ends = self.forecast_ends(&candidate.key, within_ms);
-        let mut used = ends.fold(candidate.used, |used, (_, freed)| used.saturating_sub(&freed));
-        let mut tasks = 0;
-        while tasks < MAX_TASKS_PER_WORKER && candidate.capacity.has_free(&used, reserved) {
-            used = used.saturating_add(reserved);
-            tasks += 1;
-        }
-        tasks.max(1)
-    }
-
     /// Returns the expected ends of present runs on a worker within `within_ms`, as time until the end in
     /// milliseconds and what becomes free.
     fn forecast_ends(&self, worker: &WorkerName, within_ms: u64) -> impl Iterator<Item = (u64, Resources)> {
@@ -264,3 +262,18 @@
         self.advice_claims = claims;
     }
 }
+
+/// Returns the number of tasks for which a worker has room now.
+pub(crate) fn room_now(
+    candidate: &Candidate<WorkerName>,
+    reserved: &Resources,
+    kept_free_percent: u32,
+) -> usize {
+    let mut candidate = candidate.clone();
+    let mut tasks = 0;
+    while tasks < MAX_TASKS_PER_WORKER && candidate.fits(reserved, kept_free_percent) {
+        candidate.used = candidate.used.saturating_add(reserved);
+        tasks += 1;
+    }
+    tasks
+}
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -70,6 +70,7 @@
             failed += usize::from(self.try_step(step, kept_free_percent).is_err());
         }
         self.place_in_turn(order.map(|(_, step)| step));
+        self.send_planned_requests();
     }
 
     /// Tries lasting steps that have waited for long, until a task of one is started, and lets them use the
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -12,6 +12,7 @@
         advice_senders::AdviceSenders,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         pacing::Pacing,
+        plan_advice_choice::PlannedRequest,
         plan_advice_room::RoomForecast,
         plan_late_starts::LateStart,
         reservation::Reservations,
@@ -52,6 +53,8 @@
     pub(crate) calls_without_start: u64,
     /// Number of tickets that were requested again since they had expired unused.
     pub(crate) lapsed_tickets: u64,
+    /// Advice requests of the present planning pass.
+    pub(crate) planned_requests: Vec<PlannedRequest>,
     /// Time of the next search for steps whose advice is requested before they are ready.
     pub(crate) prefetch_due_ms: u64,
     pub(crate) store: JobStore,
@@ -130,6 +133,7 @@
             calls_without_start: 0,
             lapsed_tickets: 0,
             last_priority: None,
+            planned_requests: Vec::new(),
             prefetch_due_ms: now_ms,
             store,
             needs_placement: true,
--- a/crates/jobs/src/request_size.rs
+++ b/crates/jobs/src/request_size.rs
@@ -12,6 +12,34 @@
 /// Highest share of eligible workers that a request expects, in thousandths.
 const MAX_ELIGIBLE_THOUSANDTHS: u64 = 990;
 
+/// Room of the named workers, in percent of what the tasks need. Other steps take part of it before the
+/// response arrives, and a second request costs far more than more workers in the first.
+const ROOM_PERCENT: u64 = 150;
+
+/// Returns how many workers a request for `tasks` tasks names, given the number of tasks for which each worker
+/// has room, the preferred ones first. Each is eligible with the given share.
+pub fn workers_with_room(
+    tasks: usize,
+    room: impl IntoIterator<Item = usize>,
+    eligible_thousandths: u64,
+    policy: &AdvicePolicy,
+    limit: usize,
+) -> usize {
+    let share = eligible_thousandths.max(MIN_ELIGIBLE_THOUSANDTHS);
+    let needed_thousandths = tasks as u64 * 10 * ROOM_PERCENT;
+    let mut found_thousandths = 0;
+    let mut workers = 0;
+    for tasks_on_worker in room {
+        if found_thousandths >= needed_thousandths || workers >= limit {
+            break;
+        }
+        found_thousandths += tasks_on_worker as u64 * share;
+        workers += 1;
+    }
+    let needed = (workers as u64 * share * 100 / ROOM_PERCENT / 1_000) as usize;
+    workers.max(request_size(needed, eligible_thousandths, policy, limit))
+}
+
 /// Returns the number of workers, at most `limit`, at which a request is expected to take the least time at
 /// the service until `needed` eligible workers are found. Each worker is eligible with the given share.
 pub fn request_size(needed: usize, eligible_thousandths: u64, policy: &AdvicePolicy, limit: usize) -> usize {
--- a/crates/jobs/tests/advice_scheduling.rs
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -6,10 +6,11 @@
 use {
     common::{AdviceService, Leader, Sent, advised_queue, step},
     fuchsiatack_jobs::{
-        AdvicePolicy, CellCall, Configuration, EndedRun, EntryReport, HoldKind, HoldReport, JobId, ListedEnd,
-        ListedRun, Queue, RunId, StepId, StepSpec,
+        AdvicePolicy, CellCall, Configuration, EndedRun, EntryReport, HoldKind, HoldReport, JobAction,
+        JobCall, JobId, JobSpec, ListedEnd, ListedRun, Queue, RunId, StepId, StepSpec, Team,
     },
-    fuchsiatack_model::{QueueName, WorkerName},
+    fuchsiatack_model::{QueueName, Resources, TeamName, WorkerName},
+    smol_str::SmolStr,
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -65,7 +66,8 @@
     issued_tickets: u64,
     leader: Leader,
     orders: u64,
-    runs_on: BTreeMap<WorkerName, BTreeSet<RunId>>,
+    /// Start and duration in milliseconds of the present runs of each worker.
+    runs_on: BTreeMap<WorkerName, BTreeMap<RunId, (u64, u64)>>,
     service: AdviceService,
     started_ms: BTreeMap<JobId, u64>,
     submitted_ms: BTreeMap<JobId, u64>,
@@ -132,8 +134,37 @@
     }
 
     fn submit(&mut self, prefix: &str, job: JobId, spec: StepSpec) {
+        self.submit_by("key", prefix, job, spec);
+    }
+
+    /// Submits a job of the team with a key.
+    fn submit_by(&mut self, key: &str, prefix: &str, job: JobId, spec: StepSpec) {
         self.submitted_ms.insert(job, self.leader.now_ms);
-        self.leader.submit_to(prefix, job, vec![spec]);
+        let spec = JobSpec {
+            payload: "payload".into(),
+            schedule: None,
+            steps: vec![spec],
+        };
+        self.leader.call(CellCall::Job(JobCall {
+            action: JobAction::Submit(Box::new(spec)),
+            host: "host".into(),
+            key: Some(key.into()),
+            path: SmolStr::new(format!("/{prefix}/{job}")),
+        }));
+    }
+
+    /// Adds a team whose name is its key.
+    fn add_team(&mut self, name: &str) {
+        let present = self.leader.store().configuration.as_deref();
+        let mut configuration = present.cloned().expect("the cell is configured");
+        configuration.version += 1;
+        configuration.teams.push(Team {
+            keys: vec![name.into()],
+            limit: Resources::NONE,
+            name: TeamName::new(name),
+            weight: 1,
+        });
+        self.leader.call(CellCall::Configure(Box::new(configuration)));
     }
 
     /// Submits a batch job whose width and duration depend on its number.
@@ -191,7 +222,7 @@
                 self.service.request(now_ms, by, request, response_ms);
             }
             Sent::Start { run, worker } => self.start(run, worker),
-            Sent::Stop { run, worker } => self.leader.stopped(&worker, run),
+            Sent::Stop { run, worker } => panic!("{run} on {worker} was stopped"),
             Sent::Check(_) | Sent::Pace { .. } | Sent::Renew { .. } => {}
         }
     }
@@ -206,7 +237,6 @@
             self.calls_used.insert(ticket.call);
         }
         self.leader.started(&worker, run, Ok(now_ms));
-        self.runs_on.entry(worker.clone()).or_default().insert(run);
         self.orders += 1;
         let job = self.leader.store().jobs.get(&step.job);
         let estimated_ms = job
@@ -214,6 +244,8 @@
             .map_or(0, |spec| spec.estimated_ms);
         // Durations deviate from their estimates.
         let duration_ms = estimated_ms * (80 + self.orders * 37 % 50) / 100;
+        let present = self.runs_on.entry(worker.clone()).or_default();
+        present.insert(run, (now_ms, duration_ms));
         self.ends
             .insert((now_ms + duration_ms, self.orders), (worker, run));
     }
@@ -224,15 +256,16 @@
         *number += 1;
         let present = self.runs_on.entry(worker.clone()).or_default();
         present.remove(&run);
-        let running = present.iter().map(|run| ListedRun {
+        let now_ms = self.leader.now_ms;
+        let running = present.iter().map(|(run, (started_ms, duration_ms))| ListedRun {
             checkpoint: "".into(),
-            percent: 0,
+            percent: (((now_ms - started_ms) * 100 / duration_ms).min(99)) as u32,
             run: *run,
             usage: 0,
         });
         let report = HoldReport {
             started_unix_ms: Some(1),
-            clock_ms: self.leader.now_ms,
+            clock_ms: now_ms,
             ended: vec![EndedRun {
                 checkpoint: "".into(),
                 end: ListedEnd::Done,
@@ -351,6 +384,21 @@
     cell
 }
 
+/// Replays steps of 21 tasks, some of 51, that keep about three quarters of the processors in use.
+fn wide_steps() -> Cell {
+    let mut cell = Cell::with_workers(175, 60);
+    for number in 1..=90 {
+        let tasks = if number % 10 == 0 { 51 } else { 21 };
+        let mut spec = batch_step(tasks, 7_500 + number * 977 % 6_000);
+        spec.demand.processors_millis = 4_500;
+        cell.submit("batch", JobId(number), spec);
+        // Steps arrive in groups.
+        let pause_ms = if number % 6 == 0 { 3_000 } else { 100 };
+        cell.run(pause_ms, 0, 200);
+    }
+    cell
+}
+
 /// Guards against requests that name far more workers than a step needs, so that most tickets expire and
 /// the daemons are occupied for longer.
 #[test]
@@ -439,3 +487,32 @@
         report.calls_without_start
     );
 }
+/// Guards against a burst of one team that takes all daemons for as long as it lasts.
+#[test]
+fn burst_of_one_team_leaves_daemons_to_another() {
+    let mut cell = Cell::new();
+    cell.add_team("other");
+    for number in 1..=120 {
+        cell.submit("batch", JobId(number), batch_step(1, 3_000));
+    }
+    let others: Vec<_> = (500_000..500_008).map(JobId).collect();
+    for job in &others {
+        cell.submit_by("other", "batch", *job, batch_step(1, 3_000));
+    }
+
+    cell.run(12_000, 0, 0);
+
+    let all_ms = cell.quantile_ms((1..=120).map(JobId), 95);
+    let others_ms = cell.quantile_ms(others.into_iter(), 95);
+    assert!(others_ms <= 2_000, "{others_ms} ms, the burst {all_ms} ms");
+}
+
+/// Guards against requests that count on two tasks for each worker where most have room for one.
+#[test]
+fn wide_steps_need_few_requests() {
+    let outcome = wide_steps().outcome();
+
+    assert!(outcome.calls <= 225, "{outcome:?}");
+    assert!(outcome.wait_ms <= 1_000, "{outcome:?}");
+    assert_eq!(outcome.unstarted, 0, "{outcome:?}");
+}
