jobs: advice for the next step of a job is requested later

Cause: advice was requested half a validity period before a step is expected to be ready. Where runs last longer than estimated the tickets expired, and the step asked again. Change: steps that are not urgent ask a quarter of the period ahead. Urgent steps as before.

--- a/crates/jobs/src/plan_prefetch.rs
+++ b/crates/jobs/src/plan_prefetch.rs
@@ -76,9 +76,13 @@
         let (Some(policy), service) = (queue.advice.clone(), queue.service.clone()) else {
             return;
         };
-        // When the step is ready, at least half of the tickets' validity is left to start its
-        // tasks.
-        let lead_ms = policy.response_ms(spec.tasks as usize) + policy.valid_ms / 2;
+        // Part of the tickets' validity is left when the step is expected to be ready. An urgent step starts
+        // at once if it is ready sooner. For others, tickets that expire when it is ready later cost more.
+        let early_ms = match Some(queue.priority) == self.top_priority() {
+            true => policy.valid_ms / 2,
+            false => policy.valid_ms / 4,
+        };
+        let lead_ms = policy.response_ms(spec.tasks as usize) + early_ms;
         let remaining_ms = spec.depends_on.iter().map(|earlier| {
             self.step_remaining_ms(StepId {
                 step: *earlier,
--- a/crates/jobs/tests/advice_scheduling.rs
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -66,6 +66,8 @@
     issued_tickets: u64,
     leader: Leader,
     orders: u64,
+    /// Time of the last end of a run by job.
+    ended_ms: BTreeMap<JobId, u64>,
     /// Start and duration in milliseconds of the present runs of each worker.
     runs_on: BTreeMap<WorkerName, BTreeMap<RunId, (u64, u64)>>,
     service: AdviceService,
@@ -101,6 +103,7 @@
             calls: 0,
             calls_used: BTreeSet::new(),
             ended: BTreeMap::new(),
+            ended_ms: BTreeMap::new(),
             ends: BTreeMap::new(),
             issued_tickets: 0,
             leader: Leader::new(advised_queue(), &names),
@@ -139,11 +142,15 @@
 
     /// Submits a job of the team with a key.
     fn submit_by(&mut self, key: &str, prefix: &str, job: JobId, spec: StepSpec) {
+        self.submit_steps(key, prefix, job, vec![spec]);
+    }
+
+    fn submit_steps(&mut self, key: &str, prefix: &str, job: JobId, steps: Vec<StepSpec>) {
         self.submitted_ms.insert(job, self.leader.now_ms);
         let spec = JobSpec {
             payload: "payload".into(),
             schedule: None,
-            steps: vec![spec],
+            steps,
         };
         self.leader.call(CellCall::Job(JobCall {
             action: JobAction::Submit(Box::new(spec)),
@@ -256,6 +263,7 @@
         *number += 1;
         let present = self.runs_on.entry(worker.clone()).or_default();
         present.remove(&run);
+        self.ended_ms.insert(run.task.step.job, self.leader.now_ms);
         let now_ms = self.leader.now_ms;
         let running = present.iter().map(|(run, (started_ms, duration_ms))| ListedRun {
             checkpoint: "".into(),
@@ -399,6 +407,22 @@
     cell
 }
 
+/// Replays jobs of two steps, the second of which depends on the first.
+fn chains() -> Cell {
+    let mut cell = Cell::new();
+    for number in 1..=120 {
+        let first = batch_step(3, 2_000 + number * 977 % 2_000);
+        let second = StepSpec {
+            depends_on: vec![0],
+            ..batch_step(6, 2_000)
+        };
+        cell.submit_steps("key", "batch", JobId(number), vec![first, second]);
+        cell.run(220, 0, 200);
+    }
+    cell.run(8_000, 0, 200);
+    cell
+}
+
 /// Guards against requests that name far more workers than a step needs, so that most tickets expire and
 /// the daemons are occupied for longer.
 #[test]
@@ -517,3 +541,15 @@
     assert!(outcome.wait_ms <= 1_000, "{outcome:?}");
     assert_eq!(outcome.unstarted, 0, "{outcome:?}");
 }
+
+/// Guards against tickets for the next step of a job that expire when the runs before it last longer than
+/// estimated.
+#[test]
+fn next_step_of_a_job_asks_shortly_before_it_is_ready() {
+    let cell = chains();
+    let outcome = cell.outcome();
+
+    assert!(outcome.calls <= 285, "{outcome:?}");
+    assert!(outcome.calls_without_start <= 12, "{outcome:?}");
+    assert_eq!(cell.ended_ms.range(..JobId(FIRST_URGENT)).count(), 120);
+}
