--- a/crates/jobs/src/cell_report.rs
+++ b/crates/jobs/src/cell_report.rs
@@ -31,6 +31,9 @@
     pub cold_workers: usize,
     /// Evacuated data centres with what still runs there; a bounded number.
     pub evacuations: Vec<EvacuationReport>,
+    /// Number of responses of the advice service of which all tickets have expired without a start while the
+    /// step waited, since the leadership started.
+    pub calls_without_start: u64,
     /// Number of tickets that were requested again since they had expired unused, since the leadership
     /// started.
     pub lapsed_tickets: u64,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! replicate. `Planner` runs on the leader: it takes events and returns commands to replicate and
 //! effects to carry out.
 
+mod advice_claims;
 mod advice_error;
 mod advice_senders;
 mod calls;
@@ -25,6 +26,10 @@
 mod output;
 mod pacing;
 mod plan_advice;
+mod plan_advice_choice;
+mod plan_advice_gangs;
+mod plan_advice_room;
+mod plan_advice_yield;
 mod plan_attempts;
 mod plan_backlog;
 mod plan_calls;
@@ -70,6 +75,7 @@
 
 pub mod fair_share;
 pub mod placement;
+pub mod request_size;
 pub mod reservation;
 
 pub use self::{
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         AdviceError, AdvicePolicy, AdviceRequest, AdviceResponse, Effect, LogEvent, Planner, StepId,
-        StepSpec, WaitReason, advice_senders::RequestLoad, placement::Candidate,
+        StepSpec, WaitReason, advice_senders::RequestLoad, placement::Candidate, plan_advice_room::room_now,
+        request_size::workers_with_room, step_view::SentRequest,
     },
     fuchsiatack_model::WorkerName,
     std::net::SocketAddr,
@@ -18,7 +19,7 @@
 const MIN_SAMPLE: usize = 8;
 /// Time before the expiry of a ticket from which it is not used, in milliseconds. It covers the
 /// delivery of the response, the commit of the start and the delivery of the order.
-const TICKET_MARGIN_MS: u64 = 250;
+pub(crate) const TICKET_MARGIN_MS: u64 = 250;
 /// Assumed share of eligible workers for a queue without responses so far, in thousandths.
 const DEFAULT_ELIGIBLE_THOUSANDTHS: u64 = 400;
 /// Maximum number of tasks of one step that are expected on the same worker.
@@ -50,13 +51,18 @@
         let sender = self.advice_senders.name(by).cloned().unwrap_or_default();
         let policy = self.queue_of(step.job).and_then(|queue| queue.advice.clone());
         let queue = self.store.jobs.get(&step.job).map(|job| job.queue.clone());
+        let job = self.store.jobs.get(&step.job);
+        let is_gang = job
+            .and_then(|job| job.step(step.step))
+            .is_some_and(|spec| spec.gang);
         let Some(view) = self.steps.get_mut(&step) else {
             return;
         };
         view.paused_until_ms = 0;
         view.advice.request_due_ms = 0;
-        let requested = std::mem::take(&mut view.advice.requested_workers);
-        let sent_ms = view.advice.request_sent_ms.take().unwrap_or(now_ms);
+        let request = view.advice.take_request(by);
+        let sent_ms = request.as_ref().map_or(now_ms, |request| request.sent_ms);
+        let requested = request.map_or(Vec::new(), |request| request.workers);
         let response = match response {
             Ok(response) => response,
             Err(error) => {
@@ -83,6 +89,13 @@
             .filter(|(worker, _)| workers.contains_key(worker))
             .collect();
         let eligible_workers = eligible.len();
+        // A gang learns by its first requests which workers may run it; it has no room for a start yet.
+        let is_renewal = requested
+            .iter()
+            .any(|worker| view.advice.eligible.contains_key(worker));
+        view.advice.responded_ms = Some(now_ms);
+        view.advice.unused_calls += 1;
+        view.advice.is_start_expected |= eligible_workers > 0 && (is_renewal || !is_gang);
         for worker in &requested {
             view.advice.eligible.remove(worker);
             view.advice.evaluated.insert(worker.clone());
@@ -110,18 +123,17 @@
     pub(crate) fn advice_pause(&self, step: StepId, policy: &AdvicePolicy) -> Option<WaitReason> {
         let advice = &self.steps.get(&step)?.advice;
         let load = self.request_load(step, policy, MIN_WORKERS_PER_REQUEST);
-        match advice.request_sent_ms {
-            Some(_) => Some(WaitReason::AwaitsAdvice),
-            None if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
-            None if self.advice_senders.find(self.now_ms, load).is_none() => Some(WaitReason::NoAdviceSender),
-            None => None,
+        match advice.requests.is_empty() {
+            false => Some(WaitReason::AwaitsAdvice),
+            true if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
+            true if self.advice_senders.find(self.now_ms, load).is_none() => Some(WaitReason::NoAdviceSender),
+            true => None,
         }
     }
 
-    fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
-        let priority = self.steps.get(&step).map(|view| view.priority);
+    pub(crate) fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
         RequestLoad {
-            is_urgent: priority.is_some() && priority == self.top_priority(),
+            is_urgent: self.is_urgent(step),
             response_ms: policy.response_ms(workers),
         }
     }
@@ -138,11 +150,13 @@
         candidates: &[Candidate<WorkerName>],
     ) -> WaitReason {
         let now_ms = self.now_ms;
+        let is_urgent = self.is_urgent(step);
+        let share = self.eligible_share(step).max(50);
         let Some(view) = self.steps.get_mut(&step) else {
             return WaitReason::NoCapacity;
         };
         view.advice.request_due_ms = now_ms + REQUEST_PAUSE_MS;
-        if view.advice.request_sent_ms.is_some() {
+        if !view.advice.requests.is_empty() {
             return WaitReason::AwaitsAdvice;
         }
         if candidates.is_empty() {
@@ -161,9 +175,25 @@
             .filter(is_unevaluated)
             .cloned()
             .collect();
-        let needed = (tasks as u64).div_ceil(tasks_per_worker(spec, candidates));
+        let per_worker = if is_urgent {
+            tasks_per_worker(spec, candidates)
+        } else {
+            1
+        };
+        let needed = (tasks as u64).div_ceil(per_worker);
         let missing = needed.saturating_sub(known.len() as u64);
-        let share = self.eligible_share(step).max(50);
+        let limit = MAX_WORKERS_PER_REQUEST.saturating_sub(known.len());
+        let by_room = (!is_urgent).then(|| {
+            let reserved = spec.reserved();
+            let most = spec
+                .max_per_worker
+                .map_or(usize::MAX, |most| most.max(1) as usize);
+            let room = candidates
+                .iter()
+                .filter(|candidate| !view.advice.evaluated.contains(&candidate.key))
+                .map(|candidate| room_now(candidate, &reserved, 0).clamp(1, most));
+            workers_with_room(missing as usize, room, share, policy, limit)
+        });
         let percent = if spec.gang {
             REQUESTED_FOR_GANG_PERCENT
         } else {
@@ -172,7 +202,7 @@
         let wanted = (missing * 1_000 * percent / 100).div_ceil(share) as usize;
         let wanted = match missing {
             0 if !known.is_empty() => 0,
-            _ => wanted.max(MIN_WORKERS_PER_REQUEST),
+            _ => by_room.unwrap_or(wanted).max(MIN_WORKERS_PER_REQUEST),
         };
         unevaluated.truncate(wanted);
         let workers: Vec<_> = known
@@ -193,26 +223,53 @@
         policy: &AdvicePolicy,
         workers: Vec<WorkerName>,
     ) -> WaitReason {
-        let load = self.request_load(step, policy, workers.len());
-        let Some(by) = self.advice_senders.choose(self.now_ms, load) else {
-            return WaitReason::NoAdviceSender;
+        match self.send_advice_requests(step, policy, workers, true) {
+            0 => WaitReason::NoAdviceSender,
+            _ => WaitReason::AwaitsAdvice,
+        }
+    }
+
+    /// Sends requests for advice on some workers through several daemons at once, if one request cannot name
+    /// all of them. If `all_or_none`, nothing is sent unless there is a daemon for each request: the tickets
+    /// of a gang are of use together only. Returns the number of requests.
+    pub(crate) fn send_advice_requests(
+        &mut self,
+        step: StepId,
+        policy: &AdvicePolicy,
+        workers: Vec<WorkerName>,
+        all_or_none: bool,
+    ) -> usize {
+        let now_ms = self.now_ms;
+        let parts = workers.len().div_ceil(MAX_WORKERS_PER_REQUEST).max(1);
+        let size = workers.len().div_ceil(parts);
+        let load = self.request_load(step, policy, size);
+        let senders = self
+            .advice_senders
+            .choose_several(now_ms, load, parts, all_or_none);
+        let requests: Vec<_> = senders.into_iter().zip(workers.chunks(size.max(1))).collect();
+        let Some(view) = self.steps.get_mut(&step) else {
+            return 0;
         };
-        if let Some(view) = self.steps.get_mut(&step) {
+        for (by, workers) in &requests {
             let known = workers
                 .iter()
                 .filter(|worker| view.advice.eligible.contains_key(*worker));
             self.lapsed_tickets += known.count() as u64;
-            view.advice.request_sent_ms = Some(self.now_ms);
-            view.advice.requested_workers = workers.clone();
+            view.advice.requests.push(SentRequest {
+                by: *by,
+                sent_ms: now_ms,
+                workers: workers.to_vec(),
+            });
+            let workers = workers.to_vec();
+            self.output.immediate.push(Effect::Advise {
+                by: *by,
+                request: AdviceRequest { step, workers },
+            });
         }
-        self.output.immediate.push(Effect::Advise {
-            by,
-            request: AdviceRequest { step, workers },
-        });
-        WaitReason::AwaitsAdvice
+        requests.len()
     }
 
-    fn eligible_share(&self, step: StepId) -> u64 {
+    pub(crate) fn eligible_share(&self, step: StepId) -> u64 {
         let queue = self.store.jobs.get(&step.job).map(|job| &job.queue);
         let share = queue.and_then(|queue| self.eligible_shares.get(queue));
         share.copied().unwrap_or(DEFAULT_ELIGIBLE_THOUSANDTHS)
@@ -221,12 +278,9 @@
     /// Drops requests that have had no response for `RESPONSE_TIMEOUT_MS`.
     pub(crate) fn expire_advice_requests(&mut self) {
         let now_ms = self.now_ms;
-        let is_lost = |since_ms: u64| now_ms > since_ms + RESPONSE_TIMEOUT_MS;
         for view in self.steps.values_mut() {
-            if view.advice.request_sent_ms.is_some_and(is_lost) {
-                view.advice.request_sent_ms = None;
-                view.advice.requested_workers.clear();
-            }
+            let requests = &mut view.advice.requests;
+            requests.retain(|request| now_ms <= request.sent_ms + RESPONSE_TIMEOUT_MS);
         }
     }
 }
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -72,6 +72,7 @@
             backlog,
             cold_workers: self.cold_workers(),
             evacuations: self.evacuation_reports(),
+            calls_without_start: self.calls_without_start,
             lapsed_tickets: self.lapsed_tickets,
             shares: self.largest_shares(&rooms),
             rooms,
@@ -136,7 +137,7 @@
 
     fn advice_in_flight(&self) -> usize {
         let steps = self.steps.values();
-        steps.filter(|view| view.advice.request_sent_ms.is_some()).count()
+        steps.map(|view| view.advice.requests.len()).sum()
     }
 }
 
@@ -160,6 +161,7 @@
         .with("advice_in_flight", report.advice_in_flight)
         .with("lapsed_tickets", report.lapsed_tickets)
         .with("cold_workers", report.cold_workers)
+        .with("advice_without_start", report.calls_without_start)
 }
 
 fn backlog_event(now_ms: u64, step: StepId, view: &StepView, backlog: &PriorityBacklog) -> LogEvent {
@@ -180,4 +182,5 @@
         .with("evaluated", view.advice.evaluated.len())
         .with("eligible", view.advice.eligible.len())
         .with("tickets", tickets.count())
+        .with("unused_rounds", view.advice.unused_rounds)
 }
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -73,6 +73,7 @@
             }
         }
         self.place_in_turn(order);
+        self.send_planned_requests();
     }
 
     /// Tries lasting steps that have waited for long, until a task of one is started, and lets them use the
@@ -113,16 +114,17 @@
     /// Tries a bounded number of steps of each priority, those that were not tried for the longest time
     /// first.
     fn place_in_turn(&mut self, untried: impl Iterator<Item = StepId>) {
-        let mut turns: BTreeMap<u32, Vec<(u64, StepId)>> = BTreeMap::new();
+        let mut turns: BTreeMap<u32, Vec<(bool, u64, StepId)>> = BTreeMap::new();
         for step in untried {
             if let Some(view) = self.steps.get(&step) {
                 let of_priority = turns.entry(view.priority).or_default();
-                of_priority.push((view.tried_ms, step));
+                // Teams behind a long backlog of another one get their share of the advice requests.
+                of_priority.push((self.has_planned_request(step), view.tried_ms, step));
             }
         }
         for mut of_priority in turns.into_values() {
             of_priority.sort_unstable();
-            for (_, step) in of_priority.into_iter().take(STEPS_IN_TURN) {
+            for (.., step) in of_priority.into_iter().take(STEPS_IN_TURN) {
                 let kept_free_percent = self.kept_free_percent(step);
                 // The view records why a step still waits.
                 let _ = self.try_step(step, kept_free_percent);
@@ -270,6 +272,13 @@
         if let Some(reason) = self.advice_pause(step, policy) {
             return reason;
         }
+        // Lasting tasks find room in their turn.
+        if !spec.long_running && !self.is_urgent(step) {
+            return match self.needs_reservation(spec, service) {
+                true => self.request_advice_for_gang(step, spec, service, policy, tasks, kept_free_percent),
+                false => self.request_advice_for_room(step, spec, service, policy, tasks, kept_free_percent),
+            };
+        }
         let candidates =
             self.candidates_for_advice(step, spec, service, kept_free_percent, MIN_WORKERS_PER_REQUEST);
         let all = if spec.gang { spec.tasks as usize } else { tasks };
@@ -458,6 +467,7 @@
         for (worker, run, checkpoint) in orders {
             if let Some(view) = self.steps.get_mut(&step) {
                 view.waiting.remove(&run.task.index);
+                view.advice.record_start();
             }
             self.add_run(run, &worker, RunState::Ordered);
             self.record_cold_start(&worker);
--- a/crates/jobs/src/plan_team_limits.rs
+++ b/crates/jobs/src/plan_team_limits.rs
@@ -43,7 +43,8 @@
         team.map_or(1, |team| team.weight)
     }
 
-    fn team_of(&self, step: StepId) -> Option<&TeamName> {
+    /// Returns the team of a step's job.
+    pub(crate) fn team_of(&self, step: StepId) -> Option<&TeamName> {
         self.store.jobs.get(&step.job)?.team.as_ref()
     }
 
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -8,9 +8,12 @@
     crate::{
         CallId, Callee, CellResponse, Effect, JobCommand, JobEvent, JobId, JobStore, KindSpeed, LogEvent,
         Output, PlannerSettings, Progress, Queue, RunId, StepId, TaskKey, WaitTimes, WorkerOrder,
+        advice_claims::AdviceClaims,
         advice_senders::AdviceSenders,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
         pacing::Pacing,
+        plan_advice_choice::PlannedRequest,
+        plan_advice_room::RoomForecast,
         plan_data_center_moves::DataCenterMoves,
         plan_late_starts::LateStart,
         plan_shares::Shares,
@@ -37,15 +40,24 @@
 
 /// Scheduler of the leader: turns events into commands and effects.
 pub struct Planner {
+    /// Room that steps with tickets, or that await them, are expected to use.
+    pub(crate) advice_claims: AdviceClaims,
     pub(crate) advice_senders: AdviceSenders,
     /// Whether most heartbeats are overdue.
     pub(crate) are_heartbeats_late: bool,
+    /// Time of the planning pass in which the claims were computed.
+    pub(crate) claims_ms: Option<u64>,
     /// Time of the next report of the waiting steps.
     pub(crate) backlog_due_ms: u64,
     /// Last priority of the open steps in the present planning pass.
     pub(crate) last_priority: Option<u32>,
+    /// Number of responses of the advice service of which all tickets have expired without a start, while the
+    /// step waited.
+    pub(crate) calls_without_start: u64,
     /// Number of tickets that were requested again since they had expired unused.
     pub(crate) lapsed_tickets: u64,
+    /// Advice requests of the present planning pass.
+    pub(crate) planned_requests: Vec<PlannedRequest>,
     /// Time of the next search for steps whose advice is requested before they are ready.
     pub(crate) prefetch_due_ms: u64,
     pub(crate) store: JobStore,
@@ -88,6 +100,8 @@
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Room that is kept for waiting steps.
     pub(crate) reservations: Reservations,
+    /// Expected ends of the present runs.
+    pub(crate) room_forecast: RoomForecast,
     /// Number of workers that the present planning pass may still search for room to reserve.
     pub(crate) room_searches_left: usize,
     /// Occurrences that are due later, as due time since the Unix epoch in milliseconds, job and
@@ -119,11 +133,15 @@
         now_unix_ms: u64,
     ) -> Self {
         let mut planner = Self {
+            advice_claims: AdviceClaims::default(),
             advice_senders: AdviceSenders::new(),
             are_heartbeats_late: false,
+            claims_ms: None,
             backlog_due_ms: now_ms,
+            calls_without_start: 0,
             lapsed_tickets: 0,
             last_priority: None,
+            planned_requests: Vec::new(),
             prefetch_due_ms: now_ms,
             store,
             needs_placement: true,
@@ -149,6 +167,7 @@
             first_priorities: BTreeMap::new(),
             runs: BTreeMap::new(),
             reservations: Reservations::default(),
+            room_forecast: RoomForecast::default(),
             room_searches_left: 0,
             scheduled: BTreeSet::new(),
             settings,
@@ -424,6 +443,7 @@
         self.send_late_stops();
         self.expire_late_acknowledgements();
         self.expire_advice_requests();
+        self.end_unused_rounds();
         for name in self.advice_senders.expire(self.now_ms) {
             self.log(LogEvent::new("daemon announcement expired").with("daemon", name));
         }
