kernel: a daemon's only worker that has failed for long can be ejected

Cause: the only worker is ejected only while a load hint shows free slots at a peer. While none did, its failures raised the failure rate of the daemon's fleet, which is then its own. Above 50% they counted as faults of the tasks, and the worker was never ejected, also when peers had free slots again.

Change: the rate of the fleet does not count for the only worker. The tests of cancellations and of the partition print the requests that were not done, so that their next failure can be traced.

--- a/crates/daemon/tests/invariants/common.rs
+++ b/crates/daemon/tests/invariants/common.rs
@@ -152,6 +152,22 @@
     events.iter().filter(|event| event.seen == outcome).count()
 }
 
+/// Prints the attempts that were not done, so that a failure can be traced.
+pub fn print_not_done(events: &[&CallerEvent], test: &str) {
+    let not_done = events.iter().filter(|event| event.seen != AttemptOutcome::Done);
+    for event in not_done.take(20) {
+        println!(
+            "{test}: {} attempt {} at {}: {} after {} ms, {}",
+            event.request,
+            event.attempt,
+            event.entry,
+            event.seen.as_str(),
+            event.wait_us / 1_000,
+            event.detail
+        );
+    }
+}
+
 /// Checks all logs for violations and prints the number of requests and events that were checked.
 pub fn assert_no_violation(cell: &Cell, test: &str) {
     let history = cell.history().expect("the logs should be readable");
--- a/crates/daemon/tests/invariants/overload.rs
+++ b/crates/daemon/tests/invariants/overload.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::common::{
-        assert_no_violation, builder, caller_events, count_outcomes, load_settings, lock_cell, sent_after,
-        spawn_load, start_cell, started_events, wait_for_starts,
+        assert_no_violation, builder, caller_events, count_outcomes, load_settings, lock_cell,
+        print_not_done, sent_after, spawn_load, start_cell, started_events, wait_for_starts,
     },
     fuchsiatack_testkit::{
         AttemptOutcome, Behaviour, Caller, CallerRequest, LoadSettings, TaskBody, WorkerControl,
@@ -61,6 +61,10 @@
     })
     .await
     .expect("the load should run");
+    print_not_done(
+        &sent_after(&caller_events(&cell), None, cancelled_us),
+        "a_burst_of_cancellations_frees_slots_and_queue_places",
+    );
     assert_eq!(report.count(AttemptOutcome::Done), 400);
     let events = cell.worker_events().expect("the worker log should be readable");
     let longest_cancel_us = events
--- a/crates/daemon/tests/invariants/partition.rs
+++ b/crates/daemon/tests/invariants/partition.rs
@@ -3,7 +3,8 @@
 use {
     crate::common::{
         SECOND_US, assert_no_violation, builder, caller_events, count_outcomes, leader_number, load_settings,
-        load_team, lock_cell, sent_after, sleep_until_us, spawn_load, start_cell, wait_for_starts,
+        load_team, lock_cell, print_not_done, sent_after, sleep_until_us, spawn_load, start_cell,
+        wait_for_starts,
     },
     fuchsiatack_testkit::{AttemptOutcome, Cell, LoadSettings, wall_us},
     std::net::SocketAddr,
@@ -79,6 +80,10 @@
     .expect("the load should finish without a panic");
     let events = caller_events(&cell);
     let after_healing = sent_after(&events, Some(entry), healed_us);
+    print_not_done(
+        &after_healing,
+        "a_partitioned_leader_rejects_requests_and_rejoins",
+    );
     assert!(count_outcomes(&after_healing, AttemptOutcome::Done) >= 50);
     assert_no_violation(&cell, "a_partitioned_leader_rejects_requests_and_rejoins");
 }
--- a/crates/kernel/src/ejection.rs
+++ b/crates/kernel/src/ejection.rs
@@ -25,8 +25,14 @@
                 .insert((self.now_us + REFUSAL_PAUSE_US, Timer::Resume(key)));
         }
         let probed = self.workers[key].health.state == ServiceState::Probing(Some(task));
+        // The failures of the only worker say nothing about the tasks. Measured by them, it would never be
+        // ejected once it had failed more than half of its tasks while no peer had free slots.
+        let fleet_rate = match self.workers.len() {
+            1 => 0.0,
+            _ => self.fleet_failure_rate,
+        };
         let health = &mut self.workers[key].health;
-        let should_eject = health.record_end(failed, self.fleet_failure_rate);
+        let should_eject = health.record_end(failed, fleet_rate);
         match probed {
             true if failed => self.eject(key),
             true => self.recover_worker(key),
--- a/crates/kernel/tests/policies.rs
+++ b/crates/kernel/tests/policies.rs
@@ -337,6 +337,25 @@
     assert_eq!(forwarded(&ejected), ["entry-2"]);
 }
 
+/// Guards against a failing only worker that is never ejected: it failed many tasks while no load hint showed
+/// a free slot, and its failures then counted as those of the whole fleet.
+#[test]
+fn only_worker_that_has_failed_for_long_is_ejected_once_peers_have_free_slots() {
+    const FAILURES: u64 = 100;
+    let mut kernel = TestKernel::new().team("a", 1_000).worker("bad", 8);
+    for task in 1..=FAILURES {
+        kernel.submit(task, "a", Policy::Interactive);
+        kernel.end(task, TaskEnd::Failed);
+    }
+    let mut kernel = kernel.peer("entry-2", 3, &[]);
+    kernel.submit(FAILURES + 1, "a", Policy::Interactive);
+    kernel.end(FAILURES + 1, TaskEnd::Failed);
+
+    let next = kernel.submit(FAILURES + 2, "a", Policy::Interactive);
+
+    assert_eq!(forwarded(&next), ["entry-2"]);
+}
+
 /// Guards against so many ejections that the rest of the fleet is overloaded.
 #[test]
 fn ejections_are_limited_to_a_part_of_the_fleet() {
