daemon: an idempotent request runs again after its peer is lost

Cause: a request that was forwarded to a peer which then crashed was answered `unknown`, also an idempotent one, since the forwarding daemon could not tell when the run on the peer's worker is over.

Change: the forwarding daemon waits until the peer's sessions have ended and the owner of each worker lists no task of them, and then runs an idempotent request again. It learns this from the new owners (Request::WorkersFreeOf, appended, sent only after such a loss), so that it needs no message in ordinary operation. What may have run is never answered `not run`. Requests that are not idempotent are answered as before.

Tests: the load of requests_survive_the_crash_* lasts 20 s in place of 14 s. The tests print the requests that were not done.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         engine_message::{EngineMessage, OwnershipId},
+        forward_watch::runs_have_ended,
         hints::{LoadCell, LocalLoad},
         job::{Job, JobClass, JobId, JobSubmission, ReplyTo},
         job_entry::{JobEntry, JobState},
@@ -23,7 +24,7 @@
     fuchsiatack_wire::{ForwardedResponse, LoadHint, WireError},
     opentelemetry::trace::SpanKind,
     std::{
-        collections::{BTreeMap, HashMap, HashSet, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
         sync::Arc,
         time::Duration,
     },
@@ -35,6 +36,9 @@
 
 /// Time between ticks of the kernel while tasks wait.
 const TICK_PERIOD: Duration = Duration::from_millis(10);
+/// Time within which a request whose peer was lost may start again, also after its deadline. The caller learns
+/// sooner that the outcome is unknown if no worker is free.
+const REPEATED_START_LIMIT: Duration = Duration::from_secs(2);
 /// Time between reports of load and checks of the lease.
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
 /// Time after which a request that the engine refused may be retried, in milliseconds.
@@ -51,6 +55,9 @@
     /// Workers that are attached to the kernel, by name.
     pub(crate) attached: HashMap<WorkerName, WorkerEntry>,
     pub(crate) daemons: HashMap<SessionId, fuchsiatack_model::DaemonName>,
+    /// All sessions that this daemon has seen since its start, also ended ones. A forwarded request may have
+    /// run in any session of its peer.
+    pub(crate) seen_sessions: BTreeSet<(fuchsiatack_model::DaemonName, SessionId)>,
     /// Workers on which the kernel starts no new tasks.
     pub(crate) draining: HashSet<WorkerName>,
     /// Events that the kernel has not handled yet.
@@ -77,6 +84,7 @@
         Self {
             attached: HashMap::new(),
             daemons: HashMap::new(),
+            seen_sessions: BTreeSet::new(),
             draining: HashSet::new(),
             events: VecDeque::new(),
             handover: None,
@@ -140,12 +148,18 @@
         match message {
             EngineMessage::Cancel(job_id) => self.cancel(job_id),
             EngineMessage::Forwarded { result, task } => self.on_forwarded(task, result),
+            EngineMessage::ForwardedRunsEnded { are_over, task } => {
+                self.on_forwarded_runs_ended(task, are_over)
+            }
             EngineMessage::HandOver(reply) => {
                 let began = Instant::now();
                 self.handover = Some(Handover { began, reply });
                 self.hand_over_when_drained();
             }
             EngineMessage::Hint(hint) => self.enqueue(Event::PeerLoadReceived(peer_load(hint))),
+            EngineMessage::ListWorkersFreeOf { reply, sessions } => {
+                let _ = reply.send(self.kernel.workers_free_of(&sessions));
+            }
             EngineMessage::RunEnded { end, ran, task } => self.on_run_ended(task, end, ran),
             EngineMessage::Submit(submission) => self.submit(*submission),
             EngineMessage::TaskStopped(task) => self.on_task_stopped(task),
@@ -268,14 +282,21 @@
 
     /// Submits a job again as a new task, which is never forwarded to a peer.
     pub(crate) fn resubmit(&mut self, task: TaskId) {
+        self.resubmit_with(task, |class| JobClass {
+            may_forward: false,
+            ..class
+        });
+    }
+
+    /// Submits a job again as a new task with a changed class.
+    fn resubmit_with(&mut self, task: TaskId, change: impl FnOnce(JobClass) -> JobClass) {
         let Some(entry) = self.jobs.remove(task) else {
             return;
         };
-        let class = JobClass {
-            may_forward: false,
+        let class = change(JobClass {
             queue: None,
             ..entry.class
-        };
+        });
         let may_run = self.handover.is_none() && self.check_lease();
         match self.session.filter(|_| may_run) {
             Some(session) => {
@@ -284,6 +305,7 @@
             }
             None => {
                 let response = RunResponse::not_run(Refusal::LeaseLapsed, RETRY_AFTER_MS);
+                let response = response.after_runs(entry.job.may_have_run);
                 self.reply(entry.job.reply, response);
             }
         }
@@ -307,7 +329,7 @@
         };
         entry.cancelled = true;
         match &entry.state {
-            JobState::Forwarded(abort) => {
+            JobState::Forwarded { abort, .. } => {
                 abort.abort();
                 self.finish(task, RunResponse::unknown("the request was cancelled at a peer"));
             }
@@ -422,10 +444,60 @@
             Ok(response) if is_retryable(&response) => self.resubmit(task),
             Ok(response) => self.finish(task, (*response).into()),
             Err(error) if error.had_no_effect() => self.resubmit(task),
-            Err(_) => self.finish(task, RunResponse::unknown("the connection to the peer was lost")),
+            Err(_) => self.on_peer_lost(task),
         }
     }
 
+    /// Handles a request whose peer was lost before it responded. An idempotent one runs again once the runs
+    /// that the peer started have ended.
+    fn on_peer_lost(&mut self, task: TaskId) {
+        let Some(entry) = self.jobs.get(task) else {
+            return;
+        };
+        let daemon = match &entry.state {
+            JobState::Forwarded { daemon, .. } if entry.class.task_class.idempotent && !entry.cancelled => {
+                daemon.clone()
+            }
+            _ => return self.finish_lost_forward(task),
+        };
+        let sessions: Vec<_> = self.sessions_of(&daemon).collect();
+        let shared = self.shared.clone();
+        let watch = async move {
+            let are_over = runs_have_ended(&shared, &sessions).await;
+            shared
+                .engine
+                .send(EngineMessage::ForwardedRunsEnded { are_over, task });
+        };
+        let abort = tokio::spawn(watch).abort_handle();
+        self.jobs.set_state(task, JobState::Forwarded { abort, daemon });
+    }
+
+    /// Runs an idempotent request again after its run at a lost peer, here or at another peer, since the workers
+    /// of the lost one may have gone to any. The deadline of the first start may have passed meanwhile; the
+    /// caller ends the request when it closes its connection.
+    fn on_forwarded_runs_ended(&mut self, task: TaskId, are_over: bool) {
+        let may_retry = are_over && Some(task.session) == self.session && self.retry_budget.try_take();
+        spdlog::debug!("forwarded request lost with its peer", kv: {
+            task = task.to_string(),
+            runs_are_over = are_over,
+            runs_again = may_retry,
+        });
+        let Some(entry) = self.jobs.get_mut(task).filter(|_| may_retry) else {
+            return self.finish_lost_forward(task);
+        };
+        entry.job.may_have_run = true;
+        self.shared.metrics.retries.inc();
+        let earliest = Instant::now() + REPEATED_START_LIMIT;
+        self.resubmit_with(task, |class| JobClass {
+            deadline: class.deadline.map(|deadline| deadline.max(earliest)),
+            ..class
+        });
+    }
+
+    fn finish_lost_forward(&mut self, task: TaskId) {
+        self.finish(task, RunResponse::unknown("the connection to the peer was lost"));
+    }
+
     fn on_worker_reported(&mut self, ownership: &OwnershipId, report: WorkerReport, sent: Instant) {
         if !self.is_current(ownership) {
             return;
@@ -484,6 +556,7 @@
     /// Removes a job and sends its response.
     pub(crate) fn finish(&mut self, task: TaskId, response: RunResponse) {
         if let Some(entry) = self.jobs.remove(task) {
+            let response = response.after_runs(entry.job.may_have_run);
             self.shared.metrics.count_outcome(response.outcome);
             self.reply(entry.job.reply, response);
         }
--- a/crates/daemon/src/engine_decisions.rs
+++ b/crates/daemon/src/engine_decisions.rs
@@ -142,7 +142,8 @@
             shared.engine.send(EngineMessage::Forwarded { result, task });
         };
         let abort = tokio::spawn(attempt).abort_handle();
-        self.jobs.set_state(task, JobState::Forwarded(abort));
+        let daemon = daemon.clone();
+        self.jobs.set_state(task, JobState::Forwarded { abort, daemon });
     }
 
     /// Cancels a task on its worker. `TaskStopped` follows once the worker has confirmed it.
--- a/crates/daemon/src/engine_directory.rs
+++ b/crates/daemon/src/engine_directory.rs
@@ -10,7 +10,7 @@
     },
     fuchsiatack_kernel::Event,
     fuchsiatack_ledger::{Change, Command, RenewalResponse, TeamCount, WorkerEntry},
-    fuchsiatack_model::{LogIndex, Refusal, SessionId, WorkerName, WorkerReport},
+    fuchsiatack_model::{DaemonName, LogIndex, Refusal, SessionId, WorkerName, WorkerReport},
     fuchsiatack_records::{Kind, Spec},
     fuchsiatack_session::SessionEvent,
     std::{sync::Arc, time::Duration},
@@ -97,6 +97,7 @@
     fn on_change(&mut self, change: Change) {
         match change {
             Change::DaemonJoined { daemon, session } => {
+                self.seen_sessions.insert((daemon.name.clone(), session));
                 self.daemons.insert(session, daemon.name);
             }
             Change::DaemonLeft { session } => self.on_daemon_left(session),
@@ -125,6 +126,14 @@
         }
     }
 
+    /// Returns the sessions of a daemon that this one has seen, also ended ones.
+    pub(crate) fn sessions_of(&self, daemon: &DaemonName) -> impl Iterator<Item = SessionId> {
+        let sessions = self.seen_sessions.iter();
+        sessions
+            .filter(move |(name, _)| name == daemon)
+            .map(|(_, session)| *session)
+    }
+
     fn on_daemon_left(&mut self, session: SessionId) {
         let Some(daemon) = self.daemons.remove(&session) else {
             return;
--- a/crates/daemon/src/engine_handle.rs
+++ b/crates/daemon/src/engine_handle.rs
@@ -62,6 +62,7 @@
         let job = Job {
             body: request.body,
             content_type: request.content_type,
+            may_have_run: false,
             reply: ReplyTo::Caller(sender),
             request: request.request,
             job_id,
--- a/crates/daemon/src/engine_message.rs
+++ b/crates/daemon/src/engine_message.rs
@@ -29,11 +29,19 @@
         result: Result<Box<ForwardedResponse>, WireError>,
         task: TaskId,
     },
+    /// The runs of a peer that was lost during a forwarded request have ended, or it is not known whether they
+    /// have.
+    ForwardedRunsEnded { are_over: bool, task: TaskId },
     /// Releases all workers and refuses tasks that have not started. The sender is notified once
     /// the releases are committed or the session has ended.
     HandOver(oneshot::Sender<()>),
     /// Load that a peer reported.
     Hint(LoadHint),
+    /// Asks for the attached workers that run no task of these sessions.
+    ListWorkersFreeOf {
+        reply: oneshot::Sender<Vec<(WorkerName, Epoch)>>,
+        sessions: Vec<SessionId>,
+    },
     /// An attempt to run a task ended after `ran`.
     RunEnded {
         end: RunEnd,
--- a/crates/daemon/src/engine_work.rs
+++ b/crates/daemon/src/engine_work.rs
@@ -67,6 +67,7 @@
                 Job {
                     body: spec.body.as_bytes().to_vec().into(),
                     content_type: None,
+                    may_have_run: false,
                     request: RequestId::new(format!("{}/{}", task.work, task.number)),
                     reply: ReplyTo::Work(task),
                     job_id,
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -25,6 +25,8 @@
     pub(crate) body: Bytes,
     pub(crate) content_type: Option<SmolStr>,
     pub(crate) job_id: JobId,
+    /// Whether a peer that was lost may have run it.
+    pub(crate) may_have_run: bool,
     pub(crate) reply: ReplyTo,
     pub(crate) request: RequestId,
     pub(crate) trace_parent: Option<SmolStr>,
--- a/crates/daemon/src/job_entry.rs
+++ b/crates/daemon/src/job_entry.rs
@@ -6,7 +6,7 @@
         shared::OpenGuard,
         traces::SpanGuard,
     },
-    fuchsiatack_model::{Epoch, WorkerName},
+    fuchsiatack_model::{DaemonName, Epoch, WorkerName},
     tokio::{task::AbortHandle, time::Instant},
 };
 
@@ -19,8 +19,8 @@
 
 /// State of a job's current task. Variants are sorted by name.
 pub(crate) enum JobState {
-    /// Forwarded to a peer, whose response is awaited.
-    Forwarded(AbortHandle),
+    /// Forwarded to a peer, whose response is awaited, or the end of its runs if it was lost.
+    Forwarded { abort: AbortHandle, daemon: DaemonName },
     /// The connection to the worker was lost at `at`; the task may still run.
     Lost { at: Instant, worker: WorkerName },
     /// Started on a worker, whose response is awaited.
@@ -73,7 +73,7 @@
         match &self.state {
             JobState::Lost { worker: on, .. } => on == worker,
             JobState::Running(running) => running.worker == *worker,
-            JobState::Forwarded(_) | JobState::Waiting => false,
+            JobState::Forwarded { .. } | JobState::Waiting => false,
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine_message;
 mod engine_work;
 mod error;
+mod forward_watch;
 mod hints;
 mod http_adapter;
 mod http_error;
--- a/crates/daemon/src/peer_handler.rs
+++ b/crates/daemon/src/peer_handler.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        engine_handle::RequestContent, job::JobClass, run_response::RunResponse, shared::Shared,
-        store_role::StoreRole,
+        engine_handle::RequestContent, forward_watch::ask_engine, job::JobClass, run_response::RunResponse,
+        shared::Shared, store_role::StoreRole,
     },
     fuchsiatack_consensus::Envelope,
     fuchsiatack_model::Refusal,
@@ -41,6 +41,13 @@
                 };
                 Response::Forwarded(Box::new(response.into()))
             }
+            Request::WorkersFreeOf { sessions } => {
+                let workers = match self.shared.get() {
+                    Some(shared) => ask_engine(shared, sessions).await,
+                    None => Vec::new(),
+                };
+                Response::WorkersFreeOf(workers)
+            }
             request => self.store.call(caller, request).await,
         }
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,7 +1,7 @@
 //! Connections to other entry daemons, for forwarded requests.
 
 use {
-    fuchsiatack_model::DaemonName,
+    fuchsiatack_model::{DaemonName, Epoch, SessionId, WorkerName},
     fuchsiatack_session::Directory,
     fuchsiatack_wire::{
         CellSecret, ForwardedRequest, ForwardedResponse, PeerClient, PeerClientSettings, Request, Response,
@@ -60,6 +60,21 @@
         }
     }
 
+    /// Asks a peer which of its workers run no task of these sessions. The connection is one of its own, since a
+    /// peer of an earlier build closes the connection on which it receives this call.
+    pub(crate) async fn workers_free_of(
+        &self,
+        address: SocketAddr,
+        sessions: Vec<SessionId>,
+        limit: Duration,
+    ) -> Result<Vec<(WorkerName, Epoch)>, WireError> {
+        let request = Request::WorkersFreeOf { sessions };
+        match self.new_client(address).call(request, limit).await? {
+            Response::WorkersFreeOf(workers) => Ok(workers),
+            _ => Err(WireError::ConnectionLost),
+        }
+    }
+
     /// Closes the connections to daemons that are not in the directory.
     pub(crate) fn retain(&self, directory: &Directory) {
         let present: Vec<_> = directory
@@ -73,13 +88,15 @@
     fn client(&self, address: SocketAddr) -> Arc<PeerClient> {
         self.lock()
             .entry(address)
-            .or_insert_with(|| {
-                let settings = PeerClientSettings::default();
-                Arc::new(PeerClient::new(address, self.secret.clone(), settings, None))
-            })
+            .or_insert_with(|| Arc::new(self.new_client(address)))
             .clone()
     }
 
+    fn new_client(&self, address: SocketAddr) -> PeerClient {
+        let settings = PeerClientSettings::default();
+        PeerClient::new(address, self.secret.clone(), settings, None)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<PeerClient>>> {
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/run_response.rs
+++ b/crates/daemon/src/run_response.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Returns the response to a request that may have run before: it is then unknown whether a request that
+    /// was not run now has run.
+    pub(crate) fn after_runs(self, may_have_run: bool) -> Self {
+        match self.outcome {
+            Outcome::NotRun if may_have_run => Self::unknown(&self.message),
+            _ => self,
+        }
+    }
+
     /// Creates the response to a request that was not run.
     pub(crate) fn not_run(refusal: Refusal, retry_after_ms: u32) -> Self {
         let status = match refusal {
--- a/crates/daemon/tests/invariants/requests.rs
+++ b/crates/daemon/tests/invariants/requests.rs
@@ -3,10 +3,13 @@
 use {
     crate::common::{
         SECOND_US, assert_no_violation, builder, caller_events, count_outcomes, leader_number, load_settings,
-        lock_cell, sent_after, sleep_until_us, spawn_load, start_cell, started_events, wait_for_starts,
-        with_short_leases,
+        lock_cell, print_not_done, sent_after, sleep_until_us, spawn_load, start_cell, started_events,
+        wait_for_starts, with_short_leases,
+    },
+    fuchsiatack_testkit::{
+        AttemptOutcome, Caller, CallerRequest, Cell, LoadSettings, TaskBody, WorkerEvent, WorkerEventKind,
+        run_load, wall_us,
     },
-    fuchsiatack_testkit::{AttemptOutcome, Caller, CallerRequest, LoadSettings, TaskBody, run_load, wall_us},
     std::{collections::BTreeSet, time::Duration},
 };
 
@@ -38,13 +41,14 @@
     let mut cell = start_cell(builder(4), 4).await;
     let leader = leader_number(&mut cell).await;
     let daemon = if is_leader { leader } else { leader % 3 + 1 };
-    // The tasks are long, so that some run during the crash. The pause before a resend outlasts them:
+    // The load lasts long enough to send requests 10 s after the crash, also if the first 200 starts take 8 s
+    // on a busy machine. The tasks are long, so that some run during the crash. The pause before a resend outlasts them:
     // a resent idempotent request becomes a new task, while the first one may still run.
     let load = spawn_load(LoadSettings {
         callers: 32,
         resend_pause: Duration::from_millis(500),
         run_ms: 100..300,
-        ..load_settings(&cell, seed, 14)
+        ..load_settings(&cell, seed, 20)
     });
     wait_for_starts(&mut cell, 200).await;
 
@@ -67,6 +71,7 @@
         "only {} requests after 10 s",
         late_requests.len()
     );
+    print_not_done(&late_results, "assert_requests_survive_crash");
     assert_eq!(
         count_outcomes(&late_results, AttemptOutcome::Done),
         late_requests.len()
@@ -90,10 +95,12 @@
     // If no result is unknown, no non-idempotent request ran during the crash and the test did not
     // use the journal.
     assert!(count_outcomes(&interrupted_results, AttemptOutcome::Unknown) > 0);
-    let idempotent_unknown = events
+    let idempotent_unknown: Vec<_> = events
         .iter()
-        .filter(|event| event.idempotent && event.seen == AttemptOutcome::Unknown);
-    assert_eq!(idempotent_unknown.count(), 0);
+        .filter(|event| event.idempotent && event.seen == AttemptOutcome::Unknown)
+        .collect();
+    print_not_done(&idempotent_unknown, "assert_requests_survive_crash");
+    assert_eq!(idempotent_unknown.len(), 0);
     assert_no_violation(&cell, "assert_requests_survive_crash");
 }
 
@@ -107,6 +114,92 @@
     assert_requests_survive_crash(false, 22).await;
 }
 
+/// Returns the numbers of the daemon that owns the only worker and of another one.
+async fn owner_and_other(cell: &mut Cell) -> (usize, usize) {
+    let mut owner = None;
+    cell.wait_until("a daemon has free slots", async |cell| {
+        for number in 1..=3 {
+            let metrics = cell.metrics(number).await?;
+            let has_slots = |line: &str| line.starts_with("fuchsiatack_free_slots ") && !line.ends_with(" 0");
+            if metrics.lines().any(has_slots) {
+                owner = Some(number);
+            }
+        }
+        Ok(owner.is_some())
+    })
+    .await
+    .expect("the worker should have an owner");
+    let owner = owner.unwrap_or(1);
+    (owner, owner % 3 + 1)
+}
+
+/// Guards against an idempotent request that is answered `unknown` because the peer that ran it crashed, and
+/// against its second run while the first one goes on. The tasks outlast the hand-over of the worker.
+#[tokio::test]
+async fn forwarded_requests_run_again_after_the_run_of_a_crashed_peer() {
+    const RUN_MS: u64 = 8_000;
+    let _cell_lock = lock_cell().await;
+    let mut cell = start_cell(builder(1), 1).await;
+    let (owner, other) = owner_and_other(&mut cell).await;
+    let entry = cell.caller_addresses()[other - 1];
+    let send = |number: usize| {
+        tokio::spawn(async move {
+            let request = CallerRequest {
+                body: TaskBody::run(RUN_MS).to_json().into(),
+                deadline: Duration::from_secs(60),
+                idempotent: number.is_multiple_of(2),
+                queue: "counter".to_owned(),
+                request: format!("forwarded-{number}"),
+            };
+            let response = Caller::new(Some("secret-of-maarif")).send(entry, &request).await;
+            (request, response.expect("the daemon should respond"))
+        })
+    };
+    let calls: Vec<_> = (0..4).map(send).collect();
+    wait_for_starts(&mut cell, calls.len()).await;
+
+    cell.daemon(owner).kill();
+
+    for call in calls {
+        let (request, response) = call.await.expect("the call should finish without a panic");
+        let expected = match request.idempotent {
+            true => AttemptOutcome::Done,
+            false => AttemptOutcome::Unknown,
+        };
+        let runs = runs_of(&cell, &request.request);
+        println!("{}: {:?}, runs {runs:?}", request.request, response.seen);
+        assert_eq!(response.seen, expected, "{}", request.request);
+        assert_eq!(runs.len(), if request.idempotent { 2 } else { 1 });
+        let is_overlapping = runs
+            .windows(2)
+            .any(|pair| pair[0].1.is_none_or(|ended_us| ended_us > pair[1].0));
+        assert!(!is_overlapping, "{}: {runs:?}", request.request);
+    }
+    assert_no_violation(
+        &cell,
+        "forwarded_requests_run_again_after_the_run_of_a_crashed_peer",
+    );
+}
+
+/// Returns the times of the starts and ends of the runs of a request in microseconds, in the order of the
+/// starts.
+fn runs_of(cell: &Cell, request: &str) -> Vec<(u64, Option<u64>)> {
+    let events = cell.worker_events().expect("the worker log should be readable");
+    let of_request = |event: &&WorkerEvent| event.request.as_ref().is_some_and(|id| id.as_str() == request);
+    let mut runs: Vec<_> = events
+        .iter()
+        .filter(of_request)
+        .filter(|event| event.event == WorkerEventKind::Started)
+        .map(|started| {
+            let is_end = |event: &&WorkerEvent| event.task == started.task && event.event.is_end();
+            let ended = events.iter().find(is_end);
+            (started.at_us, ended.map(|event| event.at_us))
+        })
+        .collect();
+    runs.sort_unstable();
+    runs
+}
+
 /// Guards against a daemon that starts tasks with leases, epochs and tokens that it lost during a
 /// pause. An entry daemon pauses under load, and requests reach it while it
 /// is paused.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -16,7 +16,7 @@
         waiting::WaitingTasks,
         workers::Workers,
     },
-    fuchsiatack_model::{Policy, Resources, TeamName, WorkerName},
+    fuchsiatack_model::{Epoch, Policy, Resources, SessionId, TeamName, WorkerName},
     rand::{SeedableRng, rngs::StdRng},
     slotmap::SlotMap,
     std::collections::{BTreeSet, HashSet, VecDeque},
@@ -152,6 +152,17 @@
             .collect()
     }
 
+    /// Returns the attached workers that run no task of these sessions, with their epochs. A task whose
+    /// connection was lost counts as running until a report omits it.
+    pub fn workers_free_of(&self, sessions: &[SessionId]) -> Vec<(WorkerName, Epoch)> {
+        let runs = |task: &TaskKey| sessions.contains(&self.tasks[*task].id.session);
+        self.workers
+            .iter()
+            .filter(|(_, worker)| !worker.tasks.iter().any(runs))
+            .map(|(_, worker)| (worker.name.clone(), worker.epoch))
+            .collect()
+    }
+
     /// Returns the number of waiting tasks of all teams.
     pub fn waiting_count(&self) -> u32 {
         self.teams.iter().map(|team| team.waiting_count()).sum()
--- a/crates/kernel/tests/lifecycle.rs
+++ b/crates/kernel/tests/lifecycle.rs
@@ -5,7 +5,7 @@
 use {
     common::{TestKernel, id, inherited, started, started_tasks, submission, tokens_set},
     fuchsiatack_kernel::{Decision, Event, TaskEnd},
-    fuchsiatack_model::{Policy, Refusal},
+    fuchsiatack_model::{Policy, Refusal, WorkerName},
 };
 
 /// Guards against a task that does not start while a slot is free, or starts while none is.
@@ -166,3 +166,25 @@
 
     assert_eq!(started, [1, 2, 3, 4, 5]);
 }
+
+/// Guards against a second run of a request while its first run, which an ended session started, goes on: the
+/// worker must not count as free before a report omits the task.
+#[test]
+fn worker_is_free_of_a_session_once_a_report_omits_its_tasks() {
+    let mut kernel = TestKernel::new().team("anfa", 1_000).worker("worker-1", 2);
+    kernel.attach("worker-2", 2, 1_000, vec![inherited(7, "anfa")]);
+    let free = |kernel: &TestKernel| {
+        let workers = kernel.inner.workers_free_of(&[id(7).session]);
+        workers.into_iter().map(|(name, _)| name).collect::<Vec<_>>()
+    };
+
+    let before = free(&kernel);
+    kernel.report("worker-2", &[7]);
+    let still_running = free(&kernel);
+    kernel.report("worker-2", &[]);
+    let after = free(&kernel);
+
+    assert_eq!(before, [WorkerName::new("worker-1")]);
+    assert_eq!(still_running, before);
+    assert_eq!(after.len(), 2);
+}
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -287,7 +287,7 @@
             | Request::Renew(_) => {
                 let _ = call.responder.send(self.not_leader());
             }
-            Request::Forward(_) | Request::Ping => {
+            Request::Forward(_) | Request::Ping | Request::WorkersFreeOf { .. } => {
                 let _ = call
                     .responder
                     .send(failed_response("the store does not handle calls of this kind"));
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -58,4 +58,10 @@
     Query(Query),
     /// Renews a session. The response follows once the leader has confirmed its leadership.
     Renew(Renewal),
+    /// Asks which workers of the receiver run no task of these sessions. Sent only after the connection to a
+    /// peer that runs a forwarded request was lost.
+    WorkersFreeOf {
+        /// Sessions that have ended.
+        sessions: Vec<SessionId>,
+    },
 }
--- a/crates/wire/src/response.rs
+++ b/crates/wire/src/response.rs
@@ -5,7 +5,7 @@
     fuchsiatack_derives::message,
     fuchsiatack_jobs::CellResponse,
     fuchsiatack_ledger::{QueryReply, RenewalResponse, Reply},
-    fuchsiatack_model::LogIndex,
+    fuchsiatack_model::{Epoch, LogIndex, WorkerName},
     smol_str::SmolStr,
     std::net::SocketAddr,
 };
@@ -55,4 +55,6 @@
     },
     /// Response to `Renew`.
     Renewed(RenewalResponse),
+    /// Response to `WorkersFreeOf`: workers with the epoch under which the receiver has fenced them.
+    WorkersFreeOf(Vec<(WorkerName, Epoch)>),
 }
