http: limits on what clients make a daemon hold

Change: `crates/http` is the server of all addresses; it replaces salvo in `crates/cell` and its connection limiter in `crates/daemon`. Each address has a budget for bytes and connections, which follows the memory and descriptors of the VM. Bodies are read block by block with a reservation, and JSON is counted before it is decoded. Unknown paths and methods, and bodies over the limit, are answered before the body is read. A connection without progress for longest, or that holds most, is closed first. One check a second covers the limits in time. Settings are checked when read; `client_limits` counts each limit by its name.

--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -4,8 +4,9 @@
     crate::{
         CellError, CoreSettings, HttpCodec, HttpRequest, HttpResponse,
         advice_client::AdviceClient,
+        client_limits::{ClientLimitObserver, ClientLimits},
         executor::Executor,
-        http_server::{HttpServer, RequestHandler},
+        http_server::{BodyRule, HttpServer, RequestHandler, body_rule},
         leader_client::LeaderClient,
         log,
         logs::write_log_events,
@@ -108,11 +109,28 @@
                 client,
                 store: Some(store.clone()),
             },
+            limits: settings.cell.client_limits.clone(),
             metrics: metrics.clone(),
         };
-        let max_body_bytes = settings.cell.max_body_bytes;
-        let control = HttpServer::start(settings.control_address, max_body_bytes, Arc::new(handler)).await?;
-        serve_metrics(&mut background, settings.cell.metrics_address, metrics).await?;
+        let limits = &settings.cell.client_limits;
+        let observer = ClientLimitObserver {
+            address: "control",
+            metrics: metrics.clone(),
+        };
+        let control = HttpServer::start(
+            settings.control_address,
+            limits.control.clone(),
+            observer,
+            Arc::new(handler),
+        )
+        .await?;
+        serve_metrics(
+            &mut background,
+            settings.cell.metrics_address,
+            limits.metrics.clone(),
+            metrics,
+        )
+        .await?;
         Ok(Self {
             background,
             control,
@@ -214,10 +232,19 @@
 struct ControlHandler {
     codec: Arc<dyn HttpCodec>,
     leader: LeaderClient,
+    limits: ClientLimits,
     metrics: Arc<Metrics>,
 }
 
 impl RequestHandler for ControlHandler {
+    fn body_rule(&self, head: &HttpRequest) -> Result<BodyRule, HttpResponse> {
+        body_rule(
+            self.codec.decode_control_request(head).map(drop),
+            &self.limits.control_json,
+            self.limits.max_control_body_bytes,
+        )
+    }
+
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
         let started_at = Instant::now();
         let call = match self.codec.decode_control_request(&request) {
--- a/crates/cell/src/entry_role.rs
+++ b/crates/cell/src/entry_role.rs
@@ -4,7 +4,8 @@
     crate::{
         CellError, EntrySettings, HttpCodec, HttpRequest, HttpResponse,
         advice_client::AdviceClient,
-        http_server::{HttpServer, RequestHandler},
+        client_limits::ClientLimitObserver,
+        http_server::{BodyRule, HttpServer, RequestHandler, body_rule},
         leader_client::LeaderClient,
         leader_wait::call_limits,
         log,
@@ -94,19 +95,32 @@
         let readiness = ReadinessHandler {
             shared: shared.clone(),
         };
+        let limits = &cell.client_limits;
+        let observer = |address| ClientLimitObserver {
+            address,
+            metrics: metrics.clone(),
+        };
         let callers = HttpServer::start(
             shared.settings.caller_address,
-            cell.max_body_bytes,
+            limits.callers.clone(),
+            observer("callers"),
             Arc::new(handler),
         )
         .await?;
         let ready = HttpServer::start(
             shared.settings.readiness_address,
-            cell.max_body_bytes,
+            limits.readiness.clone(),
+            observer("readiness"),
             Arc::new(readiness),
         )
         .await?;
-        serve_metrics(&mut background, cell.metrics_address, metrics).await?;
+        serve_metrics(
+            &mut background,
+            cell.metrics_address,
+            limits.metrics.clone(),
+            metrics.clone(),
+        )
+        .await?;
         Ok(Self {
             background,
             callers,
@@ -200,6 +214,10 @@
 }
 
 impl RequestHandler for ReadinessHandler {
+    fn body_rule(&self, _head: &HttpRequest) -> Result<BodyRule, HttpResponse> {
+        Ok(BodyRule::Ignore)
+    }
+
     async fn handle(&self, _request: HttpRequest) -> HttpResponse {
         match self.shared.is_ready() {
             true => HttpResponse::status(StatusCode::OK),
@@ -213,6 +231,15 @@
 }
 
 impl RequestHandler for CallerHandler {
+    fn body_rule(&self, head: &HttpRequest) -> Result<BodyRule, HttpResponse> {
+        let limits = &self.shared.settings.cell.client_limits;
+        body_rule(
+            self.shared.codec.decode_caller_request(head).map(drop),
+            &limits.caller_json,
+            limits.max_caller_body_bytes,
+        )
+    }
+
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
         let shared = &self.shared;
         let started_at = Instant::now();
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod advice_client;
 mod call_ages;
+mod client_limits;
 mod core_role;
 mod entry_role;
 mod error;
@@ -25,6 +26,7 @@
 
 pub use self::{
     call_ages::CallAges,
+    client_limits::ClientLimits,
     core_role::CoreRole,
     entry_role::EntryRole,
     error::CellError,
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -38,6 +38,12 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    address: &'static str,
+    limit: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PriorityLabel {
     priority: u32,
@@ -66,6 +72,7 @@
     advice_in_flight: Gauge,
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
+    client_limits: Family<LimitLabels, Counter>,
     events: Family<EventLabel, Counter>,
     free: Family<ResourceLabels, Gauge>,
     lapsed_tickets: Gauge,
@@ -95,6 +102,7 @@
             advice_in_flight: Gauge::default(),
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
+            client_limits: Family::default(),
             events: Family::default(),
             free: Family::default(),
             lapsed_tickets: Gauge::default(),
@@ -117,6 +125,11 @@
             "Duration of calls in seconds by kind",
             metrics.call_seconds.clone(),
         );
+        registry.register(
+            "client_limits",
+            "Times that clients reached a limit, by address and limit",
+            metrics.client_limits.clone(),
+        );
         registry.register(
             "leader_events",
             "Log events of the leader by text, also those that the log leaves out",
@@ -202,6 +215,12 @@
         self.events.get_or_create(&EventLabel { event }).inc();
     }
 
+    /// Counts a limit that a client of an address reached.
+    pub(crate) fn record_limit(&self, address: &'static str, limit: &'static str) {
+        let labels = LimitLabels { address, limit };
+        self.client_limits.get_or_create(&labels).inc();
+    }
+
     /// Replaces the report on the cell. Series that are not in it are removed.
     pub(crate) fn set_report(&self, report: &CellReport) {
         self.set_backlog(report);
--- a/crates/cell/src/metrics_endpoint.rs
+++ b/crates/cell/src/metrics_endpoint.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         CellError, HttpRequest, HttpResponse,
-        http_server::{HttpServer, RequestHandler},
+        client_limits::ClientLimitObserver,
+        http_server::{BodyRule, HttpServer, RequestHandler},
         metrics::Metrics,
     },
+    fuchsiatack_http::HttpLimits,
     http::{Method, StatusCode},
     std::{net::SocketAddr, sync::Arc},
     tokio::task::JoinSet,
@@ -17,10 +19,15 @@
 pub(crate) async fn serve_metrics(
     background: &mut JoinSet<()>,
     address: SocketAddr,
+    limits: HttpLimits,
     metrics: Arc<Metrics>,
 ) -> Result<(), CellError> {
-    const MAX_BODY_BYTES: usize = 1 << 10;
-    let server = HttpServer::start(address, MAX_BODY_BYTES, Arc::new(MetricsHandler { metrics })).await?;
+    let observer = ClientLimitObserver {
+        address: "metrics",
+        metrics: metrics.clone(),
+    };
+    let handler = Arc::new(MetricsHandler { metrics });
+    let server = HttpServer::start(address, limits, observer, handler).await?;
     background.spawn(async move {
         // Dropping the handle would stop the server.
         let _server = server;
@@ -34,6 +41,10 @@
 }
 
 impl RequestHandler for MetricsHandler {
+    fn body_rule(&self, _head: &HttpRequest) -> Result<BodyRule, HttpResponse> {
+        Ok(BodyRule::Ignore)
+    }
+
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
         match (request.method, request.path.as_str()) {
             (Method::GET, METRICS_PATH) => HttpResponse {
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the daemons of a cell.
 
 use {
+    crate::ClientLimits,
     fuchsiatack_jobs::PlannerSettings,
     fuchsiatack_session::{CellClient, CellClientSettings},
     fuchsiatack_wire::{CellSecret, PeerClientSettings},
@@ -17,8 +18,8 @@
 pub struct CellSettings {
     /// Address of the advice service; `None` if the cell has none.
     pub advice_address: Option<SocketAddr>,
-    /// Longest accepted body of an HTTP request in bytes.
-    pub max_body_bytes: usize,
+    /// Limits on what clients can make the daemon hold.
+    pub client_limits: ClientLimits,
     /// Address on which metrics are served.
     pub metrics_address: SocketAddr,
     /// Name of the daemon in logs and announcements.
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -6,7 +6,8 @@
         engine_message::EngineMessage,
         http_error::HttpError,
         http_server::{
-            applied_index, read_body, render_error, render_json, render_run_response, set_header, set_index,
+            applied_index, read_body, read_json, render_error, render_json, render_run_response, set_header,
+            set_index,
         },
         job::JobClass,
         journal::{Journal, JournalRequest},
@@ -16,6 +17,7 @@
         shared::Shared,
         worker_traffic::WorkerCall,
     },
+    fuchsiatack_http::{HeldBytes, Reservation},
     fuchsiatack_ledger::{Command, JournalKey, Query, QueryReply, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::{
         AnnounceResponse, LogIndex, QueueName, Refusal, TaskClass, TeamName, WorkName, WorkStatus,
@@ -106,7 +108,11 @@
         let queue = QueueName::new(request.param::<String>("queue").unwrap_or_default());
         self.check_accepting()?;
         self.admit(&queue, key.as_deref())?;
-        let body = read_body(request, self.shared.settings.callers.max_body_bytes).await?;
+        // The reservation lasts as long as the request, which holds the body.
+        let HeldBytes {
+            bytes: body,
+            reservation: _held,
+        } = read_body(request, self.shared.settings.callers.max_body_bytes).await?;
         // The body may have arrived slowly, and the key may have been withdrawn in the meantime.
         self.check_accepting()?;
         let (team, spec) = self.admit(&queue, key.as_deref())?;
@@ -138,6 +144,11 @@
         Ok(())
     }
 
+    async fn read_json(&self, request: &mut Request) -> Result<(HeldBytes, Reservation), HttpError> {
+        let settings = &self.shared.settings;
+        read_json(request, settings.callers.max_body_bytes, &settings.clients.json()).await
+    }
+
     async fn run_admitted(&self, queue: &QueueName, class: JobClass, content: RequestContent) -> RunResponse {
         if class.task_class.idempotent {
             return self.shared.engine.run(class, content).await;
@@ -189,8 +200,9 @@
     }
 
     async fn announce(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
-        let body = read_body(request, self.shared.settings.callers.max_body_bytes).await?;
-        let announcement: WorkerAnnouncement = serde_json::from_slice(&body)
+        let (body, _decoded) = self.read_json(request).await?;
+        let body = &body.bytes;
+        let announcement: WorkerAnnouncement = serde_json::from_slice(body)
             .map_err(|error| HttpError::bad_request("bad-announcement", error.to_string()))?;
         check_announcement(&announcement)?;
         let traffic = &self.shared.metrics.worker_traffic;
@@ -257,8 +269,8 @@
     async fn submit_work(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
         let team = self.authenticated_team(request)?;
         let operation = operation_id(request.headers())?;
-        let body = read_body(request, self.shared.settings.callers.max_body_bytes).await?;
-        let value: Value = serde_json::from_slice(&body)
+        let (body, _decoded) = self.read_json(request).await?;
+        let value: Value = serde_json::from_slice(&body.bytes)
             .map_err(|error| HttpError::bad_request("bad-json", error.to_string()))?;
         let record = Record::from_json(&value)
             .map_err(|error| HttpError::bad_request("bad-record", error.to_string()))?;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         DaemonError, Settings, caller_api,
+        client_limits::{caller_limits, operator_limits},
         engine::Engine,
         engine_handle::EngineHandle,
         engine_message::EngineMessage,
@@ -41,8 +42,6 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between checks of a planned stop for open requests, tasks and ends.
 const OPEN_POLL_PERIOD: Duration = Duration::from_millis(20);
-/// Maximum number of open connections of operators.
-const OPERATOR_CONNECTIONS: usize = 256;
 /// Limit for tasks of queued works to end in a planned stop. After it, the new owners of their
 /// workers learn that the tasks ended, but not their responses.
 const WORK_DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
@@ -114,13 +113,15 @@
         let callers = HttpServer::start(
             &shared,
             listeners.callers,
-            shared.settings.callers.max_connections,
+            "callers",
+            caller_limits(&shared.settings),
             caller_api::router(&shared),
         )?;
         let operators = HttpServer::start(
             &shared,
             listeners.operators,
-            OPERATOR_CONNECTIONS,
+            "operators",
+            operator_limits(&shared.settings),
             operator_api::router(&shared),
         )?;
         Ok(Self {
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -3,112 +3,131 @@
 use {
     crate::{
         DaemonError,
-        connection_limiter::ConnectionLimiter,
+        client_limits::ClientLimitObserver,
         http_error::{HttpError, reason_of},
         run_response::RunResponse,
         shared::Shared,
     },
-    bytes::Bytes,
+    fuchsiatack_http::{
+        BodyError, Connection, HeldBytes, HttpLimits, HttpService, JsonCounts, JsonLimits, Limit, Reservation,
+    },
     fuchsiatack_model::{LogIndex, Outcome},
+    hyper::body::Incoming,
     salvo::{
-        Request, Response, Router, Server, Service,
-        conn::tcp::TcpAcceptor,
-        http::{HeaderValue, ParseError, StatusCode, header},
-        server::ServerHandle,
+        Request, Response, Router, Service,
+        conn::ConnCtrl,
+        http::{HeaderValue, ResBody, StatusCode, header, uri::Scheme},
     },
     serde_json::{Value, json},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::net::TcpListener,
 };
 
 pub(crate) const INDEX_HEADER: &str = "fuchsiatack-index";
 pub(crate) const OUTCOME_HEADER: &str = "fuchsiatack-outcome";
 const JSON: &str = "application/json";
 const MILLIS_PER_SECOND: u32 = 1_000;
-/// Maximum number of headers of a request.
-const MAX_HEADERS: usize = 64;
-/// Maximum size of a request head in bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
-/// Time after which a request on a connection over the limit may be retried, in milliseconds.
-const CONNECTION_RETRY_MS: u32 = 1_000;
-/// Maximum time between two parts of a request body.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after which a request that a limit refused may be retried, in milliseconds.
+const REFUSED_RETRY_MS: u32 = 1_000;
+const NO_ROOM: &str = "no-room";
+const NO_ROOM_MESSAGE: &str = "the daemon holds as much for its clients as it may; retry later";
 
 /// A running HTTP server.
-pub(crate) struct HttpServer {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
-}
+pub(crate) struct HttpServer(fuchsiatack_http::HttpServer);
 
 impl HttpServer {
-    /// Starts to serve `router` on a bound listener.
+    /// Starts to serve `router` on a bound listener. `address` is its name in the metrics.
     pub(crate) fn start(
         shared: &Arc<Shared>,
         listener: TcpListener,
-        max_connections: usize,
+        address: &'static str,
+        limits: HttpLimits,
         router: Router,
     ) -> Result<Self, DaemonError> {
-        let acceptor = TcpAcceptor::try_from(listener).map_err(|error| DaemonError::Bind {
+        let local = listener.local_addr().map_err(|error| DaemonError::Bind {
             address: "an HTTP address".into(),
             message: error.to_string(),
         })?;
-        let fuse = salvo::fuse::FuseConfig::default().with_request_body_timeout(BODY_IDLE_TIMEOUT);
-        let limiter = ConnectionLimiter::new(max_connections, fuse);
-        let mut server = Server::new(acceptor).fuse_policy(limiter.clone());
-        server
-            .http1_mut()
-            .max_headers(MAX_HEADERS)
-            .max_buf_size(MAX_HEAD_BYTES);
-        let handle = server.handle();
-        let service = Service::new(router)
-            .hoop(RejectOverLimit {
-                limiter,
-                shared: shared.clone(),
-            })
-            .catcher(salvo::catcher::Catcher::default().hoop(NotFound(shared.clone())));
-        let task = tokio::spawn(async move {
-            let _ = server.try_serve(service).await;
+        let service =
+            Service::new(router).catcher(salvo::catcher::Catcher::default().hoop(NotFound(shared.clone())));
+        let service = Arc::new(RouterService {
+            local,
+            service,
+            shared: shared.clone(),
         });
-        Ok(Self { handle, task })
+        let observer = Arc::new(ClientLimitObserver::new(address, shared.clone()));
+        Ok(Self(fuchsiatack_http::HttpServer::start(
+            listener, limits, observer, service,
+        )))
     }
 
     /// Stops accepting connections, and closes each open one once its response is sent, or after `limit`.
     pub(crate) async fn stop(self, limit: Duration) {
-        self.handle.stop_graceful(limit);
-        let _ = self.task.await;
+        self.0.stop(limit).await;
     }
 }
 
-/// Rejects requests on connections over the limit, and closes these connections.
-struct RejectOverLimit {
-    limiter: ConnectionLimiter,
+/// Adapts the router to the server.
+struct RouterService {
+    local: SocketAddr,
+    service: Service,
     shared: Arc<Shared>,
 }
 
-#[salvo::async_trait]
-impl salvo::Handler for RejectOverLimit {
-    async fn handle(
+impl HttpService for RouterService {
+    type Body = ResBody;
+
+    async fn call(
         &self,
-        request: &mut Request,
-        _depot: &mut salvo::Depot,
-        response: &mut Response,
-        flow: &mut salvo::FlowCtrl,
-    ) {
-        if !self.limiter.is_over(request.remote_addr().clone().into_std()) {
-            return;
+        mut request: hyper::Request<Incoming>,
+        connection: &Arc<Connection>,
+        remote: SocketAddr,
+    ) -> hyper::Response<ResBody> {
+        request.extensions_mut().insert(connection.clone());
+        let (local, remote) = (self.local.into(), remote.into());
+        let handler = self
+            .service
+            .hyper_handler(local, remote, Scheme::HTTP, None, ConnCtrl::new(), None);
+        match hyper::service::Service::call(&handler, request).await {
+            Ok(response) => response,
+            Err(error) => {
+                let error =
+                    HttpError::new(StatusCode::INTERNAL_SERVER_ERROR, "http-error", error.to_string());
+                self.render(&error)
+            }
         }
-        set_header(response, header::CONNECTION.as_str(), "close");
-        let error = HttpError {
-            retry_after_ms: CONNECTION_RETRY_MS,
-            ..HttpError::new(
-                StatusCode::SERVICE_UNAVAILABLE,
+    }
+
+    fn refuse(&self, limit: Limit) -> hyper::Response<ResBody> {
+        let (reason, message) = match limit {
+            Limit::Connections => (
                 "too-many-connections",
                 "the daemon has too many open connections; retry later or on another daemon",
-            )
+            ),
+            Limit::Pipelined => (
+                "too-many-requests-at-once",
+                "the connection has too many requests without a response",
+            ),
+            _ => (NO_ROOM, NO_ROOM_MESSAGE),
         };
-        render_error(response, &error);
-        set_index(response, applied_index(&self.shared));
-        flow.skip_rest();
+        self.render(&no_room(reason, message))
+    }
+}
+
+impl RouterService {
+    fn render(&self, error: &HttpError) -> hyper::Response<ResBody> {
+        let mut response = Response::new();
+        render_error(&mut response, error);
+        set_index(&mut response, applied_index(&self.shared));
+        response.into_hyper()
+    }
+}
+
+/// Creates the error for a request that a limit of the daemon refuses for now.
+fn no_room(reason: &str, message: &str) -> HttpError {
+    HttpError {
+        retry_after_ms: REFUSED_RETRY_MS,
+        ..HttpError::new(StatusCode::SERVICE_UNAVAILABLE, reason, message)
     }
 }
 
@@ -147,20 +166,47 @@
         })
 }
 
-/// Reads the complete body. Returns an error if it is longer than `max_bytes` or incomplete.
-pub(crate) async fn read_body(request: &mut Request, max_bytes: usize) -> Result<Bytes, HttpError> {
-    match request.payload_with_max_size(max_bytes).await {
-        Ok(body) => Ok(body.clone()),
-        Err(ParseError::PayloadTooLarge) => Err(HttpError::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body-too-long",
-            format!("the body is longer than {max_bytes} bytes"),
-        )),
-        Err(error) => Err(HttpError::bad_request(
-            "truncated-body",
-            format!("the body ended early or is malformed: {error}"),
-        )),
+/// Reads the complete body. Returns an error if it is longer than `max_bytes` or incomplete, or if the server has
+/// no room for it.
+pub(crate) async fn read_body(request: &mut Request, max_bytes: usize) -> Result<HeldBytes, HttpError> {
+    let connection = connection(request)?;
+    let body = request.take_body();
+    fuchsiatack_http::read_body(&connection, body, max_bytes)
+        .await
+        .map_err(|error| match error {
+            BodyError::Broken => {
+                HttpError::bad_request("truncated-body", "the body ended early or is malformed")
+            }
+            BodyError::NoRoom => no_room(NO_ROOM, NO_ROOM_MESSAGE),
+            BodyError::TooLong => HttpError::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body-too-long",
+                format!("the body is longer than {max_bytes} bytes"),
+            ),
+        })
+}
+
+/// Reads a complete JSON body, and checks its counts. The reservation covers the decoded body too.
+pub(crate) async fn read_json(
+    request: &mut Request,
+    max_bytes: usize,
+    limits: &JsonLimits,
+) -> Result<(HeldBytes, Reservation), HttpError> {
+    let body = read_body(request, max_bytes).await?;
+    let connection = connection(request)?;
+    let counts = JsonCounts::of(&body.bytes);
+    if let Err(limit) = counts.check(limits) {
+        connection.reached(limit);
+        let message = format!("the body exceeds the limit of {}", limit.as_str());
+        return Err(HttpError::bad_request("too-complex", message));
     }
+    let decoded = connection.reserve(counts.decoded_bytes());
+    Ok((body, decoded.ok_or_else(|| no_room(NO_ROOM, NO_ROOM_MESSAGE))?))
+}
+
+fn connection(request: &Request) -> Result<Arc<Connection>, HttpError> {
+    let connection = request.extensions().get::<Arc<Connection>>().cloned();
+    connection.ok_or_else(|| no_room(NO_ROOM, NO_ROOM_MESSAGE))
 }
 
 /// Sets the header with the log index that the response reflects.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,7 +3,7 @@
 
 mod arguments;
 mod caller_api;
-mod connection_limiter;
+mod client_limits;
 mod daemon;
 mod engine;
 mod engine_decisions;
@@ -45,6 +45,7 @@
 
 pub use self::{
     arguments::Arguments,
+    client_limits::ClientSettings,
     daemon::Daemon,
     error::DaemonError,
     logs::set_up_logs,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,12 @@
 const BUCKET_FACTOR: f64 = 2.0;
 const BUCKETS: u16 = 18;
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    address: &'static str,
+    limit: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabel {
     outcome: &'static str,
@@ -50,6 +56,7 @@
     pub(crate) retries: Counter,
     pub(crate) store_role: Gauge,
     pub(crate) worker_traffic: WorkerTraffic,
+    client_limits: Family<LimitLabels, Counter>,
     outcomes: Family<OutcomeLabel, Counter>,
     registry: Registry,
     run_seconds: Histogram,
@@ -62,6 +69,7 @@
 impl Metrics {
     pub(crate) fn new() -> Self {
         let mut metrics = Self {
+            client_limits: Family::default(),
             connections_dropped: Counter::default(),
             datagrams_dropped: Counter::default(),
             forwards: Counter::default(),
@@ -97,6 +105,12 @@
         self.outcomes.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a limit that a client of an address reached.
+    pub(crate) fn count_limit(&self, address: &'static str, limit: &'static str) {
+        let labels = LimitLabels { address, limit };
+        self.client_limits.get_or_create(&labels).inc();
+    }
+
     /// Records the time that a task ran.
     pub(crate) fn observe_run(&self, time: Duration) {
         self.run_seconds.observe(time.as_secs_f64());
@@ -139,6 +153,11 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "client_limits",
+            "Times that clients reached a limit, by address and limit",
+            self.client_limits.clone(),
+        );
         registry.register(
             "connections_dropped",
             "Peer connections closed for a wrong proof, tag or frame",
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -4,7 +4,7 @@
     crate::{
         caller_api::STORE_TIMEOUT,
         http_error::HttpError,
-        http_server::{applied_index, read_body, render_error, render_json, set_index},
+        http_server::{applied_index, read_json, render_error, render_json, set_index},
         request_head::{OPERATION_HEADER, bearer_key, id_header, missing_key, wrong_key},
         shared::Shared,
     },
@@ -152,8 +152,9 @@
     async fn put(&self, request: &mut Request, response: &mut Response) -> Result<(), HttpError> {
         let kind = kind_of(request)?;
         let operation = operation_id(request.headers())?;
-        let body = read_body(request, MAX_RECORD_BYTES).await?;
-        let value: Value = serde_json::from_slice(&body)
+        let limits = self.shared.settings.clients.json();
+        let (body, _decoded) = read_json(request, MAX_RECORD_BYTES, &limits).await?;
+        let value: Value = serde_json::from_slice(&body.bytes)
             .map_err(|error| HttpError::bad_request("bad-json", error.to_string()))?;
         let record = Record::from_json(&value)
             .map_err(|error| HttpError::bad_request("bad-record", error.to_string()))?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a daemon, read from a YAML file.
 
 use {
-    crate::SettingsError,
+    crate::{SettingsError, client_limits::ClientSettings},
     fuchsiatack_kernel::PlacementRule,
     serde::Deserialize,
     std::{
@@ -187,6 +187,8 @@
     pub callers: CallerSettings,
     /// File with the secret that all daemons of the cell share.
     pub cell_secret_file: PathBuf,
+    /// Settings of the limits on clients.
+    pub clients: ClientSettings,
     /// Data centre of the daemon's VM.
     pub data_center: String,
     /// Settings of the leader election.
@@ -222,6 +224,7 @@
         Self {
             callers: CallerSettings::default(),
             cell_secret_file: PathBuf::new(),
+            clients: ClientSettings::default(),
             data_center: String::new(),
             election: ElectionSettings::default(),
             leases: LeaseSettings::default(),
--- a/crates/daemon/src/settings_check.rs
+++ b/crates/daemon/src/settings_check.rs
@@ -1,12 +1,15 @@
 //! Checks the values of the settings after parsing.
 
 use {
-    crate::{Role, Settings, SettingsError, yaml_location::line_of},
+    crate::{Role, Settings, SettingsError, client_limits::caller_limits, yaml_location::line_of},
+    fuchsiatack_http::LimitError,
     std::{collections::HashSet, net::SocketAddr, path::Path},
 };
 
 /// Minimum length of a secret in characters.
 const MIN_SECRET_CHARACTERS: usize = 16;
+/// Largest memory of a VM in MB that is accepted, so that a wrong unit does not remove the limits.
+const MAX_MEMORY_MB: usize = 1 << 20;
 /// Minimum number of renewals in the time of one lease, so that a lost message does not end the lease.
 const MIN_RENEWALS_PER_LEASE: u64 = 3;
 
@@ -30,6 +33,7 @@
         check_identity,
         check_addresses,
         check_sizes,
+        check_clients,
         check_store,
         check_leases,
         check_election,
@@ -113,6 +117,34 @@
     )
 }
 
+fn check_clients(settings: &Settings) -> CheckResult {
+    let clients = &settings.clients;
+    for (key, value) in [
+        ("clients.max_depth", clients.max_depth),
+        ("clients.max_elements", clients.max_elements),
+        ("clients.max_fields", clients.max_fields),
+        ("clients.memory_mb", clients.memory_mb),
+    ] {
+        require(value > 0, key, "must be at least 1")?;
+    }
+    require(
+        clients.memory_mb <= MAX_MEMORY_MB,
+        "clients.memory_mb",
+        format!("must be at most {MAX_MEMORY_MB} MB"),
+    )?;
+    caller_limits(settings).check().map_err(|error| {
+        let key = match error {
+            LimitError::HeadTooShort(_) => "clients.max_head_bytes",
+            LimitError::Zero("head_timeout") => "clients.head_timeout_ms",
+            LimitError::Zero("idle_timeout") => "clients.idle_timeout_ms",
+            LimitError::Zero("max_connections_per_address") => "clients.max_connections_per_address",
+            LimitError::Zero("max_headers") => "clients.max_headers",
+            LimitError::Zero(_) => "clients.max_pipelined",
+        };
+        invalid(key, error.to_string())
+    })
+}
+
 fn check_store(settings: &Settings) -> CheckResult {
     let members = &settings.store.members;
     require(
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -83,6 +83,31 @@
         ("weight: 4", "weight: four", 4, vec!["weight"]),
         ("weight: 4", "weight: 0", 4, vec!["weight"]),
         ("name: entry-1\ndata", "data", 1, vec!["name"]),
+        (
+            "weight: 4",
+            "clients: {memory_mb: 134217728}",
+            4,
+            vec!["clients.memory_mb", "1048576"],
+        ),
+        (
+            "weight: 4",
+            "clients: {max_head_bytes: 100}",
+            4,
+            vec!["clients.max_head_bytes", "8192"],
+        ),
+        (
+            "weight: 4",
+            "clients: {max_pipelined: 0}",
+            4,
+            vec!["clients.max_pipelined"],
+        ),
+        (
+            "weight: 4",
+            "clients: {max_depth: 0}",
+            4,
+            vec!["clients.max_depth"],
+        ),
+        ("weight: 4", "clients: {max_deep: 1}", 4, vec!["max_deep"]),
         (
             "operators: {address: 127.0.0.1:8081}",
             "operators: {}",
