http: a long response to a GET is forgotten again

Cause: each GET reserved the longest GET response since the start of the server, up to a quarter of the budget. After one long list of pending jobs an entry would have handled three reads at a time.

Change: the length decays by an eighth with each shorter response, and at most 1/32 of the budget is reserved.

--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -28,6 +28,8 @@
 const MAX_REFUSED: usize = 64;
 /// Refused connections for each 8 of the limit, so that a low limit stays low.
 const REFUSED_PART: usize = 8;
+/// Part by which the longest recent response becomes shorter with each other one.
+const DECAY_PART: usize = 8;
 /// Smallest number of connections over the limit that get an answer.
 const MIN_REFUSED: usize = 4;
 
@@ -70,8 +72,8 @@
 pub(crate) struct Budget {
     pub(crate) free_blocks: FreeBlocks,
     held: Mutex<Held>,
-    /// Longest response to a GET request so far, in bytes.
-    pub(crate) largest_read_bytes: AtomicUsize,
+    /// Longest recent response to a GET request in bytes.
+    pub(crate) recent_read_bytes: AtomicUsize,
     pub(crate) limits: HttpLimits,
     observer: Arc<dyn LimitObserver>,
     /// Notified when a connection that was told to close has ended.
@@ -84,7 +86,7 @@
         Self {
             free_blocks: FreeBlocks::default(),
             held: Mutex::default(),
-            largest_read_bytes: AtomicUsize::new(0),
+            recent_read_bytes: AtomicUsize::new(0),
             limits,
             observer,
             released: Notify::new(),
@@ -344,7 +346,12 @@
     }
 }
 
-/// Records the length of a response to a GET request.
+/// Records the length of a response to a GET request. A long one is forgotten over about 20 short ones, since
+/// what each GET reserves limits how many are handled at a time.
 pub(crate) fn record_read(budget: &Budget, bytes: usize) {
-    budget.largest_read_bytes.fetch_max(bytes, Ordering::AcqRel);
+    let recent = budget.recent_read_bytes.load(Ordering::Acquire);
+    let decayed = recent - recent / DECAY_PART;
+    budget
+        .recent_read_bytes
+        .store(decayed.max(bytes), Ordering::Release);
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -31,8 +31,9 @@
 const CHECK_PERIOD: Duration = Duration::from_secs(1);
 /// Pause after a failed accept, so that a lack of descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Share of the budget that a response to a GET request may reserve before it is made.
-const READ_PART: usize = 4;
+/// Part of the budget that a response to a GET request reserves at most before it is made, so that 32 of them are
+/// handled at a time even if all are long.
+const READ_PART: usize = 32;
 
 /// Handles the requests of one server.
 pub trait HttpService: Send + Sync + 'static {
@@ -189,7 +190,7 @@
     let is_read = request.method() == Method::GET;
     let read_bytes = match is_read {
         true => budget
-            .largest_read_bytes
+            .recent_read_bytes
             .load(Ordering::Acquire)
             .min(budget.limits.max_held_bytes / READ_PART),
         false => 0,
