tests: a client that does not read its response

Cause: the limit on the rate of reading had no test.

Change: one client leaves a response of 32 MiB unread and is closed, another one reads all of it.

--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -20,6 +20,7 @@
     },
 };
 
+const LONG_BODY_BYTES: usize = 32 << 20;
 const MAX_BODY_BYTES: usize = 100_000;
 /// Longest wait for an answer. It ends a test that hangs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -49,6 +50,26 @@
     }
 }
 
+/// Answers with a long body, more than the buffers of the sockets take.
+struct LongService;
+
+impl HttpService for LongService {
+    type Body = Full<Bytes>;
+
+    async fn call(
+        &self,
+        _request: Request<Incoming>,
+        _connection: &Arc<Connection>,
+        _remote: SocketAddr,
+    ) -> Response<Full<Bytes>> {
+        respond(StatusCode::OK, "x".repeat(LONG_BODY_BYTES))
+    }
+
+    fn refuse(&self, _limit: Limit) -> Response<Full<Bytes>> {
+        respond(StatusCode::SERVICE_UNAVAILABLE, String::new())
+    }
+}
+
 fn respond(status: StatusCode, body: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
@@ -72,12 +93,19 @@
 }
 
 async fn start(limits: HttpLimits) -> (HttpServer, SocketAddr, Arc<Reached>) {
+    start_service(limits, LengthService).await
+}
+
+async fn start_service(
+    limits: HttpLimits,
+    service: impl HttpService,
+) -> (HttpServer, SocketAddr, Arc<Reached>) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("a free port should be bound");
     let address = listener.local_addr().expect("the listener should be bound");
     let reached = Arc::new(Reached::default());
-    let server = HttpServer::start(listener, limits, reached.clone(), Arc::new(LengthService));
+    let server = HttpServer::start(listener, limits, reached.clone(), Arc::new(service));
     (server, address, reached)
 }
 
@@ -239,6 +267,36 @@
     server.stop(Duration::ZERO).await;
 }
 
+/// Guards against a response that is held for a client which does not read it, and against closing one that reads.
+#[tokio::test]
+async fn an_unread_response_is_closed_and_a_read_one_is_complete() {
+    let limits = HttpLimits {
+        max_held_bytes: 3 * LONG_BODY_BYTES,
+        rate_grace: Duration::from_millis(500),
+        ..HttpLimits::default()
+    };
+    let (server, address, reached) = start_service(limits, LongService).await;
+    let request = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+    let mut unread = send(address, request).await;
+    let mut read = send(address, request).await;
+    let mut response = Vec::new();
+    timeout(WAIT_TIMEOUT, read.read_to_end(&mut response))
+        .await
+        .expect("the response should arrive")
+        .expect("the response should be complete");
+    sleep(Duration::from_secs(3)).await;
+    let mut rest = Vec::new();
+    let _ = timeout(WAIT_TIMEOUT, unread.read_to_end(&mut rest))
+        .await
+        .expect("the connection should be closed");
+
+    assert!(response.len() > LONG_BODY_BYTES);
+    assert!(rest.len() < LONG_BODY_BYTES, "{} bytes", rest.len());
+    assert!(reached.has(Limit::ResponseRate));
+    server.stop(Duration::ZERO).await;
+}
+
 /// Guards against requests without end from one read of a connection.
 #[tokio::test]
 async fn too_many_pipelined_requests_are_refused() {
