--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -43,6 +43,12 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    address: &'static str,
+    limit: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PriorityLabel {
     priority: u32,
@@ -78,6 +84,7 @@
     advice_without_start: Gauge,
     call_seconds: Family<CallLabel, Histogram>,
     calls: Family<CallLabels, Counter>,
+    client_limits: Family<LimitLabels, Counter>,
     cold_workers: Gauge,
     evacuated_runs: Family<DataCenterLabel, Gauge>,
     evacuated_workers: Family<DataCenterLabel, Gauge>,
@@ -114,6 +121,7 @@
             advice_without_start: Gauge::default(),
             call_seconds: Family::new_with_constructor(latency),
             calls: Family::default(),
+            client_limits: Family::default(),
             cold_workers: Gauge::default(),
             evacuated_runs: Family::default(),
             evacuated_workers: Family::default(),
@@ -142,6 +150,11 @@
             "Duration of calls in seconds by kind",
             metrics.call_seconds.clone(),
         );
+        registry.register(
+            "client_limits",
+            "Times that clients reached a limit, by address and limit",
+            metrics.client_limits.clone(),
+        );
         registry.register(
             "cold_workers",
             "Workers that are slow after their start; on the leader",
@@ -262,6 +275,12 @@
         self.events.get_or_create(&EventLabel { event }).inc();
     }
 
+    /// Counts a limit that a client of an address reached.
+    pub(crate) fn record_limit(&self, address: &'static str, limit: &'static str) {
+        let labels = LimitLabels { address, limit };
+        self.client_limits.get_or_create(&labels).inc();
+    }
+
     /// Replaces the report on the cell. Series that are not in it are removed.
     pub(crate) fn set_report(&self, report: &CellReport) {
         self.set_backlog(report);
