jobs: a step that has waited 2 s for a daemon gets its turn

Cause: late steps come last in the order of placement, and others take each daemon that becomes free. Change: the step that has waited longest for a daemon is tried first, and other steps that are no gangs leave it the daemons it needs; one such turn each 100 ms.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,6 +27,7 @@
 mod plan_advice_choice;
 mod plan_advice_gangs;
 mod plan_advice_room;
+mod plan_advice_turns;
 mod plan_advice_yield;
 mod plan_attempts;
 mod plan_backlog;
--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -127,10 +127,19 @@
             false => Some(WaitReason::AwaitsAdvice),
             true if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
             true if self.advice_senders.find(self.now_ms, load).is_none() => Some(WaitReason::NoAdviceSender),
+            true if !load.is_urgent && self.is_left_to_other(step, load) => Some(WaitReason::NoAdviceSender),
             true => None,
         }
     }
 
+    /// Returns whether all free daemons are left to a step whose turn it is.
+    fn is_left_to_other(&self, step: StepId, load: RequestLoad) -> bool {
+        match self.daemons_left_free(step) {
+            0 => false,
+            left => self.advice_senders.free_for(self.now_ms, load) <= left,
+        }
+    }
+
     /// Returns whether a step is in a queue of the first priority.
     pub(crate) fn is_urgent(&self, step: StepId) -> bool {
         let priority = self.steps.get(&step).map(|view| view.priority);
@@ -256,7 +265,9 @@
         let Some(view) = self.steps.get_mut(&step) else {
             return 0;
         };
+        view.advice.daemons_needed = if requests.is_empty() { parts } else { 0 };
         for (by, workers) in &requests {
+            view.advice.sender_wait_since_ms = None;
             let known = workers
                 .iter()
                 .filter(|worker| view.advice.eligible.contains_key(*worker));
@@ -272,7 +283,11 @@
                 request: AdviceRequest { step, workers },
             });
         }
-        requests.len()
+        let sent = requests.len();
+        if sent > 0 {
+            self.end_overdue_turn(step);
+        }
+        sent
     }
 
     pub(crate) fn eligible_share(&self, step: StepId) -> u64 {
--- a/crates/jobs/src/plan_advice_choice.rs
+++ b/crates/jobs/src/plan_advice_choice.rs
@@ -50,7 +50,8 @@
             .filter(|planned| self.team_of(planned.step) == team)
             .count();
         let load = self.request_load(step, policy, 1);
-        self.planned_requests.len() >= MAX_REQUESTS_PER_PASS
+        self.planned_requests.iter().any(|planned| planned.step == step)
+            || self.planned_requests.len() >= MAX_REQUESTS_PER_PASS
             || of_team >= self.advice_senders.free_for(self.now_ms, load) * REQUESTS_PER_DAEMON
     }
 
@@ -96,7 +97,8 @@
     ) -> (u32, bool, u64, Reverse<u32>) {
         let view = self.steps.get(&request.step);
         let priority = view.map_or(u32::MAX, |view| view.priority);
-        let was_passed = view.is_some_and(|view| view.advice.times_passed >= MAX_TIMES_PASSED);
+        let is_overdue = self.overdue_request == Some((priority, request.step));
+        let was_passed = is_overdue || view.is_some_and(|view| view.advice.times_passed >= MAX_TIMES_PASSED);
         let team = self.team_of(request.step);
         let requests = under_way.get(&team).copied().unwrap_or(0);
         let share = requests * 1_000 / self.weight_of(team.as_ref());
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -61,6 +61,7 @@
             .collect();
         order.sort_unstable();
         self.place_lasting_in_turn();
+        self.place_overdue_request();
         let mut order = order.into_iter();
         let mut failed = 0;
         while failed < MAX_FAILED_STEPS
@@ -131,7 +132,7 @@
 
     /// Returns the part of each worker that a step leaves free for the first priority of its service, in
     /// percent.
-    fn kept_free_percent(&self, step: StepId) -> u32 {
+    pub(crate) fn kept_free_percent(&self, step: StepId) -> u32 {
         match self.is_first_priority(step) {
             true => 0,
             false => self.settings.urgent_reserve_percent,
@@ -148,7 +149,7 @@
     }
 
     /// Tries to start the waiting tasks of a step. A step that still waits is paused.
-    fn try_step(&mut self, step: StepId, kept_free_percent: u32) -> Result<(), WaitReason> {
+    pub(crate) fn try_step(&mut self, step: StepId, kept_free_percent: u32) -> Result<(), WaitReason> {
         if let Some(view) = self.steps.get_mut(&step) {
             let (reason, waited_ms) = view.account_wait(self.now_ms);
             view.tried_ms = self.now_ms;
@@ -159,6 +160,7 @@
         }
         let result = self.place_step(step, kept_free_percent);
         if let Some(view) = self.steps.get_mut(&step) {
+            view.advice.observe_attempt(self.now_ms, result);
             // The pause after an attempt hides why that attempt failed.
             if result != Err(WaitReason::AdvicePause) {
                 view.wait_reason = result.err();
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -53,6 +53,10 @@
     pub(crate) calls_without_start: u64,
     /// Number of tickets that were requested again since they had expired unused.
     pub(crate) lapsed_tickets: u64,
+    /// Step for whose advice requests daemons are left free in the present planning pass, with its priority.
+    pub(crate) overdue_request: Option<(u32, StepId)>,
+    /// Time from which the next step gets such a turn.
+    pub(crate) overdue_turn_ms: u64,
     /// Advice requests of the present planning pass.
     pub(crate) planned_requests: Vec<PlannedRequest>,
     /// Time of the next search for steps whose advice is requested before they are ready.
@@ -133,6 +137,8 @@
             calls_without_start: 0,
             lapsed_tickets: 0,
             last_priority: None,
+            overdue_request: None,
+            overdue_turn_ms: now_ms,
             planned_requests: Vec::new(),
             prefetch_due_ms: now_ms,
             store,
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -22,6 +22,8 @@
 /// Advice on a step and the state of its requests.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
+    /// Number of daemons that its last requests needed at the same time; 0 if there were enough.
+    pub(crate) daemons_needed: usize,
     /// No request is sent before this time.
     pub(crate) request_due_ms: u64,
     /// Workers for which a response was received. The advice on a worker never changes within its
@@ -36,6 +38,8 @@
     pub(crate) requests: Vec<SentRequest>,
     /// Time of the last response; `None` before the first.
     pub(crate) responded_ms: Option<u64>,
+    /// Time since which it has waited for a daemon; `None` if it does not.
+    pub(crate) sender_wait_since_ms: Option<u64>,
     /// Number of planning passes in a row that have sent the requests of other steps instead.
     pub(crate) times_passed: u32,
     /// Number of responses since the last start, or since the last round of tickets has expired.
