jobs: a retry of a lasting task names few workers

Cause: a lasting step renewed the tickets of all known workers with room whenever one of its tasks started again, at 6 ms each (found by the lead in the log of its cell).

--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -177,7 +177,7 @@
         if candidates.is_empty() {
             return WaitReason::NoCapacity;
         }
-        let known: Vec<_> = candidates
+        let mut known: Vec<_> = candidates
             .iter()
             .map(|candidate| &candidate.key)
             .filter(|worker| view.advice.eligible.contains_key(*worker))
@@ -196,6 +196,10 @@
             1
         };
         let needed = (tasks as u64).div_ceil(per_worker);
+        if !is_urgent {
+            // A retry of one task names few of the workers that may run its step.
+            known.truncate((needed * REQUESTED_PERCENT).div_ceil(100) as usize);
+        }
         let missing = needed.saturating_sub(known.len() as u64);
         let limit = MAX_WORKERS_PER_REQUEST.saturating_sub(known.len());
         let by_room = (!is_urgent).then(|| {
--- a/crates/jobs/tests/advice_scheduling.rs
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -64,6 +64,8 @@
     ended: BTreeMap<WorkerName, u64>,
     ends: BTreeMap<(u64, u64), (WorkerName, RunId)>,
     issued_tickets: u64,
+    /// Number of workers in the last request for a batch job.
+    last_named: usize,
     leader: Leader,
     orders: u64,
     /// Time of the last end of a run by job.
@@ -106,6 +108,7 @@
             ended_ms: BTreeMap::new(),
             ends: BTreeMap::new(),
             issued_tickets: 0,
+            last_named: 0,
             leader: Leader::new(advised_queue(), &names),
             orders: 0,
             runs_on: BTreeMap::new(),
@@ -223,7 +226,10 @@
                     true => batch_queue(),
                     false => advised_queue(),
                 };
-                self.calls += u64::from(is_batch(request.step.job));
+                if is_batch(request.step.job) {
+                    self.calls += 1;
+                    self.last_named = request.workers.len();
+                }
                 let policy = queue.advice.expect("both queues need advice");
                 let response_ms = policy.response_ms(request.workers.len());
                 self.service.request(now_ms, by, request, response_ms);
@@ -584,3 +590,26 @@
     let wait_ms = cell.wait_ms(GANG);
     assert!(wait_ms.is_some_and(|ms| ms <= 8_000), "waited {wait_ms:?} ms");
 }
+
+/// Guards against a lasting task that starts again and asks for all workers that may run its step.
+#[test]
+fn retry_of_one_lasting_task_names_few_workers() {
+    let mut cell = Cell::with_workers(60, 0);
+    let lasting = StepSpec {
+        long_running: true,
+        ..batch_step(20, 1_000)
+    };
+    cell.submit("batch", JobId(1), lasting);
+    cell.run(1_000, 0, 0);
+    cell.ends.clear();
+    cell.run(2_500, 0, 0);
+    let before = cell.calls;
+    let (worker, runs) = cell.runs_on.first_key_value().expect("tasks were started");
+    let (worker, run) = (worker.clone(), *runs.first_key_value().expect("it has a run").0);
+    cell.report_end(run, &worker);
+
+    cell.run(200, 0, 0);
+
+    assert_eq!((cell.orders, cell.calls - before), (20, 1));
+    assert!(cell.last_named <= 2, "{} workers", cell.last_named);
+}
