--- a/crates/jobs/src/plan_advice.rs
+++ b/crates/jobs/src/plan_advice.rs
@@ -127,10 +127,19 @@
             false => Some(WaitReason::AwaitsAdvice),
             true if self.now_ms < advice.request_due_ms => Some(WaitReason::AdvicePause),
             true if self.advice_senders.find(self.now_ms, load).is_none() => Some(WaitReason::NoAdviceSender),
+            true if !load.is_urgent && self.is_left_to_other(step, load) => Some(WaitReason::NoAdviceSender),
             true => None,
         }
     }
 
+    /// Returns whether all free daemons are left to a step whose turn it is.
+    fn is_left_to_other(&self, step: StepId, load: RequestLoad) -> bool {
+        match self.daemons_left_free(step) {
+            0 => false,
+            left => self.advice_senders.free_for(self.now_ms, load) <= left,
+        }
+    }
+
     pub(crate) fn request_load(&self, step: StepId, policy: &AdvicePolicy, workers: usize) -> RequestLoad {
         RequestLoad {
             is_urgent: self.is_urgent(step),
@@ -162,7 +171,7 @@
         if candidates.is_empty() {
             return WaitReason::NoCapacity;
         }
-        let known: Vec<_> = candidates
+        let mut known: Vec<_> = candidates
             .iter()
             .map(|candidate| &candidate.key)
             .filter(|worker| view.advice.eligible.contains_key(*worker))
@@ -181,6 +190,10 @@
             1
         };
         let needed = (tasks as u64).div_ceil(per_worker);
+        if !is_urgent {
+            // A retry of one task names few of the workers that may run its step.
+            known.truncate((needed * REQUESTED_PERCENT).div_ceil(100) as usize);
+        }
         let missing = needed.saturating_sub(known.len() as u64);
         let limit = MAX_WORKERS_PER_REQUEST.saturating_sub(known.len());
         let by_room = (!is_urgent).then(|| {
@@ -250,7 +263,9 @@
         let Some(view) = self.steps.get_mut(&step) else {
             return 0;
         };
+        view.advice.daemons_needed = if requests.is_empty() { parts } else { 0 };
         for (by, workers) in &requests {
+            view.advice.sender_wait_since_ms = None;
             let known = workers
                 .iter()
                 .filter(|worker| view.advice.eligible.contains_key(*worker));
@@ -266,7 +281,11 @@
                 request: AdviceRequest { step, workers },
             });
         }
-        requests.len()
+        let sent = requests.len();
+        if sent > 0 {
+            self.end_overdue_turn(step);
+        }
+        sent
     }
 
     pub(crate) fn eligible_share(&self, step: StepId) -> u64 {
