jobs: a turn of a step over the share of its team starts one task

Cause: a wide step took all room that became free in the 200 ms of its turn, so that the turns of a team over its share undid the division by weight.

Change: a turn ends with its first start, and a step over the share of its team starts one task or gang in it. The interval between turns stays.

--- a/crates/jobs/src/plan_shares.rs
+++ b/crates/jobs/src/plan_shares.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        LogEvent, Planner, ServiceRoom, StepId, TeamShare, WaitReason,
+        LogEvent, Planner, ServiceRoom, StepId, StepSpec, TeamShare, WaitReason,
         fair_share::{self, Claim, Standing},
         plan_preemption::PREEMPTION_MS,
         plan_start::NO_CAPACITY_PAUSE_MS,
@@ -63,8 +63,10 @@
 struct Turn {
     /// Whether runs were stopped for the step.
     has_reclaimed: bool,
+    /// Whether tasks of the step have been started.
+    has_started: bool,
     step: StepId,
-    /// Time at which the turn ends.
+    /// Time until which no other step has the next turn.
     until_ms: u64,
 }
 
@@ -123,7 +125,15 @@
     /// Returns whether a step has a turn since it has waited for long.
     fn has_turn(&self, step: StepId, view: &StepView) -> bool {
         let turn = self.turns.get(&(view.priority, view.service.clone()));
-        turn.is_some_and(|turn| turn.step == step)
+        turn.is_some_and(|turn| turn.step == step && !turn.has_started)
+    }
+
+    /// Ends the turn of a step of which tasks have been started.
+    pub(crate) fn end_turn(&mut self, step: StepId) {
+        let turns = self.turns.values_mut();
+        for turn in turns.filter(|turn| turn.step == step) {
+            turn.has_started = true;
+        }
     }
 
     /// Returns whether a step is tried although it pauses: room has become free since the last attempt, and
@@ -360,6 +370,18 @@
         order.map(|(_, step, _)| step).collect()
     }
 
+    /// Returns how many of `tasks` tasks of a step may be started now: a step over the share of its team starts
+    /// one task or gang in a turn.
+    pub(crate) fn allowed_in_turn(&self, step: StepId, spec: &StepSpec, tasks: usize) -> usize {
+        let view = self.steps.get(&step);
+        let is_bounded =
+            view.is_some_and(|view| view.standing == Standing::Over && self.shares.has_turn(step, view));
+        match is_bounded && !spec.gang {
+            true => tasks.min(1),
+            false => tasks,
+        }
+    }
+
     /// Returns whether runs of teams with a weaker standing may be stopped for a step: it has a turn, and has
     /// waited for longer than most runs last.
     pub(crate) fn may_reclaim(&self, step: StepId) -> bool {
@@ -419,6 +441,7 @@
         for (class, (.., step)) in longest {
             let turn = Turn {
                 has_reclaimed: false,
+                has_started: false,
                 step,
                 until_ms: now_ms + STARVED_TURN_MS,
             };
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -204,7 +204,7 @@
         let waiting = self.steps.get(&step).into_iter().flat_map(|view| &view.waiting);
         let waiting: Vec<_> = waiting
             .map(|index| TaskKey { index: *index, step })
-            .take(allowed)
+            .take(self.allowed_in_turn(step, spec, allowed))
             .collect();
         let usable = match advice {
             None => self.all_candidates(step, spec, &service),
@@ -217,14 +217,17 @@
         let placed: usize = starts.values().map(Vec::len).sum();
         if placed > 0 {
             self.count_started(step, spec, placed);
+            self.shares.end_turn(step);
             self.start(step, spec, starts);
         }
         let left = waiting.len() - placed;
         if left == 0 {
             self.reservations.end(step);
-            return match tasks == placed {
-                true => Ok(()),
-                false => Err(WaitReason::TeamLimit),
+            return match placed {
+                _ if placed == tasks => Ok(()),
+                // The others had no turn.
+                _ if placed < allowed => Err(WaitReason::NoCapacity),
+                _ => Err(WaitReason::TeamLimit),
             };
         }
         if self.needs_reservation(spec, &service)
--- a/crates/jobs/tests/fair_shares.rs
+++ b/crates/jobs/tests/fair_shares.rs
@@ -131,6 +131,33 @@
     }
 }
 
+/// Guards against wide steps that take more than the share of their team while they have a turn.
+#[test]
+fn full_service_is_divided_by_weight_among_wide_steps() {
+    const TASKS: u32 = 30;
+    const SAMPLES: usize = 20;
+    let mut cell = cell(&[("a", 1), ("b", 3)]);
+    let mut sums = [0, 0];
+
+    for second in 0..60 {
+        // Each team asks for more than the room, and the first for far more.
+        for (team, steps) in [("a", 6), ("b", 2)] {
+            for number in 0..steps {
+                cell.submit(team, "batch", step(TASKS, 1_500 + number * 170));
+            }
+        }
+        cell.run(1_000);
+        if second >= 60 - SAMPLES {
+            sums[0] += cell.runs_of("a");
+            sums[1] += cell.runs_of("b");
+        }
+    }
+
+    let means = sums.map(|sum| sum / SAMPLES);
+    assert!(means[0].abs_diff(ROOM_TASKS / 4) <= ROOM_TASKS / 14, "{means:?}");
+    assert!(means[1] >= ROOM_TASKS * 3 / 4 - ROOM_TASKS / 14, "{means:?}");
+}
+
 /// Guards against room that stays free since the team that is entitled to it does not ask for it.
 #[test]
 fn idle_share_is_lent() {
