jobs: steps at the limit of their team get no turns

Cause: a turn of a step that waits by the limit of its team passed without a start, and the steps of other teams waited for it.

Change: such steps are left out when turns are given.

Measured: turns_are_not_spent_on_steps_of_a_team_at_its_limit fails without the change. cargo test -p fuchsiatack-jobs: all pass.

--- a/crates/jobs/src/plan_shares.rs
+++ b/crates/jobs/src/plan_shares.rs
@@ -422,7 +422,9 @@
         let mut longest = BTreeMap::new();
         for (step, view) in &self.steps {
             let wait_ms = view.wait_ms(now_ms).unwrap_or(0);
-            if wait_ms < STARVED_WITHIN_SHARE_MS || view.is_long_running {
+            // A turn brings nothing to a step that its team's limit keeps waiting.
+            let is_limited = view.wait_reason == Some(WaitReason::TeamLimit);
+            if wait_ms < STARVED_WITHIN_SHARE_MS || view.is_long_running || is_limited {
                 continue;
             }
             if wait_ms < STARVED_MS && !self.has_weaker(view) {
--- a/crates/jobs/tests/fair_shares.rs
+++ b/crates/jobs/tests/fair_shares.rs
@@ -202,6 +202,35 @@
     );
 }
 
+/// Guards against turns that go to the steps of a team which cannot use them, since it is at its limit.
+#[test]
+fn turns_are_not_spent_on_steps_of_a_team_at_its_limit() {
+    const LONGEST_WAIT_MS: u64 = 11_500;
+    let teams = [
+        TeamCell::team("limited", 2, 1),
+        TeamCell::team("small", 0, 1),
+        TeamCell::team("large", 0, 1_000),
+    ];
+    let mut cell = TeamCell::new(WORKERS, &teams);
+    let mut senders = [
+        Sender::new("limited", 600),
+        Sender::new("small", 120),
+        Sender::new("large", STARTS_PER_S * 60 * 2),
+    ];
+    run(&mut cell, &mut senders, 30_000);
+    let sent = senders[1].jobs.len();
+
+    run(&mut cell, &mut senders, LONGEST_WAIT_MS);
+
+    let waits_ms = &senders[1].waits_ms(&cell)[..sent];
+    assert!(
+        waits_ms
+            .iter()
+            .all(|ms| ms.is_some_and(|ms| ms <= LONGEST_WAIT_MS)),
+        "{waits_ms:?}"
+    );
+}
+
 /// Returns a cell of which team `a` uses all room for long, and a job that team `b` has submitted since.
 fn cell_in_use(checkpoints: bool) -> (TeamCell, JobId) {
     let mut cell = cell(&[("a", 1), ("b", 1)]);
