jobs: runs to reclaim a share from are sought once in a turn

Cause: a step in its turn looked at all runs of its service in each attempt when no run could be stopped for it.

Change: the search is made once in a turn.

--- a/crates/jobs/src/plan_reclaim.rs
+++ b/crates/jobs/src/plan_reclaim.rs
@@ -28,6 +28,8 @@
             Some((victims.len(), name, victims))
         });
         let Some((_, worker, victims)) = choices.min() else {
+            // The search looks at all runs of the service, so it is made once in a turn.
+            self.shares.end_reclaim(step);
             return;
         };
         let event = LogEvent::new("runs stopped to reclaim a share")
--- a/crates/jobs/src/plan_shares.rs
+++ b/crates/jobs/src/plan_shares.rs
@@ -61,7 +61,7 @@
 /// Turn of a step that has waited for long.
 #[derive(Clone, Copy, Debug)]
 struct Turn {
-    /// Whether runs were stopped for the step.
+    /// Whether runs to stop for the step were sought.
     has_reclaimed: bool,
     /// Whether tasks of the step have been started.
     has_started: bool,
@@ -136,6 +136,14 @@
         }
     }
 
+    /// Prevents further searches for runs to stop in the turn of a step.
+    pub(crate) fn end_reclaim(&mut self, step: StepId) {
+        let turns = self.turns.values_mut();
+        for turn in turns.filter(|turn| turn.step == step) {
+            turn.has_reclaimed = true;
+        }
+    }
+
     /// Returns whether a step is tried although it pauses: room has become free since the last attempt, and
     /// steps of teams with a weaker claim would take it otherwise.
     fn is_early(&self, step: StepId, view: &StepView) -> bool {
