--- a/crates/jobs/tests/fair_shares.rs
+++ b/crates/jobs/tests/fair_shares.rs
@@ -131,6 +131,33 @@
     }
 }
 
+/// Guards against wide steps that take more than the share of their team while they have a turn.
+#[test]
+fn full_service_is_divided_by_weight_among_wide_steps() {
+    const TASKS: u32 = 30;
+    const SAMPLES: usize = 20;
+    let mut cell = cell(&[("a", 1), ("b", 3)]);
+    let mut sums = [0, 0];
+
+    for second in 0..60 {
+        // Each team asks for more than the room, and the first for far more.
+        for (team, steps) in [("a", 6), ("b", 2)] {
+            for number in 0..steps {
+                cell.submit(team, "batch", step(TASKS, 1_500 + number * 170));
+            }
+        }
+        cell.run(1_000);
+        if second >= 60 - SAMPLES {
+            sums[0] += cell.runs_of("a");
+            sums[1] += cell.runs_of("b");
+        }
+    }
+
+    let means = sums.map(|sum| sum / SAMPLES);
+    assert!(means[0].abs_diff(ROOM_TASKS / 4) <= ROOM_TASKS / 14, "{means:?}");
+    assert!(means[1] >= ROOM_TASKS * 3 / 4 - ROOM_TASKS / 14, "{means:?}");
+}
+
 /// Guards against room that stays free since the team that is entitled to it does not ask for it.
 #[test]
 fn idle_share_is_lent() {
@@ -175,6 +202,35 @@
     );
 }
 
+/// Guards against turns that go to the steps of a team which cannot use them, since it is at its limit.
+#[test]
+fn turns_are_not_spent_on_steps_of_a_team_at_its_limit() {
+    const LONGEST_WAIT_MS: u64 = 11_500;
+    let teams = [
+        TeamCell::team("limited", 2, 1),
+        TeamCell::team("small", 0, 1),
+        TeamCell::team("large", 0, 1_000),
+    ];
+    let mut cell = TeamCell::new(WORKERS, &teams);
+    let mut senders = [
+        Sender::new("limited", 600),
+        Sender::new("small", 120),
+        Sender::new("large", STARTS_PER_S * 60 * 2),
+    ];
+    run(&mut cell, &mut senders, 30_000);
+    let sent = senders[1].jobs.len();
+
+    run(&mut cell, &mut senders, LONGEST_WAIT_MS);
+
+    let waits_ms = &senders[1].waits_ms(&cell)[..sent];
+    assert!(
+        waits_ms
+            .iter()
+            .all(|ms| ms.is_some_and(|ms| ms <= LONGEST_WAIT_MS)),
+        "{waits_ms:?}"
+    );
+}
+
 /// Returns a cell of which team `a` uses all room for long, and a job that team `b` has submitted since.
 fn cell_in_use(checkpoints: bool) -> (TeamCell, JobId) {
     let mut cell = cell(&[("a", 1), ("b", 1)]);
