jobs: a step whose tickets start nothing pauses for 1 s at most

By reading, a pause of up to 4 s, the wait for a daemon and its response can take that long. Change: the pause ends after 1 s. Result: tests of jobs pass.

--- a/crates/jobs/src/plan_advice_yield.rs
+++ b/crates/jobs/src/plan_advice_yield.rs
@@ -10,8 +10,9 @@
 /// Time for which a step stands back after that many rounds, in milliseconds. It doubles with each further
 /// one.
 const STAND_BACK_MS: u64 = 500;
-/// Longest time for which a step stands back, in milliseconds.
-const MAX_STAND_BACK_MS: u64 = 4_000;
+/// Longest time for which a step stands back, in milliseconds. Callers may expect a ready task to start within
+/// 3 s where there is room, and the wait for a daemon and its response follows the pause.
+const MAX_STAND_BACK_MS: u64 = 1_000;
 
 impl Planner {
     /// Ends the rounds of which all tickets have expired without a start. Steps of the first priority and
