jobs: a gang whose eligible workers have left asks about others

Cause: a gang stops asking about further workers once those that may run it hold twice its members. It counted all of them, also those that drain, do not respond or were ejected, so that it waited for ever if these were enough. Change: only workers that can take a run of the step now or later count. Result: the new test waits without end before the change, and less than 3 s after it; tests of advice_scheduling pass.

--- a/crates/jobs/src/plan_advice_gangs.rs
+++ b/crates/jobs/src/plan_advice_gangs.rs
@@ -107,14 +107,20 @@
             let entry = self.store.workers.get(worker);
             entry.map_or(0, |entry| tasks_within(&entry.capacity, &demand, spec))
         };
-        let known: usize = advice.eligible.keys().map(capacity_for).sum();
-        let missing = (tasks * EVALUATED_ROOM_PERCENT / 100).saturating_sub(known);
         let seeker = self.seeker(step, spec);
-        let workers = self.workers.iter();
-        let mut candidates: Vec<_> = workers
-            .filter(|(name, _)| !advice.evaluated.contains(*name))
-            .filter_map(|(name, view)| self.suitable_worker(seeker, spec, service, name, view))
-            .collect();
+        let suitable = |name: &WorkerName| {
+            let view = self.workers.get(name)?;
+            self.suitable_worker(seeker, spec, service, name, view)
+        };
+        // A step whose eligible workers have all left would otherwise wait for them for ever.
+        let eligible = advice.eligible.keys().filter(|name| suitable(name).is_some());
+        let known: usize = eligible.map(capacity_for).sum();
+        let missing = (tasks * EVALUATED_ROOM_PERCENT / 100).saturating_sub(known);
+        let unevaluated = self
+            .workers
+            .keys()
+            .filter(|name| !advice.evaluated.contains(*name));
+        let mut candidates: Vec<_> = unevaluated.filter_map(suitable).collect();
         if missing == 0 || candidates.is_empty() {
             return Vec::new();
         }
--- a/crates/jobs/tests/advice_scheduling.rs
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use {
-    common::{AdviceService, Leader, Sent, advised_queue, step},
+    common::{AdviceService, Leader, Sent, WORKER_CAPACITY, advised_queue, step},
     fuchsiatack_jobs::{
         AdvicePolicy, CellCall, Configuration, EndedRun, EntryReport, HoldKind, HoldReport, JobAction,
-        JobCall, JobId, JobSpec, ListedEnd, ListedRun, Queue, RunId, StepId, StepSpec, Team,
+        JobCall, JobId, JobSpec, ListedEnd, ListedRun, Queue, RunId, StepId, StepSpec, Team, WorkerReport,
     },
     fuchsiatack_model::{QueueName, Resources, TeamName, WorkerName},
     smol_str::SmolStr,
@@ -64,8 +64,8 @@
     ended: BTreeMap<WorkerName, u64>,
     ends: BTreeMap<(u64, u64), (WorkerName, RunId)>,
     issued_tickets: u64,
-    /// Number of workers in the last request for a batch job.
-    last_named: usize,
+    /// Workers in the last request for a batch job.
+    last_named: Vec<WorkerName>,
     leader: Leader,
     orders: u64,
     /// Time of the last end of a run by job.
@@ -108,7 +108,7 @@
             ended_ms: BTreeMap::new(),
             ends: BTreeMap::new(),
             issued_tickets: 0,
-            last_named: 0,
+            last_named: Vec::new(),
             leader: Leader::new(advised_queue(), &names),
             orders: 0,
             runs_on: BTreeMap::new(),
@@ -129,6 +129,21 @@
         cell
     }
 
+    /// Reports that some workers leave.
+    fn drain(&mut self, workers: &[WorkerName]) {
+        self.workers
+            .retain(|name| workers.iter().all(|worker| worker.as_str() != name));
+        for worker in workers {
+            let report = WorkerReport {
+                draining: true,
+                ..self
+                    .leader
+                    .report_with(worker.as_str(), 1, u64::MAX, WORKER_CAPACITY)
+            };
+            self.leader.heartbeat_report(report);
+        }
+    }
+
     fn announce(&mut self) {
         for port in 1..=DAEMONS {
             self.leader.call(CellCall::Entry(EntryReport {
@@ -228,7 +243,7 @@
                 };
                 if is_batch(request.step.job) {
                     self.calls += 1;
-                    self.last_named = request.workers.len();
+                    self.last_named = request.workers.clone();
                 }
                 let policy = queue.advice.expect("both queues need advice");
                 let response_ms = policy.response_ms(request.workers.len());
@@ -480,6 +495,27 @@
     assert!(outcome.calls_without_start <= 20, "{outcome:?}");
 }
 
+/// Guards against a gang that waits for ever: all workers that may run it leave before their tickets arrive,
+/// and it asks about no others.
+#[test]
+fn gang_asks_about_others_once_its_workers_have_left() {
+    let mut cell = Cell::with_workers(60, 0);
+    let gang = StepSpec {
+        gang: true,
+        ..batch_step(4, 3_000)
+    };
+    cell.submit("batch", GANG, gang);
+    cell.run(20, 0, 0);
+    let named = cell.last_named.clone();
+    cell.drain(&named);
+
+    cell.run(5_000, 0, 0);
+
+    assert!((8..60).contains(&named.len()), "{} workers", named.len());
+    let wait_ms = cell.wait_ms(GANG);
+    assert!(wait_ms.is_some_and(|ms| ms <= 3_000), "waited {wait_ms:?} ms");
+}
+
 /// Guards against wide steps whose workers are more than one request can name, and which ask for them one
 /// request after the other.
 #[test]
@@ -613,5 +649,5 @@
     cell.run(200, 0, 0);
 
     assert_eq!((cell.orders, cell.calls - before), (20, 1));
-    assert!(cell.last_named <= 2, "{} workers", cell.last_named);
+    assert!(cell.last_named.len() <= 2, "{:?}", cell.last_named);
 }
