jobs: a gang whose eligible workers are in use by lasting tasks asks about others

Change: a step that can neither start nor reserve room 1 s after its last response asks about further workers.

--- a/crates/jobs/src/plan_advice_gangs.rs
+++ b/crates/jobs/src/plan_advice_gangs.rs
@@ -19,6 +19,9 @@
 /// Room on workers that may run a step up to which further ones are evaluated, in percent of the room that
 /// all of its tasks need. They need room at the same time, and other steps use those workers too.
 const EVALUATED_ROOM_PERCENT: usize = 200;
+/// Time after the last response from which the eligible workers of a step that can neither start nor reserve
+/// room count as unusable, in milliseconds.
+const UNUSABLE_WORKERS_MS: u64 = 1_000;
 /// Pause of a step that cannot run on any more workers, in milliseconds.
 const NO_WORKERS_PAUSE_MS: u64 = 500;
 
@@ -115,7 +118,11 @@
         // A step whose eligible workers have all left would otherwise wait for them for ever.
         let eligible = advice.eligible.keys().filter(|name| suitable(name).is_some());
         let known: usize = eligible.map(capacity_for).sum();
-        let missing = (tasks * EVALUATED_ROOM_PERCENT / 100).saturating_sub(known);
+        let missing = match (tasks * EVALUATED_ROOM_PERCENT / 100).saturating_sub(known) {
+            // Lasting runs may hold the room of all eligible workers.
+            0 if advice.is_response_older_than(self.now_ms, UNUSABLE_WORKERS_MS) => tasks,
+            missing => missing,
+        };
         let unevaluated = self
             .workers
             .keys()
--- a/crates/jobs/src/plan_advice_room.rs
+++ b/crates/jobs/src/plan_advice_room.rs
@@ -67,8 +67,8 @@
 }
 
 impl Planner {
-    /// Plans a request for advice on workers that have room for the waiting tasks of a step, or are expected to have it
-    /// while the tickets are valid. Returns what the step waits for then.
+    /// Plans a request for advice on workers that have room for the waiting tasks of a step, or are expected to
+    /// have it while the tickets are valid. Returns what the step waits for then.
     pub(crate) fn request_advice_for_room(
         &mut self,
         step: StepId,
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -66,6 +66,11 @@
         (now_ms < *valid_until_ms).then_some(ticket)
     }
 
+    /// Returns whether the last response came more than `age_ms` ago; false before the first one.
+    pub(crate) fn is_response_older_than(&self, now_ms: u64, age_ms: u64) -> bool {
+        self.responded_ms.is_some_and(|ms| now_ms > ms + age_ms)
+    }
+
     /// Returns whether the step has a ticket that has not expired, for any worker.
     pub(crate) fn has_ticket(&self, now_ms: u64) -> bool {
         let mut tickets = self.eligible.values();
--- a/crates/jobs/tests/advice_scheduling.rs
+++ b/crates/jobs/tests/advice_scheduling.rs
@@ -129,6 +129,17 @@
         cell
     }
 
+    /// Reports that some workers have no room for a batch task.
+    fn shrink(&mut self, workers: &[String]) {
+        let capacity = Resources {
+            processors_millis: 1_000,
+            ..WORKER_CAPACITY
+        };
+        for worker in workers {
+            self.leader.heartbeat_with(worker, 1, capacity);
+        }
+    }
+
     /// Reports that some workers leave.
     fn drain(&mut self, workers: &[WorkerName]) {
         self.workers
@@ -516,6 +527,35 @@
     assert!(wait_ms.is_some_and(|ms| ms <= 3_000), "waited {wait_ms:?} ms");
 }
 
+/// Guards against a gang that waits for ever: lasting tasks use all workers that may run it, and it asks about no
+/// others when some join.
+#[test]
+fn gang_asks_about_others_while_lasting_tasks_use_its_workers() {
+    let mut cell = Cell::with_workers(40, 0);
+    let later = cell.workers.split_off(30);
+    cell.shrink(&later);
+    let lasting = StepSpec {
+        long_running: true,
+        ..batch_step(60, 600_000)
+    };
+    cell.submit("q", JobId(FIRST_URGENT), lasting);
+    cell.run(3_000, 0, 0);
+    let gang = StepSpec {
+        gang: true,
+        ..batch_step(4, 3_000)
+    };
+    cell.submit("batch", GANG, gang);
+    cell.shrink(&later);
+    cell.run(3_000, 0, 0);
+    let before = cell.wait_ms(GANG);
+    cell.workers.extend(later);
+
+    cell.run(5_000, 0, 0);
+
+    assert_eq!((before, cell.orders), (None, 64));
+    assert!(cell.wait_ms(GANG).is_some(), "the gang has not started");
+}
+
 /// Guards against wide steps whose workers are more than one request can name, and which ask for them one
 /// request after the other.
 #[test]
