--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -221,6 +221,8 @@
             Daemon(self, f"front-{number}", f"{self.prefix}.{40 + number}", "front", ZONES[number % 3])
             for number in range(fronts)]
         self.workers = []
+        # Runs that ended `done` and were taken note of while no lease of their worker had lapsed since, by task.
+        self.noted = {}
         self.host = "nony24.example"
         self.key = "6x73d3zji9n73hh2b9wu"
         self.version = 0
@@ -432,6 +434,7 @@
         self.ends = 0
         self.highest = {}
         self.deadline = 0
+        self.lapsed = False
         self.changed = asyncio.Event()
 
     def clock(self):
@@ -561,8 +564,13 @@
             return answered(200)
         return answered(400)
 
+    def observe_lapse(self):
+        """Remembers whether its leases lapsed while it listed ends, which then are not taken note of any more."""
+        self.lapsed = bool(self.ended) and (self.lapsed or 0 < self.deadline <= self.clock())
+
     def extend(self, message):
         deadline = message.get("deadlineMs")
+        self.observe_lapse()
         if deadline:
             self.deadline = max(self.deadline, min(deadline, self.clock() + BOUNDS["maxHoldMs"]))
 
@@ -583,10 +591,13 @@
         return answered(200)
 
     async def hold(self, message):
+        self.observe_lapse()
         seen = message.get("lastSeen", 0)
         if seen:
             forgotten = [end for end in self.ended if end[0] <= seen]
             for end in forgotten:
+                if end[3] == "done" and not self.lapsed:
+                    self.lab.noted[end[1]] = end[2]
                 record(f"worker {self.name} born {self.born}: end {end[0]} of {end[1]} run {end[2]} {end[3]} "
                        f"is taken note of (lastSeen {seen})")
             self.ended = [end for end in self.ended if end[0] > seen]
