--- a/crates/cell/src/core_role.rs
+++ b/crates/cell/src/core_role.rs
@@ -70,6 +70,7 @@
             log_events,
             planner: settings.planner.clone(),
             reports,
+            work: metrics.store_work.clone(),
         };
         background.spawn(write_log_events(log_event_queue, metrics.clone()));
         let store = Store::start_on_full_disk(store_settings(&settings, jobs)).await?;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -3,6 +3,7 @@
 use {
     fuchsiatack_jobs::CellReport,
     fuchsiatack_model::Resources,
+    fuchsiatack_store::WorkMetrics,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -97,6 +98,7 @@
     pub(crate) ready: Gauge,
     registry: Registry,
     reserved_workers: Family<ServiceLabel, Gauge>,
+    pub(crate) store_work: WorkMetrics,
     team_is_over: Family<TeamLabels, Gauge>,
     team_share: Family<TeamLabels, Gauge>,
     team_weight: Family<TeamLabels, Gauge>,
@@ -134,6 +136,7 @@
             ready: Gauge::default(),
             registry: Registry::with_prefix("fuchsiatack"),
             reserved_workers: Family::default(),
+            store_work: WorkMetrics::default(),
             team_is_over: Family::default(),
             team_share: Family::default(),
             team_weight: Family::default(),
@@ -260,6 +263,7 @@
             "Steps with waiting tasks by priority; on the leader",
             metrics.waiting_steps.clone(),
         );
+        metrics.store_work.register(&mut metrics.registry);
         metrics
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -55,6 +55,7 @@
 mod plan_start;
 mod plan_steps;
 mod plan_team_limits;
+mod plan_work;
 mod plan_workers;
 mod planner;
 mod progress;
@@ -103,6 +104,7 @@
     log_event::LogEvent,
     output::Output,
     plan_backlog::PriorityBacklog,
+    plan_work::ExaminedSteps,
     planner::Planner,
     progress::Progress,
     service_room::ServiceRoom,
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -40,6 +40,13 @@
             step: u32::MAX,
         };
         let has_ended = job.ended.is_some();
+        let steps = job.spec.steps.len();
+        let occurrences = if has_ended {
+            0
+        } else {
+            job.occurrence_count() as usize
+        };
+        let mut examined = occurrences * steps;
         let closed: Vec<_> = self
             .steps
             .range(first..=last)
@@ -56,6 +63,8 @@
                 Some(view) => view.advice.clone(),
                 None => StepAdvice::default(),
             };
+            // The chain of the job and its later steps.
+            examined += 2 * steps;
             let view = StepView {
                 advice,
                 waiting: self.waiting_tasks(step),
@@ -63,6 +72,7 @@
             };
             self.steps.insert(step, view);
         }
+        self.count_examined(id, examined);
         self.needs_placement = true;
     }
 
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -17,6 +17,7 @@
         plan_data_center_moves::DataCenterMoves,
         plan_late_starts::LateStart,
         plan_shares::Shares,
+        plan_work::ExaminedSteps,
         reservation::Reservations,
         run_view::{RunState, RunView, StartOrder},
         step_view::StepView,
@@ -49,6 +50,8 @@
     pub(crate) claims_ms: Option<u64>,
     /// Time of the next report of the waiting steps.
     pub(crate) backlog_due_ms: u64,
+    /// Job for which most steps were looked at in one piece of work since the last output.
+    pub(crate) busiest_job: Option<ExaminedSteps>,
     /// Last priority of the open steps in the present planning pass.
     pub(crate) last_priority: Option<u32>,
     /// Number of responses of the advice service of which all tickets have expired without a start, while the
@@ -116,6 +119,8 @@
     /// Time of the next check for stalled runs.
     pub(crate) stalls_due_ms: u64,
     pub(crate) steps: BTreeMap<StepId, StepView>,
+    /// Number of steps looked at to open or close steps.
+    pub(crate) steps_examined: u64,
     /// Time since which tasks have been suspected of crashing workers.
     pub(crate) suspected_since_ms: BTreeMap<TaskKey, u64>,
     /// Positions of the teams in the configuration, by name.
@@ -142,6 +147,7 @@
             are_heartbeats_late: false,
             claims_ms: None,
             backlog_due_ms: now_ms,
+            busiest_job: None,
             calls_without_start: 0,
             lapsed_tickets: 0,
             last_priority: None,
@@ -180,6 +186,7 @@
             shares: Shares::default(),
             stalls_due_ms: now_ms,
             steps: BTreeMap::new(),
+            steps_examined: 0,
             suspected_since_ms: BTreeMap::new(),
             team_positions: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -228,6 +235,7 @@
 
     /// Places waiting tasks if anything has changed, and returns the output since the last call.
     pub fn take_output(&mut self) -> Output {
+        self.busiest_job = None;
         if std::mem::take(&mut self.needs_placement) {
             self.place();
         }
--- a/crates/store/src/jobs_role.rs
+++ b/crates/store/src/jobs_role.rs
@@ -7,8 +7,9 @@
 use {
     crate::{
         JobsSettings,
-        clock::{steady_ms, unix_ms},
+        clock::unix_ms,
         pending_calls::{OutgoingResponse, failed_response},
+        work_metrics::WorkKind,
     },
     fuchsiatack_consensus::Term,
     fuchsiatack_jobs::{
@@ -20,13 +21,11 @@
     std::{
         collections::{HashMap, VecDeque},
         net::SocketAddr,
+        time::Instant,
     },
     tokio::sync::oneshot,
 };
 
-/// Duration in milliseconds from which a placement is logged. Responses wait for the placement.
-const LONG_PLACEMENT_MS: u64 = 40;
-
 pub(crate) struct JobsRole {
     last_call: u64,
     planner: Planner,
@@ -50,7 +49,9 @@
             .with("applied", applied.0)
             .with("term", term.0);
         let _ = settings.log_events.send(log_event);
+        let started_at = Instant::now();
         let planner = Planner::new(settings.planner.clone(), store.clone(), term.0, now_ms, unix_ms());
+        settings.record_work(WorkKind::Restore, started_at, Some(&planner));
         Self {
             last_call: 0,
             planner,
@@ -69,7 +70,18 @@
     }
 
     pub(crate) fn handle(&mut self, now_ms: u64, event: JobEvent) {
+        let kind = match event {
+            JobEvent::Advised { .. } => WorkKind::Advice,
+            JobEvent::Called { .. } => WorkKind::Calls,
+            JobEvent::Held { .. }
+            | JobEvent::Paced { .. }
+            | JobEvent::Started { .. }
+            | JobEvent::Stopped { .. } => WorkKind::Reports,
+            JobEvent::Tick => WorkKind::Tick,
+        };
+        let started_at = Instant::now();
         self.planner.handle(now_ms, unix_ms(), event);
+        self.settings.record_work(kind, started_at, Some(&self.planner));
     }
 
     pub(crate) fn set_members(&mut self, members: Vec<SocketAddr>) {
@@ -78,9 +90,10 @@
 
     /// Ends a turn of the planner. Returns its commands, and the effects to run after their commit.
     pub(crate) fn take_commands(&mut self) -> (Vec<JobCommand>, Vec<Effect>) {
-        let begin_ms = steady_ms();
+        let started_at = Instant::now();
         let output = self.planner.take_output();
-        self.log_long_placement(steady_ms() - begin_ms);
+        self.settings
+            .record_work(WorkKind::Placement, started_at, Some(&self.planner));
         for log_event in output.log_events {
             let _ = self.settings.log_events.send(log_event);
         }
@@ -93,16 +106,6 @@
         (output.commands, output.after_commit)
     }
 
-    /// Logs a slow placement, so that operators can see that placement takes up a processor.
-    fn log_long_placement(&self, took_ms: u64) {
-        if took_ms >= LONG_PLACEMENT_MS {
-            let log_event = LogEvent::new("placement took long")
-                .with("took_ms", took_ms)
-                .with("waiting_steps", self.planner.waiting_steps());
-            let _ = self.settings.log_events.send(log_event);
-        }
-    }
-
     /// Queues effects until the entry at `index` is applied.
     pub(crate) fn defer_effects(&mut self, index: LogIndex, effects: Vec<Effect>) {
         self.deferred
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,6 +9,7 @@
 mod formation;
 mod jobs_role;
 mod leadership;
+mod long_work;
 mod membership;
 mod peers;
 mod pending_calls;
@@ -21,6 +22,7 @@
 mod settings;
 mod status;
 mod store;
+mod work_metrics;
 mod writer;
 
 pub use self::{
@@ -29,4 +31,5 @@
     settings::{InitialMember, JobsSettings, Membership, StoreSettings},
     status::StoreStatus,
     store::Store,
+    work_metrics::WorkMetrics,
 };
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -13,6 +13,7 @@
         peers::Peers,
         pending_calls::{OutgoingResponse, PendingCall, PendingCalls, failed_response},
         runtime_node::decode_ledger,
+        work_metrics::WorkKind,
         writer::{WriteRequest, Writer},
     },
     fuchsiatack_consensus::{JoinRequest, JoinRequests, MemberId, Node, NodeSettings, Role, StoredState},
@@ -23,7 +24,7 @@
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{mpsc, oneshot},
@@ -153,6 +154,7 @@
                     }
                 }
             }
+            let started_at = Instant::now();
             while let Ok(event) = events.try_recv() {
                 self.handle_event(event);
             }
@@ -160,6 +162,7 @@
                 self.handle_input(input);
             }
             self.advance();
+            self.record_work(WorkKind::Turn, started_at);
             if self.can_stop() {
                 break;
             }
@@ -297,7 +300,10 @@
     }
 
     pub(crate) fn propose(&mut self, command: Command, responder: Option<oneshot::Sender<Response>>) {
-        let encoded = match postcard::to_stdvec(&command) {
+        let started_at = Instant::now();
+        let encoded = postcard::to_stdvec(&command);
+        self.record_work(WorkKind::Encode, started_at);
+        let encoded = match encoded {
             Ok(encoded) => encoded,
             Err(_) => {
                 responder.map(|responder| responder.send(failed_response("the command cannot be encoded")));
--- a/crates/store/src/runtime_node.rs
+++ b/crates/store/src/runtime_node.rs
@@ -1,10 +1,15 @@
 //! Node part of the runtime: messages, syncs, applied entries and snapshots.
 
 use {
-    crate::{event::Event, failure::FailureKind, runtime::Runtime, writer::WriteRequest},
+    crate::{
+        event::Event, failure::FailureKind, runtime::Runtime, work_metrics::WorkKind, writer::WriteRequest,
+    },
     fuchsiatack_consensus::{Entry, Envelope, Payload, Ready, Role, Snapshot},
     fuchsiatack_ledger::{AddressedChange, Command, Ledger, Reply},
-    std::sync::{Arc, PoisonError},
+    std::{
+        sync::{Arc, PoisonError},
+        time::Instant,
+    },
 };
 
 impl Runtime {
@@ -37,6 +42,13 @@
         }
     }
 
+    /// Records work that began at `started_at` and has ended now, if the store has a job planner.
+    pub(crate) fn record_work(&self, kind: WorkKind, started_at: Instant) {
+        if let Some(settings) = &self.settings.jobs {
+            settings.record_work(kind, started_at, None);
+        }
+    }
+
     /// Requests a leadership confirmation for the reads received since the last one.
     ///
     /// Each confirmation is a round of heartbeats. If only renewals wait, at most one is requested
@@ -71,9 +83,15 @@
             self.writer.push(WriteRequest::Persist(Box::new(ready)));
         }
         if let Some(snapshot) = installed {
+            let started_at = Instant::now();
             self.install(&snapshot);
+            self.record_work(WorkKind::Install, started_at);
+        }
+        if !committed.is_empty() {
+            let started_at = Instant::now();
+            self.apply(committed);
+            self.record_work(WorkKind::Apply, started_at);
         }
-        self.apply(committed);
         for token in confirmed {
             for read in self.calls.take_confirmed(token) {
                 self.respond_to_read(read);
@@ -153,7 +171,9 @@
         self.snapshot = applied;
         self.snapshot_lag_bytes = 0;
         self.snapshot_running = true;
+        let started_at = Instant::now();
         let ledger = self.ledger.clone();
+        self.record_work(WorkKind::Snapshot, started_at);
         let events = self.events.clone();
         tokio::task::spawn_blocking(move || {
             let data = encode_ledger(&ledger);
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the store role.
 
 use {
+    crate::WorkMetrics,
     fuchsiatack_consensus::disk::LogStoreSettings,
     fuchsiatack_jobs::{CellReport, Effect, LogEvent, PlannerSettings},
     fuchsiatack_ledger::AllocatorSettings,
@@ -45,6 +46,8 @@
     pub planner: PlannerSettings,
     /// Latest report of this daemon as leader on the cell.
     pub reports: watch::Sender<CellReport>,
+    /// Durations of the work that may hold up heartbeats.
+    pub work: WorkMetrics,
 }
 
 /// Settings of a `Store`.
--- a/crates/store/tests/evacuations.rs
+++ b/crates/store/tests/evacuations.rs
@@ -8,7 +8,7 @@
     fuchsiatack_jobs::{CellCall, CellReport, CellResponse, PlannerSettings},
     fuchsiatack_ledger::Command,
     fuchsiatack_model::DataCenter,
-    fuchsiatack_store::{InitialMember, JobsSettings, Store, StoreSettings},
+    fuchsiatack_store::{InitialMember, JobsSettings, Store, StoreSettings, WorkMetrics},
     fuchsiatack_wire::{CellSecret, Request, Response},
     std::{path::Path, time::Duration},
     tokio::{
@@ -43,6 +43,7 @@
                 log_events: unbounded_channel().0,
                 planner: PlannerSettings::default(),
                 reports: sender,
+                work: WorkMetrics::default(),
             }),
             snapshot_entries: SNAPSHOT_ENTRIES,
             ..StoreSettings::new("store-0", folder, vec![listed], CellSecret::new("store tests"))
