jobs: the end of a run does not look at the other tasks of its job

Cause: the end of each run asks whether its step and its job are done by a look at the tasks, on the leader and again when each member applies it. For a step of n tasks that is about n * n / 2 looks, in turns that heartbeats wait for. The end of a member of a gang marked all of them as done again, and the removal of a worker looked at every task of every job.

Change: an occurrence counts, for each step and in all, its tasks that are not done and those with a present run; the job counts the occurrences that are done.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,11 +1,14 @@
 //! A job and the state of its tasks.
 
 use {
-    crate::{JobId, JobSpec, JobState, RunEnd, RunId, StepId, StepSpec, Submission, TaskKey},
+    crate::{
+        JobId, JobSpec, JobState, Occurrence, Occurrences, RunEnd, RunId, StepId, StepSpec, Submission,
+        TaskKey,
+    },
     fuchsiatack_derives::message,
     fuchsiatack_model::{QueueName, TeamName, WorkerName},
     smol_str::SmolStr,
-    std::{collections::BTreeMap, sync::Arc},
+    std::sync::Arc,
 };
 
 /// State of one task.
@@ -26,6 +29,16 @@
     pub worker: Option<WorkerName>,
 }
 
+impl Task {
+    /// Counts the failure of a run, once for all members of a gang.
+    fn count_failure(&mut self, run: u32) {
+        if self.failed_run < run {
+            self.failed_run = run;
+            self.failures += 1;
+        }
+    }
+}
+
 /// When and how a job ended.
 #[message]
 pub struct JobEnd {
@@ -35,9 +48,6 @@
     pub unix_ms: u64,
 }
 
-/// Task states of one occurrence, by step and task number.
-pub type Occurrence = Vec<Vec<Task>>;
-
 /// An accepted job.
 #[message]
 pub struct Job {
@@ -48,7 +58,7 @@
     /// Identifier chosen by the caller.
     pub id: JobId,
     /// Started occurrences by number.
-    pub occurrences: BTreeMap<u32, Occurrence>,
+    pub occurrences: Occurrences,
     /// Queue to which it was submitted.
     pub queue: QueueName,
     /// Steps, schedule and payload, as the caller submitted them.
@@ -63,7 +73,7 @@
             accepted_unix_ms: submission.accepted_unix_ms,
             ended: None,
             id: submission.job,
-            occurrences: BTreeMap::new(),
+            occurrences: Occurrences::default(),
             queue: submission.queue,
             spec: Arc::new(submission.spec),
             team: submission.team,
@@ -112,19 +122,14 @@
 
     /// Returns the state of a task; `None` until its occurrence has started.
     pub fn task(&self, task: TaskKey) -> Option<&Task> {
-        self.occurrences
-            .get(&task.step.occurrence)?
-            .get(task.step.step as usize)?
-            .get(task.index as usize)
+        let occurrence = self.occurrences.get(task.step.occurrence)?;
+        occurrence.tasks(task.step.step).get(task.index as usize)
     }
 
     /// Returns whether all tasks of a step are done.
     pub fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
-        let tasks = self
-            .occurrences
-            .get(&occurrence)
-            .and_then(|occurrence| occurrence.get(step as usize));
-        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.done))
+        let occurrence = self.occurrences.get(occurrence);
+        occurrence.is_some_and(|occurrence| occurrence.is_step_done(step))
     }
 
     /// Returns the steps of a due occurrence that are not done and whose dependencies are done.
@@ -162,82 +167,79 @@
 
     pub(crate) fn start(&mut self, run: RunId, worker: &WorkerName) {
         let steps = &self.spec.steps;
-        let fresh = || {
-            steps
-                .iter()
-                .map(|step| vec![Task::default(); step.tasks as usize])
-                .collect()
+        let create = || {
+            let steps = steps.iter();
+            let tasks = steps.map(|step| vec![Task::default(); step.tasks as usize]);
+            Occurrence::from(tasks.collect::<Vec<_>>())
         };
-        let occurrence = self
-            .occurrences
-            .entry(run.task.step.occurrence)
-            .or_insert_with(fresh);
-        let task = occurrence
-            .get_mut(run.task.step.step as usize)
-            .and_then(|step| step.get_mut(run.task.index as usize));
-        if let Some(task) = task {
-            task.last_run = run.number;
-            task.worker = Some(worker.clone());
-        }
+        let step = run.task.step;
+        self.occurrences.start(step.occurrence, create);
+        self.occurrences.update(step.occurrence, |occurrence| {
+            occurrence.update(step.step, run.task.index, |task| {
+                task.last_run = run.number;
+                task.worker = Some(worker.clone());
+            })
+        });
     }
 
     /// Records the end of a run. Returns whether the run was the present one of its task.
     pub(crate) fn end(&mut self, run: RunId, end: RunEnd, checkpoint: &SmolStr) -> bool {
         let step = run.task.step;
         let is_gang = self.step(step.step).is_some_and(|spec| spec.gang);
-        let tasks = self
-            .occurrences
-            .get_mut(&step.occurrence)
-            .and_then(|occurrence| occurrence.get_mut(step.step as usize));
-        let Some(tasks) = tasks else {
-            return false;
-        };
-        match tasks.get_mut(run.task.index as usize) {
-            Some(task) if task.last_run == run.number && task.worker.is_some() => {
-                task.worker = None;
-                if !checkpoint.is_empty() {
-                    task.checkpoint = checkpoint.clone();
+        let is_present = self.occurrences.update(step.occurrence, |occurrence| {
+            let is_present = end_present_run(occurrence, run, checkpoint);
+            match end {
+                _ if !is_present => {}
+                RunEnd::Done if is_gang => occurrence.finish_step(step.step),
+                RunEnd::Done => {
+                    occurrence.update(step.step, run.task.index, |task| task.done = true);
                 }
+                RunEnd::Failed => {
+                    let counted = if is_gang { 0 } else { run.task.index };
+                    occurrence.update(step.step, counted, |task| task.count_failure(run.number));
+                }
+                RunEnd::Interrupted => {}
             }
-            _ => return false,
-        }
-        let counted = if is_gang { 0 } else { run.task.index as usize };
-        match end {
-            RunEnd::Done if is_gang => tasks.iter_mut().for_each(|task| task.done = true),
-            RunEnd::Done => tasks[run.task.index as usize].done = true,
-            RunEnd::Failed if tasks[counted].failed_run < run.number => {
-                tasks[counted].failed_run = run.number;
-                tasks[counted].failures += 1;
-            }
-            RunEnd::Failed | RunEnd::Interrupted => {}
-        }
-        true
+            is_present
+        });
+        is_present.unwrap_or(false)
     }
 
     /// Returns whether every task of every occurrence is done.
     pub(crate) fn is_complete(&self) -> bool {
-        let count = self.occurrence_count();
-        let is_done = |occurrence: &Occurrence| occurrence.iter().flatten().all(|task| task.done);
-        self.occurrences.len() as u32 == count && self.occurrences.values().all(is_done)
+        self.occurrences.done() == self.occurrence_count()
     }
 
     /// Returns the present runs with their workers, in order of occurrence, step and task.
     pub fn runs(&self) -> impl Iterator<Item = (RunId, &WorkerName)> {
-        self.occurrences.iter().flat_map(move |(occurrence, steps)| {
-            (0..).zip(steps).flat_map(move |(step, tasks)| {
-                (0..).zip(tasks).filter_map(move |(index, task): (u32, &Task)| {
-                    let step = StepId {
-                        job: self.id,
-                        occurrence: *occurrence,
-                        step,
-                    };
-                    let run = RunId {
-                        number: task.last_run,
-                        task: TaskKey { index, step },
-                    };
-                    task.worker.as_ref().map(|worker| (run, worker))
-                })
+        self.occurrences.iter().flat_map(move |(occurrence, state)| {
+            state.running().filter_map(move |(step, index, task)| {
+                let step = StepId {
+                    job: self.id,
+                    occurrence,
+                    step,
+                };
+                let run = RunId {
+                    number: task.last_run,
+                    task: TaskKey { index, step },
+                };
+                task.worker.as_ref().map(|worker| (run, worker))
             })
         })
     }
 }
+
+/// Ends a run if it is the present one of its task, and returns whether it was.
+fn end_present_run(occurrence: &mut Occurrence, run: RunId, checkpoint: &SmolStr) -> bool {
+    let was_present = occurrence.update(run.task.step.step, run.task.index, |task| {
+        let is_present = task.last_run == run.number && task.worker.is_some();
+        if is_present {
+            task.worker = None;
+            if !checkpoint.is_empty() {
+                task.checkpoint = checkpoint.clone();
+            }
+        }
+        is_present
+    });
+    was_present.unwrap_or(false)
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod job_store;
 mod kind_speed;
 mod log_event;
+mod occurrence;
 mod output;
 mod pacing;
 mod plan_advice;
@@ -97,11 +98,12 @@
         EndedRun, HoldReport, JobEvent, ListedEnd, ListedRun, OrderRejection, OrderResult, WorkerCallError,
     },
     ids::{JobId, RunId, StepId, TaskKey},
-    job::{Job, JobEnd, Occurrence, Task},
+    job::{Job, JobEnd, Task},
     job_spec::{JobSpec, Schedule},
     job_store::{JobStore, WaveEntry},
     kind_speed::KindSpeed,
     log_event::LogEvent,
+    occurrence::{Occurrence, Occurrences},
     output::Output,
     plan_backlog::PriorityBacklog,
     plan_work::ExaminedSteps,
--- a/crates/jobs/src/plan_attempts.rs
+++ b/crates/jobs/src/plan_attempts.rs
@@ -28,8 +28,8 @@
             return false;
         };
         let limit = queue.max_attempts.max(1);
-        let steps = job.occurrences.values().flat_map(|occurrence| {
-            let steps = job.spec.steps.iter().zip(occurrence);
+        let steps = job.occurrences.iter().flat_map(|(_, occurrence)| {
+            let steps = job.spec.steps.iter().zip(occurrence.steps());
             steps.filter(|(spec, _)| !spec.long_running)
         });
         let mut tasks = steps.flat_map(|(_, tasks)| tasks);
--- a/crates/ledger/tests/stored_forms.rs
+++ b/crates/ledger/tests/stored_forms.rs
@@ -3,7 +3,8 @@
 
 use {
     fuchsiatack_jobs::{
-        ColdStart, Configuration, JobCommand, JobId, JobSpec, Queue, StepSpec, Submission, Team, WorkerEntry,
+        ColdStart, Configuration, JobCommand, JobId, JobSpec, JobState, Queue, RunEnd, RunId, StepId,
+        StepSpec, Submission, TaskKey, Team, WorkerEntry,
     },
     fuchsiatack_ledger::{Command, DaemonInfo, Ledger},
     fuchsiatack_model::{DataCenter, LogIndex, QueueName, Resources, TeamName, WorkerName},
@@ -23,6 +24,11 @@
     636b076d616368696e6507736572766963650177090709057175657565077061796c6f61640001000000000000000000\
     000000000000000000000101047465616d00080b0d070c";
 
+/// The snapshot of `ledger_with_runs()` as an earlier build (04f0fbb) encodes it.
+const SNAPSHOT_WITH_RUNS: &str = "010300010907000901000102000100000100000000000101017705717565\
+    7565077061796c6f61640001000000000000000000000000000000000000000201047465616d00000000000000000000\
+    0000000000000000000000000000000000000000000000";
+
 fn configuration() -> Configuration {
     Configuration {
         document: b"{}".to_vec(),
@@ -224,3 +230,66 @@
     assert_eq!(ordered_unix_ms, 21);
     assert!(ledger.jobs().extension.evacuations.is_empty());
 }
+
+/// Returns a ledger with a job of two tasks of which the first is done and the second runs.
+fn ledger_with_runs() -> Ledger {
+    let submission = submission();
+    let steps = vec![StepSpec {
+        tasks: 2,
+        ..StepSpec::default()
+    }];
+    let submission = Submission {
+        spec: JobSpec {
+            steps,
+            ..submission.spec.clone()
+        },
+        ..submission
+    };
+    let mut ledger = Ledger::default();
+    let commands = vec![
+        JobCommand::Submit(Box::new(submission)),
+        JobCommand::Start {
+            runs: vec![run(0), run(1)],
+            worker: WorkerName::new("w"),
+        },
+        end_of_run(0),
+    ];
+    ledger.apply(LogIndex(3), Command::Jobs(commands));
+    ledger
+}
+
+fn run(index: u32) -> RunId {
+    let step = StepId {
+        job: JobId(9),
+        occurrence: 0,
+        step: 0,
+    };
+    RunId {
+        number: 1,
+        task: TaskKey { index, step },
+    }
+}
+
+fn end_of_run(index: u32) -> JobCommand {
+    JobCommand::End {
+        checkpoint: Default::default(),
+        end: RunEnd::Done,
+        is_final: false,
+        run: run(index),
+        unix_ms: 13,
+    }
+}
+
+/// Guards against a job that never completes, since the tasks that were done before a snapshot do not count.
+#[test]
+fn tasks_in_a_snapshot_of_an_earlier_build_are_counted() {
+    let mut decoded = Ledger::decode_snapshot(&bytes(SNAPSHOT_WITH_RUNS)).expect("the form is known");
+    let unchanged = decoded.clone();
+
+    decoded.apply(LogIndex(4), Command::Jobs(vec![end_of_run(1)]));
+
+    assert_eq!(unchanged, ledger_with_runs());
+    let encoded = unchanged.encode_snapshot().expect("the ledger can be encoded");
+    assert_eq!(encoded, bytes(SNAPSHOT_WITH_RUNS));
+    assert_eq!(decoded.jobs().jobs[&JobId(9)].state(), JobState::Completed);
+}
