jobs: the planner's work for a job grows with the job only

Cause: the steps of a job were made anew, all of them, on its submission, on each step that ended and in each new leader, and for each open step the estimates of all steps were added up. A submission and a restore of 5,000 steps looked at 50 million steps; one end looked at all steps and all occurrences of its job. Every 50 ms each running step was compared with all steps of its job. Planning passes look at each open step. The turns took longer than the longest election timeout, and each new leader began with the same work.

Change: a view of each job holds what was derived. The sums are made once; a blocked step waits for one dependency at a time, so that the end of a step touches only those that wait for it; an occurrence is looked at when the steps before it are open. At most 256 waiting steps of a job are open, fewer beside many such jobs, and the rest follow as these start. A pass opens a bounded number, job by job in turn. A step that found no room for 250 ms makes way for others of its job.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -132,25 +132,6 @@
         occurrence.is_some_and(|occurrence| occurrence.is_step_done(step))
     }
 
-    /// Returns the steps of a due occurrence that are not done and whose dependencies are done.
-    pub fn open_steps(&self, occurrence: u32) -> impl Iterator<Item = StepId> {
-        let is_open = move |(number, step): &(u32, &StepSpec)| {
-            let is_ready = step
-                .depends_on
-                .iter()
-                .all(|earlier| self.is_step_done(occurrence, *earlier));
-            is_ready && !self.is_step_done(occurrence, *number)
-        };
-        (0..)
-            .zip(self.spec.steps.iter())
-            .filter(is_open)
-            .map(move |(step, _)| StepId {
-                job: self.id,
-                occurrence,
-                step,
-            })
-    }
-
     /// Returns the sum of the estimated durations along the longest chain of dependent steps, in
     /// milliseconds.
     pub fn chain_ms(&self) -> u64 {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod job;
 mod job_spec;
 mod job_store;
+mod job_view;
 mod kind_speed;
 mod log_event;
 mod occurrence;
@@ -106,7 +107,7 @@
     occurrence::{Occurrence, Occurrences},
     output::Output,
     plan_backlog::PriorityBacklog,
-    plan_work::ExaminedSteps,
+    plan_work::JobWork,
     planner::Planner,
     progress::Progress,
     service_room::ServiceRoom,
--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -220,7 +220,7 @@
                 ),
         );
         self.propose(JobCommand::Submit(Box::new(submission)));
-        self.refresh_job(job);
+        self.begin_job(job);
         JobResponse::Accepted
     }
 
--- a/crates/jobs/src/plan_prefetch.rs
+++ b/crates/jobs/src/plan_prefetch.rs
@@ -9,6 +9,8 @@
 
 /// Interval between two searches for steps that are ready soon, in milliseconds.
 const INTERVAL_MS: u64 = 50;
+/// Maximum number of steps after a running one for which advice is requested, since a job may have thousands.
+const MAX_FOLLOWING: usize = 64;
 
 impl Planner {
     /// Requests advice for the steps that follow running ones.
@@ -30,7 +32,8 @@
     /// Returns the steps without advice that depend on `before`, and otherwise only on steps that
     /// are done or running.
     fn following(&self, before: StepId) -> Vec<StepId> {
-        let Some(job) = self.store.jobs.get(&before.job).filter(|job| job.ended.is_none()) else {
+        let (Some(job), Some(view)) = (self.store.jobs.get(&before.job), self.job_views.get(&before.job))
+        else {
             return Vec::new();
         };
         let is_done_or_running = |number: u32| {
@@ -42,14 +45,13 @@
             job.is_step_done(before.occurrence, number)
                 || view.is_some_and(|view| !view.is_prefetch && view.waiting.is_empty())
         };
-        (0..)
-            .zip(&job.spec.steps)
-            .filter(|(_, spec)| spec.depends_on.contains(&before.step))
-            .filter(|(_, spec)| spec.depends_on.iter().all(|earlier| is_done_or_running(*earlier)))
-            .map(|(number, _)| StepId {
-                step: number,
-                ..before
-            })
+        let is_ready_soon = |step: &StepId| {
+            let spec = job.step(step.step);
+            spec.is_some_and(|spec| spec.depends_on.iter().all(|earlier| is_done_or_running(*earlier)))
+        };
+        view.blocked_by(before)
+            .take(MAX_FOLLOWING)
+            .filter(is_ready_soon)
             .filter(|step| self.is_unevaluated(*step))
             .collect()
     }
@@ -92,10 +94,13 @@
         if remaining_ms.max().unwrap_or(0) > lead_ms {
             return;
         }
+        let Some(estimate) = self.job_views.get(&step.job).map(|view| view.estimate(step.step)) else {
+            return;
+        };
         if !self.steps.contains_key(&step) {
             let view = StepView {
                 is_prefetch: true,
-                ..self.new_step(step)
+                ..self.new_step(step, estimate)
             };
             self.steps.insert(step, view);
         }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -283,7 +283,7 @@
                 );
                 self.close_job(id);
             }
-            None if is_step_done => self.refresh_job(id),
+            None if is_step_done => self.close_done_step(run.task.step),
             None if is_gang && end != RunEnd::Done => self.stop_gang(run),
             None => {}
         }
@@ -358,7 +358,7 @@
         for task in runs {
             self.stop_run(task);
         }
-        self.refresh_job(id);
+        self.close_steps(id);
     }
 
     /// Updates the health of a worker after the end of a run.
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -48,6 +48,7 @@
 impl Planner {
     /// Starts the waiting tasks for which there is free capacity.
     pub(crate) fn place(&mut self) {
+        self.open_ready_steps();
         let now_ms = self.now_ms;
         for view in self.steps.values_mut() {
             view.observe_waiting(now_ms);
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -1,102 +1,219 @@
 //! Opens steps that are ready and closes those that are done.
+//!
+//! A planning pass looks at every open step. A job may have thousands that are ready at the same time, so that
+//! only some of them are open; the others follow as the tasks of these are started. What one pass opens is
+//! bounded too, because heartbeats wait for it.
 
 use {
     crate::{
         JobId, Planner, StepId, TaskKey, WaitTimes,
         fair_share::Standing,
+        job_view::{JobView, ReadyStep, StepEstimate},
         step_view::{StepAdvice, StepView},
     },
     fuchsiatack_model::Resources,
-    std::collections::BTreeSet,
+    std::{
+        collections::BTreeSet,
+        ops::{Bound, RangeInclusive},
+    },
 };
 
+/// Maximum number of waiting steps of one job that are open.
+const MAX_WAITING_STEPS_OF_JOB: usize = 256;
+/// Number of waiting steps that jobs with further ones share, if there are many such jobs.
+const MAX_WAITING_STEPS: usize = 8_192;
+/// Minimum number of waiting steps of one job that may be open.
+const MIN_WAITING_STEPS_OF_JOB: usize = 4;
+/// Number of steps and tasks that one planning pass looks at to open steps, after which the jobs that are left
+/// wait for the next pass.
+const MAX_UNITS_PER_PASS: usize = 20_000;
+/// Time after which an open step that found no room makes way for others of its job, in milliseconds.
+const PUT_BACK_MS: u64 = 250;
+
 impl Planner {
-    /// Opens the ready steps of a job and closes the others.
-    pub(crate) fn refresh_job(&mut self, id: JobId) {
-        let Some(job) = self.store.jobs.get(&id) else {
+    /// Begins to open the steps of a job that has not ended.
+    pub(crate) fn begin_job(&mut self, id: JobId) {
+        let Some(job) = self.store.jobs.get(&id).filter(|job| job.ended.is_none()) else {
             return;
         };
-        let mut open = BTreeSet::new();
-        if job.ended.is_none() {
-            for occurrence in 0..job.occurrence_count() {
-                let due_unix_ms = job.due_unix_ms(occurrence);
-                match job.spec.schedule {
-                    Some(_) if due_unix_ms > self.now_unix_ms => {
-                        self.scheduled.insert((due_unix_ms, id, occurrence));
-                        break;
-                    }
-                    _ => open.extend(job.open_steps(occurrence)),
-                }
+        let units = job.spec.steps.len();
+        self.job_views.insert(id, JobView::new(job));
+        self.unopened_jobs.insert(id);
+        self.count_work(id, units);
+        self.needs_placement = true;
+    }
+
+    /// Closes the steps of a job that has ended.
+    pub(crate) fn close_steps(&mut self, id: JobId) {
+        self.job_views.remove(&id);
+        self.unopened_jobs.remove(&id);
+        let steps: Vec<_> = self.steps.range(steps_of(id)).map(|(step, _)| *step).collect();
+        for step in &steps {
+            self.reservations.end(*step);
+            self.steps.remove(step);
+        }
+        self.count_work(id, steps.len());
+        self.needs_placement = true;
+    }
+
+    /// Closes a step that is done, and makes those ready that waited for it only.
+    pub(crate) fn close_done_step(&mut self, step: StepId) {
+        self.reservations.end(step);
+        self.steps.remove(&step);
+        self.needs_placement = true;
+        let (Some(job), Some(view)) = (self.store.jobs.get(&step.job), self.job_views.get_mut(&step.job))
+        else {
+            return;
+        };
+        let units = view.end_step(job, step, self.now_ms);
+        self.unopened_jobs.insert(step.job);
+        self.count_work(step.job, 1 + units);
+    }
+
+    /// Opens steps that are ready, job by job, until the pass has looked at enough.
+    pub(crate) fn open_ready_steps(&mut self) {
+        let jobs = self.unopened_jobs.len().max(1);
+        let limit = (MAX_WAITING_STEPS / jobs).clamp(MIN_WAITING_STEPS_OF_JOB, MAX_WAITING_STEPS_OF_JOB);
+        let mut units_left = MAX_UNITS_PER_PASS;
+        for id in self.unopened_in_turn() {
+            if units_left == 0 {
+                return;
             }
+            let units = self.open_steps_of(id, limit, units_left);
+            self.count_work(id, units);
+            units_left = units_left.saturating_sub(units);
+            self.last_opened_job = Some(id);
         }
-        let first = StepId {
-            job: id,
-            occurrence: 0,
-            step: 0,
+    }
+
+    /// Returns the jobs with steps to open, beginning after the one at which the last pass ended.
+    fn unopened_in_turn(&self) -> Vec<JobId> {
+        let Some(last) = self.last_opened_job else {
+            return self.unopened_jobs.iter().copied().collect();
         };
-        let last = StepId {
-            job: id,
-            occurrence: u32::MAX,
-            step: u32::MAX,
+        let after = self
+            .unopened_jobs
+            .range((Bound::Excluded(last), Bound::Unbounded));
+        after.chain(self.unopened_jobs.range(..=last)).copied().collect()
+    }
+
+    /// Opens steps of a job until `limit` open ones wait, or it has looked at `units` steps and tasks. Returns
+    /// how many it has looked at.
+    fn open_steps_of(&mut self, id: JobId, limit: usize, units: usize) -> usize {
+        let Some(mut view) = self.job_views.remove(&id) else {
+            self.unopened_jobs.remove(&id);
+            return 0;
+        };
+        let (mut waiting, mut looked_at) = self.count_waiting_steps(id);
+        if waiting >= limit && view.has_ready() {
+            waiting -= self.put_back_steps(id, &mut view);
+        }
+        let mut has_more = true;
+        while has_more && waiting < limit && looked_at < units {
+            match view.take_ready() {
+                Some(ready) => {
+                    let tasks = self.open_step(ready, view.estimate(ready.step.step));
+                    waiting += usize::from(tasks > 0);
+                    looked_at += 1 + tasks;
+                }
+                None => match self.begin_due_occurrence(id, &mut view) {
+                    Some(steps) => looked_at += steps,
+                    None => has_more = false,
+                },
+            }
+        }
+        if !has_more {
+            self.unopened_jobs.remove(&id);
+        }
+        self.job_views.insert(id, view);
+        looked_at
+    }
+
+    /// Returns the number of open steps of a job with waiting tasks, and that of all its open steps.
+    fn count_waiting_steps(&self, id: JobId) -> (usize, usize) {
+        let mut waiting = 0;
+        let mut all = 0;
+        for (_, view) in self.steps.range(steps_of(id)) {
+            waiting += usize::from(!view.waiting.is_empty());
+            all += 1;
+        }
+        (waiting, all)
+    }
+
+    /// Makes the steps of the next occurrence of a job ready if it is due. Returns how many it has looked at;
+    /// `None` if no occurrence is due.
+    fn begin_due_occurrence(&mut self, id: JobId, view: &mut JobView) -> Option<usize> {
+        let job = self.store.jobs.get(&id)?;
+        let occurrence = view.next_occurrence(job)?;
+        let due_unix_ms = job.due_unix_ms(occurrence);
+        if job.spec.schedule.is_some() && due_unix_ms > self.now_unix_ms {
+            self.scheduled.insert((due_unix_ms, id, occurrence));
+            return None;
+        }
+        Some(view.begin_occurrence(job, self.now_ms))
+    }
+
+    /// Opens a step that is ready. Returns the number of its waiting tasks; 0 if it is open already.
+    pub(crate) fn open_step(&mut self, ready: ReadyStep, estimate: StepEstimate) -> usize {
+        let step = ready.step;
+        let advice = match self.steps.get(&step) {
+            Some(view) if !view.is_prefetch => return 0,
+            Some(view) => view.advice.clone(),
+            None => StepAdvice::default(),
         };
-        let has_ended = job.ended.is_some();
-        let steps = job.spec.steps.len();
-        let occurrences = if has_ended {
-            0
-        } else {
-            job.occurrence_count() as usize
+        let waiting = self.waiting_tasks(step);
+        let tasks = waiting.len();
+        let view = StepView {
+            advice,
+            waiting,
+            waiting_since_ms: (tasks > 0).then_some(ready.since_ms),
+            ..self.new_step(step, estimate)
         };
-        let mut examined = occurrences * steps;
-        let closed: Vec<_> = self
+        self.steps.insert(step, view);
+        tasks
+    }
+
+    /// Closes open steps of a job that have been tried and found no room, and puts them behind its ready ones.
+    /// Otherwise steps that no worker can run would keep the others from being tried. Returns their number.
+    fn put_back_steps(&mut self, id: JobId, job_view: &mut JobView) -> usize {
+        let unplaced: Vec<_> = self
             .steps
-            .range(first..=last)
-            .filter(|(step, view)| !open.contains(step) && (has_ended || !view.is_prefetch))
-            .map(|(step, _)| *step)
+            .range(steps_of(id))
+            .filter(|(step, view)| self.may_put_back(**step, view))
+            .map(|(step, view)| ReadyStep {
+                since_ms: view.waiting_since_ms.unwrap_or(self.now_ms),
+                step: *step,
+            })
+            .take(job_view.ready_count())
             .collect();
-        for step in closed {
-            self.reservations.end(step);
-            self.steps.remove(&step);
+        for unplaced in &unplaced {
+            self.steps.remove(&unplaced.step);
+            job_view.put_back(*unplaced);
         }
-        for step in open {
-            let advice = match self.steps.get(&step) {
-                Some(view) if !view.is_prefetch => continue,
-                Some(view) => view.advice.clone(),
-                None => StepAdvice::default(),
-            };
-            // The chain of the job and its later steps.
-            examined += 2 * steps;
-            let view = StepView {
-                advice,
-                waiting: self.waiting_tasks(step),
-                ..self.new_step(step)
-            };
-            self.steps.insert(step, view);
-        }
-        self.count_examined(id, examined);
-        self.needs_placement = true;
+        unplaced.len()
+    }
+
+    /// Returns whether a step has found no room for a while, and nothing was requested or reserved for it.
+    fn may_put_back(&self, step: StepId, view: &StepView) -> bool {
+        let now_ms = self.now_ms;
+        !view.waiting.is_empty()
+            && view.wait_reason.is_some()
+            && now_ms >= view.opened_ms + PUT_BACK_MS
+            && view.advice.requests.is_empty()
+            && !view.advice.has_ticket(now_ms)
+            && self.reservations.get(step).is_none()
+            && self.runs.range(step.tasks()).next().is_none()
     }
 
     /// Creates the view of a step, without waiting tasks.
-    pub(crate) fn new_step(&self, step: StepId) -> StepView {
+    pub(crate) fn new_step(&self, step: StepId, estimate: StepEstimate) -> StepView {
         let queue = self.queue_of(step.job);
         let (stretch, target_ms, priority) = queue.map_or((1.0, 0, u32::MAX), |queue| {
             (queue.stretch, queue.target_latency_ms, queue.priority)
         });
         let job = self.store.jobs.get(&step.job);
-        let (chain_ms, due_unix_ms, remaining_ms) = job.map_or((0, 0, 0), |job| {
-            let remaining_ms = job
-                .spec
-                .steps
-                .iter()
-                .skip(step.step as usize)
-                .map(|spec| spec.estimated_ms);
-            (
-                job.chain_ms(),
-                job.due_unix_ms(step.occurrence),
-                remaining_ms.sum::<u64>(),
-            )
-        });
-        let objective_ms = target_ms + (chain_ms as f64 * stretch) as u64;
+        let due_unix_ms = job.map_or(0, |job| job.due_unix_ms(step.occurrence));
+        let objective_ms = target_ms + (estimate.chain_ms as f64 * stretch) as u64;
         let age_ms = self.now_unix_ms.saturating_sub(due_unix_ms);
         let spec = job.and_then(|job| job.step(step.step));
         let mut view = StepView {
@@ -105,11 +222,12 @@
             due_ms: (self.now_ms + objective_ms).saturating_sub(age_ms),
             durations_ms: Vec::new(),
             failed_on: Default::default(),
+            opened_ms: self.now_ms,
             paused_until_ms: 0,
             is_long_running: spec.is_some_and(|spec| spec.long_running),
             is_prefetch: false,
             priority,
-            remaining_ms: remaining_ms.min(chain_ms),
+            remaining_ms: estimate.remaining_ms,
             service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
             standing: Standing::default(),
             team: job.and_then(|job| job.team.clone()).unwrap_or_default(),
@@ -143,7 +261,18 @@
                 break;
             }
             self.scheduled.remove(&(due_unix_ms, job, occurrence));
-            self.refresh_job(job);
+            self.unopened_jobs.insert(job);
+            self.needs_placement = true;
         }
     }
 }
+
+/// Returns the range of all possible identifiers of a job's steps.
+fn steps_of(job: JobId) -> RangeInclusive<StepId> {
+    let step = |number| StepId {
+        job,
+        occurrence: number,
+        step: number,
+    };
+    step(0)..=step(u32::MAX)
+}
--- a/crates/jobs/src/plan_work.rs
+++ b/crates/jobs/src/plan_work.rs
@@ -1,37 +1,37 @@
-//! Counts the steps that the planner looks at, so that the cost of a job shows without a clock.
+//! Counts what the planner looks at to open and close steps, so that the cost of a job shows without a clock.
 
 use {
     crate::{JobId, Planner},
     fuchsiatack_derives::value,
 };
 
-/// A job with the steps that the planner has looked at for it in one piece of work.
+/// Work that the planner did at once for a job.
 #[derive(Copy)]
 #[value]
-pub struct ExaminedSteps {
-    /// Job that the steps belong to.
+pub struct JobWork {
+    /// Job for which it was done.
     pub job: JobId,
-    /// Number of steps. A step counts each time that it is looked at.
-    pub steps: u64,
+    /// Number of steps and tasks that the planner has looked at. One counts each time that it is looked at.
+    pub units: u64,
 }
 
 impl Planner {
-    /// Returns how many steps the planner has looked at to open or close steps since it was created.
-    pub fn steps_examined(&self) -> u64 {
-        self.steps_examined
+    /// Returns how many steps and tasks the planner has looked at to open or close steps since it was created.
+    pub fn work_units(&self) -> u64 {
+        self.work_units
     }
 
-    /// Returns the job for which most steps were looked at in one piece of work since the last output.
-    pub fn busiest_job(&self) -> Option<ExaminedSteps> {
+    /// Returns the job with most work at once since the last output.
+    pub fn busiest_job(&self) -> Option<JobWork> {
         self.busiest_job
     }
 
-    /// Takes into account that steps of a job were looked at.
-    pub(crate) fn count_examined(&mut self, job: JobId, steps: usize) {
-        let steps = steps as u64;
-        self.steps_examined += steps;
-        if self.busiest_job.is_none_or(|busiest| steps > busiest.steps) {
-            self.busiest_job = Some(ExaminedSteps { job, steps });
+    /// Takes into account that steps and tasks of a job were looked at.
+    pub(crate) fn count_work(&mut self, job: JobId, units: usize) {
+        let units = units as u64;
+        self.work_units += units;
+        if self.busiest_job.is_none_or(|busiest| units > busiest.units) {
+            self.busiest_job = Some(JobWork { job, units });
         }
     }
 }
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -11,13 +11,14 @@
         advice_claims::AdviceClaims,
         advice_senders::AdviceSenders,
         clock_sample::SLOWEST_RATE_THOUSANDTHS,
+        job_view::{JobView, ReadyStep},
         pacing::Pacing,
         plan_advice_choice::PlannedRequest,
         plan_advice_room::RoomForecast,
         plan_data_center_moves::DataCenterMoves,
         plan_late_starts::LateStart,
         plan_shares::Shares,
-        plan_work::ExaminedSteps,
+        plan_work::JobWork,
         reservation::Reservations,
         run_view::{RunState, RunView, StartOrder},
         step_view::StepView,
@@ -50,8 +51,8 @@
     pub(crate) claims_ms: Option<u64>,
     /// Time of the next report of the waiting steps.
     pub(crate) backlog_due_ms: u64,
-    /// Job for which most steps were looked at in one piece of work since the last output.
-    pub(crate) busiest_job: Option<ExaminedSteps>,
+    /// Job with most work at once since the last output.
+    pub(crate) busiest_job: Option<JobWork>,
     /// Last priority of the open steps in the present planning pass.
     pub(crate) last_priority: Option<u32>,
     /// Number of responses of the advice service of which all tickets have expired without a start, while the
@@ -81,6 +82,8 @@
     pub(crate) eligible_shares: BTreeMap<QueueName, u64>,
     /// Whether a check was scheduled that `take_output` must send.
     pub(crate) is_check_scheduled: bool,
+    /// What is known of the steps of the jobs that have not ended.
+    pub(crate) job_views: BTreeMap<JobId, JobView>,
     /// Measured speed of the tasks on each kind of worker.
     pub(crate) kinds: BTreeMap<SmolStr, KindSpeed>,
     /// Time at which the leadership started.
@@ -92,6 +95,8 @@
     pub(crate) late_starts: BTreeMap<(WorkerName, RunId), LateStart>,
     /// Time from which a lasting step may again be started before the urgent ones.
     pub(crate) lasting_turn_ms: u64,
+    /// Last job of which steps were opened.
+    pub(crate) last_opened_job: Option<JobId>,
     pub(crate) members: Vec<SocketAddr>,
     pub(crate) now_ms: u64,
     pub(crate) now_unix_ms: u64,
@@ -119,14 +124,16 @@
     /// Time of the next check for stalled runs.
     pub(crate) stalls_due_ms: u64,
     pub(crate) steps: BTreeMap<StepId, StepView>,
-    /// Number of steps looked at to open or close steps.
-    pub(crate) steps_examined: u64,
     /// Time since which tasks have been suspected of crashing workers.
     pub(crate) suspected_since_ms: BTreeMap<TaskKey, u64>,
     /// Positions of the teams in the configuration, by name.
     pub(crate) team_positions: BTreeMap<TeamName, usize>,
     /// What teams with runs or urgent steps use.
     pub(crate) teams: BTreeMap<TeamName, TeamUse>,
+    /// Jobs with steps that are ready and not open, or with occurrences to look at.
+    pub(crate) unopened_jobs: BTreeSet<JobId>,
+    /// Number of steps and tasks looked at to open or close steps.
+    pub(crate) work_units: u64,
     pub(crate) workers: BTreeMap<WorkerName, WorkerView>,
 }
 
@@ -164,11 +171,13 @@
             eligible_shares: BTreeMap::new(),
             ended_since_ms: BTreeMap::new(),
             is_check_scheduled: false,
+            job_views: BTreeMap::new(),
             kinds: BTreeMap::new(),
             leader_since_ms: now_ms,
             late_acknowledgements: BTreeMap::new(),
             late_starts: BTreeMap::new(),
             lasting_turn_ms: now_ms,
+            last_opened_job: None,
             members: Vec::new(),
             now_ms,
             now_unix_ms,
@@ -186,10 +195,11 @@
             shares: Shares::default(),
             stalls_due_ms: now_ms,
             steps: BTreeMap::new(),
-            steps_examined: 0,
             suspected_since_ms: BTreeMap::new(),
             team_positions: BTreeMap::new(),
             teams: BTreeMap::new(),
+            unopened_jobs: BTreeSet::new(),
+            work_units: 0,
             workers: BTreeMap::new(),
         };
         planner.restore();
@@ -282,14 +292,17 @@
                 continue;
             };
             let runs: Vec<_> = job.runs().map(|(run, worker)| (run, worker.clone())).collect();
-            for (run, worker) in runs {
+            for (run, worker) in &runs {
                 let since_ms = self.now_ms;
-                self.add_run(run, &worker, RunState::Unverified { since_ms });
+                self.add_run(*run, worker, RunState::Unverified { since_ms });
             }
             // An earlier leader may have been lost before it stopped the runs of a cancelled job.
             match self.store.jobs.get(&id).is_some_and(|job| job.ended.is_some()) {
                 true => self.close_job(id),
-                false => self.refresh_job(id),
+                false => {
+                    self.begin_job(id);
+                    self.open_running_steps(id, &runs);
+                }
             }
         }
         self.fail_spent_jobs();
@@ -302,6 +315,22 @@
         );
     }
 
+    /// Opens the steps of present runs, which the planner needs to know of whatever else waits.
+    fn open_running_steps(&mut self, id: JobId, runs: &[(RunId, WorkerName)]) {
+        let steps: BTreeSet<_> = runs.iter().map(|(run, _)| run.task.step).collect();
+        for step in steps {
+            let Some(estimate) = self.job_views.get(&id).map(|view| view.estimate(step.step)) else {
+                return;
+            };
+            let ready = ReadyStep {
+                since_ms: self.now_ms,
+                step,
+            };
+            let tasks = self.open_step(ready, estimate);
+            self.count_work(id, 1 + tasks);
+        }
+    }
+
     pub(crate) fn propose(&mut self, command: JobCommand) {
         self.store.apply(&command);
         self.output.commands.push(command);
@@ -505,6 +534,7 @@
     pub(crate) fn remove_jobs(&mut self, jobs: Vec<JobId>) {
         for job in &jobs {
             self.ended_since_ms.remove(job);
+            self.close_steps(*job);
         }
         self.propose(JobCommand::RemoveJobs(jobs));
     }
--- a/crates/jobs/src/step_view.rs
+++ b/crates/jobs/src/step_view.rs
@@ -101,6 +101,8 @@
     pub(crate) durations_ms: Vec<u64>,
     /// Workers on which a task has failed, or with which a run of it was lost, by task number.
     pub(crate) failed_on: BTreeMap<u32, BTreeSet<WorkerName>>,
+    /// Time at which the step was opened.
+    pub(crate) opened_ms: u64,
     /// No placement of the step is tried before this time.
     pub(crate) paused_until_ms: u64,
     /// Whether the step is not ready yet and only advice is requested for it.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -112,6 +112,11 @@
         self.planner.store()
     }
 
+    /// Returns how many steps and tasks the planner has looked at to open or close steps.
+    pub fn work_units(&self) -> u64 {
+        self.planner.work_units()
+    }
+
     /// Advances the time by `ms` milliseconds and sends a tick.
     pub fn advance(&mut self, ms: u64) {
         self.now_ms += ms;
--- a/crates/store/src/long_work.rs
+++ b/crates/store/src/long_work.rs
@@ -25,7 +25,7 @@
             event = event.with("waiting_steps", planner.waiting_steps());
         }
         if let Some(busiest) = planner.and_then(Planner::busiest_job) {
-            event = event.job(busiest.job).with("steps_examined", busiest.steps);
+            event = event.job(busiest.job).with("work_units", busiest.units);
         }
         // The receiver ends only with the process.
         let _ = self.log_events.send(event);
