jobs: start orders without a result are limited for each worker

Cause: tasks that need little are all placed in one pass.

Change: at most 64 start orders to a worker are in flight, as many as a service's connections to a worker; a gang still starts as a whole. A step that waits for them says so (`awaits results of start orders`) and neither reserves room nor stops other runs for it. The runs of a step on a worker are found by their range, and only for a step that limits them.

--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -91,13 +91,44 @@
     ) -> Option<Candidate<WorkerName>> {
         let entry = self.store.workers.get(name)?;
         let demand = spec.reserved();
-        if !entry.capacity.has_free(&view.used, &demand) || self.cold_starts_left(name, view) == 0 {
+        // A gang starts only as a whole, however many start orders that takes.
+        let may_start = spec.gang || view.starts_left() > 0;
+        if !may_start
+            || !entry.capacity.has_free(&view.used, &demand)
+            || self.cold_starts_left(name, view) == 0
+        {
             return None;
         }
         self.suitable_worker(seeker, spec, service, name, view)
             .filter(|candidate| candidate.capacity.has_free(&candidate.used, &demand))
     }
 
+    /// Returns how many start orders may be sent to a worker before one of those in flight has a result.
+    pub(crate) fn starts_left(&self, worker: &WorkerName) -> usize {
+        self.workers.get(worker).map_or(0, WorkerView::starts_left)
+    }
+
+    /// Returns whether a worker that could run a task of the step now has too many start orders in flight.
+    pub(crate) fn awaits_start_results(
+        &self,
+        step: StepId,
+        spec: &StepSpec,
+        service: &SmolStr,
+        is_advised: bool,
+    ) -> bool {
+        if spec.gang {
+            return false;
+        }
+        let reserved = spec.reserved();
+        let seeker = self.seeker(step, spec);
+        let advice = self.steps.get(&step).map(|view| &view.advice);
+        let has_ticket = |name| advice.is_some_and(|advice| advice.ticket(name, self.now_ms).is_some());
+        let busy = self.workers.iter().filter(|(_, view)| view.starts_left() == 0);
+        busy.filter(|(name, _)| !is_advised || has_ticket(name))
+            .filter_map(|(name, view)| self.suitable_worker(seeker, spec, service, name, view))
+            .any(|candidate| candidate.capacity.has_free(&candidate.used, &reserved))
+    }
+
     /// Returns a worker that may run a task of the step once it has the free capacity. What is reserved
     /// for other steps counts as used.
     pub(crate) fn suitable_worker(
@@ -150,5 +181,5 @@
 }
 
 fn tasks_on(step: StepId, view: &WorkerView) -> usize {
-    view.runs.iter().filter(|task| task.step == step).count()
+    view.runs.range(step.tasks()).count()
 }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -30,6 +30,7 @@
     ) {
         let now_ms = self.now_ms;
         self.observe_start_result(run, result);
+        self.count_start_result(worker, run);
         // What an earlier incarnation confirmed tells nothing about the run on the present one.
         let result = match result {
             Ok(_) if self.is_before_restart(worker, sent_ms) => Err(WorkerCallError::Unanswered),
@@ -59,6 +60,15 @@
         }
     }
 
+    /// Takes into account that a start order has a result, so that others may be sent to the worker.
+    fn count_start_result(&mut self, worker: &WorkerName, run: RunId) {
+        let Some(view) = self.workers.get_mut(worker) else {
+            return;
+        };
+        self.needs_placement |= view.starts_left() == 0;
+        view.unanswered_starts.remove(&run);
+    }
+
     fn handle_start_rejection(&mut self, worker: &WorkerName, run: RunId, error: WorkerCallError) {
         let now_ms = self.now_ms;
         match error {
--- a/crates/jobs/src/plan_shares.rs
+++ b/crates/jobs/src/plan_shares.rs
@@ -474,6 +474,7 @@
             | WaitReason::TeamLimit
             | WaitReason::NoQueue
             | WaitReason::GangEnding
+            | WaitReason::AwaitsStartResults
             | WaitReason::AwaitsAdvice
             | WaitReason::AdvicePause
             | WaitReason::Evacuated,
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -44,6 +44,8 @@
 
 /// Pause before a step that could not be placed completely is tried again, in milliseconds.
 pub(crate) const NO_CAPACITY_PAUSE_MS: u64 = 20;
+/// Pause before a step that awaits results of start orders is tried again, in milliseconds.
+const START_RESULT_PAUSE_MS: u64 = 5;
 
 impl Planner {
     /// Starts the waiting tasks for which there is free capacity.
@@ -170,8 +172,13 @@
             if result != Err(WaitReason::AdvicePause) {
                 view.wait_reason = result.err();
             }
-            if result.is_err() {
-                view.paused_until_ms = self.now_ms + NO_CAPACITY_PAUSE_MS;
+            let pause_ms = match result {
+                Ok(()) => None,
+                Err(WaitReason::AwaitsStartResults) => Some(START_RESULT_PAUSE_MS),
+                Err(_) => Some(NO_CAPACITY_PAUSE_MS),
+            };
+            if let Some(pause_ms) = pause_ms {
+                view.paused_until_ms = self.now_ms + pause_ms;
             }
         }
         result
@@ -236,6 +243,9 @@
                 _ => Err(WaitReason::TeamLimit),
             };
         }
+        if self.awaits_start_results(step, spec, &service, advice.is_some()) {
+            return Err(WaitReason::AwaitsStartResults);
+        }
         if self.needs_reservation(spec, &service)
             && let Some(reason) = self.reserve_room(step, spec, &service, advice.as_ref(), left)
         {
@@ -326,9 +336,11 @@
             usable[position].used = usable[position].used.saturating_add(&reserved);
             let tasks = starts.entry(worker.clone()).or_default();
             tasks.push(*task);
-            let count = tasks.len() + self.tasks_on(step, &worker);
-            let is_at_limit = spec.max_per_worker.is_some_and(|limit| count >= limit as usize);
-            if is_at_limit || self.has_no_cold_starts_left(&worker, tasks.len()) {
+            let is_at_limit = spec
+                .max_per_worker
+                .is_some_and(|limit| tasks.len() + self.tasks_on(step, &worker) >= limit as usize);
+            let has_no_starts_left = !spec.gang && self.starts_left(&worker) <= tasks.len();
+            if is_at_limit || has_no_starts_left || self.has_no_cold_starts_left(&worker, tasks.len()) {
                 usable.remove(position);
             }
         }
@@ -498,6 +510,7 @@
         };
         let deadline_ms = view.clock.map_or(0, |clock| clock.lower_bound_ms(now_ms)) + lease_ms;
         view.granted_until_ms = view.granted_until_ms.max(deadline_ms);
+        view.unanswered_starts.insert(run);
         self.send_order(WorkerOrder::Start {
             checkpoint,
             deadline_ms,
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -461,6 +461,7 @@
             on.used = on.used.saturating_sub(&view.reserved);
             on.runs.remove(&task);
             on.isolated.remove(&task);
+            on.unanswered_starts.remove(&view.run);
         }
         if let Some(team) = self.teams.get_mut(&view.team) {
             team.remove(&view, self.now_ms);
--- a/crates/jobs/src/wait_reason.rs
+++ b/crates/jobs/src/wait_reason.rs
@@ -16,6 +16,8 @@
     NoCapacity,
     /// Workers are reserved for the step, and runs on them have not ended yet.
     AwaitsRoom,
+    /// Workers with room have too many start orders without a result.
+    AwaitsStartResults,
     /// A response of the advice service is awaited.
     AwaitsAdvice,
     /// All daemons that could send an advice request for the step are busy.
@@ -36,6 +38,7 @@
             Self::GangEnding => "gang members still run",
             Self::NoCapacity => "no capacity",
             Self::AwaitsRoom => "reserved room in use",
+            Self::AwaitsStartResults => "awaits results of start orders",
             Self::AwaitsAdvice => "awaits advice",
             Self::NoAdviceSender => "no daemon free for an advice request",
             Self::AdvicePause => "pause between advice requests",
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -1,7 +1,9 @@
 //! The leader's view of a worker.
 
 use {
-    crate::{TaskKey, WorkerCallError, WorkerHealth, clock_sample::ClockSample, cold_start::ColdPeriod},
+    crate::{
+        RunId, TaskKey, WorkerCallError, WorkerHealth, clock_sample::ClockSample, cold_start::ColdPeriod,
+    },
     fuchsiatack_model::Resources,
     std::collections::BTreeSet,
 };
@@ -15,6 +17,9 @@
 /// The reading may have been on its way for that long.
 const MAX_CLOCK_LEAD_MS: u64 = 5_000;
 
+/// Maximum number of start orders to one worker that have no result yet. Each takes a connection.
+const MAX_UNANSWERED_STARTS: usize = 64;
+
 /// The first failed call since a worker last responded.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Loss {
@@ -73,6 +78,8 @@
     pub(crate) sequence: u64,
     /// No run is placed on it before this time.
     pub(crate) paused_until_ms: u64,
+    /// Runs whose start orders have no result yet.
+    pub(crate) unanswered_starts: BTreeSet<RunId>,
     /// Sum of the resources that its runs reserve.
     pub(crate) used: Resources,
     /// Whether it answered a hold order of this leader in its present incarnation.
@@ -107,11 +114,17 @@
             sequence: 0,
             paused_until_ms: 0,
             last_acknowledged: 0,
+            unanswered_starts: BTreeSet::new(),
             used: Resources::NONE,
             is_verified: false,
         }
     }
 
+    /// Returns how many start orders may be sent before one of those in flight has a result.
+    pub(crate) fn starts_left(&self) -> usize {
+        MAX_UNANSWERED_STARTS.saturating_sub(self.unanswered_starts.len())
+    }
+
     /// Resets what belonged to its earlier incarnation. Its runs stay until a report shows that
     /// they are gone: an order in flight may have started one in the new incarnation, under a lease
     /// up to `leases_until_ms`.
--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -265,6 +265,41 @@
     assert!(first_pass <= 25_000, "{first_pass}");
 }
 
+/// Guards against tens of thousands of connections to a few workers: tasks that need little are all placed in
+/// one pass.
+#[test]
+fn start_orders_in_flight_are_limited_for_each_worker() {
+    let mut cell = Cell::with_job(wide(LARGE));
+
+    let first = cell.leader.take_starts();
+    cell.leader.advance(ROUND_MS);
+    let without_results = cell.leader.take_starts();
+    for (run, worker) in &first[..10] {
+        cell.leader.started(worker, *run, Ok(cell.leader.now_ms));
+    }
+    cell.leader.advance(ROUND_MS);
+    let after_results = cell.leader.take_starts();
+
+    assert_eq!(first.len(), 64 * WORKERS.len());
+    assert_eq!(without_results, []);
+    assert_eq!(after_results.len(), 10);
+}
+
+/// Guards against a gang that never starts since its members need more start orders than may be in flight.
+#[test]
+fn gang_starts_as_a_whole_whatever_is_in_flight() {
+    let gang = StepSpec {
+        gang: true,
+        tasks: 300,
+        ..small_step()
+    };
+    let mut cell = Cell::with_job(unscheduled(vec![gang]));
+
+    let started = cell.leader.take_starts();
+
+    assert_eq!(started.len(), 300);
+}
+
 /// Guards against jobs that never end since a step is not opened once its dependencies are done.
 #[test]
 fn large_jobs_of_all_shapes_complete() {
