jobs: a job is closed once, not with the end of each of its runs

Cause: after the end of a run of a job that has ended, the planner closed the job again: it looked at all runs of the job and logged its end. A cancelled job with thousands of runs made each report of ends a long turn.

Change: only the end that ends the job closes it. Closing counts the runs that it looks at as work.

Measured: the new test fails without the change (units for the ends of 500 and 5,000 cancelled runs grow with their square) and passes with it.

--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -263,6 +263,8 @@
             Some(checkpoint) if !checkpoint.is_empty() => checkpoint.clone(),
             _ => view.checkpoint,
         };
+        let id = run.task.step.job;
+        let had_ended = self.store.jobs.get(&id).is_some_and(|job| job.ended.is_some());
         self.propose(JobCommand::End {
             checkpoint,
             end,
@@ -270,7 +272,6 @@
             run,
             unix_ms: self.now_unix_ms,
         });
-        let id = run.task.step.job;
         let Some(job) = self.store.jobs.get(&id) else {
             return;
         };
@@ -281,6 +282,7 @@
         }
         let is_step_done = job.is_step_done(run.task.step.occurrence, run.task.step.step);
         match job.ended.as_ref().map(|ended| ended.state) {
+            Some(_) if had_ended => {}
             Some(state) => {
                 self.log(
                     LogEvent::new("job ended")
@@ -360,11 +362,10 @@
         // a member that ends late would run beyond the cancel.
         let is_cancelled = job.state() == JobState::Cancelled;
         let is_done = |task: TaskKey| job.task(task).is_some_and(|task| task.done);
-        let runs: Vec<_> = job
-            .runs()
-            .map(|(run, _)| run.task)
-            .filter(|task| is_cancelled || !is_done(*task))
-            .collect();
+        let mut runs: Vec<_> = job.runs().map(|(run, _)| run.task).collect();
+        let units = runs.len();
+        runs.retain(|task| is_cancelled || !is_done(*task));
+        self.count_work(id, units);
         for task in runs {
             self.stop_run(task);
         }
--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -252,6 +252,29 @@
     }
 }
 
+/// Guards against ends of cancelled runs each of which makes the leader look at all runs of the job.
+#[test]
+fn work_for_a_cancellation_grows_with_the_number_of_runs() {
+    assert_linear("runs of a cancelled job", |size| {
+        let free_of_charge = StepSpec {
+            tasks: size,
+            ..StepSpec::default()
+        };
+        let mut cell = Cell::with_job(unscheduled(vec![free_of_charge]));
+        while cell.starts.len() < size as usize {
+            cell.start();
+            cell.leader.advance(ROUND_MS);
+        }
+        cell.work_of(|cell| {
+            cell.leader.cancel(JOB);
+            for (worker, runs) in &cell.running {
+                let ended: Vec<_> = (1..).zip(runs.iter().copied()).collect();
+                cell.leader.report_interrupted(worker.as_str(), &[], &ended);
+            }
+        })
+    });
+}
+
 /// Guards against a turn of the leader that opens the steps of all jobs, however many there are.
 #[test]
 fn one_pass_opens_a_bounded_number_of_steps() {
