jobs: stop orders without a result are limited for each worker

Change: stop orders for at most 64 runs of a worker are in flight; the others follow as these have a result.

Measured: the new test sees 64 stop orders for each of two workers, none more until some have a result, and then as many as have one.

--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -119,6 +119,9 @@
         result: OrderResult,
     ) {
         let now_ms = self.now_ms;
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.unanswered_stops.remove(&run);
+        }
         if self.is_before_restart(worker, sent_ms) {
             return;
         }
@@ -167,7 +170,8 @@
         view.is_some_and(|view| matches!(view.state, RunState::Confirmed { .. }))
     }
 
-    /// Sends a stop order for the present run of a task, unless one was sent before.
+    /// Stops the present run of a task, unless it is being stopped. The order is sent at once, or as soon as
+    /// enough others to its worker have a result.
     pub(crate) fn stop_run(&mut self, task: TaskKey) {
         let now_ms = self.now_ms;
         let Some(view) = self.runs.get_mut(&task) else {
@@ -176,13 +180,17 @@
         if matches!(view.state, RunState::Stopping { .. }) {
             return;
         }
+        let on = self.workers.get_mut(&view.worker);
+        let is_sent = on.is_none_or(|on| on.begin_stop(view.run));
         view.state = RunState::Stopping {
             is_start_unconfirmed: !matches!(view.state, RunState::Confirmed { .. }),
-            retry_ms: now_ms + STOP_RETRY_MS,
+            retry_ms: now_ms + if is_sent { STOP_RETRY_MS } else { 0 },
             confirmed_ms: None,
         };
         let (run, worker) = (view.run, view.worker.clone());
-        self.send_stop(run, &worker);
+        if is_sent {
+            self.send_stop(run, &worker);
+        }
     }
 
     /// Sends the stop order of a run again although its worker has confirmed one.
@@ -212,7 +220,7 @@
         }
     }
 
-    /// Sends stop orders again that have had no response.
+    /// Sends stop orders that have had no response, or were not sent yet.
     pub(crate) fn resend_stops(&mut self) {
         let now_ms = self.now_ms;
         let mut due = Vec::new();
@@ -223,6 +231,10 @@
                 ..
             } = &mut view.state
                 && now_ms >= *retry_ms
+                && self
+                    .workers
+                    .get_mut(&view.worker)
+                    .is_none_or(|on| on.begin_stop(view.run))
             {
                 *retry_ms = now_ms + STOP_RETRY_MS;
                 due.push((view.run, view.worker.clone()));
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -462,6 +462,7 @@
             on.runs.remove(&task);
             on.isolated.remove(&task);
             on.unanswered_starts.remove(&view.run);
+            on.unanswered_stops.remove(&view.run);
         }
         if let Some(team) = self.teams.get_mut(&view.team) {
             team.remove(&view, self.now_ms);
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -19,6 +19,8 @@
 
 /// Maximum number of start orders to one worker that have no result yet. Each takes a connection.
 const MAX_UNANSWERED_STARTS: usize = 64;
+/// Maximum number of runs on one worker whose stop orders have no result yet. Each takes a connection.
+const MAX_UNANSWERED_STOPS: usize = 64;
 
 /// The first failed call since a worker last responded.
 #[derive(Clone, Copy, Debug)]
@@ -80,6 +82,8 @@
     pub(crate) paused_until_ms: u64,
     /// Runs whose start orders have no result yet.
     pub(crate) unanswered_starts: BTreeSet<RunId>,
+    /// Runs whose stop orders have no result yet.
+    pub(crate) unanswered_stops: BTreeSet<RunId>,
     /// Sum of the resources that its runs reserve.
     pub(crate) used: Resources,
     /// Whether it answered a hold order of this leader in its present incarnation.
@@ -115,6 +119,7 @@
             paused_until_ms: 0,
             last_acknowledged: 0,
             unanswered_starts: BTreeSet::new(),
+            unanswered_stops: BTreeSet::new(),
             used: Resources::NONE,
             is_verified: false,
         }
@@ -125,6 +130,17 @@
         MAX_UNANSWERED_STARTS.saturating_sub(self.unanswered_starts.len())
     }
 
+    /// Takes into account that a stop order is sent for a run. Returns whether it may be: otherwise others have
+    /// to have a result first.
+    pub(crate) fn begin_stop(&mut self, run: RunId) -> bool {
+        let may_send =
+            self.unanswered_stops.contains(&run) || self.unanswered_stops.len() < MAX_UNANSWERED_STOPS;
+        if may_send {
+            self.unanswered_stops.insert(run);
+        }
+        may_send
+    }
+
     /// Resets what belonged to its earlier incarnation. Its runs stay until a report shows that
     /// they are gone: an order in flight may have started one in the new incarnation, under a lease
     /// up to `leases_until_ms`.
--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use {
-    common::{Leader, UNIX_START_MS, queue, step},
+    common::{Leader, Sent, UNIX_START_MS, queue, step},
     fuchsiatack_jobs::{
         CellCall, HoldKind, JobAction, JobCall, JobId, JobSpec, JobState, RunId, Schedule, StepSpec,
     },
@@ -207,6 +207,16 @@
     );
 }
 
+fn stops(leader: &mut Leader) -> Vec<(RunId, WorkerName)> {
+    let calls = leader.take_calls().into_iter();
+    calls
+        .filter_map(|call| match call {
+            Sent::Stop { run, worker } => Some((run, worker)),
+            _ => None,
+        })
+        .collect()
+}
+
 const SHAPES: [(&str, fn(u32) -> JobSpec); 6] = [
     ("independent steps", independent),
     ("chain of steps", chain),
@@ -308,6 +318,31 @@
     assert_eq!(after_results.len(), 10);
 }
 
+/// Guards against as many connections as a cancelled job has runs.
+#[test]
+fn stop_orders_in_flight_are_limited_for_each_worker() {
+    let mut cell = Cell::with_job(wide(LARGE));
+    for _ in 0..6 {
+        cell.start();
+        cell.leader.advance(ROUND_MS);
+    }
+    cell.leader.take_calls();
+
+    cell.leader.cancel(JOB);
+    let first = stops(&mut cell.leader);
+    cell.leader.advance(ROUND_MS);
+    let without_results = stops(&mut cell.leader);
+    for (run, worker) in &first[..10] {
+        cell.leader.stopped(worker, *run);
+    }
+    cell.leader.advance(ROUND_MS);
+    let after_results = stops(&mut cell.leader);
+
+    assert_eq!(first.len(), 64 * WORKERS.len());
+    assert_eq!(without_results, []);
+    assert_eq!(after_results.len(), 10);
+}
+
 /// Guards against a gang that never starts since its members need more start orders than may be in flight.
 #[test]
 fn gang_starts_as_a_whole_whatever_is_in_flight() {
