store: a turn reads messages of members first and ends in time

Cause: calls, reports and consensus messages shared a queue, and a turn handled up to 512 of them before it sent a heartbeat or saw an acknowledgement; all submissions of the turn became one log entry. Large jobs at the same time made turns longer than the lease, or an entry over the 8 MiB of a message between members, which is never replicated.

Change: consensus messages have a queue of their own and are handled first in each turn. A turn handles no further inputs after 20 ms, or once the submissions in it encode to 1 MiB; what is left follows in the next turn. The commands of one input stay in one entry, since some depend on each other (a job that was cancelled before it was submitted).

--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -46,6 +46,13 @@
     pub team: Option<TeamName>,
 }
 
+impl Submission {
+    /// Returns the size of the stored form in bytes; 0 if it cannot be encoded.
+    pub(crate) fn encoded_bytes(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or(0)
+    }
+}
+
 /// One change to the job state. The encoding depends on the order of variants.
 #[message]
 pub enum JobCommand {
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -101,6 +101,8 @@
     pub(crate) now_ms: u64,
     pub(crate) now_unix_ms: u64,
     pub(crate) output: Output,
+    /// Encoded size of the submissions among the commands of the next output.
+    pub(crate) pending_bytes: usize,
     /// Paces of the present runs that use idle processors.
     pub(crate) pacings: BTreeMap<TaskKey, Pacing>,
     /// Positions of the queues in the configuration, by name.
@@ -182,6 +184,7 @@
             now_ms,
             now_unix_ms,
             output: Output::default(),
+            pending_bytes: 0,
             pacings: BTreeMap::new(),
             queues: BTreeMap::new(),
             priority_waits: BTreeMap::new(),
@@ -246,6 +249,7 @@
     /// Places waiting tasks if anything has changed, and returns the output since the last call.
     pub fn take_output(&mut self) -> Output {
         self.busiest_job = None;
+        self.pending_bytes = 0;
         if std::mem::take(&mut self.needs_placement) {
             self.place();
         }
@@ -255,6 +259,12 @@
         std::mem::take(&mut self.output)
     }
 
+    /// Returns the encoded size of the submissions among the commands of the next output, in bytes. All other
+    /// commands are small.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending_bytes
+    }
+
     /// Sets the peer addresses of the store members, which daemons get in response to their
     /// announcements.
     pub fn set_members(&mut self, members: Vec<SocketAddr>) {
@@ -333,6 +343,9 @@
 
     pub(crate) fn propose(&mut self, command: JobCommand) {
         self.store.apply(&command);
+        if let JobCommand::Submit(submission) = &command {
+            self.pending_bytes += submission.encoded_bytes();
+        }
         self.output.commands.push(command);
     }
 
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -112,6 +112,16 @@
         self.planner.store()
     }
 
+    /// Returns the encoded size of the submissions since the last output, in bytes.
+    pub fn pending_bytes(&self) -> usize {
+        self.planner.pending_bytes()
+    }
+
+    /// Returns the commands since the last output, and drops everything else.
+    pub fn take_commands(&mut self) -> Vec<JobCommand> {
+        self.planner.take_output().commands
+    }
+
     /// Returns how many steps and tasks the planner has looked at to open or close steps.
     pub fn work_units(&self) -> u64 {
         self.planner.work_units()
--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -8,7 +8,8 @@
 use {
     common::{Leader, Sent, UNIX_START_MS, queue, step},
     fuchsiatack_jobs::{
-        CellCall, HoldKind, JobAction, JobCall, JobId, JobSpec, JobState, RunId, Schedule, StepSpec,
+        CellCall, HoldKind, JobAction, JobCall, JobCommand, JobId, JobSpec, JobState, RunId, Schedule,
+        StepSpec,
     },
     fuchsiatack_model::{Resources, WorkerName},
     quickcheck::{QuickCheck, TestResult},
@@ -207,6 +208,11 @@
     );
 }
 
+fn encoded_bytes(command: &JobCommand) -> usize {
+    let encoded = postcard::to_stdvec(command);
+    encoded.expect("the command can be encoded").len()
+}
+
 fn stops(leader: &mut Leader) -> Vec<(RunId, WorkerName)> {
     let calls = leader.take_calls().into_iter();
     calls
@@ -298,6 +304,24 @@
     assert!(first_pass <= 25_000, "{first_pass}");
 }
 
+/// Guards against a log entry that no follower can take: the leader ends a turn before the submissions in it
+/// become too large, which it has to know without encoding them.
+#[test]
+fn pending_submissions_are_counted_until_they_are_proposed() {
+    let mut cell = Cell::new();
+    let before = cell.leader.pending_bytes();
+
+    for job in 1..=10 {
+        cell.submit(JobId(job), independent(LARGE));
+    }
+    let pending = cell.leader.pending_bytes();
+    let encoded: usize = cell.leader.take_commands().iter().map(encoded_bytes).sum();
+
+    assert_eq!(before, 0);
+    assert!(pending.abs_diff(encoded) < encoded / 100, "{pending} {encoded}");
+    assert_eq!(cell.leader.pending_bytes(), 0);
+}
+
 /// Guards against tens of thousands of connections to a few workers: tasks that need little are all placed in
 /// one pass.
 #[test]
--- a/crates/store/src/event.rs
+++ b/crates/store/src/event.rs
@@ -9,14 +9,13 @@
     tokio::sync::oneshot,
 };
 
-/// Input from a `Store` handle.
+/// Input from a `Store` handle, other than consensus messages.
 pub(crate) enum Input {
     Call {
         caller: PeerCaller,
         responder: oneshot::Sender<Response>,
         request: Request,
     },
-    Consensus(Envelope),
     Jobs(JobEvent),
     Stop,
 }
--- a/crates/store/src/jobs_role.rs
+++ b/crates/store/src/jobs_role.rs
@@ -84,6 +84,11 @@
         self.settings.record_work(kind, started_at, Some(&self.planner));
     }
 
+    /// Returns the encoded size of the submissions that the next turn proposes, in bytes.
+    pub(crate) fn pending_bytes(&self) -> usize {
+        self.planner.pending_bytes()
+    }
+
     pub(crate) fn set_members(&mut self, members: Vec<SocketAddr>) {
         self.planner.set_members(members);
     }
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -16,12 +16,16 @@
         work_metrics::WorkKind,
         writer::{WriteRequest, Writer},
     },
-    fuchsiatack_consensus::{JoinRequest, JoinRequests, MemberId, Node, NodeSettings, Role, StoredState},
+    fuchsiatack_consensus::{
+        Envelope, JoinRequest, JoinRequests, MemberId, Node, NodeSettings, Role, StoredState,
+    },
     fuchsiatack_jobs::JobEvent,
     fuchsiatack_ledger::{Command, Ledger},
     fuchsiatack_model::LogIndex,
     fuchsiatack_wire::{Formation, NotLeader, Request, Response},
     std::{
+        collections::VecDeque,
+        future::ready,
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
@@ -33,8 +37,15 @@
     },
 };
 
-/// Maximum number of inputs handled before the node's pending work is processed.
+/// Maximum number of consensus messages, and of other inputs, handled before the node's pending work is
+/// processed.
 const MAX_INPUTS_PER_TURN: usize = 512;
+/// Time after which a turn handles no further inputs other than consensus messages. It is a fraction of the
+/// heartbeat interval, since a heartbeat may be due in the meantime.
+const INPUT_TIME_LIMIT: Duration = Duration::from_millis(20);
+/// Encoded size of the submissions of a turn from which it handles no further inputs, in bytes. They share a log
+/// entry, and a message between members holds 8 MiB.
+const SUBMISSION_BYTES_LIMIT: usize = 1 << 20;
 /// Maximum time in milliseconds that a planned stop waits for another leader.
 const STOP_TIMEOUT_MS: u64 = 2_000;
 /// Time in milliseconds without a message from a leader after which a member asks to join again. An
@@ -43,7 +54,18 @@
 /// Number of node ticks in each heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 4;
 
+/// Queues that the runtime reads.
+pub(crate) struct Queues {
+    /// Messages of other members. They are handled first, since a leader that reads them late takes its
+    /// followers for lost.
+    pub(crate) consensus: mpsc::Receiver<Envelope>,
+    pub(crate) events: mpsc::UnboundedReceiver<Event>,
+    pub(crate) inputs: mpsc::Receiver<Input>,
+}
+
 pub(crate) struct Runtime {
+    /// Inputs that were received and not handled yet.
+    pub(crate) backlog: VecDeque<Input>,
     /// Responses to send after the next update of the status, which must include their effects.
     pub(crate) responses: Vec<OutgoingResponse>,
     pub(crate) calls: PendingCalls,
@@ -100,6 +122,7 @@
             voters_in_contact: None,
         };
         let mut runtime = Self {
+            backlog: VecDeque::with_capacity(MAX_INPUTS_PER_TURN),
             responses: Vec::new(),
             calls: PendingCalls::default(),
             events,
@@ -135,44 +158,64 @@
     }
 
     /// Runs until a stop is complete or the last `Store` handle is dropped.
-    pub(crate) async fn run(
-        mut self,
-        mut inputs: mpsc::Receiver<Input>,
-        mut events: mpsc::UnboundedReceiver<Event>,
-    ) {
+    pub(crate) async fn run(mut self, mut queues: Queues) {
         let period_ms = (self.settings.heartbeat_ms / TICKS_PER_HEARTBEAT).max(1);
         let mut ticks = tokio::time::interval(Duration::from_millis(period_ms));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut received_inputs = Vec::with_capacity(MAX_INPUTS_PER_TURN);
         loop {
             tokio::select! {
-                Some(event) = events.recv() => self.handle_event(event),
+                biased;
                 _ = ticks.tick() => self.tick(),
-                received = inputs.recv_many(&mut received_inputs, MAX_INPUTS_PER_TURN) => {
-                    if received == 0 {
-                        break;
-                    }
-                }
-            }
-            let started_at = Instant::now();
-            while let Ok(event) = events.try_recv() {
-                self.handle_event(event);
+                Some(message) = queues.consensus.recv() => self.handle_consensus(message),
+                Some(event) = queues.events.recv() => self.handle_event(event),
+                () = ready(()), if !self.backlog.is_empty() => {}
+                input = queues.inputs.recv() => match input {
+                    Some(input) => self.backlog.push_back(input),
+                    None => break,
+                },
             }
-            for input in received_inputs.drain(..) {
-                self.handle_input(input);
-            }
-            self.advance();
-            self.record_work(WorkKind::Turn, started_at);
+            self.take_turn(&mut queues);
             if self.can_stop() {
                 break;
             }
         }
-        self.finish(inputs).await;
+        self.finish(queues.inputs).await;
+    }
+
+    /// Handles what has arrived and processes the node's pending work. What takes too long is left for the next
+    /// turn, after the heartbeats that are due.
+    fn take_turn(&mut self, queues: &mut Queues) {
+        let started_at = Instant::now();
+        while let Ok(event) = queues.events.try_recv() {
+            self.handle_event(event);
+        }
+        for _ in 0..MAX_INPUTS_PER_TURN {
+            let Ok(message) = queues.consensus.try_recv() else {
+                break;
+            };
+            self.handle_consensus(message);
+        }
+        while self.backlog.len() < MAX_INPUTS_PER_TURN
+            && let Ok(input) = queues.inputs.try_recv()
+        {
+            self.backlog.push_back(input);
+        }
+        while started_at.elapsed() < INPUT_TIME_LIMIT
+            && self.jobs.as_ref().map_or(0, JobsRole::pending_bytes) < SUBMISSION_BYTES_LIMIT
+            && let Some(input) = self.backlog.pop_front()
+        {
+            self.handle_input(input);
+        }
+        self.advance();
+        self.record_work(WorkKind::Turn, started_at);
     }
 
     async fn finish(mut self, mut inputs: mpsc::Receiver<Input>) {
         inputs.close();
         while let Ok(input) = inputs.try_recv() {
+            self.backlog.push_back(input);
+        }
+        for input in std::mem::take(&mut self.backlog) {
             if let Input::Call { responder, .. } = input {
                 let _ = responder.send(self.not_leader());
             }
@@ -228,6 +271,12 @@
         self.failure.is_some() || is_alone || is_replaced || self.now_ms() >= due_ms
     }
 
+    fn handle_consensus(&mut self, message: Envelope) {
+        if self.failure.is_none() && !self.forming {
+            self.node.receive(self.now_ms(), message);
+        }
+    }
+
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Call {
@@ -239,10 +288,6 @@
                 responder,
                 request,
             }),
-            Input::Consensus(envelope) if self.failure.is_none() && !self.forming => {
-                self.node.receive(self.now_ms(), envelope);
-            }
-            Input::Consensus(_) => {}
             Input::Jobs(event) => {
                 let now_ms = self.now_ms();
                 if let Some(jobs) = &mut self.jobs {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -6,7 +6,7 @@
         event::{Event, Input},
         pending_calls::failed_response,
         reopen_delays::ReopenDelays,
-        runtime::Runtime,
+        runtime::{Queues, Runtime},
         writer::Writer,
     },
     fuchsiatack_consensus::{Envelope, Role, disk::LogStore},
@@ -23,11 +23,13 @@
     },
 };
 
-/// Capacity of the runtime's input queue. When it is full, calls wait and consensus messages are
-/// dropped.
+/// Capacity of the queue of consensus messages. When it is full, they are dropped.
+const CONSENSUS_QUEUE_CAPACITY: usize = 8_192;
+/// Capacity of the queue of all other inputs. When it is full, calls wait.
 const INPUT_QUEUE_CAPACITY: usize = 8_192;
 
 struct Shared {
+    consensus: mpsc::Sender<Envelope>,
     inputs: mpsc::Sender<Input>,
     status: Arc<Mutex<StoreStatus>>,
     task: Mutex<Option<JoinHandle<()>>>,
@@ -61,12 +63,19 @@
         let (log_store, stored) = LogStore::open_with(&settings.data_folder, settings.log_store.clone())?;
         let (events, event_queue) = mpsc::unbounded_channel::<Event>();
         let writer = Writer::start(log_store, events.clone()).map_err(StoreError::Thread)?;
+        let (consensus, consensus_queue) = mpsc::channel(CONSENSUS_QUEUE_CAPACITY);
         let (inputs, input_queue) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let runtime = Runtime::new(settings, stored, writer, events)?;
         let status = runtime.status();
-        let task = tokio::spawn(runtime.run(input_queue, event_queue));
+        let queues = Queues {
+            consensus: consensus_queue,
+            events: event_queue,
+            inputs: input_queue,
+        };
+        let task = tokio::spawn(runtime.run(queues));
         Ok(Self {
             shared: Arc::new(Shared {
+                consensus,
                 inputs,
                 status,
                 task: Mutex::new(Some(task)),
@@ -111,10 +120,9 @@
         }
     }
 
-    /// Queues a consensus message from another member without blocking. Drops it if the input queue
-    /// is full.
+    /// Queues a consensus message from another member without blocking. Drops it if the queue is full.
     pub fn handle_consensus(&self, envelope: Envelope) {
-        let _ = self.shared.inputs.try_send(Input::Consensus(envelope));
+        let _ = self.shared.consensus.try_send(envelope);
     }
 
     /// Passes an event, such as the outcome of an effect, to the job planner. Does nothing once the
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -5,15 +5,19 @@
 
 use {
     fuchsiatack_consensus::{Member, MemberRole, Role, disk::DiskFaults},
+    fuchsiatack_jobs::{CellReport, PlannerSettings},
     fuchsiatack_ledger::{Command, OperationId, RecordAction, RecordWrite, Reply},
     fuchsiatack_model::LogIndex,
     fuchsiatack_records::{Record, Spec, StoreMemberSpec},
-    fuchsiatack_store::{InitialMember, Membership, Store, StoreSettings},
+    fuchsiatack_store::{InitialMember, JobsSettings, Membership, Store, StoreSettings, WorkMetrics},
     fuchsiatack_wire::{CellSecret, Frame, PeerCaller, PeerServer, Request, Response},
     std::{fs::File, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
     tempfile::TempDir,
     tokio::{
-        sync::mpsc,
+        sync::{
+            mpsc::{self, unbounded_channel},
+            watch,
+        },
         task::JoinHandle,
         time::{Instant, sleep},
     },
@@ -32,6 +36,8 @@
 pub struct Cell {
     pub members: Vec<Option<Running>>,
     folder: TempDir,
+    /// Whether members have a job planner.
+    has_planner: bool,
     /// Whether members join by request.
     is_joining: bool,
     listed: Vec<InitialMember>,
@@ -42,22 +48,27 @@
 impl Cell {
     /// Binds a port for each member and starts all of them.
     pub async fn start(size: usize) -> Self {
-        Self::start_with(vec![DiskFaults::default(); size], false).await
+        Self::start_with(vec![DiskFaults::default(); size], false, false).await
+    }
+
+    /// Like `start`, with members whose leader runs the job planner. Its effects are dropped.
+    pub async fn start_with_planner(size: usize) -> Self {
+        Self::start_with(vec![DiskFaults::default(); size], false, true).await
     }
 
     /// Like `start`, with members that join by request. They can form the cell only at this start.
     pub async fn start_joining(size: usize) -> Self {
-        let mut cell = Self::start_with(vec![DiskFaults::default(); size], true).await;
+        let mut cell = Self::start_with(vec![DiskFaults::default(); size], true, false).await;
         cell.may_form = false;
         cell
     }
 
     /// Starts a member for each of the given disk faults; see `start`.
     pub async fn start_with_faults(faults: Vec<DiskFaults>) -> Self {
-        Self::start_with(faults, false).await
+        Self::start_with(faults, false, false).await
     }
 
-    async fn start_with(faults: Vec<DiskFaults>, is_joining: bool) -> Self {
+    async fn start_with(faults: Vec<DiskFaults>, is_joining: bool, has_planner: bool) -> Self {
         let mut servers = Vec::new();
         for _ in &faults {
             let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -70,6 +81,7 @@
         let mut cell = Self {
             listed: listed.collect(),
             folder: tempfile::tempdir().unwrap(),
+            has_planner,
             is_joining,
             may_form: true,
             members: Vec::new(),
@@ -92,6 +104,15 @@
                 may_form: self.may_form,
             };
         }
+        if self.has_planner {
+            settings.jobs = Some(JobsSettings {
+                effects: unbounded_channel().0,
+                log_events: unbounded_channel().0,
+                planner: PlannerSettings::default(),
+                reports: watch::channel(CellReport::default()).0,
+                work: WorkMetrics::default(),
+            });
+        }
         let store = Store::start(settings).unwrap();
         let server = tokio::spawn(server.serve(Arc::new(store.clone())));
         Running { server, store }
