daemon: a test of callers beside jobs of many steps

Change: three core daemons and an entry as processes take ten ordinary jobs, ten jobs of 5,000 steps at once, and ten ordinary jobs more; all are accepted and the ordinary ones are completed. The stand-in cell of client_limits can have up to three core daemons.

--- a/crates/daemon/tests/client_limits/main.rs
+++ b/crates/daemon/tests/client_limits/main.rs
@@ -9,6 +9,7 @@
 #[allow(dead_code, reason = "shared with the review's stand-ins, which use all of it")]
 #[path = "../../../../review/standin/http.rs"]
 mod http;
+mod large_jobs;
 mod platform_cell;
 mod process_usage;
 mod product_limits;
--- a/crates/daemon/tests/client_limits/platform_cell.rs
+++ b/crates/daemon/tests/client_limits/platform_cell.rs
@@ -1,4 +1,4 @@
-//! One core and one entry daemon of the platform, each a process with its own settings file.
+//! Core daemons and one entry daemon of the platform, each a process with its own settings file.
 
 use {
     crate::{
@@ -48,30 +48,44 @@
 /// Distinguishes the cells of this test process.
 static CELLS: AtomicU8 = AtomicU8::new(0);
 
-/// A running core daemon and entry daemon with a configuration of one route.
+/// Number of addresses of each cell.
+const ADDRESSES: u8 = 8;
+/// Last part of the addresses of the core daemons, the first of which is the one that tests call.
+const CORE_HOSTS: [u8; 3] = [1, 4, 5];
+const ENTRY_HOST: u8 = 2;
+const WORKER_HOST: u8 = 3;
+
+/// Running core daemons and an entry daemon with a configuration of one route.
 pub struct PlatformCell {
-    core: ChildProcess,
+    cores: Vec<ChildProcess>,
     entry: ChildProcess,
     folder: TempDir,
     network: [u8; 3],
 }
 
 impl PlatformCell {
-    /// Starts the daemons, and waits until the configuration is acknowledged and the entry is ready.
+    /// Starts one core daemon and the entry, and waits until the configuration is acknowledged and the entry is
+    /// ready.
     pub fn start() -> Self {
+        Self::start_with_cores(1)
+    }
+
+    /// Like `start`, with up to three core daemons.
+    pub fn start_with_cores(count: usize) -> Self {
         let folder = tempfile::tempdir().expect("the folder should be created");
         let process = std::process::id();
-        let cell = CELLS.fetch_add(1, Ordering::Relaxed);
-        let network = [127, 180 + (process >> 8) as u8 % 70, process as u8];
-        let core_ip = Ipv4Addr::new(network[0], network[1], network[2], 1 + 3 * cell);
-        let entry_ip = Ipv4Addr::new(network[0], network[1], network[2], 2 + 3 * cell);
-        let core = start_daemon(folder.path(), core_ip, core_ip, true);
-        let entry = start_daemon(folder.path(), entry_ip, core_ip, false);
+        let first = ADDRESSES * CELLS.fetch_add(1, Ordering::Relaxed);
+        let network = [180 + (process >> 8) as u8 % 70, process as u8, first];
+        let ip = |host| Ipv4Addr::new(127, network[0], network[1], first + host);
+        let core_ips: Vec<_> = CORE_HOSTS.iter().take(count).map(|host| ip(*host)).collect();
+        let start = |ip, is_core| start_daemon(folder.path(), ip, &core_ips, is_core);
+        let cores = core_ips.iter().map(|ip| start(*ip, true)).collect();
+        let entry = start(ip(ENTRY_HOST), false);
         let cell = Self {
-            core,
+            cores,
             entry,
             folder,
-            network: [network[1], network[2], 3 * cell],
+            network,
         };
         let configuration = configuration(1).to_string();
         wait_until("the configuration is acknowledged", || {
@@ -88,27 +102,27 @@
     }
 
     pub fn control(&self) -> SocketAddr {
-        self.address(1, CONTROL_PORT)
+        self.address(CORE_HOSTS[0], CONTROL_PORT)
     }
 
     pub fn core_metrics(&self) -> SocketAddr {
-        self.address(1, METRICS_PORT)
+        self.address(CORE_HOSTS[0], METRICS_PORT)
     }
 
     pub fn callers(&self) -> SocketAddr {
-        self.address(2, FRONT_PORT)
+        self.address(ENTRY_HOST, FRONT_PORT)
     }
 
     pub fn entry_metrics(&self) -> SocketAddr {
-        self.address(2, METRICS_PORT)
+        self.address(ENTRY_HOST, METRICS_PORT)
     }
 
     pub fn readiness(&self) -> SocketAddr {
-        self.address(2, READY_PORT)
+        self.address(ENTRY_HOST, READY_PORT)
     }
 
     pub fn watch_core(&self) -> UsageWatch {
-        UsageWatch::start(self.core.id().expect("the core should run"))
+        UsageWatch::start(self.cores[0].id().expect("the core should run"))
     }
 
     pub fn watch_entry(&self) -> UsageWatch {
@@ -136,7 +150,7 @@
         let work_time = Arc::new(|_: &str, _: u64| Work::done(300));
         Worker::start(
             0,
-            self.address(3, WORKER_PORT),
+            self.address(WORKER_HOST, WORKER_PORT),
             vec![self.control()],
             "\"a\",\"r1-1\"",
             Arc::new(record),
@@ -151,7 +165,14 @@
 
     /// Submits a small job once, and returns the status.
     pub fn submit(&self, id: &str) -> Option<u16> {
-        let body = r#"{"spec":"text","steps":[{"count":1,"cpu":100,"memMb":16,"estimatedMs":300}]}"#;
+        self.submit_body(
+            id,
+            r#"{"spec":"text","steps":[{"count":1,"cpu":100,"memMb":16,"estimatedMs":300}]}"#,
+        )
+    }
+
+    /// Submits a job once, and returns the status.
+    pub fn submit_body(&self, id: &str, body: &str) -> Option<u16> {
         self.call_job("POST", id, body).map(|(status, _)| status)
     }
 
@@ -234,7 +255,7 @@
     })
 }
 
-fn start_daemon(folder: &Path, ip: Ipv4Addr, core: Ipv4Addr, is_core: bool) -> ChildProcess {
+fn start_daemon(folder: &Path, ip: Ipv4Addr, cores: &[Ipv4Addr], is_core: bool) -> ChildProcess {
     let folder = folder.join(ip.to_string());
     fs::create_dir_all(&folder).expect("the folder should be created");
     let (serves, memory_mb) = match is_core {
@@ -252,8 +273,10 @@
             (text, ENTRY_MEMORY_MB)
         }
     };
+    let seeds: Vec<_> = cores.iter().map(|ip| format!("{ip}:{CONTROL_PORT}")).collect();
+    let seeds = seeds.join(",");
     let settings = format!(
-        "nodeName=vm-{ip}\nip={ip}\n{serves}\ninternalPorts=7420,7435\nseeds={core}:{CONTROL_PORT}\n\
+        "nodeName=vm-{ip}\nip={ip}\n{serves}\ninternalPorts=7420,7435\nseeds={seeds}\n\
          bootstrap=true\nbounds.graceS=6\nbounds.maxHoldMs=10000\nlimits.memoryMb={memory_mb}\n\
          limits.maxFds={MAX_DESCRIPTORS}\n"
     );
