--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -223,7 +223,10 @@
         .collect()
 }
 
-const SHAPES: [(&str, fn(u32) -> JobSpec); 6] = [
+/// Name of a shape of jobs, and the job of this shape with a number of steps, tasks or occurrences.
+type Shape = (&'static str, fn(u32) -> JobSpec);
+
+const SHAPES: [Shape; 6] = [
     ("independent steps", independent),
     ("chain of steps", chain),
     ("steps that depend on the first", fan_out),
