jobs, store: no backlog stops by the limits of a pass or a turn

Cause, by reading the change as a whole: a pass counted the open steps of a job towards what it may look at, so that a job with 20,000 running steps opened no further ones; a step whose run ended before its job was looked at again by a new leader was opened although it was done; and a turn in which the limits were reached before its first input handled none.

Change: a pass opens at least one step of each job it comes to; a step that is done is not opened; a turn handles at least one input, and its duration includes the tick.

Measured: the new test starts 20,000 of 30,000 tasks without the change and all with it.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -193,7 +193,8 @@
 
     /// Returns the present runs with their workers, in order of occurrence, step and task.
     pub fn runs(&self) -> impl Iterator<Item = (RunId, &WorkerName)> {
-        self.occurrences.iter().flat_map(move |(occurrence, state)| {
+        let with_runs = self.occurrences.iter().filter(|(_, state)| state.has_runs());
+        with_runs.flat_map(move |(occurrence, state)| {
             state.running().filter_map(move |(step, index, task)| {
                 let step = StepId {
                     job: self.id,
--- a/crates/jobs/src/occurrence.rs
+++ b/crates/jobs/src/occurrence.rs
@@ -88,12 +88,16 @@
         counts.is_some_and(|counts| counts.undone == 0)
     }
 
+    /// Returns whether a task has a present run.
+    pub(crate) fn has_runs(&self) -> bool {
+        self.running > 0
+    }
+
     /// Returns the tasks that have a present run, with the numbers of their step and their own. Steps without
     /// such tasks are not looked at.
     pub(crate) fn running(&self) -> impl Iterator<Item = (u32, u32, &Task)> {
         let of_steps = (0..).zip(self.counts.iter().zip(&self.tasks));
         of_steps
-            .take(if self.running == 0 { 0 } else { usize::MAX })
             .filter(|(_, (counts, _))| counts.running > 0)
             .flat_map(|(step, (_, tasks))| {
                 let running = (0..).zip(tasks.iter()).filter(|(_, task)| task.worker.is_some());
--- a/crates/jobs/src/plan_steps.rs
+++ b/crates/jobs/src/plan_steps.rs
@@ -121,15 +121,15 @@
         after.chain(self.unopened_jobs.range(..=last)).copied().collect()
     }
 
-    /// Opens steps of a job until `limit` open ones wait, or it has looked at `units` steps and tasks. Returns
-    /// how many it has looked at.
+    /// Opens steps of a job until `limit` open ones wait, or it has looked at `units` further steps and tasks.
+    /// Returns how many it has looked at in all.
     fn open_steps_of(&mut self, id: JobId, limit: usize, units: usize) -> usize {
         let (Some(mut view), created) = self.take_job_view(id) else {
             self.unopened_jobs.remove(&id);
             return 0;
         };
         let (mut waiting, open) = self.count_waiting_steps(id);
-        let mut looked_at = created + open;
+        let mut looked_at = 0;
         if waiting >= limit && view.has_ready() {
             waiting -= self.put_back_steps(id, &mut view);
         }
@@ -151,7 +151,7 @@
             self.unopened_jobs.remove(&id);
         }
         self.job_views.insert(id, view);
-        looked_at
+        created + open + looked_at
     }
 
     /// Returns the number of open steps of a job with waiting tasks, and that of all its open steps.
@@ -178,9 +178,14 @@
         Some(view.begin_occurrence(job, self.now_ms))
     }
 
-    /// Opens a step that is ready. Returns the number of its waiting tasks; 0 if it is open already.
+    /// Opens a step that is ready. Returns the number of its waiting tasks; 0 if it is open already. A step that
+    /// had runs before it was looked at may be done by now.
     pub(crate) fn open_step(&mut self, ready: ReadyStep, estimate: StepEstimate) -> usize {
         let step = ready.step;
+        let job = self.store.jobs.get(&step.job);
+        if job.is_none_or(|job| job.is_step_done(step.occurrence, step.step)) {
+            return 0;
+        }
         let advice = match self.steps.get(&step) {
             Some(view) if !view.is_prefetch => return 0,
             Some(view) => view.advice.clone(),
--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -450,6 +450,31 @@
     assert_eq!(cell.starts.len(), 10);
 }
 
+/// Guards against a job that stops when more of its steps run than one pass may look at.
+#[test]
+fn job_with_very_many_running_steps_goes_on() {
+    let free_of_charge = StepSpec::default();
+    let spec = JobSpec {
+        schedule: Some(Schedule {
+            interval_ms: 1,
+            occurrences: 3,
+            start_unix_ms: UNIX_START_MS - 1_000,
+        }),
+        ..unscheduled(vec![free_of_charge; 10_000])
+    };
+    let mut cell = Cell::with_job(spec);
+
+    for round in 0..400 {
+        if round % HEARTBEAT_ROUNDS == 0 {
+            WORKERS.iter().for_each(|worker| cell.leader.heartbeat(worker));
+        }
+        cell.leader.advance(ROUND_MS);
+        cell.start();
+    }
+
+    assert_eq!(cell.starts.len(), 30_000);
+}
+
 /// Guards against an ordinary job that waits for the end of large ones, which are late.
 #[test]
 fn job_beside_large_ones_is_not_kept_waiting() {
--- a/crates/store/src/runtime.rs
+++ b/crates/store/src/runtime.rs
@@ -163,18 +163,27 @@
         let mut ticks = tokio::time::interval(Duration::from_millis(period_ms));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
+            let is_tick_due = tokio::select! {
                 biased;
-                _ = ticks.tick() => self.tick(),
-                Some(message) = queues.consensus.recv() => self.handle_consensus(message),
-                Some(event) = queues.events.recv() => self.handle_event(event),
-                () = ready(()), if !self.backlog.is_empty() => {}
+                _ = ticks.tick() => true,
+                Some(message) = queues.consensus.recv() => {
+                    self.handle_consensus(message);
+                    false
+                }
+                Some(event) = queues.events.recv() => {
+                    self.handle_event(event);
+                    false
+                }
+                () = ready(()), if !self.backlog.is_empty() => false,
                 input = queues.inputs.recv() => match input {
-                    Some(input) => self.backlog.push_back(input),
+                    Some(input) => {
+                        self.backlog.push_back(input);
+                        false
+                    }
                     None => break,
                 },
-            }
-            self.take_turn(&mut queues);
+            };
+            self.take_turn(&mut queues, is_tick_due);
             if self.can_stop() {
                 break;
             }
@@ -184,8 +193,11 @@
 
     /// Handles what has arrived and processes the node's pending work. What takes too long is left for the next
     /// turn, after the heartbeats that are due.
-    fn take_turn(&mut self, queues: &mut Queues) {
+    fn take_turn(&mut self, queues: &mut Queues, is_tick_due: bool) {
         let started_at = Instant::now();
+        if is_tick_due {
+            self.tick();
+        }
         while let Ok(event) = queues.events.try_recv() {
             self.handle_event(event);
         }
@@ -200,16 +212,23 @@
         {
             self.backlog.push_back(input);
         }
-        while started_at.elapsed() < INPUT_TIME_LIMIT
-            && self.jobs.as_ref().map_or(0, JobsRole::pending_bytes) < SUBMISSION_BYTES_LIMIT
-            && let Some(input) = self.backlog.pop_front()
-        {
-            self.handle_input(input);
-        }
+        self.handle_backlog();
         self.advance();
         self.record_work(WorkKind::Turn, started_at);
     }
 
+    /// Handles inputs, at least one, until they have taken long enough or their submissions are large enough.
+    fn handle_backlog(&mut self) {
+        let started_at = Instant::now();
+        while let Some(input) = self.backlog.pop_front() {
+            self.handle_input(input);
+            let pending_bytes = self.jobs.as_ref().map_or(0, JobsRole::pending_bytes);
+            if started_at.elapsed() >= INPUT_TIME_LIMIT || pending_bytes >= SUBMISSION_BYTES_LIMIT {
+                break;
+            }
+        }
+    }
+
     async fn finish(mut self, mut inputs: mpsc::Receiver<Input>) {
         inputs.close();
         while let Ok(input) = inputs.try_recv() {
