store: the test of large submissions prints what the others got

Change: the assertion prints the role, both terms and one other response; it is as strict as before.

--- a/crates/store/tests/large_submissions.rs
+++ b/crates/store/tests/large_submissions.rs
@@ -82,15 +82,23 @@
     });
     let submissions: Vec<_> = submissions.collect();
     let mut accepted = 0;
+    let mut other = None;
     for submission in submissions {
         let response = timeout(RESPONSE_TIMEOUT, submission).await;
         let response = response
             .expect("a submission has a response")
             .expect("no task panics");
         let is_accepted = response == Response::Cell(Box::new(CellResponse::Job(JobResponse::Accepted)));
-        accepted += u64::from(is_accepted);
+        match is_accepted {
+            true => accepted += 1,
+            false => other = Some(response),
+        }
     }
 
-    assert_eq!(accepted, JOBS);
-    assert_eq!(store.status().term, term);
+    let (role, later_term) = (store.status().role, store.status().term);
+    assert_eq!(
+        accepted, JOBS,
+        "{role:?} in {later_term:?} after {term:?}: {other:?}"
+    );
+    assert_eq!(later_term, term);
 }
