--- a/crates/jobs/tests/large_jobs.rs
+++ b/crates/jobs/tests/large_jobs.rs
@@ -295,11 +295,11 @@
 #[test]
 fn work_for_a_cancellation_grows_with_the_number_of_runs() {
     assert_linear("runs of a cancelled job", |size| {
-        let free_of_charge = StepSpec {
+        let without_demand = StepSpec {
             tasks: size,
             ..StepSpec::default()
         };
-        let mut cell = Cell::with_job(unscheduled(vec![free_of_charge]));
+        let mut cell = Cell::with_job(unscheduled(vec![without_demand]));
         while cell.starts.len() < size as usize {
             cell.start();
             cell.leader.advance(ROUND_MS);
@@ -453,14 +453,14 @@
 /// Guards against a job that stops when more of its steps run than one pass may look at.
 #[test]
 fn job_with_very_many_running_steps_goes_on() {
-    let free_of_charge = StepSpec::default();
+    let without_demand = StepSpec::default();
     let spec = JobSpec {
         schedule: Some(Schedule {
             interval_ms: 1,
             occurrences: 3,
             start_unix_ms: UNIX_START_MS - 1_000,
         }),
-        ..unscheduled(vec![free_of_charge; 10_000])
+        ..unscheduled(vec![without_demand; 10_000])
     };
     let mut cell = Cell::with_job(spec);
 
