review: stand-ins hold their addresses, and leave nothing behind

A script ended by a signal left its processes running.

Change: a run holds a port of its network as a lock. A guard process ends the others if the harness ends without having done so. The worker drains, and leaves an order unanswered.

--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -7,7 +7,7 @@
 };
 use std::{
     fs::{self, File},
-    io::Result,
+    io::{Result, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -32,8 +32,12 @@
 const METRICS_PORT: u16 = 9_464;
 const PEER_PORT: u16 = 7_420;
 const WORKER_PORT: u16 = 8_080;
+/// Port that a run holds on the first address of its network.
+const LOCK_PORT: u16 = 9_999;
 const ZONES: [&str; 3] = ["derb-omar", "habous", "ain-sebaa"];
 const START_LIMIT: Duration = Duration::from_secs(25);
+/// Time after which the platform closes the connection of a DELETE without an answer.
+const DELETE_TIMEOUT: Duration = Duration::from_secs(10);
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 struct Process {
@@ -41,6 +45,43 @@
     child: Option<Child>,
 }
 
+/// A process that ends all others if the harness ends without having done so.
+struct Guard(Child);
+
+impl Guard {
+    fn start() -> Result<Self> {
+        let guard = Command::new(std::env::current_exe()?)
+            .arg("guard")
+            .stdin(Stdio::piped())
+            .spawn()?;
+        Ok(Self(guard))
+    }
+
+    fn add(&mut self, child: &Child) -> Result<()> {
+        match &mut self.0.stdin {
+            Some(stdin) => writeln!(stdin, "{}", child.id()),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        // The others have ended, and nothing is left to do for it.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Reads the ids of processes until the harness ends, and kills them.
+pub fn guard() {
+    let lines = std::io::stdin().lines().map_while(Result::ok);
+    let ids: Vec<u32> = lines.filter_map(|line| line.parse().ok()).collect();
+    for id in ids {
+        signal("KILL", id);
+    }
+}
+
 /// A worker as the harness starts it.
 struct WorkerProcess {
     address: SocketAddr,
@@ -51,6 +92,9 @@
 
 pub struct Cell {
     daemons: Vec<Process>,
+    guard: Guard,
+    /// Keeps the network from other runs.
+    _network_lock: TcpListener,
     /// Time from the start of a worker to its first heartbeat, in milliseconds.
     first_heartbeat_ms: u64,
     folder: PathBuf,
@@ -70,11 +114,13 @@
         first_heartbeat_ms: u64,
         labels_of: impl Fn(usize) -> [&'static str; 2],
     ) -> Result<Self> {
-        let network = free_network()?;
+        let (network, network_lock) = free_network()?;
         let folder = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
         fs::create_dir_all(&folder)?;
         let mut cell = Self {
             daemons: Vec::new(),
+            guard: Guard::start()?,
+            _network_lock: network_lock,
             first_heartbeat_ms,
             folder,
             network,
@@ -172,6 +218,7 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
+        self.guard.add(&child)?;
         self.daemons[number as usize].child = Some(child);
         Ok(())
     }
@@ -194,6 +241,7 @@
             .arg(&self.record_path)
             .stdin(Stdio::null())
             .spawn()?;
+        self.guard.add(&child)?;
         worker.process.child = Some(child);
         self.record.write(&format!(
             "worker {} is started with the labels {}",
@@ -215,6 +263,54 @@
         self.workers[number].labels = labels.join(",");
     }
 
+    /// Lets a worker report that it drains.
+    pub fn drain_worker(&self, number: usize) -> Result<()> {
+        let address = self.workers[number].address;
+        http::call(address, "POST", "/test-drain", &[], "{}", CALL_TIMEOUT).map(drop)
+    }
+
+    /// Sends a worker's DELETE to a core daemon, and ends the worker. Its machine is taken away, so that the
+    /// connection of the DELETE is not closed.
+    pub fn take_worker_away(&mut self, number: usize, core: u8) {
+        let control = SocketAddr::new(self.daemon_ip(core), CONTROL_PORT);
+        let name = self.workers[number].process.name.clone();
+        self.record
+            .write(&format!("worker {name} sends DELETE to {control}"));
+        let path = format!("/instances/{name}");
+        thread::spawn(move || http::call(control, "DELETE", &path, &[], "", DELETE_TIMEOUT));
+        thread::sleep(Duration::from_millis(100));
+        kill(&mut self.workers[number].process);
+        self.record.write(&format!("worker {name} is down: left"));
+    }
+
+    /// Lets a worker leave its next order unanswered.
+    pub fn delay_next_order(&self, number: usize) -> Result<()> {
+        let address = self.workers[number].address;
+        http::call(address, "POST", "/test-late", &[], "{}", CALL_TIMEOUT).map(drop)
+    }
+
+    /// Returns the number of the leading core daemon, by its metrics.
+    pub fn leader(&self) -> Option<u8> {
+        (0..CORES).find(|core| {
+            let address = SocketAddr::new(self.daemon_ip(*core), METRICS_PORT);
+            let response = http::call(address, "GET", "/metrics", &[], "", Duration::from_millis(500));
+            response.is_ok_and(|(_, text)| {
+                let leads = |line: &str| line.trim_start_matches("fuchsiatack_") == "leads 1";
+                text.lines().any(leads)
+            })
+        })
+    }
+
+    /// Freezes a core daemon, or lets it run on.
+    pub fn set_frozen(&self, number: u8, is_frozen: bool) {
+        let process = &self.daemons[number as usize];
+        if let Some(child) = &process.child {
+            signal(if is_frozen { "STOP" } else { "CONT" }, child.id());
+        }
+        self.record
+            .write(&format!("daemon {} is frozen: {is_frozen}", process.name));
+    }
+
     /// Lets a worker fail all that it starts, or ends that.
     pub fn set_failing(&self, number: usize, is_failing: bool) -> Result<()> {
         let worker = &self.workers[number];
@@ -387,12 +483,22 @@
     }
 }
 
+fn signal(name: &str, id: u32) {
+    let _ = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(id.to_string())
+        .status();
+}
+
 /// Finds a loopback network whose addresses have the ports free.
-fn free_network() -> Result<[u8; 2]> {
+fn free_network() -> Result<([u8; 2], TcpListener)> {
     let start = unix_ms() / 7 + u64::from(std::process::id());
     for attempt in 0..50 {
         let number = start.wrapping_add(attempt * 257);
         let network = [(number % 180) as u8 + 40, (number / 180 % 250) as u8 + 1];
+        let Ok(lock) = TcpListener::bind((Ipv4Addr::new(127, network[0], network[1], 1), LOCK_PORT)) else {
+            continue;
+        };
         let is_free = |host: u8, port: u16| {
             TcpListener::bind((Ipv4Addr::new(127, network[0], network[1], host), port)).is_ok()
         };
@@ -401,7 +507,7 @@
             ports.all(|port| is_free(host, port))
         });
         if daemons && (100..100 + WORKERS as u8).all(|host| is_free(host, WORKER_PORT)) {
-            return Ok(network);
+            return Ok((network, lock));
         }
     }
     Err(std::io::Error::other("no free loopback addresses"))
--- a/review/standin-3/history.rs
+++ b/review/standin-3/history.rs
@@ -87,3 +87,20 @@
     }
     spans
 }
+
+/// Returns the pairs of runs of one task that were at work at the same time, with the duration in milliseconds.
+pub fn overlaps(runs: &[&Run]) -> Vec<(String, u64)> {
+    let end_ms = |run: &Run| run.end.as_ref().map_or(u64::MAX, |(end_ms, _)| *end_ms);
+    let mut overlaps = Vec::new();
+    for (position, first) in runs.iter().enumerate() {
+        for second in &runs[position + 1..] {
+            let from_ms = first.began_ms.max(second.began_ms);
+            let to_ms = end_ms(first).min(end_ms(second));
+            if first.task == second.task && to_ms > from_ms {
+                let names = format!("{} on {} and {}", first.task, first.worker, second.worker);
+                overlaps.push((names, to_ms - from_ms));
+            }
+        }
+    }
+    overlaps
+}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -19,6 +19,10 @@
     let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
     match arguments[..] {
         ["play", scenario, folder] => scenarios::play(scenario, &PathBuf::from(folder)),
+        ["guard"] => {
+            cell::guard();
+            ExitCode::SUCCESS
+        }
         [
             "worker",
             name,
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -26,6 +26,8 @@
 const STOP_MS: u64 = 40;
 /// Time after which a run fails on a worker that fails all that it starts, in milliseconds.
 const FAILURE_MS: u64 = 50;
+/// Time after which an unanswered order is carried out.
+const LATE: Duration = Duration::from_secs(3);
 const MAX_LISTED_ENDS: usize = 500;
 
 /// What a worker is started with.
@@ -54,7 +56,10 @@
     fencing_token: u64,
     /// Highest run of each task that was stopped or has ended here.
     highest: BTreeMap<String, u64>,
+    is_draining: bool,
     is_failing: bool,
+    /// Whether the next order gets no answer.
+    is_next_order_late: bool,
     lease_until_ms: u64,
     next_end: u64,
     runs: BTreeMap<String, Run>,
@@ -81,7 +86,9 @@
             ended: Vec::new(),
             fencing_token: 0,
             highest: BTreeMap::new(),
+            is_draining: false,
             is_failing: false,
+            is_next_order_late: false,
             lease_until_ms: 0,
             next_end: 1,
             runs: BTreeMap::new(),
@@ -129,8 +136,10 @@
         loop {
             let sent_at = Instant::now();
             sequence += 1;
+            let is_draining = self.lock().is_draining;
+            let state = if is_draining { "draining" } else { "ready" };
             let body = format!(
-                r#"{{"service":{},"address":"{address}","zone":{},"version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"capacity":{{"cpu":{cpu},"memMb":131072,"gpu":0}},"labels":[{}],"clockMs":{},"born":{},"sequence":{sequence}}}"#,
+                r#"{{"service":{},"address":"{address}","zone":{},"version":"v1","slots":8,"state":"{state}","coldRemainingMs":0,"capacity":{{"cpu":{cpu},"memMb":131072,"gpu":0}},"labels":[{}],"clockMs":{},"born":{},"sequence":{sequence}}}"#,
                 quoted(service),
                 quoted(zone),
                 labels.join(","),
@@ -142,6 +151,9 @@
             for _ in 0..controls.len() {
                 let result = http::call(controls[target], "PUT", &path, &[], &body, HEARTBEAT_TIMEOUT);
                 if result.is_ok_and(|(status, _)| (200..300).contains(&status)) {
+                    if is_draining {
+                        self.record.write(&format!("worker {name} reports draining"));
+                    }
                     break;
                 }
                 target = (target + 1) % controls.len();
@@ -204,6 +216,15 @@
             self.lock().is_failing = switch == "on";
             return (200, "{}".to_owned());
         }
+        // Only the harness calls these: the next order gets no answer, and the worker drains.
+        if path == "/test-late" {
+            self.lock().is_next_order_late = true;
+            return (200, "{}".to_owned());
+        }
+        if path == "/test-drain" {
+            self.lock().is_draining = true;
+            return (200, "{}".to_owned());
+        }
         if request.word(0) == "GET" {
             return (200, "{}".to_owned());
         }
@@ -215,6 +236,14 @@
             return (400, "{}".to_owned());
         };
         let mut state = self.lock();
+        if std::mem::take(&mut state.is_next_order_late) {
+            drop(state);
+            let name = &self.settings.name;
+            self.record
+                .write(&format!("worker {name} leaves an order {path} unanswered"));
+            thread::sleep(LATE);
+            state = self.lock();
+        }
         let token = order.integer("fencingToken");
         if token < state.fencing_token {
             return self.reject("fence");
