review: case 11, a late DELETE ends the runs of a worker's next life

Cause: a worker's DELETE names no life. One that a frozen daemon passes on after the worker has started again makes the leader give its runs up at the first call that fails.

Change: a script with one frozen daemon and one late order.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 
 [ -x target/review/standin-3 ] && [ -x target/release/fuchsiatackd ] || exit 2
-exec target/review/standin-3 play flapping-worker review/11
+exec target/review/standin-3 play late-delete review/11
