jobs: a leave ends no runs before their leases

Cause: callers saw a task twice. A leave names no incarnation: a frozen daemon passed on that of a worker which had started again under its name, and the leader took the next call without a response as proof that the runs of the new incarnation had ended.

Change: a leave stops new runs and longer leases and requests a report. Runs end by a report or with their leases, whoever sent the leave. A response to a call sent 1 s after it, or a heartbeat, withdraws it; until then the worker is called once and not in a loop. The event 'worker left' tells the runs, the age of the incarnation and whether it drains.

--- a/crates/jobs/src/plan_calls.rs
+++ b/crates/jobs/src/plan_calls.rs
@@ -296,11 +296,16 @@
 
     fn handle_leave(&mut self, id: CallId, worker: &WorkerName) {
         let now_ms = self.now_ms;
+        let mut event = LogEvent::new("worker left").with("worker", worker);
         if let Some(view) = self.workers.get_mut(worker) {
-            view.has_left = true;
-            view.hold_due_ms = now_ms;
+            view.record_leave(now_ms);
+            event = event
+                .with("runs", view.runs.len())
+                .with("known_ms", now_ms - view.incarnation_known_ms);
         }
-        self.log(LogEvent::new("worker left").with("worker", worker));
+        let entry = self.store.workers.get(worker);
+        event = event.with("draining", entry.is_some_and(|entry| entry.draining));
+        self.log(event);
         self.respond(id, CellResponse::Done);
     }
 
--- a/crates/jobs/src/plan_crashes.rs
+++ b/crates/jobs/src/plan_crashes.rs
@@ -120,7 +120,7 @@
     fn is_leaving(&self, worker: &WorkerName) -> bool {
         let is_draining = |worker| self.store.workers.get(worker).is_some_and(|entry| entry.draining);
         let view = self.workers.get(worker);
-        is_draining(worker) || view.is_some_and(|view| view.has_left)
+        is_draining(worker) || view.is_some_and(|view| view.left_ms.is_some())
     }
 
     /// Returns whether a task is not done and its job has not ended.
--- a/crates/jobs/src/plan_losses.rs
+++ b/crates/jobs/src/plan_losses.rs
@@ -23,7 +23,7 @@
 /// Why a worker is removed from the cell.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum RemovalReason {
-    /// It reported that it has left and does not respond any more.
+    /// It reported that it has left, does not respond any more and has no runs.
     Left,
     /// It has not responded for a long time and has no runs.
     Silent,
--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -60,7 +60,7 @@
         let is_idle_due = view.last_acknowledged < view.last_seen
             && self.now_ms >= view.hold_due_ms + IDLE_ACKNOWLEDGEMENT_MS;
         // A worker that failed a call gets no run until it has responded again.
-        let needs_response = !view.is_verified || view.failures > 0 || view.has_left;
+        let needs_response = !view.is_verified || view.failures > 0 || view.left_ms.is_some();
         let is_wanted = needs_response || !view.runs.is_empty() || is_idle_due;
         !view.hold_in_flight && self.now_ms >= view.hold_due_ms && is_wanted
     }
@@ -96,9 +96,9 @@
         let Some(view) = self.workers.get_mut(worker) else {
             return;
         };
-        let is_healthy = view.is_verified && view.failures == 0 && !view.has_left;
-        // The lease is not extended for a worker that is unverified, failed the last call or has
-        // left, so that it expires and the tasks can start elsewhere.
+        let is_healthy = view.is_verified && view.failures == 0 && view.left_ms.is_none();
+        // The lease is not extended for a worker that is unverified, failed the last call or is said to
+        // have left, so that it expires and the tasks can start elsewhere.
         let deadline_ms = view
             .clock
             .filter(|_| is_healthy && !view.runs.is_empty())
@@ -150,7 +150,8 @@
             (Ok(report), HoldKind::Check) => self.handle_hold_report(worker, sent_ms, report),
             (Ok(report), HoldKind::Renewal) => {
                 let has_ends = report.ended.iter().any(|ended| ended.sequence > view.last_seen);
-                view.hold_due_ms = now_ms + if has_ends { hold_pause_ms } else { 0 };
+                let pause_ms = if has_ends { hold_pause_ms } else { 0 };
+                view.hold_due_ms = (now_ms + pause_ms).max(view.leave_settled_ms().unwrap_or(0));
                 self.handle_hold_report(worker, sent_ms, report);
             }
             (Err(error), _) => {
@@ -161,7 +162,9 @@
                     HoldKind::Check => view.schedule_check(retry_ms),
                     HoldKind::Renewal => view.hold_due_ms = retry_ms,
                 }
-                let (failures, left, runs) = (view.failures, view.has_left, view.runs.len());
+                let (failures, runs) = (view.failures, view.runs.len());
+                // Only the ends of their leases show that runs have ended: an earlier incarnation may have left.
+                let may_remove = view.left_ms.is_some() && runs == 0;
                 if failures == 1 {
                     self.log(
                         LogEvent::new("worker unreachable")
@@ -175,7 +178,7 @@
                     self.remember_late_acknowledgement(worker, acknowledged_ms);
                 }
                 match error {
-                    _ if left => self.remove_worker(worker, RemovalReason::Left),
+                    _ if may_remove => self.remove_worker(worker, RemovalReason::Left),
                     WorkerCallError::WrongWorker => self.remove_worker(worker, RemovalReason::Successor),
                     WorkerCallError::Rejected(_)
                     | WorkerCallError::Unanswered
@@ -222,6 +225,7 @@
         let was_unverified = !view.is_verified;
         let was_unreachable = view.failures > 0 || was_unverified;
         let failures = std::mem::take(&mut view.failures);
+        let has_not_left = view.disproves_leave(sent_ms);
         view.loss = None;
         view.last_response_ms = now_ms;
         view.is_verified = true;
@@ -241,6 +245,11 @@
                     .with("ended", report.ended.len()),
             );
         }
+        if has_not_left {
+            self.log(LogEvent::new("worker has not left").with("worker", worker));
+            self.repeat_stops_on(worker);
+            self.needs_placement = true;
+        }
         self.resolve_loss(worker, false);
         // The leases on the worker may have expired before it confirmed the stops of late starts.
         if was_unverified {
--- a/crates/jobs/src/plan_workers.rs
+++ b/crates/jobs/src/plan_workers.rs
@@ -65,7 +65,7 @@
             view.last_contact_ms = now_ms;
             view.last_heartbeat_ms = now_ms;
             view.sequence = report.sequence;
-            let has_returned = std::mem::take(&mut view.has_left);
+            let has_returned = view.left_ms.take().is_some();
             view.observe_clock(now_ms, report.clock_ms);
             if has_returned {
                 self.repeat_stops_on(&report.name);
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -17,6 +17,9 @@
 /// The reading may have been on its way for that long.
 const MAX_CLOCK_LEAD_MS: u64 = 5_000;
 
+/// Time from a message that a worker has left for which it may still respond before it ends, in milliseconds.
+const LEAVE_SETTLING_MS: u64 = 1_000;
+
 /// Maximum number of start orders to one worker that have no result yet. Each takes a connection.
 const MAX_UNANSWERED_STARTS: usize = 64;
 /// Maximum number of runs on one worker whose stop orders have no result yet. Each takes a connection.
@@ -70,8 +73,8 @@
     pub(crate) last_acknowledged: u64,
     /// Whether heartbeats under its name were ignored since its present incarnation is known.
     pub(crate) has_ignored_heartbeats: bool,
-    /// Whether it reported that it has left.
-    pub(crate) has_left: bool,
+    /// Time at which a message that it has left arrived; `None` if it has shown since that it has not.
+    pub(crate) left_ms: Option<u64>,
     /// Whether its last report had rows that could not be decoded.
     pub(crate) has_unreadable_rows: bool,
     /// Tasks whose present run is on the worker.
@@ -112,7 +115,7 @@
             loss: None,
             last_seen: 0,
             has_ignored_heartbeats: false,
-            has_left: false,
+            left_ms: None,
             has_unreadable_rows: false,
             runs: BTreeSet::new(),
             sequence: 0,
@@ -157,12 +160,36 @@
         self.loss = None;
         self.last_seen = 0;
         self.has_ignored_heartbeats = false;
-        self.has_left = false;
+        self.left_ms = None;
         self.sequence = 0;
         self.last_acknowledged = 0;
         self.is_verified = false;
     }
 
+    /// Takes into account that a message arrived which says that the worker has left. An earlier incarnation may
+    /// have sent it, so that it only stops new runs and longer leases until the worker shows that it is present.
+    pub(crate) fn record_leave(&mut self, now_ms: u64) {
+        self.left_ms = Some(now_ms);
+        self.hold_due_ms = now_ms;
+    }
+
+    /// Returns when a response shows that a worker which is said to have left is present, if it is said.
+    pub(crate) fn leave_settled_ms(&self) -> Option<u64> {
+        self.left_ms.map(|left_ms| left_ms + LEAVE_SETTLING_MS)
+    }
+
+    /// Takes into account a response to a call that was sent at `sent_ms`. Returns whether it shows that the
+    /// worker has not left although a message said so.
+    pub(crate) fn disproves_leave(&mut self, sent_ms: u64) -> bool {
+        let is_disproved = self
+            .leave_settled_ms()
+            .is_some_and(|settled_ms| sent_ms >= settled_ms);
+        if is_disproved {
+            self.left_ms = None;
+        }
+        is_disproved
+    }
+
     /// Records a failed call.
     pub(crate) fn record_failure(&mut self, now_ms: u64, error: WorkerCallError) {
         self.failures += 1;
@@ -229,7 +256,7 @@
     /// Returns whether new runs may be placed on the worker.
     pub(crate) fn accepts_runs(&self, now_ms: u64) -> bool {
         self.is_reachable()
-            && !self.has_left
+            && self.left_ms.is_none()
             && self.isolated.is_empty()
             && self.clock.is_some()
             && now_ms >= self.paused_until_ms
