jobs: a response from before a restart does not remove the worker

A response 'wrong worker' to a call that was sent to an earlier incarnation, handled after the worker had started again under its name, removed the worker and ended the runs of the present incarnation while they went on.

Change: such a response counts only if its call was sent since the present incarnation is known. The run of a start order that met another worker still ends: the order was certainly not carried out. Stop orders had the rule before.

Result: the two new tests of restarted_workers.rs fail on the parent and pass; simulation, cancellation and late-start tests pass.

--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -165,6 +165,7 @@
                 let (failures, runs) = (view.failures, view.runs.len());
                 // Only the ends of their leases show that runs have ended: an earlier incarnation may have left.
                 let may_remove = view.left_ms.is_some() && runs == 0;
+                let is_outdated = self.is_before_restart(worker, sent_ms);
                 if failures == 1 {
                     self.log(
                         LogEvent::new("worker unreachable")
@@ -179,8 +180,11 @@
                 }
                 match error {
                     _ if may_remove => self.remove_worker(worker, RemovalReason::Left),
-                    WorkerCallError::WrongWorker => self.remove_worker(worker, RemovalReason::Successor),
-                    WorkerCallError::Rejected(_)
+                    WorkerCallError::WrongWorker if !is_outdated => {
+                        self.remove_worker(worker, RemovalReason::Successor)
+                    }
+                    WorkerCallError::WrongWorker
+                    | WorkerCallError::Rejected(_)
                     | WorkerCallError::Unanswered
                     | WorkerCallError::Unreachable => {}
                 }
--- a/crates/jobs/src/plan_runs.rs
+++ b/crates/jobs/src/plan_runs.rs
@@ -56,7 +56,7 @@
                 );
             }
             (Err(WorkerCallError::Unanswered), _) => {}
-            (Err(error), _) => self.handle_start_rejection(worker, run, error),
+            (Err(error), _) => self.handle_start_rejection(worker, run, sent_ms, error),
         }
     }
 
@@ -69,10 +69,16 @@
         view.unanswered_starts.remove(&run);
     }
 
-    fn handle_start_rejection(&mut self, worker: &WorkerName, run: RunId, error: WorkerCallError) {
+    fn handle_start_rejection(
+        &mut self,
+        worker: &WorkerName,
+        run: RunId,
+        sent_ms: u64,
+        error: WorkerCallError,
+    ) {
         let now_ms = self.now_ms;
         match error {
-            WorkerCallError::WrongWorker => {
+            WorkerCallError::WrongWorker if !self.is_before_restart(worker, sent_ms) => {
                 return self.remove_worker(worker, RemovalReason::Successor);
             }
             WorkerCallError::Unreachable => {
@@ -87,7 +93,7 @@
                     step.advice.evaluated.remove(worker);
                 }
             }
-            WorkerCallError::Rejected(_) | WorkerCallError::Unanswered => {
+            WorkerCallError::Rejected(_) | WorkerCallError::Unanswered | WorkerCallError::WrongWorker => {
                 self.pause_worker(worker, now_ms + REJECTION_PAUSE_MS);
             }
         }
@@ -159,7 +165,7 @@
     }
 
     /// Returns whether an order was sent before the present incarnation of its worker was known.
-    fn is_before_restart(&self, worker: &WorkerName, sent_ms: u64) -> bool {
+    pub(crate) fn is_before_restart(&self, worker: &WorkerName, sent_ms: u64) -> bool {
         let view = self.workers.get(worker);
         view.is_some_and(|view| sent_ms < view.incarnation_known_ms)
     }
--- a/crates/jobs/tests/restarted_workers.rs
+++ b/crates/jobs/tests/restarted_workers.rs
@@ -5,7 +5,7 @@
 
 use {
     common::{Leader, Sent, UNIX_START_MS, queue, step},
-    fuchsiatack_jobs::{HoldKind, JobEvent, JobId, StepSpec, WorkerCallError},
+    fuchsiatack_jobs::{HoldKind, JobEvent, JobId, RunId, StepSpec, WorkerCallError},
     fuchsiatack_model::WorkerName,
 };
 
@@ -109,6 +109,56 @@
     assert!(leader.take_calls().contains(&Sent::Stop { run, worker }));
 }
 
+/// Returns a leader with a run on the second incarnation of worker `a`, and a run whose start order was sent
+/// to the first one and has had no response.
+fn leader_with_an_order_to_the_earlier_incarnation() -> (Leader, RunId, RunId) {
+    let mut leader = Leader::new(queue(), &["a"]);
+    leader.submit(JobId(1), vec![step(1, 600)]);
+    let (ordered, _) = leader.take_starts().remove(0);
+    leader.advance(TICK_MS);
+    leader.heartbeat_of("a", FIRST_START_MS, 1);
+    leader.report_of("a", HoldKind::Renewal, FIRST_START_MS, &[]);
+    leader.submit(JobId(2), vec![step(1, 600)]);
+    let (present, worker) = leader.take_starts().remove(0);
+    leader.started(&worker, present, Ok(leader.now_ms));
+    leader.advance(TICK_MS);
+    leader.take_commands();
+    (leader, ordered, present)
+}
+
+/// Guards against two runs of a task: a renewal that was sent to the earlier incarnation met another worker at the
+/// address, and its response ended the runs of the next incarnation while they continued.
+#[test]
+fn renewal_that_met_a_successor_before_a_restart_ends_no_runs() {
+    let (mut leader, ..) = leader_with_an_order_to_the_earlier_incarnation();
+
+    leader.handle(JobEvent::Held {
+        kind: HoldKind::Renewal,
+        result: Err(WorkerCallError::WrongWorker),
+        sent_ms: 0,
+        worker: WorkerName::new("a"),
+    });
+
+    assert_eq!(leader.take_commands(), []);
+}
+
+/// Guards against the same after a start order. Its own run has certainly not started.
+#[test]
+fn start_that_met_a_successor_before_a_restart_ends_no_other_run() {
+    let (mut leader, ordered, present) = leader_with_an_order_to_the_earlier_incarnation();
+
+    leader.handle(JobEvent::Started {
+        result: Err(WorkerCallError::WrongWorker),
+        run: ordered,
+        sent_ms: 0,
+        worker: WorkerName::new("a"),
+    });
+
+    let job = &leader.store().jobs[&present.task.step.job];
+    assert_eq!(job.runs().map(|(run, _)| run).collect::<Vec<_>>(), [present]);
+    assert!(leader.store().workers.contains_key("a"));
+}
+
 /// Time for which an order without a response may still be carried out, in milliseconds.
 const LATE_ORDER_MS: u64 = 12_000;
 
