jobs: a trial run that works ends the probation of its worker

Cause: callers saw lasting tasks without a run. A worker that two failed runs had ejected was on probation until a run was done there, and got a run only while it had none. A lasting task is never done, and an earlier one kept the worker occupied.

Change: a worker on probation gets one trial run at a time, whatever runs there from before. A run that is done ends the probation, and so does a trial run that has worked for 1.5 s, with progress if that can be measured. A trial run that shows neither within 5 s no longer keeps others away. A worker on probation does not get all tasks of a step in one pass.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -48,6 +48,7 @@
 mod plan_pacing;
 mod plan_preemption;
 mod plan_prefetch;
+mod plan_probation;
 mod plan_reclaim;
 mod plan_renewals;
 mod plan_reservations;
--- a/crates/jobs/src/plan_candidates.rs
+++ b/crates/jobs/src/plan_candidates.rs
@@ -104,8 +104,13 @@
     }
 
     /// Returns how many start orders may be sent to a worker before one of those in flight has a result.
+    /// A worker on probation gets a single one.
     pub(crate) fn starts_left(&self, worker: &WorkerName) -> usize {
-        self.workers.get(worker).map_or(0, WorkerView::starts_left)
+        match self.workers.get(worker) {
+            Some(view) if view.health.is_on_probation() => view.starts_left().min(1),
+            Some(view) => view.starts_left(),
+            None => 0,
+        }
     }
 
     /// Returns whether a worker that could run a task of the step now has too many start orders in flight.
--- a/crates/jobs/src/plan_crashes.rs
+++ b/crates/jobs/src/plan_crashes.rs
@@ -184,7 +184,7 @@
     }
 
     /// Returns the time for which the present run of a task has certainly worked, in milliseconds.
-    fn proved_ms(&self, task: TaskKey) -> u64 {
+    pub(crate) fn proved_ms(&self, task: TaskKey) -> u64 {
         let Some(run) = self.runs.get(&task) else {
             return 0;
         };
--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -339,6 +339,7 @@
             let is_at_limit = spec
                 .max_per_worker
                 .is_some_and(|limit| tasks.len() + self.tasks_on(step, &worker) >= limit as usize);
+            // A gang starts only as a whole, also where each worker gets one run at a time.
             let has_no_starts_left = !spec.gang && self.starts_left(&worker) <= tasks.len();
             if is_at_limit || has_no_starts_left || self.has_no_cold_starts_left(&worker, tasks.len()) {
                 usable.remove(position);
--- a/crates/jobs/src/planner.rs
+++ b/crates/jobs/src/planner.rs
@@ -426,6 +426,7 @@
                 on.isolated.insert(run.task);
             }
             on.runs.insert(run.task);
+            on.health.record_start(self.now_ms, run.task);
         }
         self.teams.entry(view.team.clone()).or_default().add(&view);
         let is_inherited = view.is_inherited;
@@ -459,6 +460,7 @@
             on.used = on.used.saturating_sub(&view.reserved);
             on.runs.remove(&task);
             on.isolated.remove(&task);
+            on.health.record_end(task);
             on.unanswered_starts.remove(&view.run);
             on.unanswered_stops.remove(&view.run);
         }
@@ -479,6 +481,7 @@
         self.send_due_checks();
         self.send_due_renewals();
         self.detect_stalls();
+        self.end_probations();
         self.send_due_paces();
         self.stop_unanswered_starts();
         self.move_out_of_evacuated();
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -260,7 +260,6 @@
             && self.isolated.is_empty()
             && self.clock.is_some()
             && now_ms >= self.paused_until_ms
-            && !self.health.is_ejected(now_ms)
-            && (!self.health.is_on_probation() || self.runs.is_empty())
+            && self.health.accepts_run(now_ms)
     }
 }
