jobs: the first heartbeat after a restart describes the worker

Cause: callers saw a lasting task without a run, and a worker got no work for good. A report told of its restart before its first heartbeat. The leader stored the start time of the new incarnation with the labels of the earlier one; the heartbeats, with other labels, were then ignored as another writer's.

Change: an entry whose start time a report has told has no capacity and counts as not described, also for a new leader. The heartbeat that describes it has to come from the address at which the worker answered. After that another writer is told as before.

--- a/crates/jobs/src/plan_renewals.rs
+++ b/crates/jobs/src/plan_renewals.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         EndedRun, HoldKind, HoldReport, JobCommand, ListedEnd, LogEvent, Planner, RunEnd, RunId,
-        WorkerCallError, WorkerOrder,
+        WorkerCallError, WorkerEntry, WorkerOrder,
         plan_losses::RemovalReason,
         run_view::{RunState, StartOrder},
         worker_view::WorkerView,
     },
-    fuchsiatack_model::{Resources, WorkerName},
+    fuchsiatack_model::WorkerName,
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -211,12 +211,15 @@
         }
         if started_unix_ms != known_unix_ms {
             self.handle_restart(worker, started_unix_ms);
-            if let Some(mut entry) = self.store.workers.get(worker).cloned() {
-                entry.started_unix_ms = started_unix_ms;
-                // The new incarnation may have a smaller capacity, which only its heartbeat tells.
-                if known_unix_ms > 0 {
-                    entry.capacity = Resources::NONE;
-                }
+            if let Some(present) = self.store.workers.get(worker) {
+                let entry = match known_unix_ms {
+                    // The entry did not tell the start time of its incarnation.
+                    0 => WorkerEntry {
+                        started_unix_ms,
+                        ..present.clone()
+                    },
+                    _ => present.restarted(started_unix_ms),
+                };
                 self.propose(JobCommand::PutWorker {
                     entry,
                     worker: worker.clone(),
--- a/crates/jobs/src/worker_entry.rs
+++ b/crates/jobs/src/worker_entry.rs
@@ -30,9 +30,30 @@
 }
 
 impl WorkerEntry {
-    /// Returns whether two entries of one incarnation agree in what does not change while it runs.
+    /// Returns the entry of the worker's next incarnation, of which only a report has told. What its first
+    /// heartbeat describes may have changed, so that no run fits on it until then.
+    pub fn restarted(&self, started_unix_ms: u64) -> Self {
+        Self {
+            started_unix_ms,
+            capacity: Resources::NONE,
+            draining: false,
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether a heartbeat of its incarnation has described the worker.
+    pub fn is_described(&self) -> bool {
+        self.capacity != Resources::NONE
+    }
+
+    /// Returns whether two entries of one incarnation agree in what does not change while it runs. Of a worker
+    /// that is not described yet, only the address is known, at which it answered.
     pub fn is_same_worker(&self, other: &Self) -> bool {
-        self.address == other.address
+        let is_same_address = self.address == other.address;
+        if !self.is_described() {
+            return is_same_address;
+        }
+        is_same_address
             && self.data_center == other.data_center
             && self.labels == other.labels
             && self.machine == other.machine
