jobs: the simulation learns late leaves

Change: a fault 'late_leaves' sends such messages at random moments, as those of earlier incarnations.

--- a/crates/jobs/tests/simulation/cell.rs
+++ b/crates/jobs/tests/simulation/cell.rs
@@ -53,6 +53,8 @@
     pub evacuations: bool,
     pub partitions: bool,
     pub failures: bool,
+    /// Messages that a worker has left, which arrive when its next incarnation is at work.
+    pub late_leaves: bool,
     /// Start orders that are carried out late by the next incarnation of their worker.
     pub late_starts_outlast_crashes: bool,
     pub hangs: bool,
@@ -67,6 +69,7 @@
             evacuations: false,
             partitions: true,
             failures: true,
+            late_leaves: false,
             late_starts_outlast_crashes: false,
             hangs: true,
             leader_changes: true,
@@ -297,6 +300,9 @@
         if self.faults.leader_changes && self.random_below(700) == 0 {
             self.change_leader();
         }
+        if self.faults.late_leaves && self.random_below(200) == 0 {
+            self.call(CellCall::Leave(name.clone()));
+        }
         if self.faults.evacuations && self.random_below(500) == 0 {
             let data_center = data_center_of(&name);
             let present = self.orders.get(&data_center);
--- a/crates/jobs/tests/simulation/main.rs
+++ b/crates/jobs/tests/simulation/main.rs
@@ -213,6 +213,21 @@
     assert_eq!(broken, Vec::<String>::new());
 }
 
+/// Guards against runs that end for the leader when a message of an earlier incarnation says that their worker
+/// has left, beside crashes, partitions and lost orders.
+#[test]
+fn late_leaves_break_no_rule() {
+    const SEEDS: std::ops::RangeInclusive<u64> = 1..=40;
+    let faults = Faults {
+        late_leaves: true,
+        ..Faults::all()
+    };
+
+    let broken = broken_seeds(SEEDS, faults, Queues::Unadvised);
+
+    assert_eq!(broken, Vec::<String>::new());
+}
+
 /// Guards against starts with a ticket that break a rule although they are repeated without a wait, and against
 /// jobs that do not end because their tickets expire.
 #[test]
@@ -241,17 +256,19 @@
 }
 
 /// Runs the seeds of `SEEDS` (as FIRST..LAST), and prints each one that breaks a rule. With `LATE_STARTS` set,
-/// start orders are also carried out by the next incarnation of their worker; with `ADVICE` set, half of the
-/// jobs need advice.
+/// start orders are also carried out by the next incarnation of their worker; with `LATE_LEAVES` set, messages
+/// that a worker has left arrive when its next incarnation is at work; with `ADVICE` set, half of the jobs need advice.
 #[test]
 #[ignore = "started by hand"]
 fn explore() {
     let seeds = std::env::var("SEEDS").unwrap_or_default();
     let (first, last) = seeds.split_once("..").unwrap_or(("1", "100"));
     let seeds = first.parse::<u64>().unwrap_or(1)..last.parse::<u64>().unwrap_or(100);
-    let faults = match std::env::var_os("LATE_STARTS") {
-        Some(_) => late_start_faults(),
-        None => Faults::all(),
+    let is_set = |name| std::env::var_os(name).is_some();
+    let faults = Faults {
+        late_leaves: is_set("LATE_LEAVES"),
+        late_starts_outlast_crashes: is_set("LATE_STARTS"),
+        ..Faults::all()
     };
     let queues = match std::env::var_os("ADVICE") {
         Some(_) => Queues::HalfAdvised,
