jobs, cell: metric of workers from which runs are kept

Change: fuchsiatack_withheld_workers on the leader counts the workers that get no new runs, or few, by reason.

Result: a test of probation.rs reads the reason while a worker is ejected, and none once it is sound.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -55,6 +55,11 @@
     priority: u32,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ResourceLabels {
     resource: &'static str,
@@ -107,6 +112,7 @@
     waits_ms: Family<WaitLabels, Gauge>,
     pub(crate) voters: Gauge,
     pub(crate) voters_in_contact: Gauge,
+    withheld_workers: Family<ReasonLabel, Gauge>,
 }
 
 impl Metrics {
@@ -145,6 +151,7 @@
             waits_ms: Family::default(),
             voters: Gauge::default(),
             voters_in_contact: Gauge::default(),
+            withheld_workers: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("calls", "Calls by kind and outcome", metrics.calls.clone());
@@ -163,6 +170,11 @@
             "Workers that are slow after their start; on the leader",
             metrics.cold_workers.clone(),
         );
+        registry.register(
+            "withheld_workers",
+            "Workers that get no new runs, or few, by reason; on the leader",
+            metrics.withheld_workers.clone(),
+        );
         registry.register(
             "evacuated_runs",
             "Runs that have not ended in an evacuated data centre; on the leader",
@@ -291,6 +303,7 @@
         self.set_evacuations(report);
         self.set_rooms(report);
         self.cold_workers.set(report.cold_workers as i64);
+        self.set_withheld_workers(report);
         self.set_shares(report);
         self.advice_in_flight.set(report.advice_in_flight as i64);
         self.advice_without_start.set(report.calls_without_start as i64);
@@ -333,6 +346,15 @@
         }
     }
 
+    fn set_withheld_workers(&self, report: &CellReport) {
+        self.withheld_workers.clear();
+        for (reason, workers) in &report.withheld_workers {
+            let reason = reason.as_str();
+            let withheld = self.withheld_workers.get_or_create(&ReasonLabel { reason });
+            withheld.set(*workers as i64);
+        }
+    }
+
     fn set_rooms(&self, report: &CellReport) {
         self.free.clear();
         self.largest_free.clear();
--- a/crates/jobs/src/cell_report.rs
+++ b/crates/jobs/src/cell_report.rs
@@ -1,9 +1,10 @@
 //! Report on what waits in the cell and what is scarce.
 
 use {
-    crate::{PriorityBacklog, ServiceRoom, TeamShare},
+    crate::{PriorityBacklog, ServiceRoom, TeamShare, WithheldReason},
     fuchsiatack_derives::value,
     fuchsiatack_model::DataCenter,
+    std::collections::BTreeMap,
 };
 
 /// An evacuated data centre.
@@ -41,4 +42,6 @@
     pub rooms: Vec<ServiceRoom>,
     /// The teams with the largest shares of a service, the largest first.
     pub shares: Vec<TeamShare>,
+    /// Number of workers that get no new runs, or few, by reason.
+    pub withheld_workers: BTreeMap<WithheldReason, usize>,
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -72,6 +72,7 @@
 mod urgent_room;
 mod wait_reason;
 mod wait_times;
+mod withheld_reason;
 mod worker_entry;
 mod worker_health;
 mod worker_order;
@@ -117,6 +118,7 @@
     team_share::TeamShare,
     wait_reason::WaitReason,
     wait_times::WaitTimes,
+    withheld_reason::WithheldReason,
     worker_entry::WorkerEntry,
     worker_health::WorkerHealth,
     worker_order::{Callee, HoldKind, WorkerOrder, WorkerResponse},
--- a/crates/jobs/src/plan_backlog.rs
+++ b/crates/jobs/src/plan_backlog.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        CellReport, LogEvent, Planner, ServiceRoom, StepId, WaitTimes, WorkerEntry, step_view::StepView,
+        CellReport, LogEvent, Planner, ServiceRoom, StepId, WaitTimes, WithheldReason, WorkerEntry,
+        step_view::StepView,
     },
     fuchsiatack_derives::value,
     std::collections::BTreeMap,
@@ -76,6 +77,7 @@
             lapsed_tickets: self.lapsed_tickets,
             shares: self.largest_shares(&rooms),
             rooms,
+            withheld_workers: self.withheld_workers(),
         };
         if (self.now_ms / INTERVAL_MS).is_multiple_of(REPORTS_PER_ROOM_LOG) {
             for room in &report.rooms {
@@ -135,6 +137,15 @@
         rooms.into_values().take(MAX_SERVICES).collect()
     }
 
+    fn withheld_workers(&self) -> BTreeMap<WithheldReason, usize> {
+        let mut counts = BTreeMap::new();
+        let views = self.workers.values();
+        for reason in views.filter_map(|view| view.withheld_reason(self.now_ms)) {
+            *counts.entry(reason).or_insert(0) += 1;
+        }
+        counts
+    }
+
     fn advice_in_flight(&self) -> usize {
         let steps = self.steps.values();
         steps.map(|view| view.advice.requests.len()).sum()
--- a/crates/jobs/src/worker_view.rs
+++ b/crates/jobs/src/worker_view.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        RunId, TaskKey, WorkerCallError, WorkerHealth, clock_sample::ClockSample, cold_start::ColdPeriod,
+        RunId, TaskKey, WithheldReason, WorkerCallError, WorkerHealth, clock_sample::ClockSample,
+        cold_start::ColdPeriod,
     },
     fuchsiatack_model::Resources,
     std::collections::BTreeSet,
@@ -253,6 +254,21 @@
         self.is_verified && self.failures == 0
     }
 
+    /// Returns why new runs are kept from the worker, whatever room it has.
+    pub(crate) fn withheld_reason(&self, now_ms: u64) -> Option<WithheldReason> {
+        let is_overdue = self.is_heartbeat_overdue(now_ms);
+        match () {
+            () if !self.is_reachable() => Some(WithheldReason::Unreachable),
+            () if self.left_ms.is_some() => Some(WithheldReason::Left),
+            () if is_overdue && self.has_ignored_heartbeats => Some(WithheldReason::IgnoredHeartbeats),
+            () if is_overdue => Some(WithheldReason::OverdueHeartbeat),
+            () if !self.isolated.is_empty() => Some(WithheldReason::Isolated),
+            () if self.health.is_ejected(now_ms) => Some(WithheldReason::Ejected),
+            () if self.health.is_on_probation() => Some(WithheldReason::Probation),
+            () => None,
+        }
+    }
+
     /// Returns whether new runs may be placed on the worker.
     pub(crate) fn accepts_runs(&self, now_ms: u64) -> bool {
         self.is_reachable()
--- a/crates/jobs/tests/probation.rs
+++ b/crates/jobs/tests/probation.rs
@@ -5,7 +5,8 @@
 use {
     common::{Leader, Sent, TICK_MS, queue, step},
     fuchsiatack_jobs::{
-        EndedRun, HoldKind, HoldReport, JobId, ListedEnd, ListedRun, RunId, StepSpec, WorkerCallError,
+        EndedRun, HoldKind, HoldReport, JobId, ListedEnd, ListedRun, RunId, StepSpec, WithheldReason,
+        WorkerCallError,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -16,6 +17,8 @@
 const RETURN_LIMIT_MS: u64 = 10_000;
 /// Interval between two heartbeats in milliseconds.
 const HEARTBEAT_MS: u64 = 1_000;
+/// Interval between two reports on the cell, in milliseconds.
+const REPORT_MS: u64 = 1_000;
 /// The lasting tasks that only the worker may run.
 const LASTING: [JobId; 3] = [JobId(1), JobId(2), JobId(3)];
 
@@ -158,6 +161,12 @@
         self.leader.complete_hold("a", kind, Ok(report));
     }
 
+    /// Returns why runs are kept from the worker, as the next report on the cell says.
+    fn next_report(&mut self) -> Option<BTreeMap<WithheldReason, usize>> {
+        self.leader.advance(REPORT_MS);
+        self.leader.take_report().map(|report| report.withheld_workers)
+    }
+
     fn jobs_at_work(&self) -> BTreeSet<JobId> {
         self.runs.keys().map(|run| run.task.step.job).collect()
     }
@@ -206,6 +215,21 @@
     assert_eq!(cell.starts - before, 1);
 }
 
+/// Guards against a worker that gets few runs without a sign of it in the metrics.
+#[test]
+fn report_tells_why_runs_are_kept_from_a_worker() {
+    let mut cell = Cell::with_lasting_tasks(Fault::Fails);
+    cell.run(500);
+    let ejected = cell.next_report();
+
+    cell.fault = Fault::Sound;
+    cell.run(RETURN_LIMIT_MS);
+    let sound = cell.next_report();
+
+    assert_eq!(ejected, Some(BTreeMap::from([(WithheldReason::Ejected, 1)])));
+    assert_eq!(sound, Some(BTreeMap::new()));
+}
+
 /// Guards against a probation that lasts until the start order of its only run has expired.
 #[test]
 fn run_that_was_not_started_does_not_prolong_a_probation() {
