jobs: suspected members of a gang share workers

Cause: callers saw a gang without a run. Each task that was lost twice soon after a start got a worker which no other run of the same pass may use, and a gang starts only whole: with fewer workers than members it never started again, and only a start could have cleared the suspicion.

Change: members of a gang take the workers without other runs first, and share workers where there are too few. They start, fail and are given up together, so that nothing is lost for the proof. Other suspected tasks are placed as before.

--- a/crates/jobs/src/plan_start.rs
+++ b/crates/jobs/src/plan_start.rs
@@ -18,7 +18,10 @@
     },
     fuchsiatack_model::{Resources, WorkerName},
     smol_str::SmolStr,
-    std::{cmp::Reverse, collections::BTreeMap},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet},
+    },
 };
 
 /// Number of steps that fail to be placed in one planning pass after which the others are tried in turn
@@ -311,13 +314,13 @@
     ) -> Starts {
         let reserved = spec.reserved();
         let mut starts = Starts::new();
-        let mut isolated = 0;
+        let mut isolating = BTreeSet::new();
         for task in waiting {
             let sharing = self.sharing(*task);
             let position = match sharing {
                 Sharing::Shared => self.choose_worker(*task, &usable, &reserved, kept_free_percent),
                 Sharing::Alone | Sharing::Fewest | Sharing::Held => {
-                    self.choose_isolated(*task, &usable, sharing, &starts, isolated)
+                    self.choose_isolated(*task, spec, &usable, sharing, &starts, &isolating)
                 }
             };
             let Some(position) = position else {
@@ -327,12 +330,6 @@
                 }
             };
             let worker = usable[position].key.clone();
-            if sharing != Sharing::Shared {
-                usable.remove(position);
-                starts.entry(worker).or_default().push(*task);
-                isolated += 1;
-                continue;
-            }
             usable[position].used = usable[position].used.saturating_add(&reserved);
             let tasks = starts.entry(worker.clone()).or_default();
             tasks.push(*task);
@@ -341,7 +338,15 @@
                 .is_some_and(|limit| tasks.len() + self.tasks_on(step, &worker) >= limit as usize);
             // A gang starts only as a whole, also where each worker gets one run at a time.
             let has_no_starts_left = !spec.gang && self.starts_left(&worker) <= tasks.len();
-            if is_at_limit || has_no_starts_left || self.has_no_cold_starts_left(&worker, tasks.len()) {
+            let is_isolated = sharing != Sharing::Shared;
+            if is_isolated {
+                isolating.insert(worker.clone());
+            }
+            if (is_isolated && !spec.gang)
+                || is_at_limit
+                || has_no_starts_left
+                || self.has_no_cold_starts_left(&worker, tasks.len())
+            {
                 usable.remove(position);
             }
         }
@@ -368,27 +373,34 @@
             .or_else(|| placement::choose(usable, reserved, kept_free_percent, |_| true))
     }
 
-    /// Chooses a worker on which a suspected task runs alone, or beside as few runs as possible.
+    /// Chooses a worker on which a suspected task runs alone, or beside as few runs as possible. The members of
+    /// a gang share workers where there are too few for all: they start, fail and are given up together.
     fn choose_isolated(
         &self,
         task: TaskKey,
+        spec: &StepSpec,
         usable: &[Candidate<WorkerName>],
         sharing: Sharing,
         starts: &Starts,
-        isolated: usize,
+        isolating: &BTreeSet<WorkerName>,
     ) -> Option<usize> {
+        let reserved = spec.reserved();
         let runs_on = |worker: &WorkerName| self.workers.get(worker).map_or(0, |view| view.runs.len());
         let (position, fewest) = usable
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| !starts.contains_key(&candidate.key))
+            .filter(|(_, candidate)| spec.gang || !starts.contains_key(&candidate.key))
+            .filter(|(_, candidate)| candidate.capacity.has_free(&candidate.used, &reserved))
             .min_by_key(|(_, candidate)| {
+                let is_chosen = starts.contains_key(&candidate.key);
                 let runs = runs_on(&candidate.key);
-                (runs > 0, self.has_failed_on(task, &candidate.key), runs)
+                let has_failed = self.has_failed_on(task, &candidate.key);
+                (runs > 0, is_chosen, has_failed, runs)
             })?;
         let entry = self.store.workers.get(&fewest.key)?;
+        let others = isolating.iter().filter(|worker| **worker != fewest.key).count();
         let is_permitted = match sharing {
-            Sharing::Alone => runs_on(&fewest.key) == 0 && self.may_isolate(&entry.service, isolated),
+            Sharing::Alone => runs_on(&fewest.key) == 0 && self.may_isolate(&entry.service, others),
             Sharing::Held => false,
             Sharing::Fewest | Sharing::Shared => true,
         };
