jobs: a task too large for the reserve does not wait for an empty worker

Cause: callers saw a task that never started. Placement leaves a tenth of each worker to urgent work unless the worker is empty. A task that needs more than the rest could never leave the reserve, and waited for good while anything ran on each worker.

Change: the reserve is ignored for a task that could not leave it on an empty worker of that capacity either.

--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -46,8 +46,8 @@
 
 impl<K> Candidate<K> {
     /// Returns whether the task fits into the free resources with `kept_free_percent` of the
-    /// processors left free. On an empty worker the reserve is ignored, so that a task which needs
-    /// nearly all of a worker can run.
+    /// processors left free. The reserve is ignored on an empty worker, and for a task that could never
+    /// leave it, so that a task which needs nearly all of a worker can run.
     pub fn fits(&self, reserved: &Resources, kept_free_percent: u32) -> bool {
         let kept = Resources {
             processors_millis: (u64::from(self.capacity.processors_millis) * u64::from(kept_free_percent)
@@ -56,8 +56,9 @@
         };
         let is_empty = self.used.processors_millis == 0;
         let with_kept = reserved.saturating_add(&kept);
+        let is_too_large = !self.capacity.covers(&with_kept);
         self.capacity.has_free(&self.used, reserved)
-            && (is_empty || self.capacity.has_free(&self.used, &with_kept))
+            && (is_empty || is_too_large || self.capacity.has_free(&self.used, &with_kept))
     }
 
     /// Returns whether the worker is cold, whether the task would share processors, and its expected duration
--- a/crates/jobs/tests/decisions.rs
+++ b/crates/jobs/tests/decisions.rs
@@ -78,6 +78,20 @@
     );
 }
 
+/// Guards against a large task that waits for an empty worker for good, while small tasks that last run on all of
+/// them and leave enough room.
+#[test]
+fn used_worker_accepts_a_task_that_could_never_leave_the_reserve() {
+    let candidates = [candidate("full", 32, 2, 1_000), candidate("free", 32, 1, 1_000)];
+
+    assert_eq!(chosen(&candidates, 31, 10), Some("free"));
+    assert_eq!(
+        chosen(&candidates, 28, 10),
+        None,
+        "this one fits beside the reserve elsewhere"
+    );
+}
+
 /// Guards against a task that no worker accepts because it needs the reserved part of every worker.
 #[test]
 fn empty_worker_accepts_a_task_that_needs_all_of_it() {
