--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,6 +37,7 @@
 mod plan_backlog;
 mod plan_calls;
 mod plan_candidates;
+mod plan_choice;
 mod plan_cold_workers;
 mod plan_crashes;
 mod plan_data_center_evacuation;
