jobs: the test of single trial runs fails without its mend

Cause: worker_on_probation_gets_a_single_run passed with the limit of one start taken out, since another waiting task took the trial run first.

Change: the step of six tasks is the only one that waits when the ejection ends.

--- a/crates/jobs/tests/probation.rs
+++ b/crates/jobs/tests/probation.rs
@@ -205,12 +205,16 @@
 /// Guards against a worker on probation that gets all tasks of a step at once and fails them.
 #[test]
 fn worker_on_probation_gets_a_single_run() {
-    let mut cell = Cell::with_lasting_tasks(Fault::Fails);
-    cell.run(1_000);
-    cell.leader.submit(JobId(4), vec![step(6, 600)]);
+    let mut cell = Cell::new();
+    cell.fault = Fault::Fails;
+    let failing = [JobId(4), JobId(5)];
+    failing.map(|job| cell.leader.submit(job, vec![step(1, 600)]));
+    cell.run(500);
+    failing.map(|job| cell.leader.cancel(job));
+    cell.leader.submit(JobId(6), vec![step(6, 600)]);
     let before = cell.starts;
 
-    cell.run(1_000);
+    cell.run(1_500);
 
     assert_eq!(cell.starts - before, 1);
 }
