--- a/crates/jobs/tests/probation.rs
+++ b/crates/jobs/tests/probation.rs
@@ -208,9 +208,11 @@
     let mut cell = Cell::new();
     cell.fault = Fault::Fails;
     let failing = [JobId(4), JobId(5)];
-    failing.map(|job| cell.leader.submit(job, vec![step(1, 600)]));
+    failing
+        .iter()
+        .for_each(|job| cell.leader.submit(*job, vec![step(1, 600)]));
     cell.run(500);
-    failing.map(|job| cell.leader.cancel(job));
+    failing.iter().for_each(|job| cell.leader.cancel(*job));
     cell.leader.submit(JobId(6), vec![step(6, 600)]);
     let before = cell.starts;
 
